--- /dev/null
+++ b/src/kernel/events.ts
@@ -0,0 +1,82 @@
+/** Events that the edge gives to the kernel, or that plug-ins raise. */
+
+import type { Configuration } from './document.js'
+import type { ErrorKind, Outcome } from './errors.js'
+import type { EndpointState, HeaderList, Message, ProcessRef, Submit } from '../protocol/messages.js'
+
+/** A request from a caller, authenticated and within the size limits. */
+export interface RequestReceived {
+  readonly kind: 'request-received'
+  readonly requestId: string
+  readonly team: string
+  /** Service name; for models found by the `model` field of the body. */
+  readonly service: string
+  readonly method: string
+  readonly path: string
+  readonly headers: HeaderList
+  readonly body: Uint8Array
+  readonly bodyHash: string
+  readonly fingerprint: string
+  /** Hash of the prompt's start, for prefix affinity; models only. */
+  readonly prefixHash?: string
+  /** Text of the idempotency key header. */
+  readonly keyText?: string
+  /** Deadline asked for by the caller in ms; never above the profile's. */
+  readonly deadlineMs?: number
+}
+
+/** What a platform call answered. `unknown` is a lost answer or a timeout. */
+export type PlatformResult =
+  | { readonly kind: 'found', readonly value: string, readonly revision: number }
+  | { readonly kind: 'missing' }
+  | { readonly kind: 'written', readonly revision: number }
+  | { readonly kind: 'conflict' }
+  | { readonly kind: 'unavailable' }
+  | { readonly kind: 'unknown' }
+
+/** Load and state as the endpoint itself reports them, possibly late. */
+export interface EndpointReport {
+  readonly healthy: boolean
+  /** Changes with each start of the endpoint. */
+  readonly startId: string
+  /** 0 (cold) to 1 (warm). */
+  readonly warmth: number
+  readonly stepMs?: number
+  /** Current decoding step; ranks of a group only. */
+  readonly step?: number
+}
+
+export type KernelEvent =
+  /** Regular timer of the edge, each TICK_MS. */
+  | { readonly kind: 'tick' }
+  | { readonly kind: 'leave-requested', readonly deadlineMs: number }
+  | { readonly kind: 'peer-connected', readonly peer: ProcessRef }
+  | { readonly kind: 'peer-disconnected', readonly peer: ProcessRef }
+  | { readonly kind: 'message-received', readonly peer: ProcessRef, readonly message: Message }
+  | { readonly kind: 'platform-answered', readonly callId: string, readonly result: PlatformResult }
+  /** A configuration read from the platform or sent by a peer; accepted only when newer. */
+  | { readonly kind: 'configuration-offered', readonly configuration: Configuration, readonly source: string }
+  /** Raised by the configuration plug-in when a newer version is in force. */
+  | { readonly kind: 'configuration-changed', readonly version: number }
+  /* entry role */
+  | RequestReceived
+  | { readonly kind: 'caller-gone', readonly requestId: string }
+  | { readonly kind: 'outcome-asked', readonly askId: string, readonly team: string, readonly keyText: string }
+  /* endpoint role */
+  | { readonly kind: 'work-offered', readonly work: Submit }
+  | { readonly kind: 'work-refused', readonly workId: string, readonly error: ErrorKind, readonly outcome: Outcome, readonly retryAfterMs?: number }
+  | { readonly kind: 'work-started', readonly workId: string }
+  | { readonly kind: 'endpoint-head', readonly workId: string, readonly status: number, readonly headers: HeaderList }
+  | { readonly kind: 'endpoint-chunk', readonly workId: string, readonly data: Uint8Array }
+  | { readonly kind: 'endpoint-ended', readonly workId: string }
+  /** `sent` is false only when no byte of the request reached the endpoint. */
+  | { readonly kind: 'endpoint-failed', readonly workId: string, readonly sent: boolean }
+  | { readonly kind: 'endpoint-crashed', readonly crashId: string }
+  | { readonly kind: 'endpoint-reported', readonly report: EndpointReport }
+  /** An order to the endpoint was carried out or refused. */
+  | { readonly kind: 'order-answered', readonly orderId: string, readonly accepted: boolean, readonly fence: number }
+
+/** Discriminator of an event. */
+export type EventKind = KernelEvent['kind']
+
+export type { EndpointState }
--- /dev/null
+++ b/src/kernel/kernel.ts
@@ -0,0 +1,87 @@
+import type { Effect } from './effects.js'
+import type { EventKind, KernelEvent } from './events.js'
+import { listPlugins } from './plugin.js'
+import type { Context, Plugin, PluginOptions } from './plugin.js'
+import type { Ports } from './ports.js'
+import { Random } from './random.js'
+
+/** What a kernel is created with. */
+export interface KernelOptions extends PluginOptions {
+  /** Seed of the random numbers; 32-bit integer. */
+  readonly seed: number
+}
+
+/** Pure core of a process: event and time in, effects out. */
+export class Kernel {
+  readonly #options: KernelOptions
+  readonly #plugins: readonly Plugin[]
+  readonly #subscribers = new Map<EventKind, Plugin[]>()
+  readonly #ports: Partial<Ports>
+  readonly #random: Random
+
+  private constructor (options: KernelOptions, plugins: readonly Plugin[]) {
+    this.#options = options
+    this.#plugins = plugins
+    this.#random = Random.create(options.seed)
+    this.#ports = Object.assign({}, ...plugins.map(plugin => plugin.ports ?? {})) as Partial<Ports>
+    for (const plugin of plugins) {
+      for (const kind of plugin.subscribesTo) {
+        const list = this.#subscribers.get(kind)
+        if (list === undefined) this.#subscribers.set(kind, [plugin])
+        else list.push(plugin)
+      }
+    }
+  }
+
+  /**
+   * Creates a kernel with every plug-in registered for the role.
+   *
+   * @param options - identity, settings and seed
+   * @returns a kernel in its initial state
+   */
+  static create (options: KernelOptions): Kernel {
+    return new Kernel(options, listPlugins(options.self.role).map(known => known.create(options)))
+  }
+
+  /**
+   * Handles one event and all events that plug-ins raise while doing so.
+   *
+   * @param event - what happened
+   * @param nowMs - monotonic time in ms
+   * @returns effects in the order in which they were asked for
+   */
+  dispatch (event: KernelEvent, nowMs: number): readonly Effect[] {
+    const effects: Effect[] = []
+    const queue: KernelEvent[] = [event]
+    const context: Context = {
+      nowMs,
+      random: this.#random,
+      self: this.#options.self,
+      emit: effect => { effects.push(effect) },
+      raise: raised => { queue.push(raised) },
+      port: name => this.port(name)
+    }
+    for (let next = queue.shift(); next !== undefined; next = queue.shift()) {
+      for (const plugin of this.#subscribers.get(next.kind) ?? []) plugin.handle(next, context)
+    }
+    return effects
+  }
+
+  /**
+   * Gives a plug-in's port, for status pages of the edge.
+   *
+   * @param name - the port's name
+   * @returns the port
+   * @throws Error when no plug-in provides it
+   */
+  port<N extends keyof Ports> (name: N): Ports[N] {
+    const port = this.#ports[name]
+    if (port === undefined) throw new Error(`no plug-in provides the port ${name}`)
+    return port as Ports[N]
+  }
+
+  /** @returns the names of the plug-ins in order */
+  listPluginNames (): readonly string[] {
+    return this.#plugins.map(plugin => plugin.name)
+  }
+}
--- /dev/null
+++ b/src/kernel/log-events.ts
@@ -0,0 +1,17 @@
+/** The closed list of log event names. */
+export const LOG_EVENTS = [
+  'process-started', 'process-leaving', 'process-stopped', 'work-cut',
+  'peer-connected', 'peer-disconnected', 'peer-silent', 'peer-refused',
+  'request-received', 'request-finished', 'request-refused', 'request-retried', 'stream-resumed',
+  'work-accepted', 'work-started', 'work-finished', 'work-refused', 'pause-detected',
+  'handover-started', 'handover-finished', 'handover-received',
+  'endpoint-cold', 'endpoint-warm', 'endpoint-crashed', 'endpoint-unhealthy', 'endpoint-ejected', 'endpoint-readmitted',
+  'request-suspected', 'request-quarantined', 'suspect-cleared',
+  'member-joined', 'member-suspected', 'member-dead', 'member-leaving',
+  'configuration-accepted', 'configuration-ignored', 'configuration-rejected', 'platform-lost', 'platform-found',
+  'lease-acquired', 'lease-lost', 'map-proposed', 'map-prepared', 'map-decided', 'map-stalled', 'rebalance-declined',
+  'tls-reloaded', 'settings-rejected', 'internal-error'
+] as const
+
+/** One name of the closed list. */
+export type LogEvent = typeof LOG_EVENTS[number]
--- /dev/null
+++ b/src/kernel/ports.ts
@@ -0,0 +1,131 @@
+/** Typed ports through which plug-ins read each other's state. */
+
+import type { Configuration, EndpointSpec, Profile, Service, Team } from './document.js'
+import type { Context } from './plugin.js'
+import type { EndpointState, ProcessRef, RequestKey } from '../protocol/messages.js'
+
+/** The configuration in force. */
+export interface ConfigurationPort {
+  getCurrent (): Configuration
+  /** Monotonic time in ms since which the present version is in force. */
+  getInForceSinceMs (): number
+  findService (name: string): Service | undefined
+  findServiceByModel (model: string): Service | undefined
+  findProfile (name: string): Profile | undefined
+  findTeam (name: string): Team | undefined
+  findEndpoint (id: string): EndpointSpec | undefined
+  listEndpoints (service: string): readonly EndpointSpec[]
+  /** Whether the endpoint's domain is in and its host is not draining. */
+  isInService (endpoint: Pick<EndpointSpec, 'domain' | 'host'>): boolean
+}
+
+/** A peer process with which a connection stands. */
+export interface PeerView {
+  readonly process: ProcessRef
+  /** Monotonic time of the last heartbeat in ms. */
+  readonly heardAtMs: number
+  readonly configVersion: number
+  readonly endpoint?: EndpointState
+}
+
+/** Connections and members. */
+export interface MembershipPort {
+  /** Peers with a working connection. */
+  findPeer (id: string): PeerView | undefined
+  listPeers (): readonly PeerView[]
+  /** Live entries for the address answer; leaving ones are left out. */
+  listEntries (): readonly ProcessRef[]
+  isLeaving (): boolean
+}
+
+/** What a routing choice is made for. */
+export interface RouteRequest {
+  readonly service: string
+  readonly profile: Profile
+  readonly fingerprint: string
+  readonly prefixHash?: string
+  /** Endpoints already tried. */
+  readonly exclude: ReadonlySet<string>
+}
+
+/** A choice and why it was made, for `explain`. */
+export interface RouteChoice {
+  readonly endpoint: string
+  readonly reason: string
+}
+
+/** A home that may be named by a key token. */
+export interface Home {
+  readonly id: string
+  readonly incarnation: number
+  readonly window: number
+  readonly domain: string
+}
+
+/** Choice of endpoints at an entry. */
+export interface RoutingPort {
+  chooseEndpoint (request: RouteRequest, context: Context): RouteChoice | undefined
+  /** Two homes in different failure domains where possible. */
+  chooseHomes (service: string, context: Context): readonly Home[]
+  noteStart (endpoint: string, context: Context): void
+  noteEnd (endpoint: string, result: 'ok' | 'refused' | 'failed', elapsedMs: number, context: Context): void
+}
+
+/** One step in the life of a request, for `explain`. */
+export interface TraceStep {
+  readonly atMs: number
+  readonly step: string
+  readonly detail: string
+}
+
+/** Requests in flight at an entry. */
+export interface RequestsPort {
+  countInFlight (): number
+  /** Steps of a recent request; undefined when it is not remembered. */
+  explain (requestId: string): readonly TraceStep[] | undefined
+}
+
+/** Key tokens, both roles. */
+export interface TokensPort {
+  formatToken (service: string, home: Home): string
+  /** Undefined when the text is malformed or its proof is wrong. */
+  parseKey (service: string, text: string): RequestKey | undefined
+}
+
+/** Requests that crashed endpoints. */
+export interface QuarantinePort {
+  isRefused (fingerprint: string): boolean
+  isSuspect (fingerprint: string): boolean
+}
+
+/** Queue and running set of an endpoint process. */
+export interface AdmissionPort {
+  describeState (): Pick<EndpointState, 'running' | 'queued' | 'cap' | 'warmth' | 'healthy'>
+  /** Takes waiting work out of the queue; false when it is not waiting. */
+  removeWaiting (workId: string): boolean
+}
+
+/** Idempotency records of an endpoint process. */
+export interface OutcomesPort {
+  getWindow (): number
+  getMovedTo (): string | undefined
+  countRecords (): number
+}
+
+/** State of a group's expert map at an endpoint process. */
+export interface ExpertsPort {
+  getStepMs (): number | undefined
+}
+
+/** All ports by name. */
+export interface Ports {
+  readonly configuration: ConfigurationPort
+  readonly membership: MembershipPort
+  readonly routing: RoutingPort
+  readonly requests: RequestsPort
+  readonly tokens: TokensPort
+  readonly quarantine: QuarantinePort
+  readonly admission: AdmissionPort
+  readonly outcomes: OutcomesPort
+  readonly experts: ExpertsPort
+}
