Add stand-ins and the platform client, thin versions

Cause: the thin end-to-end path needs a platform, an engine, a service and a client of the object API.

--- /dev/null
+++ b/src/edge/platform/client.ts
@@ -0,0 +1,228 @@
+/**
+ * Client of the platform's object API: reads, conditional updates, removals,
+ * lists and watches. Each call has a time limit and one of the results of
+ * `PlatformResult`.
+ */
+
+import { randomInt } from 'node:crypto'
+import { Agent } from 'undici'
+import type { PlatformResult } from '../../kernel/events.js'
+import { Random } from '../../kernel/random.js'
+import { PlatformTransport } from './transport.js'
+import type { TransportAnswer } from './transport.js'
+import { listAnswerSchema, objectAnswerSchema, revisionAnswerSchema } from './schema.js'
+import type { ListAnswer } from './schema.js'
+import { Watch } from './watch.js'
+import type { WatchOptions } from './watch.js'
+
+/** Largest value that the platform takes, in bytes. */
+export const VALUE_BYTES_MAX = 1_048_576
+/** Connections to each platform URL, the watches' included. */
+const CONNECTIONS_MAX = 16
+/** Time over which reconnects are spread after an outage, in ms. */
+const RECONNECT_SPREAD_MS = 10_000
+/** Largest count of writes and read-backs of one `writeUntilKnown`. */
+const ATTEMPTS_MAX = 4
+
+/** What the client is created with. */
+export interface PlatformClientOptions {
+  /** Base URLs; the next one is tried when one can't be reached. */
+  readonly urls: readonly string[]
+  /** Time limit of one call in ms. */
+  readonly timeoutMs: number
+  /** Sent as a bearer credential. */
+  readonly credential?: string
+  /** Time over which reconnects of watches are spread, in ms. */
+  readonly reconnectSpreadMs?: number
+  /** Seed of the jitter. */
+  readonly seed?: number
+}
+
+/** Result of a list. */
+export type PlatformListResult =
+  | { readonly kind: 'listed', readonly revision: number, readonly objects: ListAnswer['objects'] }
+  | { readonly kind: 'unavailable' }
+
+/** What is known of a write whose answer was lost. */
+export type WriteCheck =
+  /** It took effect and nobody wrote after it. */
+  | { readonly kind: 'applied', readonly revision: number }
+  /** The object is as before; the write may still take effect late. */
+  | { readonly kind: 'pending' }
+  /** Somebody wrote; whether ours took effect before that can't be told. */
+  | { readonly kind: 'superseded' }
+  | { readonly kind: 'unavailable' }
+
+/** Client of the object API. */
+export class PlatformClient {
+  readonly #transport: PlatformTransport
+  readonly #watchOptions: WatchOptions
+  readonly #watches = new Set<Watch>()
+
+  private constructor (options: PlatformClientOptions) {
+    const agent = new Agent({ connections: CONNECTIONS_MAX, connect: { timeout: options.timeoutMs } })
+    this.#transport = PlatformTransport.create({ ...options, agent })
+    this.#watchOptions = {
+      transport: this.#transport,
+      random: Random.create(options.seed ?? randomInt(2 ** 31)),
+      spreadMs: options.reconnectSpreadMs ?? RECONNECT_SPREAD_MS
+    }
+  }
+
+  /**
+   * @param options - URLs, time limit and credential
+   * @returns a client; it connects with the first call
+   */
+  static create (options: PlatformClientOptions): PlatformClient {
+    return new PlatformClient(options)
+  }
+
+  /**
+   * @param key - object key
+   * @returns `found`, `missing` or `unavailable`
+   */
+  async read (key: string): Promise<PlatformResult> {
+    const answer = await this.#transport.send({ method: 'GET', path: formatObjectPath(key) })
+    if (answer.kind !== 'answered') return { kind: 'unavailable' }
+    if (answer.status === 404) return { kind: 'missing' }
+    const object = objectAnswerSchema.safeParse(answer.body)
+    if (answer.status !== 200 || !object.success) return { kind: 'unavailable' }
+    return { kind: 'found', value: object.data.value, revision: object.data.revision }
+  }
+
+  /**
+   * Writes when the object has the revision.
+   *
+   * @param key - object key
+   * @param value - new value, at most `VALUE_BYTES_MAX`
+   * @param revision - expected revision; 0 creates
+   * @returns `written`, `conflict`, `unavailable` when it did not take effect, or
+   * `unknown` when the answer was lost and the caller must read back
+   * @throws RangeError when the value is too large
+   */
+  async write (key: string, value: string, revision: number): Promise<PlatformResult> {
+    const bytes = Buffer.byteLength(value)
+    if (bytes > VALUE_BYTES_MAX) throw new RangeError(`value of ${key} has ${bytes} bytes, more than ${VALUE_BYTES_MAX}`)
+    return convertWrite(await this.#transport.send({
+      method: 'PUT', path: formatObjectPath(key), revision, body: JSON.stringify({ value })
+    }))
+  }
+
+  /**
+   * Removes the object when it has the revision.
+   *
+   * @param key - object key
+   * @param revision - expected revision
+   * @returns as `write`
+   */
+  async remove (key: string, revision: number): Promise<PlatformResult> {
+    return convertWrite(await this.#transport.send({ method: 'DELETE', path: formatObjectPath(key), revision }))
+  }
+
+  /**
+   * @param prefix - start of the keys
+   * @returns all objects under the prefix at one revision
+   */
+  async list (prefix: string): Promise<PlatformListResult> {
+    const answer = await this.#transport.send({ method: 'GET', path: `/v1/objects?prefix=${encodeURIComponent(prefix)}` })
+    if (answer.kind !== 'answered' || answer.status !== 200) return { kind: 'unavailable' }
+    const list = listAnswerSchema.safeParse(answer.body)
+    return list.success ? { kind: 'listed', ...list.data } : { kind: 'unavailable' }
+  }
+
+  /**
+   * Reads back after a `write` with the result `unknown`.
+   *
+   * @param key - object key
+   * @param value - value that was written
+   * @param revision - revision that the write expected
+   * @returns what is known of the write
+   */
+  async checkWrite (key: string, value: string, revision: number): Promise<WriteCheck> {
+    const result = await this.read(key)
+    switch (result.kind) {
+      case 'found':
+        if (result.revision === revision) return { kind: 'pending' }
+        // A smaller revision comes from a stale read and says nothing.
+        if (result.revision < revision) return { kind: 'unavailable' }
+        return result.value === value ? { kind: 'applied', revision: result.revision } : { kind: 'superseded' }
+      case 'missing': return { kind: revision === 0 ? 'pending' : 'superseded' }
+      default: return { kind: 'unavailable' }
+    }
+  }
+
+  /**
+   * Writes, and reads back or repeats the same conditional write while its
+   * effect is unknown. A repeat is safe: at most one of the writes that expect
+   * the same revision takes effect.
+   *
+   * @param key - object key
+   * @param value - new value; must differ from what other writers write
+   * @param revision - expected revision; 0 creates
+   * @returns `unknown` only when the platform stopped answering or another
+   * writer wrote after a write of ours whose answer was lost
+   */
+  async writeUntilKnown (key: string, value: string, revision: number): Promise<PlatformResult> {
+    let isUnknown = false
+    for (let attempt = 0; attempt < ATTEMPTS_MAX; attempt += 1) {
+      const result = await this.write(key, value, revision)
+      if (result.kind === 'written') return result
+      if (result.kind !== 'unknown' && !isUnknown) return result
+      isUnknown = true
+      const check = await this.checkWrite(key, value, revision)
+      if (check.kind === 'applied') return { kind: 'written', revision: check.revision }
+      if (check.kind === 'superseded') return { kind: 'unknown' }
+    }
+    return { kind: 'unknown' }
+  }
+
+  /**
+   * Follows all objects under a prefix: first the present ones, then changes.
+   * A change may be left out when a later one of the same key follows.
+   *
+   * @param prefix - start of the keys
+   * @param onChange - receives key, value (undefined when removed) and revision;
+   * revisions of one key only rise
+   * @param onState - receives `lost` when the platform stops answering and
+   * `found` when it answers again
+   * @returns stops the watch
+   */
+  watch (
+    prefix: string,
+    onChange: (key: string, value: string | undefined, revision: number) => void,
+    onState: (state: 'lost' | 'found') => void = () => {}
+  ): () => void {
+    const watch = Watch.start(prefix, onChange, onState, this.#watchOptions)
+    this.#watches.add(watch)
+    return () => {
+      watch.stop()
+      this.#watches.delete(watch)
+    }
+  }
+
+  /** Stops all watches and closes the connections. */
+  async close (): Promise<void> {
+    for (const watch of this.#watches) watch.stop()
+    this.#watches.clear()
+    await this.#transport.close()
+  }
+}
+
+function formatObjectPath (key: string): string {
+  return `/v1/objects/${encodeURIComponent(key)}`
+}
+
+function convertWrite (answer: TransportAnswer): PlatformResult {
+  switch (answer.kind) {
+    case 'unsent': return { kind: 'unavailable' }
+    case 'lost': return { kind: 'unknown' }
+    case 'answered': {
+      if (answer.status === 409) return { kind: 'conflict' }
+      // A server error may come from a hop behind which the write took effect.
+      if (answer.status >= 500) return { kind: 'unknown' }
+      const written = revisionAnswerSchema.safeParse(answer.body)
+      if (answer.status !== 200) return { kind: 'unavailable' }
+      return written.success ? { kind: 'written', revision: written.data.revision } : { kind: 'unknown' }
+    }
+  }
+}
--- /dev/null
+++ b/src/edge/platform/watch.ts
@@ -0,0 +1,134 @@
+/** One watch: a list, then long polls from its revision. */
+
+import type { Random } from '../../kernel/random.js'
+import { listAnswerSchema, watchAnswerSchema } from './schema.js'
+import type { PlatformTransport, TransportAnswer } from './transport.js'
+
+/**
+ * Time of one long poll in ms. A silent connection is noticed within this time
+ * and the time limit of a call, which leaves most of the 15 s in which an
+ * accepted configuration takes effect.
+ */
+const POLL_MS = 5000
+
+/** What all watches of a client share. */
+export interface WatchOptions {
+  readonly transport: PlatformTransport
+  readonly random: Random
+  /** Time over which reconnects are spread, in ms. */
+  readonly spreadMs: number
+}
+
+type OnChange = (key: string, value: string | undefined, revision: number) => void
+type OnState = (state: 'lost' | 'found') => void
+
+/** Follows the objects under one prefix until it is stopped. */
+export class Watch {
+  readonly #prefix: string
+  readonly #onChange: OnChange
+  readonly #onState: OnState
+  readonly #options: WatchOptions
+  readonly #stop = new AbortController()
+  /** Revision by key of present objects. */
+  readonly #known = new Map<string, number>()
+  /** Global revision up to which changes were told; undefined before the first list. */
+  #revision: number | undefined
+  #needsList = true
+  #isLost = false
+
+  private constructor (prefix: string, onChange: OnChange, onState: OnState, options: WatchOptions) {
+    this.#prefix = prefix
+    this.#onChange = onChange
+    this.#onState = onState
+    this.#options = options
+  }
+
+  /**
+   * @param prefix - start of the keys
+   * @param onChange - receives changes
+   * @param onState - receives losses of the platform
+   * @param options - shared parts
+   * @returns a running watch
+   */
+  static start (prefix: string, onChange: OnChange, onState: OnState, options: WatchOptions): Watch {
+    const watch = new Watch(prefix, onChange, onState, options)
+    watch.#run().catch(() => { watch.stop() })
+    return watch
+  }
+
+  /** Stops; no callback is called afterwards. */
+  stop (): void {
+    this.#stop.abort()
+  }
+
+  async #run (): Promise<void> {
+    while (!this.#stop.signal.aborted) {
+      const isOk = this.#needsList ? await this.#load() : await this.#poll()
+      if (this.#stop.signal.aborted) return
+      this.#noteState(isOk)
+      if (!isOk) await this.#waitJittered()
+    }
+  }
+
+  async #load (): Promise<boolean> {
+    const answer = await this.#send(`/v1/objects?prefix=${encodeURIComponent(this.#prefix)}`, 0)
+    const list = answer.kind === 'answered' && answer.status === 200 ? listAnswerSchema.safeParse(answer.body) : undefined
+    if (this.#stop.signal.aborted || list?.success !== true) return false
+    const { revision, objects } = list.data
+    // A list older than what was told before is stale; a later one is awaited.
+    if (this.#revision !== undefined && revision < this.#revision) return false
+    for (const object of objects) this.#note(object.key, object.value, object.revision)
+    const present = new Set(objects.map(object => object.key))
+    for (const key of [...this.#known.keys()]) {
+      if (!present.has(key)) this.#note(key, null, revision)
+    }
+    this.#revision = revision
+    this.#needsList = false
+    return true
+  }
+
+  async #poll (): Promise<boolean> {
+    const query = `prefix=${encodeURIComponent(this.#prefix)}&since=${this.#revision ?? 0}&timeout_ms=${POLL_MS}`
+    const answer = await this.#send(`/v1/watch?${query}`, POLL_MS)
+    if (this.#stop.signal.aborted || answer.kind !== 'answered') return false
+    if (answer.status === 410) {
+      this.#needsList = true
+      return true
+    }
+    const changes = answer.status === 200 ? watchAnswerSchema.safeParse(answer.body) : undefined
+    if (changes?.success !== true) return false
+    for (const event of changes.data.events) this.#note(event.key, event.value, event.revision)
+    this.#revision = Math.max(this.#revision ?? 0, changes.data.revision)
+    return true
+  }
+
+  #note (key: string, value: string | null, revision: number): void {
+    if (revision <= (this.#known.get(key) ?? 0) || this.#stop.signal.aborted) return
+    if (value === null) this.#known.delete(key)
+    else this.#known.set(key, revision)
+    this.#onChange(key, value ?? undefined, revision)
+  }
+
+  #noteState (isOk: boolean): void {
+    if (isOk !== this.#isLost) return
+    this.#isLost = !isOk
+    this.#onState(isOk ? 'found' : 'lost')
+  }
+
+  async #send (path: string, heldMs: number): Promise<TransportAnswer> {
+    return await this.#options.transport.send({ method: 'GET', path, heldMs, signal: this.#stop.signal })
+  }
+
+  async #waitJittered (): Promise<void> {
+    const waitMs = this.#options.random.pickInt(Math.max(1, this.#options.spreadMs))
+    await new Promise<void>(resolve => {
+      const end = (): void => {
+        clearTimeout(timer)
+        this.#stop.signal.removeEventListener('abort', end)
+        resolve()
+      }
+      const timer = setTimeout(end, waitMs)
+      this.#stop.signal.addEventListener('abort', end)
+    })
+  }
+}
--- /dev/null
+++ b/standins/platform/store.ts
@@ -0,0 +1,110 @@
+/** Objects of the platform stand-in: versions, conditional updates, event log. */
+
+/** Count of past events that a watch can still ask for. */
+const EVENTS_KEPT = 10_000
+/** Count of past states per object that stale reads can serve. */
+const HISTORY_KEPT = 16
+
+/** One object at one revision. */
+export interface StoredObject {
+  readonly key: string
+  readonly value: string
+  /** Global revision of the write; never used twice, also not after a removal. */
+  readonly revision: number
+}
+
+/** One change; a removal has no value. */
+export interface StoreEvent {
+  readonly key: string
+  readonly revision: number
+  readonly value: string | null
+}
+
+export type StoreResult =
+  | { readonly kind: 'done', readonly revision: number }
+  | { readonly kind: 'conflict', readonly revision: number }
+
+/** In-memory objects with a global revision. */
+export class ObjectStore {
+  readonly #objects = new Map<string, StoredObject>()
+  readonly #history = new Map<string, StoredObject[]>()
+  #events: StoreEvent[] = []
+  #firstKept = 1
+  #revision = 0
+
+  private constructor () {}
+
+  /** @returns an empty store at revision 0 */
+  static create (): ObjectStore {
+    return new ObjectStore()
+  }
+
+  /** Global revision: that of the latest change. */
+  get revision (): number {
+    return this.#revision
+  }
+
+  /**
+   * @param key - object key
+   * @param stepsBack - count of changes by which the answer is stale
+   * @returns the object, if it exists
+   */
+  find (key: string, stepsBack = 0): StoredObject | undefined {
+    if (stepsBack === 0) return this.#objects.get(key)
+    const history = this.#history.get(key) ?? []
+    return history[Math.max(0, history.length - 1 - stepsBack)]
+  }
+
+  /**
+   * @param prefix - start of the keys
+   * @returns objects in the order of their keys
+   */
+  list (prefix: string): readonly StoredObject[] {
+    return [...this.#objects.values()]
+      .filter(object => object.key.startsWith(prefix))
+      .sort((a, b) => a.key < b.key ? -1 : 1)
+  }
+
+  /**
+   * @param key - object key
+   * @param value - new value; null removes the object
+   * @param expected - revision that the object must have; 0 when it must not exist
+   * @returns the new revision, or the present one on a conflict
+   */
+  update (key: string, value: string | null, expected: number): StoreResult {
+    const present = this.#objects.get(key)?.revision ?? 0
+    if (present !== expected) return { kind: 'conflict', revision: present }
+    this.#revision += 1
+    const revision = this.#revision
+    if (value === null) {
+      this.#objects.delete(key)
+      this.#history.delete(key)
+    } else {
+      const object = { key, value, revision }
+      this.#objects.set(key, object)
+      const history = this.#history.get(key) ?? []
+      history.push(object)
+      if (history.length > HISTORY_KEPT) history.shift()
+      this.#history.set(key, history)
+    }
+    this.#note({ key, revision, value })
+    return { kind: 'done', revision }
+  }
+
+  /**
+   * @param prefix - start of the keys
+   * @param since - global revision that the asker has seen
+   * @returns later events in order; undefined when some are no longer kept
+   */
+  listEvents (prefix: string, since: number): readonly StoreEvent[] | undefined {
+    if (since + 1 < this.#firstKept || since > this.#revision) return undefined
+    return this.#events.filter(event => event.revision > since && event.key.startsWith(prefix))
+  }
+
+  #note (event: StoreEvent): void {
+    this.#events.push(event)
+    if (this.#events.length <= 2 * EVENTS_KEPT) return
+    this.#events = this.#events.slice(-EVENTS_KEPT)
+    this.#firstKept = this.#events[0]?.revision ?? 1
+  }
+}
--- /dev/null
+++ b/standins/shared/server.ts
@@ -0,0 +1,183 @@
+/** HTTP server of the stand-ins: JSON helpers, socket faults and crashes. */
+
+import { createServer } from 'node:http'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import type { AddressInfo, Socket } from 'node:net'
+
+/** Address on which stand-ins listen unless told otherwise. */
+const DEFAULT_HOST = '127.0.0.1'
+/** Time between attempts to listen again after a crash, in ms. */
+const RELISTEN_MS = 20
+
+/** One call to a stand-in. */
+export interface Call {
+  readonly method: string
+  readonly url: URL
+  readonly request: IncomingMessage
+  readonly response: ServerResponse
+  /** Whole request body. */
+  readonly body: string
+}
+
+/** What a stand-in's server is started with. */
+export interface ServerOptions {
+  /** Port; 0 picks a free one. */
+  readonly port?: number
+  readonly host?: string
+  /** Answers one call; a rejection is answered with 400. */
+  readonly handle: (call: Call) => void | Promise<void>
+}
+
+/** An HTTP server that can crash, fall silent and come back on its port. */
+export class StandinServer {
+  readonly #handle: ServerOptions['handle']
+  readonly #host: string
+  readonly #sockets = new Set<Socket>()
+  readonly #silent = new WeakSet<Socket>()
+  #server: Server
+  #port: number
+  #down: NodeJS.Timeout | undefined
+  #stopped = false
+
+  private constructor (options: ServerOptions) {
+    this.#handle = options.handle
+    this.#host = options.host ?? DEFAULT_HOST
+    this.#port = options.port ?? 0
+    this.#server = this.#build()
+  }
+
+  /**
+   * @param options - port and handler
+   * @returns a server that listens
+   * @throws Error when the port is taken
+   */
+  static async start (options: ServerOptions): Promise<StandinServer> {
+    const server = new StandinServer(options)
+    await server.#open()
+    return server
+  }
+
+  /** Port on which the server listens. */
+  get port (): number {
+    return this.#port
+  }
+
+  /** Base URL without a closing slash. */
+  get url (): string {
+    return `http://${this.#host}:${this.#port}`
+  }
+
+  /** Destroys every open connection. */
+  closeSockets (): void {
+    for (const socket of this.#sockets) socket.destroy()
+  }
+
+  /** Makes every open connection silent for good; new ones work. */
+  applySilence (): void {
+    for (const socket of this.#sockets) this.#silent.add(socket)
+  }
+
+  /** @returns whether the connection of the call was made silent */
+  isSilent (call: Call): boolean {
+    return this.#silent.has(call.request.socket)
+  }
+
+  /**
+   * Fails like a crashed process: connections break and new ones are refused.
+   *
+   * @param downMs - time until the port accepts connections again, in ms
+   * @param onUp - called before the port accepts connections again
+   */
+  runCrash (downMs: number, onUp: () => void): void {
+    if (this.#down !== undefined || this.#stopped) return
+    this.#server.close()
+    this.closeSockets()
+    const start = (): void => {
+      this.#server = this.#build()
+      this.#open().then(() => { this.#down = undefined }, () => { this.#down = setTimeout(start, RELISTEN_MS) })
+    }
+    this.#down = setTimeout(() => {
+      onUp()
+      start()
+    }, downMs)
+  }
+
+  /** @returns whether the server is down after a crash */
+  isDown (): boolean {
+    return this.#down !== undefined
+  }
+
+  /** Stops for good; breaks every connection. */
+  async stop (): Promise<void> {
+    this.#stopped = true
+    clearTimeout(this.#down)
+    const closed = new Promise<void>(resolve => { this.#server.close(() => { resolve() }) })
+    this.closeSockets()
+    await closed
+  }
+
+  async #open (): Promise<void> {
+    await new Promise<void>((resolve, reject) => {
+      this.#server.once('error', reject)
+      this.#server.listen(this.#port, this.#host, resolve)
+    })
+    this.#port = (this.#server.address() as AddressInfo).port
+    if (this.#stopped) this.#server.close()
+  }
+
+  #build (): Server {
+    const server = createServer((request, response) => { this.#dispatch(request, response) })
+    server.keepAliveTimeout = 0
+    server.on('connection', socket => {
+      this.#sockets.add(socket)
+      socket.on('error', () => { socket.destroy() })
+      socket.on('close', () => { this.#sockets.delete(socket) })
+    })
+    return server
+  }
+
+  #dispatch (request: IncomingMessage, response: ServerResponse): void {
+    const parts: Buffer[] = []
+    request.on('data', (part: Buffer) => { parts.push(part) })
+    request.on('error', () => { response.destroy() })
+    request.on('end', () => {
+      if (this.#silent.has(request.socket)) return
+      const url = new URL(request.url ?? '/', this.url)
+      const call: Call = { method: request.method ?? 'GET', url, request, response, body: Buffer.concat(parts).toString('utf8') }
+      Promise.resolve().then(async () => { await this.#handle(call) }).catch((error: unknown) => {
+        if (!response.headersSent) sendJson(call, 400, { error: String(error) })
+      })
+    })
+  }
+}
+
+/**
+ * Answers a call with JSON.
+ *
+ * @param call - the call
+ * @param status - HTTP status code
+ * @param value - value of the body
+ */
+export function sendJson (call: Call, status: number, value: unknown): void {
+  if (call.response.destroyed) return
+  call.response.writeHead(status, { 'content-type': 'application/json' })
+  call.response.end(JSON.stringify(value))
+}
+
+/**
+ * @param call - the call
+ * @param name - header name in lower case
+ * @returns the header's value, if it was sent once
+ */
+export function findHeader (call: Call, name: string): string | undefined {
+  const value = call.request.headers[name]
+  return typeof value === 'string' ? value : undefined
+}
+
+/**
+ * @param ms - time to wait in ms
+ * @returns a promise that is met after the time
+ */
+export async function waitMs (ms: number): Promise<void> {
+  await new Promise<void>(resolve => { setTimeout(resolve, ms) })
+}
