Add the metrics table and the JSON-line log

Cause: kernel effects count, observe and log need a place to go. Change: prom-client registry with a closed table per role and bounded label values; roarr lines with one event of the closed list, where fields that could hold bodies or keys are hidden. The log library drops every line unless its environment variable is set before import, so the logger sets it.

--- /dev/null
+++ b/src/edge/log/logger.ts
@@ -0,0 +1,78 @@
+/** JSON-line log of a process. */
+
+import './enable.js'
+import { ROARR, Roarr } from 'roarr'
+import type { Message } from 'roarr'
+import { LOG_EVENTS } from '../../kernel/log-events.js'
+import type { LogEvent } from '../../kernel/log-events.js'
+
+/** Fields of one line: ids, counts and kinds; never bodies, keys or credentials. */
+export type LogFields = Readonly<Record<string, string | number | boolean>>
+
+/** What a logger is created with. */
+export interface LoggerOptions {
+  readonly processId: string
+  /** Takes one line without its line feed; standard output when absent. */
+  readonly write?: (line: string) => void
+}
+
+/** Longest text of one field; longer text is cut. */
+const TEXT_CHARS_MAX = 256
+const HIDDEN = '[hidden]'
+
+/** Field names that hold what a log must never hold. */
+const HIDDEN_FIELDS: ReadonlySet<string> = new Set([
+  'body', 'key', 'keyText', 'headers', 'authorization', 'credential', 'secret', 'token', 'prompt', 'data', 'chunk'
+])
+
+const KNOWN_EVENTS: ReadonlySet<string> = new Set(LOG_EVENTS)
+
+/** Writes one JSON object per line: `time`, `process`, `event`, then the fields. */
+export class Logger {
+  readonly #processId: string
+  readonly #write: (line: string) => void
+
+  private constructor (options: LoggerOptions) {
+    this.#processId = options.processId
+    this.#write = options.write ?? (line => { process.stdout.write(`${line}\n`) })
+  }
+
+  /**
+   * @param options - process id and where lines go
+   * @returns a logger
+   */
+  static create (options: LoggerOptions): Logger {
+    return new Logger(options)
+  }
+
+  /**
+   * Writes one line. An event outside the closed list is written as
+   * `internal-error` with its name in the field `unlisted`.
+   *
+   * @param event - name from `LOG_EVENTS`
+   * @param fields - values of the line
+   */
+  write (event: LogEvent, fields: LogFields = {}): void {
+    const isListed = KNOWN_EVENTS.has(event)
+    // The library has one global writer; setting it for each line keeps several
+    // processes' loggers apart when tests run them in one process.
+    ROARR.serializeMessage = formatLine
+    ROARR.write = this.#write
+    Roarr({ process: this.#processId, fields: { ...buildFields(fields), ...(isListed ? {} : { unlisted: event }) } },
+      isListed ? event : 'internal-error')
+  }
+}
+
+function formatLine (message: Message): string {
+  const { process, fields } = message.context as { readonly process: string, readonly fields: LogFields }
+  return JSON.stringify({ time: new Date(message.time).toISOString(), process, event: message.message, ...fields })
+}
+
+function buildFields (fields: LogFields): LogFields {
+  return Object.fromEntries(Object.entries(fields).map(([name, value]) => {
+    if (HIDDEN_FIELDS.has(name)) return [name, HIDDEN]
+    // Names of the line itself can't be replaced by fields.
+    const free = name === 'time' || name === 'process' || name === 'event' ? `${name}_` : name
+    return [free, typeof value === 'string' ? value.slice(0, TEXT_CHARS_MAX) : value]
+  }))
+}
--- /dev/null
+++ b/src/edge/metrics/metrics.ts
@@ -0,0 +1,131 @@
+/** Metrics of a process in the Prometheus text format. */
+
+import { Counter, Gauge, Histogram, Registry } from 'prom-client'
+import { assertNever } from '../../kernel/errors.js'
+import type { Role } from '../../protocol/messages.js'
+import { METRICS } from './table.js'
+import type { LabelSpec, MetricSpec } from './table.js'
+
+/** What metrics are created with. */
+export interface MetricsOptions {
+  readonly role: Role
+}
+
+const PREFIX = 'heatherdoor_'
+const OTHER = 'other'
+const US_PER_S = 1_000_000
+
+type Metric =
+  | { readonly type: 'counter', readonly spec: MetricSpec, readonly series: Counter }
+  | { readonly type: 'histogram', readonly spec: MetricSpec, readonly series: Histogram }
+  | { readonly type: 'gauge', readonly spec: MetricSpec, readonly series: Gauge }
+
+/** Registry with the closed table of metrics and bounded label sets. */
+export class Metrics {
+  readonly #registry = new Registry()
+  readonly #metrics = new Map<string, Metric>()
+  /** Label values seen by metric, for labels with a bounded count. */
+  readonly #seen = new Map<string, Set<string>>()
+  readonly #unlisted: Counter
+
+  private constructor (options: MetricsOptions) {
+    this.#registry.setDefaultLabels({ role: options.role })
+    for (const [name, spec] of Object.entries<MetricSpec>(METRICS[options.role])) this.#metrics.set(name, this.#build(name, spec))
+    this.#unlisted = new Counter({
+      name: `${PREFIX}unlisted_metrics_total`,
+      help: 'Values for metrics that are not in the table.',
+      registers: [this.#registry]
+    })
+    this.#addProcessMetrics()
+  }
+
+  /**
+   * @param options - role of the process
+   * @returns metrics at zero
+   */
+  static create (options: MetricsOptions): Metrics {
+    return new Metrics(options)
+  }
+
+  /**
+   * Adds 1 to a counter. A metric outside the table is counted as unlisted.
+   *
+   * @param metric - name from the table
+   * @param label - value of the metric's label
+   */
+  count (metric: string, label?: string): void {
+    const known = this.#metrics.get(metric)
+    if (known?.type !== 'counter') this.#unlisted.inc()
+    else known.series.inc(this.#buildLabels(metric, known.spec.label, label))
+  }
+
+  /**
+   * Adds a value to a histogram or sets a gauge.
+   *
+   * @param metric - name from the table
+   * @param value - value in the metric's unit
+   * @param label - value of the metric's label
+   */
+  observe (metric: string, value: number, label?: string): void {
+    const known = this.#metrics.get(metric)
+    if (known === undefined || known.type === 'counter' || !Number.isFinite(value)) {
+      this.#unlisted.inc()
+      return
+    }
+    const labels = this.#buildLabels(metric, known.spec.label, label)
+    if (known.type === 'gauge') known.series.set(labels, value)
+    else known.series.observe(labels, value)
+  }
+
+  /** @returns all metrics in the Prometheus text format */
+  async format (): Promise<string> {
+    return await this.#registry.metrics()
+  }
+
+  #build (name: string, spec: MetricSpec): Metric {
+    const common = {
+      name: `${PREFIX}${name}`,
+      help: spec.help,
+      labelNames: spec.label === undefined ? [] : [spec.label.name],
+      registers: [this.#registry]
+    }
+    switch (spec.type) {
+      case 'counter': return { type: 'counter', spec, series: new Counter(common) }
+      case 'gauge': return { type: 'gauge', spec, series: new Gauge(common) }
+      case 'histogram': return { type: 'histogram', spec, series: new Histogram({ ...common, buckets: [...spec.buckets ?? []] }) }
+      default: return assertNever(spec.type)
+    }
+  }
+
+  #buildLabels (metric: string, spec: LabelSpec | undefined, label: string | undefined): Record<string, string> {
+    if (spec === undefined) return {}
+    return { [spec.name]: label !== undefined && this.#isAllowed(metric, spec, label) ? label : OTHER }
+  }
+
+  #isAllowed (metric: string, spec: LabelSpec, label: string): boolean {
+    if (spec.values.kind === 'list') return spec.values.values.includes(label)
+    const seen = this.#seen.get(metric) ?? new Set()
+    this.#seen.set(metric, seen)
+    if (!seen.has(label) && seen.size >= spec.values.max) return false
+    seen.add(label)
+    return true
+  }
+
+  #addProcessMetrics (): void {
+    this.#registry.registerMetric(new Gauge({
+      name: `${PREFIX}resident_bytes`,
+      help: 'Resident memory of the process in bytes.',
+      registers: [],
+      collect () { this.set(process.memoryUsage.rss()) }
+    }))
+    this.#registry.registerMetric(new Gauge({
+      name: `${PREFIX}cpu_seconds`,
+      help: 'CPU time of the process in seconds.',
+      registers: [],
+      collect () {
+        const { user, system } = process.cpuUsage()
+        this.set((user + system) / US_PER_S)
+      }
+    }))
+  }
+}
