Add steps, expert maps, caches and fault tests to the stand-ins

Cause: the stand-ins' faults had no tests, and engines had no orders, cache events or late reports. Change: engine ranks count steps on a clock that a group can share, obey hold, load, use and release orders with or without a fence check, keep a prefix cache with late events and gaps, and report load with a lag.

--- a/standins/engine/engine.ts
+++ b/standins/engine/engine.ts
@@ -2,75 +2,97 @@
 
 import { performance } from 'node:perf_hooks'
 import { RunCounters } from '../shared/counters.js'
-import { StandinServer, findHeader, sendJson } from '../shared/server.js'
+import type { RunCounts } from '../shared/counters.js'
+import { FenceGuard } from '../shared/fence.js'
+import { LaggedReport } from '../shared/lagged.js'
+import { StandinServer, findHeader, sendJson, waitMs } from '../shared/server.js'
 import type { Call } from '../shared/server.js'
 import { Warmth } from '../shared/warmth.js'
 import { Batch } from './batch.js'
-import type { Sequence } from './batch.js'
+import { PrefixCache } from './cache.js'
+import { StepClock } from './clock.js'
+import type { StepMember } from './clock.js'
 import { engineFaultsSchema } from './faults.js'
 import type { EngineFaults } from './faults.js'
-import { STREAM_END, formatChunk, formatCompletion, parseCompletion } from './request.js'
-import type { CompletionRequest } from './request.js'
-
-/** A prompt with this text crashes the engine at its first step. */
-export const CRASH_TEXT = '__crash__'
-
-/** What the engine stand-in is started with. */
-export interface EngineOptions {
-  readonly port?: number
-  readonly host?: string
-  /** Time of one step in ms. */
-  readonly stepMs?: number
-  /** Largest count of sequences in the batch. */
-  readonly batchMax?: number
-  /** Concurrent requests that a cold engine can handle. */
-  readonly coldCap?: number
-  /** Time from cold to warm in ms. */
-  readonly warmMs?: number
-  /** Whether the engine begins warm. */
-  readonly warm?: boolean
-  /** Time for which connections are refused after a crash, in ms. */
-  readonly downMs?: number
+import { ENGINE_DEFAULTS } from './options.js'
+import type { EngineLimits, EngineOptions } from './options.js'
+import { Rank, orderCallSchema } from './rank.js'
+import type { MapHistory } from './rank.js'
+import { parseCompletion } from './request.js'
+import { Stream } from './stream.js'
+
+/** Answer to `GET /v1/load`. */
+export interface LoadReport {
+  readonly healthy: boolean
+  /** Changes with each start of the engine. */
+  readonly start_id: string
+  /** 0 (cold) to 1 (warm). */
+  readonly warmth: number
+  /** Time of one step of this rank in ms. */
+  readonly step_ms: number
+  readonly step: number
+  /** Whether the next step is held back by an order. */
+  readonly held: boolean
+  readonly map_version: number
+  readonly running: number
+  readonly waiting: number
+  readonly cache: ReturnType<PrefixCache['describe']>
 }
 
-const DEFAULTS = { stepMs: 20, batchMax: 32, coldCap: 2, warmMs: 10_000, warm: true, downMs: 3000 }
+/** Counters and the maps that the rank used. */
+export type EngineCounts = RunCounts & { readonly map_history: MapHistory, readonly fence: number }
 
 /** The engine stand-in on its own HTTP server. */
 export class Engine {
-  readonly #options: Required<Pick<EngineOptions, keyof typeof DEFAULTS>>
+  readonly #limits: EngineLimits
   readonly #batch: Batch
   readonly #warmth: Warmth
+  readonly #cache: PrefixCache
+  readonly #fence: FenceGuard
+  readonly #reports: LaggedReport<LoadReport>
+  readonly #rank = Rank.create()
   readonly #counters = RunCounters.create()
+  readonly #streams = new Set<Stream>()
+  readonly #clock: StepClock
+  readonly #member: StepMember
   #server!: StandinServer
-  #timer: NodeJS.Timeout | undefined
   #startId = 1
-  #step = 0
   #downMs: number
   #slowFactor = 1
   #stalledUntilMs = 0
   #healthy = true
   #breakStreams = { count: 0, after_chunks: 0 }
 
-  private constructor (options: EngineOptions) {
-    this.#options = { ...DEFAULTS, ...options }
-    const { coldCap, batchMax, warmMs, warm, downMs } = this.#options
-    this.#batch = Batch.create(batchMax)
-    this.#warmth = Warmth.create({ coldCap, warmCap: batchMax, warmMs }, performance.now(), warm)
-    this.#downMs = downMs
+  private constructor (options: EngineOptions, clock: StepClock) {
+    const limits = { ...ENGINE_DEFAULTS, ...options }
+    this.#limits = limits
+    this.#clock = clock
+    this.#batch = Batch.create(limits.batchMax)
+    this.#warmth = Warmth.create({ ...limits, warmCap: limits.batchMax }, performance.now(), limits.warm)
+    this.#cache = PrefixCache.create({ blocksMax: limits.cacheBlocks, eventLagMs: limits.cacheLagMs, eventGapEvery: limits.cacheGapEvery })
+    this.#fence = FenceGuard.create(limits.checksFencing)
+    this.#reports = LaggedReport.create(limits.loadLagMs)
+    this.#downMs = limits.downMs
+    this.#member = {
+      isReady: () => performance.now() >= this.#stalledUntilMs && !this.#server.isDown() && !this.#rank.isHeld(),
+      computeStepMs: () => this.#computeStepMs(),
+      runStep: () => { this.#runStep() }
+    }
   }
 
   /**
    * @param options - port, timing and limits
+   * @param clock - clock shared by the ranks of a group; own steps when absent
    * @returns a running stand-in
    */
-  static async start (options: EngineOptions = {}): Promise<Engine> {
-    const engine = new Engine(options)
+  static async start (options: EngineOptions = {}, clock: StepClock = StepClock.create()): Promise<Engine> {
+    const engine = new Engine(options, clock)
     engine.#server = await StandinServer.start({
       port: options.port ?? 0,
       ...(options.host === undefined ? {} : { host: options.host }),
-      handle: call => { engine.#handle(call) }
+      handle: async call => { await engine.#handle(call) }
     })
-    engine.#scheduleStep()
+    clock.add(engine.#member)
     return engine
   }
 
@@ -79,9 +101,9 @@
     return this.#server.url
   }
 
-  /** @returns counts of runs */
-  describeCounters (): ReturnType<RunCounters['describe']> {
-    return this.#counters.describe()
+  /** @returns counts of runs and the maps that the rank used */
+  describeCounters (): EngineCounts {
+    return { ...this.#counters.describe(), map_history: this.#rank.listHistory(), fence: this.#fence.highest }
   }
 
   /** @param faults - changes to the faults in force */
@@ -98,15 +120,17 @@
 
   /** Stops the stand-in. */
   async stop (): Promise<void> {
-    clearTimeout(this.#timer)
+    this.#clock.remove(this.#member)
     this.#batch.removeAll()
     await this.#server.stop()
   }
 
-  #handle (call: Call): void {
+  async #handle (call: Call): Promise<void> {
     switch (`${call.method} ${call.url.pathname}`) {
       case 'POST /v1/chat/completions': this.#acceptCompletion(call); break
-      case 'GET /v1/load': sendJson(call, 200, this.#describeLoad()); break
+      case 'POST /v1/orders': await this.#handleOrder(call); break
+      case 'GET /v1/load': sendJson(call, 200, this.#reports.update(this.#describeLoad(), performance.now())); break
+      case 'GET /v1/cache-events': this.#sendCacheEvents(call); break
       case 'GET /counters': sendJson(call, 200, this.describeCounters()); break
       case 'POST /faults': {
         const faults = engineFaultsSchema.parse(JSON.parse(call.body))
@@ -129,82 +153,86 @@
       key: findHeader(call, 'idempotency-key'),
       body: call.body
     })
-    const sequence = this.#buildSequence(call, request)
-    call.response.once('close', () => {
-      if (call.response.writableFinished || this.#server.isDown()) return
-      this.#batch.remove(sequence)
-      this.#counters.noteEnd('cancelled')
+    const missing = this.#cache.add(request.prompt, performance.now())
+    const stream = Stream.create({
+      call,
+      request,
+      server: this.#server,
+      prefillSteps: Math.ceil(missing / this.#limits.prefillBlocks),
+      breakAfter: this.#pickBreak(),
+      onCrash: () => { this.#runCrash() },
+      onEnd: result => {
+        this.#counters.noteEnd(result)
+        this.#streams.delete(stream)
+        this.#batch.remove(stream)
+      }
     })
-    this.#batch.add(sequence)
+    this.#streams.add(stream)
+    this.#batch.add(stream)
   }
 
-  #buildSequence (call: Call, request: CompletionRequest): Sequence {
-    const isBroken = this.#breakStreams.count > 0
-    const breakAfter = this.#breakStreams.after_chunks
-    if (isBroken) this.#breakStreams = { ...this.#breakStreams, count: this.#breakStreams.count - 1 }
-    const silentOk = (text: string): void => { if (!this.#server.isSilent(call)) call.response.write(text) }
-    let index = Math.min(request.resumeFrom, request.maxTokens)
-    let sent = 0
-    return {
-      priority: request.priority,
-      prefillSteps: 0,
-      runStep: () => {
-        if (request.prompt.includes(CRASH_TEXT)) {
-          this.#runCrash()
-          return true
-        }
-        if (isBroken && sent >= breakAfter) {
-          call.request.socket.destroy()
-          return true
-        }
-        if (request.stream && !call.response.headersSent) {
-          call.response.writeHead(200, { 'content-type': 'text/event-stream', 'cache-control': 'no-cache' })
-        }
-        if (index < request.maxTokens) {
-          if (request.stream) silentOk(formatChunk(request, index))
-          index += 1
-          sent += 1
-        }
-        if (index < request.maxTokens) return false
-        this.#finish(call, request)
-        return true
-      }
+  #pickBreak (): number | undefined {
+    const { count, after_chunks: afterChunks } = this.#breakStreams
+    if (count === 0) return undefined
+    this.#breakStreams = { count: count - 1, after_chunks: afterChunks }
+    return afterChunks
+  }
+
+  async #handleOrder (call: Call): Promise<void> {
+    const { fence, order } = orderCallSchema.parse(JSON.parse(call.body))
+    const startId = this.#startId
+    let refusal = this.#fence.accept(fence) ? undefined : 'old-fence' as const
+    if (refusal === undefined && order.kind === 'load-map') {
+      await waitMs(this.#limits.mapLoadMs)
+      // A newer holder's order may have come while the weights were loaded.
+      if (!this.#fence.accept(fence)) refusal = 'old-fence'
+      if (startId !== this.#startId || this.#server.isDown()) return
     }
+    const reason = refusal ?? this.#rank.applyOrder(order)
+    const answer = { accepted: reason === undefined, fence: this.#fence.highest, step: this.#rank.step }
+    sendJson(call, reason === undefined ? 200 : 409, reason === undefined ? answer : { ...answer, reason })
   }
 
-  #finish (call: Call, request: CompletionRequest): void {
-    this.#counters.noteEnd('finished')
-    if (this.#server.isSilent(call)) return
-    if (request.stream) call.response.end(STREAM_END)
-    else call.response.writeHead(200, { 'content-type': 'application/json' }).end(formatCompletion(request))
+  #sendCacheEvents (call: Call): void {
+    const since = Number(call.url.searchParams.get('since') ?? 0)
+    sendJson(call, 200, { start_id: String(this.#startId), events: this.#cache.listEvents(since, performance.now()) })
   }
 
-  #describeLoad (): unknown {
+  #describeLoad (): LoadReport {
     return {
       healthy: this.#healthy,
       start_id: String(this.#startId),
       warmth: this.#warmth.compute(performance.now()),
-      step_ms: this.#options.stepMs * this.#slowFactor,
-      step: this.#step,
+      step_ms: this.#computeStepMs(),
+      step: this.#rank.step,
+      held: this.#rank.isHeld(),
+      map_version: this.#rank.mapVersion,
       running: this.#batch.running,
-      waiting: this.#batch.size - this.#batch.running
+      waiting: this.#batch.size - this.#batch.running,
+      cache: this.#cache.describe()
     }
   }
 
-  #scheduleStep (): void {
-    this.#timer = setTimeout(() => {
-      if (performance.now() >= this.#stalledUntilMs && !this.#server.isDown()) {
-        this.#step += 1
-        this.#batch.runStep()
-      }
-      this.#scheduleStep()
-    }, this.#options.stepMs * this.#slowFactor)
+  #computeStepMs (): number {
+    const { stepMs, sequenceMs } = this.#limits
+    return (stepMs + sequenceMs * this.#batch.running) * this.#slowFactor
+  }
+
+  #runStep (): void {
+    if (!this.#rank.startStep()) return
+    if (this.#limits.loadLagMs > 0) this.#reports.update(this.#describeLoad(), performance.now())
+    this.#batch.runStep()
   }
 
   #runCrash (): void {
     if (this.#server.isDown()) return
     this.#counters.noteCrash()
+    for (const stream of this.#streams) stream.noteCrash()
+    this.#streams.clear()
     this.#batch.removeAll()
+    this.#cache.removeAll()
+    this.#rank.noteCrash()
+    this.#reports.removeAll()
     this.#server.runCrash(this.#downMs, () => {
       this.#startId += 1
       this.#warmth.applyCold(performance.now())
--- a/test/standins/engine.test.ts
+++ b/test/standins/engine.test.ts
@@ -1,20 +1,130 @@
 import test from 'ava'
-import { request } from 'undici'
+import { Agent } from 'undici'
+import { StepClock } from '../../standins/engine/clock.js'
 import { Engine } from '../../standins/engine/engine.js'
+import type { EngineOptions } from '../../standins/engine/options.js'
+import { sendCall, waitFor } from './tools.js'
+import type { Answer } from './tools.js'
+
+const PATH = '/v1/chat/completions'
+
+async function startEngine (t: { teardown: (end: () => Promise<void>) => void }, options: EngineOptions, clock?: StepClock): Promise<Engine> {
+  const engine = await Engine.start({ stepMs: 1, downMs: 30, ...options }, clock)
+  t.teardown(async () => { await engine.stop() })
+  return engine
+}
+
+async function send (engine: Engine, content: string, maxTokens: number, headers: Record<string, string> = {}, dispatcher?: Agent): Promise<Answer> {
+  return await sendCall(engine.url, 'POST', PATH, { model: 'm', stream: true, max_tokens: maxTokens, messages: [{ content }] }, headers, dispatcher)
+}
+
+async function order (engine: Engine, fence: number, body: object): Promise<Answer> {
+  return await sendCall(engine.url, 'POST', '/v1/orders', { fence, order: body })
+}
 
 // Guards against streams that differ between engines, which a resumed stream would show.
 test('engines give the same stream, whole and resumed', async t => {
-  const engines = [await Engine.start({ stepMs: 1 }), await Engine.start({ stepMs: 1 })]
-  t.teardown(async () => { for (const engine of engines) await engine.stop() })
-  const run = async (url: string, resumeFrom: number): Promise<string> => {
-    const answer = await request(`${url}/v1/chat/completions`, {
-      method: 'POST',
-      headers: { 'heatherdoor-resume-from': String(resumeFrom) },
-      body: JSON.stringify({ model: 'm', stream: true, max_tokens: 4, messages: [{ role: 'user', content: 'oil' }] })
-    })
-    return await answer.body.text()
+  const [first, second] = [await startEngine(t, {}), await startEngine(t, {})]
+  const whole = (await send(first, 'oil', 4))[1] as string
+  t.snapshot([whole, await sendCall(first.url, 'POST', PATH, { prompt: 'oil', max_tokens: 4 })])
+  t.is((await send(second, 'oil', 4, { 'heatherdoor-resume-from': '2' }))[1], whole.split('\n\n').slice(2).join('\n\n'))
+  first.applyFaults({ break_streams: { count: 1, after_chunks: 2 } })
+  t.deepEqual([await send(first, 'oil', 4), await send(first, 'oil', 4)], [['broken'], [200, whole]])
+})
+
+// Guards against a cancelled request that goes on using a place in the batch.
+test('a closed connection cancels, urgent requests enter the batch first', async t => {
+  const engine = await startEngine(t, { batchMax: 1, stepMs: 5 })
+  const ended: string[] = []
+  const run = async (priority: string, maxTokens: number): Promise<void> => {
+    const answer = await send(engine, priority, maxTokens, { 'heatherdoor-priority': priority, 'heatherdoor-request-id': priority })
+    ended.push(`${priority} ${answer[0]}`)
+  }
+  const long = run('normal', 1000)
+  await waitFor(() => engine.describeCounters().running === 1)
+  await Promise.all([run('background', 1), run('urgent', 1), long])
+  t.snapshot([ended, engine.describeCounters()])
+})
+
+// Guards against a cold start that forgives overload, and a crash that keeps old state.
+test('cold starts, crashes and the poison prompt', async t => {
+  const engine = await startEngine(t, { coldCap: 2, warmMs: 60_000 })
+  const load = async (): Promise<unknown> => {
+    const { start_id: startId, warmth, healthy } = (await sendCall(engine.url, 'GET', '/v1/load'))[1] as Record<string, number>
+    return { startId, cold: warmth! < 0.5, healthy }
+  }
+  const states = [await load()]
+  engine.applyFaults({ cold: true, healthy: false })
+  states.push(await load())
+  const withinCap = await Promise.all(['a', 'b'].map(async text => (await send(engine, text, 1))[0]))
+  t.deepEqual(withinCap, [200, 200])
+  const answers = await Promise.all(['a', 'b', 'c'].map(async text => await send(engine, text, 100)))
+  const refused = await send(engine, 'd', 1)
+  for (const fault of ['poison', 'crash'] as const) {
+    await waitFor(async () => (await sendCall(engine.url, 'GET', '/v1/load'))[0] === 200)
+    states.push(await load())
+    if (fault === 'poison') answers.push(await send(engine, 'a __crash__ b', 4))
+    else await sendCall(engine.url, 'POST', '/faults', { crash: true, down_ms: 10 })
+  }
+  await waitFor(() => engine.describeCounters().crashes === 3)
+  t.snapshot({ states, answers, refused, crashes: engine.describeCounters().crashes })
+})
+
+// Guards against tests of silent connections that would pass with a merely slow engine.
+test('silence, stalls, slowness and late reports', async t => {
+  const engine = await startEngine(t, { loadLagMs: 200 })
+  const dispatcher = new Agent({ connections: 1 })
+  const kept = [await send(engine, 'a', 1, {}, dispatcher)]
+  engine.applyFaults({ silence: true })
+  kept.push(await send(engine, 'a', 1, {}, dispatcher))
+  t.deepEqual(kept.map(([status]) => status), [200, 'silent'])
+  t.is((await send(engine, 'a', 1))[0], 200)
+  engine.applyFaults({ stall_ms: 800 })
+  t.is((await send(engine, 'a', 1))[0], 'silent')
+  await waitFor(async () => (await send(engine, 'a', 1))[0] === 200)
+  const stepMs = async (): Promise<unknown> => ((await sendCall(engine.url, 'GET', '/v1/load'))[1] as Record<string, unknown>)['step_ms']
+  engine.applyFaults({ slow_factor: 4 })
+  t.is(await stepMs(), 1)
+  await waitFor(async () => await stepMs() === 4)
+})
+
+// Guards against cache events that come at once and whole, which no engine promises.
+test('cache events are late and have gaps', async t => {
+  const engine = await startEngine(t, { cacheBlocks: 3, cacheGapEvery: 3, cacheLagMs: 300 })
+  const events = async (): Promise<unknown> => (await sendCall(engine.url, 'GET', '/v1/cache-events?since=1'))[1]
+  await send(engine, 'x'.repeat(130), 1)
+  const early = await events()
+  await send(engine, 'x'.repeat(260), 1)
+  await waitFor(async () => (await events() as { events: unknown[] }).events.length >= 3)
+  t.snapshot([early, await events(), ((await sendCall(engine.url, 'GET', '/v1/load'))[1] as Record<string, unknown>)['cache']])
+})
+
+// Guards against two expert maps in one step going unnoticed, and against orders of a former holder.
+test('orders hold ranks, change maps and check fencing numbers', async t => {
+  const clock = StepClock.create()
+  const ranks = [
+    await startEngine(t, { stepMs: 2, mapLoadMs: 1, checksFencing: true }, clock),
+    await startEngine(t, { stepMs: 2, mapLoadMs: 1 }, clock)
+  ]
+  const [first, second] = ranks as [Engine, Engine]
+  const held = 300
+  const session = [
+    await order(first, 5, { kind: 'use-map', version: 7, step: held }),
+    await order(first, 5, { kind: 'hold-at-step', step: 0 }),
+    await order(first, 5, { kind: 'hold-at-step', step: held }),
+    await order(first, 4, { kind: 'release-hold' }),
+    await order(second, 5, { kind: 'load-map', version: 7, layers: [[0, 1]] }),
+    await order(second, 4, { kind: 'use-map', version: 7, step: held }),
+    await order(first, 6, { kind: 'load-map', version: 7, layers: [[0, 1]] }),
+    await order(first, 6, { kind: 'use-map', version: 7, step: held })
+  ].map(([status, body]) => [status, { ...body as object, step: '' }])
+  const state = async (rank: Engine): Promise<unknown[]> => {
+    const load = (await sendCall(rank.url, 'GET', '/v1/load'))[1] as Record<string, unknown>
+    return [load['step'], load['held'], load['map_version']]
   }
-  const whole = await run(engines[0]!.url, 0)
-  t.snapshot(whole)
-  t.is(whole.split('\n\n').slice(2).join('\n\n'), await run(engines[1]!.url, 2))
+  await waitFor(async () => (await state(first))[0] === held - 1)
+  const before = [await state(first), await state(second)]
+  await order(first, 6, { kind: 'release-hold' })
+  await waitFor(() => second.describeCounters().map_history.length === 2)
+  t.snapshot({ session, before, histories: ranks.map(rank => rank.describeCounters().map_history) })
 })
--- a/test/standins/service.test.ts
+++ b/test/standins/service.test.ts
@@ -1,22 +1,54 @@
 import test from 'ava'
-import { request } from 'undici'
+import { Agent } from 'undici'
 import { Service } from '../../standins/service/service.js'
+import { sendCall, waitFor } from './tools.js'
+import type { Answer } from './tools.js'
+
+const BOOKING = { board: 'oak' }
 
 // Guards against uncounted runs, on which every at-most-once check depends.
-test('the service counts each run', async t => {
-  const service = await Service.start({ serviceMs: 1 })
+test('each run is counted, also when its answer is lost', async t => {
+  const service = await Service.start({ serviceMs: 1, checksFencing: true })
   t.teardown(async () => { await service.stop() })
-  const answers: unknown[] = []
-  const send = async (method: 'GET' | 'POST', path: string, body?: string): Promise<void> => {
-    const answer = await request(`${service.url}${path}`, { method, headers: { 'idempotency-key': 'k1' }, body: body ?? null })
-    const text = await answer.body.text()
-    answers.push([path, answer.statusCode, answer.statusCode === 400 ? '' : text])
+  const session: [string, ...Answer][] = []
+  const run = async (method: 'GET' | 'POST' | 'PUT', path: string, body?: unknown, fence = '5'): Promise<void> => {
+    const [status, value] = await sendCall(service.url, method, path, body, { 'idempotency-key': 'k1', 'heatherdoor-fence': fence })
+    session.push([`${method} ${path}`, status, status === 400 ? '' : value])
   }
-  await send('POST', '/bookings', '{"board":"oak"}')
-  await send('GET', '/bookings/b1')
-  await send('POST', '/orders', '{"sku":"w50","units":3}')
-  await send('POST', '/orders', '{"units":3}')
-  await send('GET', '/stock/w50')
-  await send('GET', '/status')
-  t.snapshot([answers, service.describeCounters()])
+  await run('POST', '/bookings', BOOKING)
+  await run('GET', '/bookings/b1')
+  await run('GET', '/bookings/b2')
+  await run('POST', '/orders', { sku: 'w50', units: 3 })
+  await run('POST', '/orders', { units: 3 })
+  await run('GET', '/stock/w50')
+  await run('GET', '/status')
+  await run('PUT', '/status')
+  await run('POST', '/bookings', BOOKING, '4')
+  service.applyFaults({ lose_answers: 1 })
+  await run('POST', '/bookings', BOOKING, '6')
+  service.applyFaults({ service_ms: 1000 })
+  await run('POST', '/bookings', BOOKING, '6')
+  t.snapshot([session, service.describeCounters()])
+})
+
+// Guards against a cold start that forgives overload, and faults that don't show.
+test('cold start, crash and silence', async t => {
+  const service = await Service.start({ serviceMs: 20, coldCap: 2, warmMs: 60_000, downMs: 30 })
+  t.teardown(async () => { await service.stop() })
+  const dispatcher = new Agent({ connections: 1 })
+  const statuses = async (...boards: readonly string[]): Promise<unknown[]> =>
+    (await Promise.all(boards.map(async board => await sendCall(service.url, 'POST', '/bookings', { board })))).map(([status]) => status)
+  const load = async (): Promise<unknown> => ({ ...(await sendCall(service.url, 'GET', '/v1/load'))[1] as object, warmth: '' })
+  const session: unknown[] = [await load(), await statuses('a', 'b', 'c')]
+  service.applyFaults({ cold: true, healthy: false })
+  session.push(await statuses('a', 'b'), await statuses('a', 'b', 'c'))
+  await waitFor(async () => (await sendCall(service.url, 'GET', '/v1/load'))[0] === 200)
+  session.push(await load(), await sendCall(service.url, 'GET', '/status', undefined, {}, dispatcher))
+  service.applyFaults({ silence: true })
+  session.push(await sendCall(service.url, 'GET', '/status', undefined, {}, dispatcher), (await sendCall(service.url, 'GET', '/status'))[0])
+  session.push(await sendCall(service.url, 'POST', '/bookings', { board: '__crash__' }), await sendCall(service.url, 'GET', '/status'))
+  await waitFor(async () => (await sendCall(service.url, 'GET', '/v1/load'))[0] === 200)
+  await sendCall(service.url, 'POST', '/faults', { crash: true, down_ms: 5 })
+  await waitFor(() => service.describeCounters().crashes === 3)
+  t.snapshot(session)
 })
--- /dev/null
+++ b/test/standins/tools.ts
@@ -0,0 +1,34 @@
+import { Agent, request } from 'undici'
+
+/** Time after which a call counts as unanswered, in ms. */
+const SILENT_MS = 400
+
+export type Answer = readonly [status: number | 'broken' | 'silent', body?: unknown]
+
+/** Sends one call on a new connection or a kept one; `broken` is a closed connection, `silent` one without an answer. */
+export async function sendCall (
+  url: string, method: 'GET' | 'POST' | 'PUT' | 'DELETE', path: string, body?: unknown,
+  headers: Record<string, string> = {}, kept?: Agent
+): Promise<Answer> {
+  const dispatcher = kept ?? new Agent()
+  try {
+    const answer = await request(`${url}${path}`, {
+      method, headers, body: body === undefined ? null : JSON.stringify(body), dispatcher, signal: AbortSignal.timeout(SILENT_MS)
+    })
+    const text = await answer.body.text()
+    return [answer.statusCode, answer.headers['content-type'] === 'application/json' ? JSON.parse(text) : text]
+  } catch (error) {
+    return [(error as Error).name === 'TimeoutError' ? 'silent' : 'broken']
+  } finally {
+    if (kept === undefined) await dispatcher.destroy()
+  }
+}
+
+/** Waits until a check holds, at most 3 s. */
+export async function waitFor (isDone: () => boolean | Promise<boolean>): Promise<void> {
+  for (let tries = 0; tries < 600; tries += 1) {
+    if (await isDone()) return
+    await new Promise(resolve => { setTimeout(resolve, 5) })
+  }
+  throw new Error('the check did not hold within 3 s')
+}
