--- a/src/edge/platform/client.ts
+++ b/src/edge/platform/client.ts
@@ -183,8 +183,8 @@
    * @param prefix - start of the keys
    * @param onChange - receives key, value (undefined when removed) and revision;
    * revisions of one key only rise
-   * @param onState - receives `lost` when the platform stops answering and
-   * `found` when it answers again
+   * @param onState - receives `lost` after two failed calls in a row and `found`
+   * when the platform answers again
    * @returns stops the watch
    */
   watch (
--- a/src/edge/platform/transport.ts
+++ b/src/edge/platform/transport.ts
@@ -75,7 +75,11 @@
   }
 
   async #sendOnce (call: TransportCall): Promise<TransportAnswer> {
-    const limit = AbortSignal.timeout(this.#options.timeoutMs + (call.heldMs ?? 0))
+    const controller = new AbortController()
+    const abort = (): void => { controller.abort() }
+    const timer = setTimeout(abort, this.#options.timeoutMs + (call.heldMs ?? 0))
+    if (call.signal?.aborted === true) abort()
+    call.signal?.addEventListener('abort', abort)
     try {
       const answer = await this.#options.agent.request({
         origin: this.#options.urls[this.#index]!,
@@ -83,12 +87,15 @@
         method: call.method,
         headers: this.#buildHeaders(call),
         body: call.body ?? null,
-        signal: call.signal === undefined ? limit : AbortSignal.any([limit, call.signal])
+        signal: controller.signal
       })
       const text = await answer.body.text()
       return { kind: 'answered', status: answer.statusCode, body: parseJson(text) }
     } catch (error) {
       return { kind: isUnsent(error) ? 'unsent' : 'lost' }
+    } finally {
+      clearTimeout(timer)
+      call.signal?.removeEventListener('abort', abort)
     }
   }
 
--- a/src/edge/platform/watch.ts
+++ b/src/edge/platform/watch.ts
@@ -11,6 +11,12 @@
  */
 const POLL_MS = 5000
 
+/**
+ * Longest wait after a single failure in ms. One broken connection is replaced
+ * soon; the spread over `spreadMs` begins with the second failure in a row.
+ */
+const FIRST_WAIT_MS = 500
+
 /** What all watches of a client share. */
 export interface WatchOptions {
   readonly transport: PlatformTransport
@@ -34,7 +40,7 @@
   /** Global revision up to which changes were told; undefined before the first list. */
   #revision: number | undefined
   #needsList = true
-  #isLost = false
+  #failures = 0
 
   private constructor (prefix: string, onChange: OnChange, onState: OnState, options: WatchOptions) {
     this.#prefix = prefix
@@ -65,7 +71,7 @@
     while (!this.#stop.signal.aborted) {
       const isOk = this.#needsList ? await this.#load() : await this.#poll()
       if (this.#stop.signal.aborted) return
-      this.#noteState(isOk)
+      this.#noteResult(isOk)
       if (!isOk) await this.#waitJittered()
     }
   }
@@ -88,8 +94,10 @@
   }
 
   async #poll (): Promise<boolean> {
-    const query = `prefix=${encodeURIComponent(this.#prefix)}&since=${this.#revision ?? 0}&timeout_ms=${POLL_MS}`
-    const answer = await this.#send(`/v1/watch?${query}`, POLL_MS)
+    // After a failure a poll that is answered at once shows whether the platform is back.
+    const pollMs = this.#failures > 0 ? 0 : POLL_MS
+    const query = `prefix=${encodeURIComponent(this.#prefix)}&since=${this.#revision ?? 0}&timeout_ms=${pollMs}`
+    const answer = await this.#send(`/v1/watch?${query}`, pollMs)
     if (this.#stop.signal.aborted || answer.kind !== 'answered') return false
     if (answer.status === 410) {
       this.#needsList = true
@@ -109,10 +117,11 @@
     this.#onChange(key, value ?? undefined, revision)
   }
 
-  #noteState (isOk: boolean): void {
-    if (isOk !== this.#isLost) return
-    this.#isLost = !isOk
-    this.#onState(isOk ? 'found' : 'lost')
+  #noteResult (isOk: boolean): void {
+    const wasLost = this.#failures > 1
+    this.#failures = isOk ? 0 : this.#failures + 1
+    const isLost = this.#failures > 1
+    if (isLost !== wasLost) this.#onState(isLost ? 'lost' : 'found')
   }
 
   async #send (path: string, heldMs: number): Promise<TransportAnswer> {
@@ -120,7 +129,9 @@
   }
 
   async #waitJittered (): Promise<void> {
-    const waitMs = this.#options.random.pickInt(Math.max(1, this.#options.spreadMs))
+    const { random, spreadMs } = this.#options
+    const longestMs = this.#failures > 1 ? spreadMs : Math.min(FIRST_WAIT_MS, spreadMs)
+    const waitMs = random.pickInt(Math.max(1, longestMs))
     await new Promise<void>(resolve => {
       const end = (): void => {
         clearTimeout(timer)
--- a/test/platform/client.test.ts
+++ b/test/platform/client.test.ts
@@ -1,23 +1,134 @@
 import test from 'ava'
+import type { ExecutionContext } from 'ava'
+import fc from 'fast-check'
 import { PlatformClient } from '../../src/edge/platform/client.js'
+import type { PlatformClientOptions } from '../../src/edge/platform/client.js'
+import type { PlatformFaults } from '../../standins/platform/faults.js'
 import { Platform } from '../../standins/platform/platform.js'
+import type { PlatformOptions } from '../../standins/platform/platform.js'
 
-// Guards against lost updates: two writers with the same revision must not both succeed.
-test('conditional updates', async t => {
-  const platform = await Platform.start()
-  const client = PlatformClient.create({ urls: [platform.url], timeoutMs: 1000 })
+const KEY = 'config/root'
+
+async function startBoth (
+  t: ExecutionContext, platformOptions: PlatformOptions = {}, options: Partial<PlatformClientOptions> = {}
+): Promise<{ platform: Platform, client: PlatformClient }> {
+  const platform = await Platform.start(platformOptions)
+  const client = PlatformClient.create({ urls: [platform.url], timeoutMs: 400, ...options })
   t.teardown(async () => {
     await client.close()
     await platform.stop()
   })
+  return { platform, client }
+}
+
+// Guards against lost updates: two writers with the same revision must not both succeed.
+test('conditional updates', async t => {
+  const { client } = await startBoth(t)
+  t.snapshot([
+    await client.read(KEY),
+    await client.write(KEY, 'a', 0),
+    await client.write(KEY, 'b', 0),
+    await client.write(KEY, 'b', 1),
+    await client.read(KEY),
+    await client.list('config/'),
+    await client.remove(KEY, 1),
+    await client.remove(KEY, 2),
+    await client.read(KEY)
+  ])
+  await t.throwsAsync(client.write(KEY, 'é'.repeat(600_000), 0), { instanceOf: RangeError })
+})
+
+// Guards against a write whose answer was lost being reported as not done, or as done.
+test('results under each fault', async t => {
+  const { platform, client } = await startBoth(t)
+  await client.write(KEY, 'a', 0)
+  const session: unknown[] = []
+  const faults: readonly PlatformFaults[] = [
+    { outage: 'status' }, { outage: 'break' }, { outage: 'hang' }, { slow_ms: 600 }, { lose_answers: 1 }, { lose_writes: 1 }
+  ]
+  for (const fault of faults) {
+    const { revision } = platform.store.find(KEY)!
+    platform.applyFaults(fault)
+    const write = await client.write(KEY, 'b', revision)
+    const read = await client.read(KEY)
+    const list = (await client.list('')).kind
+    platform.applyFaults({ outage: 'none', slow_ms: 0, lose_answers: 0, lose_writes: 0 })
+    session.push([fault, { write, read: read.kind, list }])
+  }
+  t.snapshot(session)
+})
+
+// Guards against refused calls being taken for writes that may have taken effect.
+test('refused connections, credentials and rate limits', async t => {
+  const { platform, client } = await startBoth(t, { credential: 's', writesPerS: 1, readsPerS: 1 })
+  const allowed = PlatformClient.create({ urls: [platform.url], timeoutMs: 400, credential: 's' })
+  const session = [
+    await client.write(KEY, 'a', 0), await client.read(KEY), await allowed.write(KEY, 'a', 0), await allowed.write(KEY, 'b', 1),
+    await allowed.read(KEY), await allowed.read(KEY)
+  ]
+  await allowed.close()
+  await platform.stop()
+  // A new client has no connection on which the write could have been sent.
+  const late = PlatformClient.create({ urls: [platform.url], timeoutMs: 400 })
+  session.push(await late.write(KEY, 'b', 1), await late.read(KEY))
+  await late.close()
+  t.snapshot(session)
+})
+
+// Guards against a client that stays with a dead URL, or repeats a write that may have taken effect.
+test('other URLs are tried', async t => {
+  const dead = await Platform.start()
+  await dead.stop()
+  const failing = await Platform.start()
+  t.teardown(async () => { await failing.stop() })
+  failing.applyFaults({ outage: 'status' })
+  const { platform, client } = await startBoth(t)
+  const many = PlatformClient.create({ urls: [dead.url, platform.url], timeoutMs: 400 })
+  const doubtful = PlatformClient.create({ urls: [failing.url, platform.url], timeoutMs: 400 })
   t.snapshot([
-    await client.read('config/root'),
-    await client.write('config/root', 'a', 0),
-    await client.write('config/root', 'b', 0),
-    await client.write('config/root', 'b', 1),
-    await client.read('config/root'),
-    await client.remove('config/root', 1),
-    await client.remove('config/root', 2),
-    await client.read('config/root')
+    await many.write(KEY, 'a', 0), await many.read(KEY),
+    await doubtful.write(KEY, 'b', 1), await client.read(KEY), await doubtful.write(KEY, 'b', 1)
   ])
+  await many.close()
+  await doubtful.close()
+})
+
+// Guards against a wrong answer about a write whose answer was lost.
+test('writes with lost answers are resolved by reading back', async t => {
+  const { platform, client } = await startBoth(t)
+  const session: unknown[] = []
+  platform.applyFaults({ lose_answers: 1 })
+  session.push(await client.write(KEY, 'a', 0), await client.checkWrite(KEY, 'a', 0))
+  platform.applyFaults({ lose_writes: 1 })
+  session.push(await client.write(KEY, 'b', 1), await client.checkWrite(KEY, 'b', 1))
+  session.push(await client.writeUntilKnown(KEY, 'b', 1))
+  platform.applyFaults({ stale_reads: 1 })
+  session.push(await client.checkWrite(KEY, 'c', 2), await client.checkWrite('none', 'c', 0))
+  platform.applyFaults({ stale_reads: 0, lose_answers: 1 })
+  session.push(await client.writeUntilKnown(KEY, 'c', 2), await client.writeUntilKnown(KEY, 'd', 2))
+  session.push(await client.checkWrite(KEY, 'd', 2))
+  platform.applyFaults({ outage: 'break' })
+  session.push(await client.writeUntilKnown(KEY, 'd', 3), await client.checkWrite(KEY, 'd', 3))
+  t.snapshot(session)
+})
+
+// Guards against a resolved write that is counted twice or lost, whatever is lost on the way.
+test('two writers with lost answers never disagree with the platform', async t => {
+  const { platform, client } = await startBoth(t, { writesPerS: 1e6, readsPerS: 1e6 })
+  const step = fc.record({ loseAnswers: fc.nat(2), loseWrites: fc.nat(2), otherWrites: fc.boolean() })
+  let run = 0
+  await fc.assert(fc.asyncProperty(fc.array(step, { minLength: 1, maxLength: 4 }), async steps => {
+    const key = `run/${run++}`
+    for (const [index, { loseAnswers, loseWrites, otherWrites }] of steps.entries()) {
+      const expected = platform.store.find(key)?.revision ?? 0
+      platform.applyFaults({ lose_answers: loseAnswers, lose_writes: loseWrites })
+      const other = otherWrites ? client.write(key, `other ${index}`, expected) : undefined
+      const result = await client.writeUntilKnown(key, `own ${index}`, expected)
+      await other
+      const events = platform.store.listEvents(key, 0)!.map(event => event.value)
+      const hasEffect = events.includes(`own ${index}`)
+      t.true(result.kind === 'unknown' || hasEffect === (result.kind === 'written'), JSON.stringify(result))
+      t.is(new Set(events).size, events.length)
+    }
+  }), { seed: 7, numRuns: 40 })
 })
--- /dev/null
+++ b/test/platform/watch.test.ts
@@ -0,0 +1,103 @@
+import test from 'ava'
+import type { ExecutionContext } from 'ava'
+import { PlatformClient } from '../../src/edge/platform/client.js'
+import type { PlatformClientOptions } from '../../src/edge/platform/client.js'
+import { Platform } from '../../standins/platform/platform.js'
+import { waitFor } from '../standins/tools.js'
+
+interface Session {
+  readonly platform: Platform
+  readonly client: PlatformClient
+  /** Changes and states as the watch told them. */
+  readonly told: string[]
+  readonly stop: () => void
+}
+
+async function startWatch (t: ExecutionContext, options: Partial<PlatformClientOptions> = {}): Promise<Session> {
+  const platform = await Platform.start()
+  platform.store.update('a/1', 'one', 0)
+  platform.store.update('b/1', 'other', 0)
+  const client = PlatformClient.create({ urls: [platform.url], timeoutMs: 200, reconnectSpreadMs: 20, seed: 1, ...options })
+  t.teardown(async () => {
+    await client.close()
+    await platform.stop()
+  })
+  const told: string[] = []
+  const stop = client.watch('a/',
+    (key, value, revision) => { told.push(`${key}=${value ?? 'removed'}@${revision}`) },
+    state => { told.push(state) })
+  await waitFor(() => told.length === 1)
+  return { platform, client, told, stop }
+}
+
+/** Changes an object and wakes waiting watches, as a write over HTTP does. */
+function update ({ platform }: Session, key: string, value: string | null): void {
+  platform.store.update(key, value, platform.store.find(key)?.revision ?? 0)
+  platform.applyFaults({})
+}
+
+// Guards against changes that are missed or told twice, before, during and after an outage.
+test('changes before, during and after an outage', async t => {
+  const session = await startWatch(t)
+  update(session, 'a/2', 'two')
+  update(session, 'b/1', 'unwatched')
+  update(session, 'a/1', 'uno')
+  await waitFor(() => session.told.length === 3)
+  session.platform.applyFaults({ outage: 'break' })
+  await waitFor(() => session.told.includes('lost'))
+  update(session, 'a/1', null)
+  update(session, 'a/3', 'three')
+  session.platform.applyFaults({ outage: 'none' })
+  await waitFor(() => session.told.includes('found') && session.told.includes('a/3=three@7'))
+  session.stop()
+  update(session, 'a/4', 'four')
+  await new Promise(resolve => { setTimeout(resolve, 50) })
+  t.snapshot([...session.told].sort())
+})
+
+// Guards against a watch that never learns of objects that were removed while
+// the platform forgot the events, and one that goes back to older states.
+test('a platform that forgot its events', async t => {
+  const session = await startWatch(t)
+  for (let index = 0; index < 25_000; index += 1) session.platform.store.update('b/1', String(index), session.platform.store.find('b/1')!.revision)
+  session.platform.store.update('a/1', null, 1)
+  session.platform.store.update('a/2', 'two', 0)
+  update(session, 'b/1', 'end')
+  await waitFor(() => session.told.length === 3)
+  t.snapshot(session.told)
+})
+
+// Guards against a silent connection on which a watch would wait for ever.
+test('a silent platform is noticed', async t => {
+  const session = await startWatch(t)
+  session.platform.applyFaults({ outage: 'hang' })
+  update(session, 'a/1', 'uno')
+  const startMs = performance.now()
+  while (!session.told.includes('lost') && performance.now() - startMs < 10_000) await new Promise(resolve => { setTimeout(resolve, 20) })
+  t.true(session.told.includes('lost'))
+  session.platform.applyFaults({ outage: 'none' })
+  await waitFor(() => session.told.includes('a/1=uno@3'))
+})
+
+// Guards against all clients reconnecting in the same moment after an outage,
+// which the platform's rate limit does not bear.
+test('reconnects are spread', async t => {
+  const session = await startWatch(t, { reconnectSpreadMs: 1000 })
+  const clients = Array.from({ length: 20 }, (_, seed) =>
+    PlatformClient.create({ urls: [session.platform.url], timeoutMs: 200, reconnectSpreadMs: 1000, seed }))
+  t.teardown(async () => { for (const client of clients) await client.close() })
+  const states: string[][] = clients.map(() => [])
+  const foundAtMs: number[] = []
+  clients.forEach((client, index) => client.watch('a/', () => {}, state => {
+    states[index]!.push(state)
+    if (state === 'found') foundAtMs.push(performance.now())
+  }))
+  await waitFor(() => (session.platform.listCounters()['watch'] ?? 0) >= 21)
+  session.platform.applyFaults({ outage: 'break' })
+  await waitFor(() => states.every(list => list.includes('lost')))
+  const endMs = performance.now()
+  session.platform.applyFaults({ outage: 'none' })
+  await waitFor(() => states.every(list => list.includes('found')))
+  const quarters = new Set(foundAtMs.map(atMs => Math.floor((atMs - endMs) / 250)))
+  t.true(quarters.size >= 3, [...quarters].join())
+})
