--- a/src/edge/metrics/metrics.ts
+++ b/src/edge/metrics/metrics.ts
@@ -84,7 +84,7 @@
 
   #build (name: string, spec: MetricSpec): Metric {
     const common = {
-      name: `${PREFIX}${name}`,
+      name: `${PREFIX}${name}${spec.type === 'counter' ? '_total' : ''}`,
       help: spec.help,
       labelNames: spec.label === undefined ? [] : [spec.label.name],
       registers: [this.#registry]
--- a/src/edge/metrics/table.ts
+++ b/src/edge/metrics/table.ts
@@ -30,35 +30,35 @@
 const SHORT_BUCKETS_MS = [0.1, 0.2, 0.5, 1, 2, 5, 10, 20, 50, 100]
 
 const errorLabel: LabelSpec = { name: 'error', values: { kind: 'list', values: Object.keys(ERROR_ANSWERS) } }
+const resultLabel: LabelSpec = { name: 'result', values: { kind: 'list', values: ['ok', ...Object.keys(ERROR_ANSWERS)] } }
 const outcomeLabel: LabelSpec = { name: 'outcome', values: { kind: 'list', values: ['run', 'not-run', 'unknown'] } }
 const priorityLabel: LabelSpec = { name: 'priority', values: { kind: 'list', values: ['urgent', 'normal', 'background'] } }
 const serviceLabel: LabelSpec = { name: 'service', values: { kind: 'first', max: NAMES_MAX } }
 const groupLabel: LabelSpec = { name: 'group', values: { kind: 'first', max: NAMES_MAX } }
+const decisionLabel: LabelSpec = { name: 'decision', values: { kind: 'list', values: ['commit', 'abort', 'declined'] } }
 const pluginLabel: LabelSpec = { name: 'plugin', values: { kind: 'first', max: 16 } }
 
 /** Metrics of entries. */
 const ENTRY_METRICS = {
-  requests_total: { type: 'counter', help: 'Requests from callers.', label: serviceLabel },
-  replies_total: { type: 'counter', help: 'Complete answers to callers.', label: serviceLabel },
-  errors_total: { type: 'counter', help: 'Error answers to callers by error kind.', label: errorLabel },
-  outcomes_total: { type: 'counter', help: 'Outcomes told with error answers.', label: outcomeLabel },
-  retries_total: { type: 'counter', help: 'Second and later attempts of requests.', label: serviceLabel },
-  hedges_total: { type: 'counter', help: 'Second attempts sent while the first still ran.', label: serviceLabel },
-  resumes_total: { type: 'counter', help: 'Model streams resumed on another endpoint.', label: serviceLabel },
-  cancels_total: { type: 'counter', help: 'Requests cancelled by their callers.', label: serviceLabel },
+  requests_received: { type: 'counter', help: 'Requests from callers.', label: serviceLabel },
+  requests: { type: 'counter', help: 'Requests answered, by `ok` or error kind.', label: resultLabel },
+  outcomes: { type: 'counter', help: 'Outcomes told with error answers.', label: outcomeLabel },
+  retries: { type: 'counter', help: 'Second and later attempts of requests.' },
+  hedges: { type: 'counter', help: 'Second attempts sent while the first still ran.' },
+  resumes: { type: 'counter', help: 'Model streams resumed on another endpoint.' },
   request_ms: { type: 'histogram', help: 'Time from receipt to the end of the answer in ms.', label: serviceLabel, buckets: WAIT_BUCKETS_MS },
   first_byte_ms: { type: 'histogram', help: 'Time from receipt to the first byte of the answer in ms.', label: serviceLabel, buckets: WAIT_BUCKETS_MS },
   chunk_gap_ms: { type: 'histogram', help: 'Time between chunks of a model stream in ms.', label: serviceLabel, buckets: WAIT_BUCKETS_MS },
   requests_in_flight: { type: 'gauge', help: 'Requests of callers in flight at the entry.' },
-  ejections_total: { type: 'counter', help: 'Endpoints ejected as outliers.', label: serviceLabel }
+  ejections: { type: 'counter', help: 'Endpoints ejected as outliers.', label: serviceLabel }
 } as const satisfies Record<string, MetricSpec>
 
 /** Metrics of endpoint processes. */
 const ENDPOINT_METRICS = {
-  work_accepted_total: { type: 'counter', help: 'Work accepted by the endpoint process.', label: priorityLabel },
-  work_started_total: { type: 'counter', help: 'Work given to the endpoint.', label: priorityLabel },
-  work_finished_total: { type: 'counter', help: 'Work that the endpoint answered.', label: priorityLabel },
-  work_refused_total: { type: 'counter', help: 'Work refused by the endpoint process by error kind.', label: errorLabel },
+  work_accepted: { type: 'counter', help: 'Work accepted by the endpoint process.', label: priorityLabel },
+  work_started: { type: 'counter', help: 'Work given to the endpoint.', label: priorityLabel },
+  work_finished: { type: 'counter', help: 'Work that the endpoint answered.', label: priorityLabel },
+  work_refused: { type: 'counter', help: 'Work refused by the endpoint process by error kind.', label: errorLabel },
   queue_wait_ms: { type: 'histogram', help: 'Time from acceptance to start in ms.', label: priorityLabel, buckets: WAIT_BUCKETS_MS },
   run_ms: { type: 'histogram', help: 'Time from start to the end of the run in ms.', label: priorityLabel, buckets: WAIT_BUCKETS_MS },
   work_running: { type: 'gauge', help: 'Work running at the endpoint.' },
@@ -66,39 +66,44 @@
   cap: { type: 'gauge', help: 'Largest count of concurrent work at present.' },
   warmth: { type: 'gauge', help: 'Warmth of the endpoint from 0 (cold) to 1 (warm).' },
   records: { type: 'gauge', help: 'Idempotency records held.' },
-  pauses_total: { type: 'counter', help: 'Pauses of the process found in its own event loop.' },
-  crashes_total: { type: 'counter', help: 'Crashes of the endpoint.' },
-  handovers_total: { type: 'counter', help: 'Record tables handed over at planned stops.', label: { name: 'side', values: { kind: 'list', values: ['sent', 'received'] } } }
+  pauses: { type: 'counter', help: 'Pauses of the process found in its own event loop.' },
+  crashes: { type: 'counter', help: 'Crashes of the endpoint.' },
+  handovers: { type: 'counter', help: 'Record tables handed over at planned stops.', label: { name: 'side', values: { kind: 'list', values: ['sent', 'received'] } } }
 } as const satisfies Record<string, MetricSpec>
 
 /** Metrics of both roles. */
 const SHARED_METRICS = {
-  strikes_total: { type: 'counter', help: 'Strikes given to requests that were in flight at a crash.' },
-  quarantined_total: { type: 'counter', help: 'Requests refused because they crashed endpoints.' },
+  strikes: { type: 'counter', help: 'Strikes given to requests that were in flight at a crash.' },
+  quarantined: { type: 'counter', help: 'Requests refused because they crashed endpoints.' },
   members: { type: 'gauge', help: 'Live entries known.' },
   peers: { type: 'gauge', help: 'Connections to peers that work.' },
-  peers_lost_total: { type: 'counter', help: 'Connections to peers that were lost or replaced.' },
+  peers_lost: { type: 'counter', help: 'Connections to peers that were lost or replaced.' },
   configuration_version: { type: 'gauge', help: 'Version of the configuration in force.' },
-  configurations_total: { type: 'counter', help: 'Configurations offered.', label: { name: 'result', values: { kind: 'list', values: ['accepted', 'ignored', 'rejected'] } } },
-  platform_calls_total: {
+  configurations: { type: 'counter', help: 'Configurations offered.', label: { name: 'result', values: { kind: 'list', values: ['accepted', 'ignored', 'rejected'] } } },
+  platform_calls: {
     type: 'counter',
     help: 'Calls to the platform by result.',
     label: { name: 'result', values: { kind: 'list', values: ['found', 'missing', 'written', 'conflict', 'unavailable', 'unknown'] } }
   },
   platform_call_ms: { type: 'histogram', help: 'Time of calls to the platform in ms.', buckets: WAIT_BUCKETS_MS },
 
-  map_changes_total: { type: 'counter', help: 'Decided changes of expert maps.', label: { name: 'decision', values: { kind: 'list', values: ['commit', 'abort', 'declined'] } } },
+  map_changes: { type: 'counter', help: 'Decided changes of expert maps.', label: decisionLabel },
+  map_change_ms: { type: 'histogram', help: 'Time from proposal to decision of a map change in ms.', label: decisionLabel, buckets: WAIT_BUCKETS_MS },
+  map_stall_ms: { type: 'histogram', help: 'Time for which a rank was held before the first step of a map in ms.', buckets: WAIT_BUCKETS_MS },
   map_version: { type: 'gauge', help: 'Version of the expert map in use.', label: groupLabel },
   map_decision_ms: { type: 'histogram', help: 'Time to compute one placement in ms.', label: groupLabel, buckets: SHORT_BUCKETS_MS },
   step_ms: { type: 'histogram', help: 'Time of one decoding step in ms.', label: groupLabel, buckets: WAIT_BUCKETS_MS },
   step_skew_percent: { type: 'gauge', help: 'Slowest rank over the mean of its group in percent.', label: groupLabel },
-  stalls_total: { type: 'counter', help: 'Ranks found stalled.', label: groupLabel },
+  stalls: { type: 'counter', help: 'Ranks found stalled.', label: groupLabel },
 
   dispatch_ms: { type: 'histogram', help: 'Time of one kernel dispatch in ms.', label: pluginLabel, buckets: SHORT_BUCKETS_MS },
   loop_delay_ms: { type: 'histogram', help: 'Delay of the event loop in ms.', buckets: SHORT_BUCKETS_MS }
 } as const satisfies Record<string, MetricSpec>
 
-/** Metrics of each role by the name that kernel effects use; `heatherdoor_` stands before it on the page. */
+/**
+ * Metrics of each role by the name that kernel effects use. On the page
+ * `heatherdoor_` stands before it, and `_total` after that of a counter.
+ */
 export const METRICS = {
   entry: { ...ENTRY_METRICS, ...SHARED_METRICS },
   endpoint: { ...ENDPOINT_METRICS, ...SHARED_METRICS }
--- a/standins/shared/main.ts
+++ b/standins/shared/main.ts
@@ -2,6 +2,9 @@
 
 import { cac } from 'cac'
 
+/** Exit code for bad arguments. */
+const EXIT_BAD_INPUT = 2
+
 /** Option of a stand-in's main file: name as on the command line, help text and default. */
 export type OptionTable = Readonly<Record<string, readonly [help: string, fallback: number | string | boolean]>>
 
@@ -33,11 +36,20 @@
   cli.help()
   const { options } = cli.parse()
   if (options['help'] === true) return
-  const values = Object.fromEntries(Object.entries(table).map(([option, [, fallback]]) => {
+  const values = new Map<string, unknown>(Object.entries(table).map(([option, [, fallback]]) => {
     const value: unknown = options[option] ?? fallback
     return [option, typeof fallback === 'string' ? String(value) : value]
   }))
-  const standin = await start(values as OptionValues<T>)
+  const bad = [
+    ...Object.keys(options).filter(option => option !== '--' && table[option] === undefined),
+    ...Object.entries(table).filter(([option, [, fallback]]) => typeof values.get(option) !== typeof fallback).map(([option]) => option)
+  ]
+  if (bad.length > 0) {
+    process.stderr.write(`${name}: unknown option or wrong value: ${bad.join(', ')}; --help lists the options\n`)
+    process.exitCode = EXIT_BAD_INPUT
+    return
+  }
+  const standin = await start(Object.fromEntries(values) as OptionValues<T>)
   process.stdout.write(`${standin.url}\n`)
   const stop = (): void => { standin.stop().then(() => { process.exit(0) }, () => { process.exit(1) }) }
   process.once('SIGTERM', stop)
