--- /dev/null
+++ b/demo/files.ts
@@ -0,0 +1,141 @@
+/** Settings and configuration of the demo, written to a temporary folder. */
+
+import { createHash, randomBytes } from 'node:crypto'
+import { mkdtempSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { stringify } from 'smol-toml'
+import { IP, PORTS } from './ports.js'
+
+type Port = keyof typeof PORTS
+
+/** Paths and credentials that the demo works with. */
+export interface DemoFiles {
+  readonly folder: string
+  readonly configuration: string
+  readonly cli: string
+  readonly entries: readonly string[]
+  readonly endpoints: readonly string[]
+  /** API key of the team `tavern`. */
+  readonly teamKey: string
+}
+
+const DOMAINS = ['north', 'south'] as const
+
+/** @returns paths of the files written */
+export function writeDemoFiles (): DemoFiles {
+  const folder = mkdtempSync(join(tmpdir(), 'heatherdoor-demo-'))
+  const write = (name: string, value: Record<string, unknown>): string => {
+    const path = join(folder, name)
+    writeFileSync(path, stringify(value))
+    return path
+  }
+  const operatorCredential = randomBytes(32).toString('hex')
+  writeFileSync(join(folder, 'cluster.secret'), randomBytes(32).toString('hex'))
+  writeFileSync(join(folder, 'operator.credential'), operatorCredential)
+  writeFileSync(join(folder, 'operators.keys'), `${formatSaltedHash(operatorCredential)}\n`)
+  const teamKey = `hd_tavern_${randomBytes(32).toString('hex')}`
+  return {
+    folder,
+    teamKey,
+    configuration: write('configuration.toml', buildConfiguration(teamKey)),
+    cli: write('cli.toml', {
+      platform: { urls: [formatUrl('platform')] },
+      operations_urls: [formatUrl('entryNorthOperations'), formatUrl('entrySouthOperations')],
+      operator_credential_file: 'operator.credential'
+    }),
+    entries: DOMAINS.map(domain => write(`entry-${domain}.toml`, buildEntry(domain))),
+    endpoints: DOMAINS.flatMap(domain => [
+      write(`guidance-${domain}.toml`, buildEndpoint(domain, 'guidance')),
+      write(`counter-${domain}.toml`, buildEndpoint(domain, 'counter'))
+    ])
+  }
+}
+
+function buildConfiguration (teamKey: string): Record<string, unknown> {
+  return {
+    failure_domains: DOMAINS.map(name => ({ name, region: 'home' })),
+    entries: DOMAINS.map(domain => ({
+      id: `entry-${domain}`,
+      host: `entry-host-${domain}`,
+      failure_domain: domain,
+      caller_url: formatUrl(choosePort('entry', domain, 'Callers')),
+      peer_address: formatAddress(choosePort('entry', domain, 'Peers'))
+    })),
+    endpoints: DOMAINS.flatMap(domain => ['guidance', 'counter'].map(service => ({
+      id: `${service}-${domain}`,
+      host: `${service}-host-${domain}`,
+      failure_domain: domain,
+      service,
+      peer_address: formatAddress(choosePort(service, domain, 'Peers')),
+      checks_fencing: false,
+      warm_cap: 8,
+      cold_cap: 2
+    }))),
+    services: [
+      { name: 'guidance', kind: 'model', profile: 'guidance', model: 'oil-guidance' },
+      { name: 'counter', kind: 'plain', profile: 'counter' }
+    ],
+    profiles: [
+      { name: 'guidance', priority: 'normal', idempotency: 'always', deadline_ms: 20_000, queue_max: 64, team_share_max: 0.5, attempts_max: 3, backoff_base_ms: 50 },
+      { name: 'counter', priority: 'urgent', idempotency: 'safe-methods', deadline_ms: 5_000, queue_max: 64, team_share_max: 0.5, attempts_max: 3, backoff_base_ms: 20 }
+    ],
+    teams: [{ name: 'tavern', weight: 1, services: ['guidance', 'counter'], keys: [formatSaltedHash(teamKey)] }]
+  }
+}
+
+function buildEntry (domain: string): Record<string, unknown> {
+  const callers = choosePort('entry', domain, 'Callers')
+  return {
+    process_id: `entry-${domain}`,
+    host: `entry-host-${domain}`,
+    failure_domain: domain,
+    cluster_secret_file: 'cluster.secret',
+    address_hold_ms: 2_000,
+    leave_deadline_ms: 15_000,
+    caller_listener: { ip: IP, port: PORTS[callers], public_url: formatUrl(callers) },
+    ...buildCommon(choosePort('entry', domain, 'Peers'), choosePort('entry', domain, 'Operations'))
+  }
+}
+
+function buildEndpoint (domain: string, service: string): Record<string, unknown> {
+  const url = formatUrl(choosePort(service === 'guidance' ? 'engine' : service, domain, ''))
+  return {
+    process_id: `${service}-${domain}`,
+    host: `${service}-host-${domain}`,
+    failure_domain: domain,
+    cluster_secret_file: 'cluster.secret',
+    leave_deadline_ms: 15_000,
+    service,
+    warm_cap: 8,
+    cold_cap: 2,
+    endpoint: { url, checks_fencing: false },
+    ...buildCommon(choosePort(service, domain, 'Peers'), choosePort(service, domain, 'Operations'))
+  }
+}
+
+function buildCommon (peers: Port, operations: Port): Record<string, unknown> {
+  return {
+    peer_listener: { ip: IP, port: PORTS[peers] },
+    operations_listener: { ip: IP, port: PORTS[operations], operator_keys_file: 'operators.keys' },
+    platform: { urls: [formatUrl('platform')] },
+    seeds: DOMAINS.map(name => ({ id: `entry-${name}`, peer_address: formatAddress(choosePort('entry', name, 'Peers')) }))
+  }
+}
+
+function choosePort (prefix: string, domain: string, suffix: string): Port {
+  return `${prefix}${domain === 'north' ? 'North' : 'South'}${suffix}` as Port
+}
+
+function formatUrl (port: Port): string {
+  return `http://${IP}:${PORTS[port]}`
+}
+
+function formatAddress (port: Port): string {
+  return `${IP}:${PORTS[port]}`
+}
+
+function formatSaltedHash (text: string): string {
+  const salt = randomBytes(16).toString('hex')
+  return `${salt}:${createHash('sha256').update(salt).update(text).digest('hex')}`
+}
--- /dev/null
+++ b/demo/processes.ts
@@ -0,0 +1,86 @@
+/** Processes that the demo starts, each by its command line. */
+
+import { spawn } from 'node:child_process'
+import type { ChildProcess } from 'node:child_process'
+import { createWriteStream } from 'node:fs'
+import { join } from 'node:path'
+import { fileURLToPath } from 'node:url'
+
+/** Time after which a process that does not stop is killed, in ms. */
+const STOP_TIMEOUT_MS = 20_000
+
+const DIST = fileURLToPath(new URL('..', import.meta.url))
+
+/** Runs child processes and stops them all in the end. */
+export class Processes {
+  readonly #logFolder: string
+  readonly #children: { readonly name: string, readonly child: ChildProcess }[] = []
+
+  private constructor (logFolder: string) {
+    this.#logFolder = logFolder
+  }
+
+  /**
+   * @param logFolder - folder for each process's output
+   * @returns no processes yet
+   */
+  static create (logFolder: string): Processes {
+    return new Processes(logFolder)
+  }
+
+  /**
+   * Starts a process that runs until it is stopped.
+   *
+   * @param name - name of its log file
+   * @param script - path below the build folder
+   * @param args - arguments
+   * @returns the child process
+   */
+  start (name: string, script: string, args: readonly string[]): ChildProcess {
+    const child = spawn(process.execPath, [join(DIST, script), ...args], { stdio: ['ignore', 'pipe', 'pipe'] })
+    const log = createWriteStream(join(this.#logFolder, `${name}.log`))
+    child.stdout.pipe(log, { end: false })
+    child.stderr.pipe(log, { end: false })
+    this.#children.push({ name, child })
+    return child
+  }
+
+  /**
+   * Runs a command to its end.
+   *
+   * @param script - path below the build folder
+   * @param args - arguments
+   * @returns its exit code and output
+   */
+  async run (script: string, args: readonly string[]): Promise<{ readonly code: number, readonly output: string }> {
+    const child = spawn(process.execPath, [join(DIST, script), ...args], { stdio: ['ignore', 'pipe', 'pipe'] })
+    let output = ''
+    child.stdout.on('data', (data: Buffer) => { output += data.toString() })
+    child.stderr.on('data', (data: Buffer) => { output += data.toString() })
+    return await new Promise(resolve => { child.on('close', code => { resolve({ code: code ?? 1, output }) }) })
+  }
+
+  /**
+   * Stops all processes with SIGTERM, the last started first, and waits.
+   *
+   * @returns name and exit code of each; the code is undefined when it was killed
+   */
+  async stop (): Promise<readonly { readonly name: string, readonly code: number | undefined }[]> {
+    return await Promise.all(this.#children.reverse().map(async ({ name, child }) => {
+      const code = await stopChild(child)
+      return { name, code }
+    }))
+  }
+}
+
+async function stopChild (child: ChildProcess): Promise<number | undefined> {
+  if (child.exitCode !== null) return child.exitCode
+  return await new Promise(resolve => {
+    const timer = setTimeout(() => { child.kill('SIGKILL') }, STOP_TIMEOUT_MS)
+    child.on('exit', code => {
+      clearTimeout(timer)
+      resolve(code ?? undefined)
+    })
+    child.kill('SIGTERM')
+  })
+}
--- /dev/null
+++ b/src/edge/endpoint/process.ts
@@ -0,0 +1,113 @@
+/** The process beside an endpoint: the only way that work reaches it. */
+
+import type { Effect } from '../../kernel/effects.js'
+import type { KernelEvent } from '../../kernel/events.js'
+import type { EndpointSettings } from '../../settings/process.js'
+import { Operations } from '../operations.js'
+import { ProcessEdge } from '../process.js'
+import { OperatorAuthenticator } from '../security/operators.js'
+import { createOperationsServer } from './operations.js'
+import { Orders } from './orders.js'
+import { Reporter } from './reporter.js'
+import { Runner } from './runner.js'
+
+/** One endpoint process. */
+export class EndpointProcess {
+  readonly #edge: ProcessEdge
+  readonly #runner: Runner
+  readonly #reporter: Reporter
+  readonly #orders: Orders
+  readonly #settings: EndpointSettings
+  readonly #server
+  #handleLeft: (workCut: boolean) => void = () => undefined
+
+  private constructor (settings: EndpointSettings) {
+    this.#settings = settings
+    this.#edge = ProcessEdge.create({
+      role: 'endpoint',
+      settings,
+      service: settings.service,
+      handleRoleEffect: effect => { this.#applyEffect(effect) },
+      handleLeaveFinished: () => { this.#handleLeft(this.countWork() > 0) }
+    })
+    const url = settings.endpoint.url
+    const dispatch = (event: KernelEvent): void => {
+      this.#edge.runtime.dispatch(event)
+      // A broken connection may be the first sign of a crash; do not wait for the next report.
+      if (event.kind === 'endpoint-failed') this.#reporter.check()
+    }
+    this.#runner = Runner.create({ url, fence: this.#edge.kernel.self.incarnation, dispatch })
+    this.#reporter = Reporter.create({ url, dispatch })
+    this.#orders = Orders.create({ url, dispatch })
+    const operators = OperatorAuthenticator.create(settings.operationsListener.operatorKeysFile)
+    this.#server = createOperationsServer(Operations.create({
+      kernel: this.#edge.kernel,
+      metrics: this.#edge.metrics,
+      isOperator: authorization => operators.isOperator(authorization)
+    }))
+  }
+
+  /**
+   * @param settings - checked settings
+   * @returns a process that is not started
+   */
+  static create (settings: EndpointSettings): EndpointProcess {
+    return new EndpointProcess(settings)
+  }
+
+  /** @throws Error when a port is taken */
+  async start (): Promise<void> {
+    const { ip, port } = this.#settings.operationsListener
+    await new Promise<void>((resolve, reject) => {
+      this.#server.once('error', reject).listen(port, ip, resolve)
+    })
+    await this.#edge.start()
+    this.#reporter.start()
+  }
+
+  /**
+   * @param handleLeft - called when the planned stop is finished
+   */
+  leave (handleLeft: (workCut: boolean) => void): void {
+    this.#handleLeft = handleLeft
+    this.#edge.leave()
+  }
+
+  /** Closes all sockets. */
+  async stop (): Promise<void> {
+    this.#server.close()
+    this.#server.closeAllConnections()
+    await this.#reporter.stop()
+    await this.#orders.stop()
+    await this.#edge.stop()
+    await this.#runner.stop()
+  }
+
+  /** @returns count of requests at the endpoint */
+  countWork (): number {
+    return this.#runner.countRunning()
+  }
+
+  /**
+   * @param count - requests that are cut off
+   */
+  noteCut (count: number): void {
+    this.#edge.logger.write('work-cut', { count })
+  }
+
+  #applyEffect (effect: Effect): void {
+    switch (effect.kind) {
+      case 'run':
+        this.#runner.run(effect.work)
+        return
+      case 'abort-run':
+        this.#runner.abort(effect.workId)
+        return
+      case 'order':
+        this.#orders.send(effect.orderId, effect.fence, effect.order)
+        return
+      default:
+        throw new Error(`effect ${effect.kind} does not belong to an endpoint process`)
+    }
+  }
+}
--- /dev/null
+++ b/src/edge/endpoint/reporter.ts
@@ -0,0 +1,124 @@
+/**
+ * Polls the endpoint's own report and tells a crash from a broken connection.
+ */
+
+import { Agent, request } from 'undici'
+import { z } from 'zod'
+import type { EndpointReport, KernelEvent } from '../../kernel/events.js'
+
+/** Interval of reports in ms. */
+const REPORT_INTERVAL_MS = 500
+
+/** Time for one report in ms. */
+const REPORT_TIMEOUT_MS = 1_000
+
+/** Reports that must fail in a row before the endpoint counts as unhealthy. */
+const FAILURES_UNTIL_UNHEALTHY = 2
+
+/** Path of the report. */
+const REPORT_PATH = '/v1/load'
+
+const STATUS_NO_REPORT = 404
+
+const REPORT_SCHEMA = z.object({
+  healthy: z.boolean(),
+  start_id: z.string(),
+  warmth: z.number().min(0).max(1),
+  step_ms: z.number().optional(),
+  step: z.number().optional()
+})
+
+/** What a reporter is created with. */
+export interface ReporterOptions {
+  readonly url: string
+  readonly dispatch: (event: KernelEvent) => void
+}
+
+/** Asks the endpoint for its load and health at regular times. */
+export class Reporter {
+  readonly #options: ReporterOptions
+  readonly #agent = new Agent({ connections: 1 })
+  #timer: NodeJS.Timeout | undefined
+  #failures = 0
+  #startId = ''
+  #polling = false
+
+  private constructor (options: ReporterOptions) {
+    this.#options = options
+  }
+
+  /**
+   * @param options - endpoint and where to send events
+   * @returns a reporter that is not started
+   */
+  static create (options: ReporterOptions): Reporter {
+    return new Reporter(options)
+  }
+
+  /** Starts polling. */
+  start (): void {
+    this.#timer = setInterval(() => { this.#poll() }, REPORT_INTERVAL_MS)
+    this.#poll()
+  }
+
+  /** Ends polling. */
+  async stop (): Promise<void> {
+    clearInterval(this.#timer)
+    await this.#agent.destroy()
+  }
+
+  /** Polls now; called when a request's connection broke. */
+  check (): void {
+    this.#poll()
+  }
+
+  #poll (): void {
+    if (this.#polling) return
+    this.#polling = true
+    this.#readReport()
+      .then(report => { this.#handleReport(report) }, error => { this.#handleFailure(error) })
+      .finally(() => { this.#polling = false })
+  }
+
+  async #readReport (): Promise<EndpointReport> {
+    const response = await request(new URL(REPORT_PATH, this.#options.url), {
+      dispatcher: this.#agent,
+      signal: AbortSignal.timeout(REPORT_TIMEOUT_MS)
+    })
+    const body: unknown = await response.body.json().catch(() => undefined)
+    // A plain service need not report its load; that it answers at all shows health.
+    if (response.statusCode === STATUS_NO_REPORT) return { healthy: true, startId: '', warmth: 1 }
+    const value = REPORT_SCHEMA.parse(body)
+    return {
+      healthy: value.healthy,
+      startId: value.start_id,
+      warmth: value.warmth,
+      ...(value.step_ms === undefined ? {} : { stepMs: value.step_ms }),
+      ...(value.step === undefined ? {} : { step: value.step })
+    }
+  }
+
+  #handleReport (report: EndpointReport): void {
+    const restarted = this.#startId !== '' && report.startId !== this.#startId
+    if (restarted && this.#failures < FAILURES_UNTIL_UNHEALTHY) this.#raiseCrash()
+    this.#startId = report.startId
+    this.#failures = 0
+    this.#options.dispatch({ kind: 'endpoint-reported', report })
+  }
+
+  /** A refused connection shows at once that the endpoint is down; a slow answer only after repeats. */
+  #handleFailure (error: unknown): void {
+    const refused = (error as { code?: unknown }).code === 'ECONNREFUSED'
+    const before = this.#failures
+    this.#failures += refused ? FAILURES_UNTIL_UNHEALTHY : 1
+    if (before < FAILURES_UNTIL_UNHEALTHY && this.#failures >= FAILURES_UNTIL_UNHEALTHY) this.#raiseCrash()
+    if (this.#failures >= FAILURES_UNTIL_UNHEALTHY) {
+      this.#options.dispatch({ kind: 'endpoint-reported', report: { healthy: false, startId: this.#startId, warmth: 0 } })
+    }
+  }
+
+  /** The id names the start that crashed, so that two observers of one crash count it once. */
+  #raiseCrash (): void {
+    this.#options.dispatch({ kind: 'endpoint-crashed', crashId: `${this.#options.url}#${this.#startId}` })
+  }
+}
--- /dev/null
+++ b/src/edge/endpoint/runner.ts
@@ -0,0 +1,135 @@
+/**
+ * Runs work on the endpoint over HTTP and turns its answer into kernel events.
+ */
+
+import { Agent, request } from 'undici'
+import type { Dispatcher } from 'undici'
+import type { KernelEvent } from '../../kernel/events.js'
+import type { HeaderList, Submit } from '../../protocol/messages.js'
+import { splitServerEvents } from './server-events.js'
+
+/** Connections to the endpoint; above any cap, which admission enforces. */
+const CONNECTIONS_MAX = 512
+
+/** Last server-sent event of a whole model stream. */
+const STREAM_END = 'data: [DONE]'
+
+/** Headers that belong to one connection and are not passed on. */
+const CONNECTION_HEADERS = new Set(['connection', 'keep-alive', 'transfer-encoding', 'te', 'trailer', 'upgrade', 'host', 'content-length', 'expect', 'proxy-connection'])
+
+/** What a runner is created with. */
+export interface RunnerOptions {
+  /** Base URL of the endpoint. */
+  readonly url: string
+  /** Fencing number sent with each request. */
+  readonly fence: number
+  readonly dispatch: (event: KernelEvent) => void
+}
+
+/** Runs requests on one endpoint. */
+export class Runner {
+  readonly #options: RunnerOptions
+  readonly #agent: Agent
+  readonly #aborts = new Map<string, AbortController>()
+
+  private constructor (options: RunnerOptions) {
+    this.#options = options
+    this.#agent = new Agent({ connections: CONNECTIONS_MAX, pipelining: 1, headersTimeout: 0, bodyTimeout: 0 })
+  }
+
+  /**
+   * @param options - endpoint and where to send events
+   * @returns a runner with no work
+   */
+  static create (options: RunnerOptions): Runner {
+    return new Runner(options)
+  }
+
+  /** @returns count of requests at the endpoint */
+  countRunning (): number {
+    return this.#aborts.size
+  }
+
+  /**
+   * Sends work to the endpoint; its answer arrives as kernel events.
+   *
+   * @param work - admitted work
+   */
+  run (work: Submit): void {
+    const abort = new AbortController()
+    this.#aborts.set(work.workId, abort)
+    this.#send(work, abort.signal).finally(() => { this.#aborts.delete(work.workId) })
+  }
+
+  /**
+   * @param workId - work whose connection to the endpoint is closed
+   */
+  abort (workId: string): void {
+    this.#aborts.get(workId)?.abort()
+  }
+
+  /** Closes all connections to the endpoint. */
+  async stop (): Promise<void> {
+    await this.#agent.destroy()
+  }
+
+  async #send (work: Submit, signal: AbortSignal): Promise<void> {
+    const { dispatch, url } = this.#options
+    const { workId } = work
+    try {
+      const hasBody = work.body.length > 0
+      const response = await request(new URL(work.path, url), {
+        dispatcher: this.#agent,
+        method: work.method as Dispatcher.HttpMethod,
+        headers: this.#buildHeaders(work),
+        ...(hasBody ? { body: work.body } : {}),
+        signal
+      })
+      const headers = listHeaders(response.headers)
+      dispatch({ kind: 'endpoint-head', workId, status: response.statusCode, headers })
+      if (isEventStream(headers)) await this.#relayEvents(workId, response.body)
+      else for await (const data of response.body) dispatch({ kind: 'endpoint-chunk', workId, data: data as Buffer })
+      dispatch({ kind: 'endpoint-ended', workId })
+    } catch (error) {
+      dispatch({ kind: 'endpoint-failed', workId, sent: !isRefusedConnection(error) })
+    }
+  }
+
+  /** A stream without its closing event was cut, even when the connection closed cleanly. */
+  async #relayEvents (workId: string, body: AsyncIterable<Buffer>): Promise<void> {
+    let last = ''
+    for await (const event of splitServerEvents(body)) {
+      last = event.toString('utf8').trim()
+      this.#options.dispatch({ kind: 'endpoint-chunk', workId, data: event })
+    }
+    if (last !== STREAM_END) throw new Error('the stream ended without its closing event')
+  }
+
+  #buildHeaders (work: Submit): Record<string, string> {
+    const headers: Record<string, string> = {}
+    for (const [name, value] of work.headers) {
+      if (!CONNECTION_HEADERS.has(name)) headers[name] = value
+    }
+    headers['heatherdoor-fence'] = String(this.#options.fence)
+    headers['heatherdoor-priority'] = work.terms.priority
+    headers['heatherdoor-request-id'] = work.requestId
+    if (work.key !== undefined) headers['idempotency-key'] = work.key.text
+    if (work.resumeFrom !== undefined) headers['heatherdoor-resume-from'] = String(work.resumeFrom)
+    return headers
+  }
+}
+
+function listHeaders (headers: Readonly<Record<string, string | string[] | undefined>>): HeaderList {
+  return Object.entries(headers)
+    .filter(([name]) => !CONNECTION_HEADERS.has(name) || name === 'content-length')
+    .flatMap(([name, value]) => [value ?? []].flat().map(item => [name, item] as const))
+}
+
+function isEventStream (headers: HeaderList): boolean {
+  return headers.some(([name, value]) => name === 'content-type' && value.startsWith('text/event-stream'))
+}
+
+function isRefusedConnection (error: unknown): boolean {
+  const code = (error as { code?: unknown }).code
+  return code === 'ECONNREFUSED' || code === 'UND_ERR_CONNECT_TIMEOUT' || code === 'EHOSTUNREACH'
+}
--- /dev/null
+++ b/src/edge/entry/callers.ts
@@ -0,0 +1,112 @@
+import { randomUUID } from 'node:crypto'
+import { All, Controller, Get, Inject, Post, Req, Res } from '@nestjs/common'
+import type { FastifyReply, FastifyRequest } from 'fastify'
+import type { Either } from 'purify-ts'
+import type { ErrorKind } from '../../kernel/errors.js'
+import type { RequestReceived } from '../../kernel/events.js'
+import type { ConfigurationPort } from '../../kernel/ports.js'
+import { CallerExchange } from './exchange.js'
+import { Gateway } from './gateway.js'
+import { parseModelRequest, parseServiceRequest } from './request.js'
+import type { CallerRequest } from './request.js'
+import { TeamAuthenticator } from './teams.js'
+
+/** Path under which plain services are reached. */
+const SERVICES_PATH = '/services/'
+
+/** Token of the configuration port in the entry's Nest module. */
+export const CONFIGURATION = Symbol('configuration')
+
+/** Routes for callers. */
+@Controller()
+export class CallersController {
+  readonly #gateway: Gateway
+  readonly #teams: TeamAuthenticator
+  readonly #configuration: ConfigurationPort
+
+  constructor (@Inject(Gateway) gateway: Gateway, @Inject(TeamAuthenticator) teams: TeamAuthenticator, @Inject(CONFIGURATION) configuration: ConfigurationPort) {
+    this.#gateway = gateway
+    this.#teams = teams
+    this.#configuration = configuration
+  }
+
+  /** Chat completions; the body's `model` field names the service. */
+  @Post('/v1/chat/completions')
+  handleModel (@Req() request: FastifyRequest, @Res() reply: FastifyReply): void {
+    this.#handleRequest(request, reply, '/v1/chat/completions', caller => parseModelRequest(caller, this.#configuration))
+  }
+
+  /** Any method and path of a plain service. */
+  @All('/services/:service/*')
+  handleService (@Req() request: FastifyRequest, @Res() reply: FastifyReply): void {
+    const rest = request.url.slice(SERVICES_PATH.length)
+    const service = (request.params as Record<string, string>)['service'] ?? ''
+    const path = rest.slice(rest.indexOf('/'))
+    this.#handleRequest(request, reply, path, caller => parseServiceRequest(caller, service))
+  }
+
+  /** Which entries to use, for how long, and key tokens of the named services. */
+  @Get('/v1/address')
+  async handleAddress (@Req() request: FastifyRequest, @Res() reply: FastifyReply): Promise<void> {
+    const exchange = takeOver(reply)
+    const team = this.#teams.authenticate(request.headers.authorization)
+    if (team === undefined) {
+      this.#gateway.refuseRequest(exchange, 'unauthenticated', false)
+      return
+    }
+    const asked = new URL(request.url, 'http://entry').searchParams.getAll('service')
+    const services = asked.length > 0 ? asked.filter(service => team.services.includes(service)) : team.services
+    const answer = await this.#gateway.askAddress(services)
+    if (answer === undefined || answer.addresses.length === 0) {
+      this.#gateway.refuseRequest(exchange, 'no-endpoint', false)
+      return
+    }
+    exchange.writeJson({
+      addresses: answer.addresses.map(address => ({ url: address.url, failure_domain: address.domain })),
+      hold_ms: answer.holdMs,
+      key_tokens: answer.tokens.map(token => ({ service: token.service, token: token.token, failure_domain: token.domain }))
+    })
+  }
+
+  /** What became of an idempotency key. */
+  @Get('/v1/outcome')
+  async handleOutcome (@Req() request: FastifyRequest, @Res() reply: FastifyReply): Promise<void> {
+    const exchange = takeOver(reply)
+    const team = this.#teams.authenticate(request.headers.authorization)
+    const key = new URL(request.url, 'http://entry').searchParams.get('key')
+    if (team === undefined || key === null) {
+      this.#gateway.refuseRequest(exchange, team === undefined ? 'unauthenticated' : 'bad-request', true)
+      return
+    }
+    exchange.writeJson({ key, state: await this.#gateway.askOutcome(team.name, key) })
+  }
+
+  #handleRequest (request: FastifyRequest, reply: FastifyReply, path: string, parse: (caller: CallerRequest) => Either<ErrorKind, RequestReceived>): void {
+    const exchange = takeOver(reply)
+    const hasKey = request.headers['idempotency-key'] !== undefined
+    const team = this.#teams.authenticate(request.headers.authorization)
+    if (team === undefined) {
+      this.#gateway.refuseRequest(exchange, 'unauthenticated', hasKey)
+      return
+    }
+    const body = request.body instanceof Uint8Array ? request.body : new Uint8Array()
+    const { requestId } = exchange
+    parse({ requestId, team: team.name, method: request.method, path, headers: request.headers, body }).caseOf({
+      Left: error => { this.#gateway.refuseRequest(exchange, error, hasKey) },
+      Right: event => {
+        if (!team.services.includes(event.service)) {
+          this.#gateway.refuseRequest(exchange, 'forbidden', hasKey)
+          return
+        }
+        reply.raw.on('close', () => { this.#gateway.handleCallerGone(requestId) })
+        this.#gateway.acceptRequest(exchange, event)
+      }
+    })
+  }
+}
+
+/** Takes the response from the framework, so that answers can be streamed. */
+function takeOver (reply: FastifyReply): CallerExchange {
+  reply.hijack()
+  return CallerExchange.create(randomUUID(), reply.raw)
+}
--- /dev/null
+++ b/src/edge/entry/exchange.ts
@@ -0,0 +1,112 @@
+import type { ServerResponse } from 'node:http'
+import { ERROR_ANSWERS } from '../../kernel/errors.js'
+import type { ErrorKind, Outcome } from '../../kernel/errors.js'
+import type { HeaderList } from '../../protocol/messages.js'
+
+/** Unsent answer bytes above which a slow caller is cut off. */
+const CALLER_BUFFER_MAX_BYTES = 4 * 1024 * 1024
+
+/** What an error answer says. */
+export interface ErrorReply {
+  readonly error: ErrorKind
+  readonly outcome: Outcome
+  /** Whether this send of the request left the entry. */
+  readonly forwarded: boolean
+  readonly retryAfterMs?: number
+}
+
+/** The answer to one caller's request. */
+export class CallerExchange {
+  readonly requestId: string
+  readonly #response: ServerResponse
+  #eventStream = false
+
+  private constructor (requestId: string, response: ServerResponse) {
+    this.requestId = requestId
+    this.#response = response
+  }
+
+  /**
+   * @param requestId - sent back in each answer
+   * @param response - the caller's response, taken over from the framework
+   * @returns the exchange
+   */
+  static create (requestId: string, response: ServerResponse): CallerExchange {
+    return new CallerExchange(requestId, response)
+  }
+
+  /**
+   * @param status - status of the endpoint's answer
+   * @param headers - headers of the endpoint's answer
+   */
+  writeHead (status: number, headers: HeaderList): void {
+    const response = this.#response
+    response.statusCode = status
+    for (const [name, value] of headers) response.appendHeader(name, value)
+    this.#eventStream = String(response.getHeader('content-type') ?? '').startsWith('text/event-stream')
+    response.setHeader('heatherdoor-request-id', this.requestId)
+    response.setHeader('heatherdoor-outcome', 'run')
+    response.flushHeaders()
+  }
+
+  /**
+   * @param data - next part of the body
+   */
+  writeChunk (data: Uint8Array): void {
+    this.#response.write(data)
+    // A caller that stops reading would otherwise hold the whole answer in memory.
+    if (this.#response.writableLength > CALLER_BUFFER_MAX_BYTES) this.#response.destroy()
+  }
+
+  /**
+   * Answers with a value of the entry itself.
+   *
+   * @param value - sent as JSON
+   */
+  writeJson (value: unknown): void {
+    const response = this.#response
+    response.setHeader('content-type', 'application/json')
+    response.setHeader('cache-control', 'no-store')
+    response.setHeader('heatherdoor-request-id', this.requestId)
+    response.end(JSON.stringify(value))
+  }
+
+  /** Ends a whole answer. */
+  end (): void {
+    this.#response.end()
+  }
+
+  /**
+   * Answers with an error. After the head was sent an event stream gets the
+   * error as its last event; any other answer is cut by closing the connection,
+   * so that the caller cannot take it for a whole one.
+   *
+   * @param reply - kind, outcome and whether the request was forwarded
+   */
+  writeError (reply: ErrorReply): void {
+    const body = JSON.stringify({ error: describeError(this.requestId, reply) })
+    const response = this.#response
+    if (response.headersSent) {
+      if (this.#eventStream) response.end(`event: error\ndata: ${body}\n\n`)
+      else response.destroy()
+      return
+    }
+    response.statusCode = ERROR_ANSWERS[reply.error].status
+    response.setHeader('content-type', 'application/json')
+    response.setHeader('heatherdoor-request-id', this.requestId)
+    response.setHeader('heatherdoor-outcome', reply.outcome)
+    response.setHeader('heatherdoor-send', reply.forwarded ? 'forwarded' : 'not-forwarded')
+    if (reply.retryAfterMs !== undefined) response.setHeader('retry-after', String(Math.ceil(reply.retryAfterMs / 1000)))
+    response.end(body)
+  }
+}
+
+function describeError (requestId: string, reply: ErrorReply): Record<string, string> {
+  return {
+    kind: reply.error,
+    message: ERROR_ANSWERS[reply.error].message,
+    request_id: requestId,
+    outcome: reply.outcome,
+    send: reply.forwarded ? 'forwarded' : 'not-forwarded'
+  }
+}
--- /dev/null
+++ b/src/edge/entry/gateway.ts
@@ -0,0 +1,137 @@
+import { randomUUID } from 'node:crypto'
+import type { AddressAnswer, Effect } from '../../kernel/effects.js'
+import type { ErrorKind } from '../../kernel/errors.js'
+import type { KernelEvent, RequestReceived } from '../../kernel/events.js'
+import type { KeyState } from '../../protocol/messages.js'
+import type { CallerExchange } from './exchange.js'
+
+/** Time after which an unanswered question to the kernel fails, in ms. */
+const ASK_TIMEOUT_MS = 5_000
+
+type Answer = AddressAnswer | KeyState
+
+/** Connects callers' exchanges with the kernel's events and effects. */
+export class Gateway {
+  readonly #exchanges = new Map<string, CallerExchange>()
+  readonly #asks = new Map<string, (answer: Answer | undefined) => void>()
+  #dispatch: (event: KernelEvent) => void = () => undefined
+
+  private constructor () {}
+
+  /** @returns a gateway that is not connected to a kernel yet */
+  static create (): Gateway {
+    return new Gateway()
+  }
+
+  /**
+   * @param dispatch - gives an event to the kernel
+   */
+  connect (dispatch: (event: KernelEvent) => void): void {
+    this.#dispatch = dispatch
+  }
+
+  /** @returns count of callers that wait for an answer */
+  countExchanges (): number {
+    return this.#exchanges.size
+  }
+
+  /**
+   * @param exchange - where the answer goes
+   * @param event - the request
+   */
+  acceptRequest (exchange: CallerExchange, event: RequestReceived): void {
+    this.#exchanges.set(exchange.requestId, exchange)
+    this.#dispatch(event)
+  }
+
+  /**
+   * Refuses a request that the kernel never sees. With an idempotency key an
+   * earlier send of the same key may have run, so the outcome is unknown.
+   *
+   * @param exchange - where the answer goes
+   * @param error - why
+   * @param hasKey - whether the request bears an idempotency key
+   */
+  refuseRequest (exchange: CallerExchange, error: ErrorKind, hasKey: boolean): void {
+    exchange.writeError({ error, outcome: hasKey ? 'unknown' : 'not-run', forwarded: false })
+  }
+
+  /**
+   * @param requestId - request whose caller closed its connection
+   */
+  handleCallerGone (requestId: string): void {
+    if (this.#exchanges.delete(requestId)) this.#dispatch({ kind: 'caller-gone', requestId })
+  }
+
+  /**
+   * @param services - services to return key tokens for
+   * @returns the address answer; undefined when the kernel gave none in time
+   */
+  async askAddress (services: readonly string[]): Promise<AddressAnswer | undefined> {
+    return await this.#ask(askId => ({ kind: 'address-asked', askId, services })) as AddressAnswer | undefined
+  }
+
+  /**
+   * @param team - team that asks
+   * @param keyText - idempotency key
+   * @returns what its home knows of the key
+   */
+  async askOutcome (team: string, keyText: string): Promise<KeyState> {
+    const answer = await this.#ask(askId => ({ kind: 'outcome-asked', askId, team, keyText }))
+    return answer as KeyState | undefined ?? 'unknown'
+  }
+
+  /**
+   * Carries out an effect of the entry role.
+   *
+   * @param effect - from the kernel
+   */
+  applyEffect (effect: Effect): void {
+    switch (effect.kind) {
+      case 'reply-head':
+        this.#exchanges.get(effect.requestId)?.writeHead(effect.status, effect.headers)
+        return
+      case 'reply-chunk':
+        this.#exchanges.get(effect.requestId)?.writeChunk(effect.data)
+        return
+      case 'reply-end':
+        this.#takeExchange(effect.requestId)?.end()
+        return
+      case 'reply-error':
+        this.#takeExchange(effect.requestId)?.writeError(effect)
+        return
+      case 'address-told':
+        this.#answer(effect.askId, effect.answer)
+        return
+      case 'outcome-told':
+        this.#answer(effect.askId, effect.state)
+        return
+      default:
+        throw new Error(`effect ${effect.kind} does not belong to an entry`)
+    }
+  }
+
+  #takeExchange (requestId: string): CallerExchange | undefined {
+    const exchange = this.#exchanges.get(requestId)
+    this.#exchanges.delete(requestId)
+    return exchange
+  }
+
+  async #ask (build: (askId: string) => KernelEvent): Promise<Answer | undefined> {
+    const askId = randomUUID()
+    return await new Promise(resolve => {
+      const timer = setTimeout(() => { this.#answer(askId, undefined) }, ASK_TIMEOUT_MS)
+      this.#asks.set(askId, answer => {
+        clearTimeout(timer)
+        resolve(answer)
+      })
+      this.#dispatch(build(askId))
+    })
+  }
+
+  #answer (askId: string, answer: Answer | undefined): void {
+    const resolve = this.#asks.get(askId)
+    this.#asks.delete(askId)
+    resolve?.(answer)
+  }
+}
--- /dev/null
+++ b/src/edge/entry/operations.ts
@@ -0,0 +1,21 @@
+import { Controller, Get, Inject, Req, Res } from '@nestjs/common'
+import type { FastifyReply, FastifyRequest } from 'fastify'
+import { Operations } from '../operations.js'
+
+/** Routes for operators. */
+@Controller()
+export class OperationsController {
+  readonly #operations: Operations
+
+  constructor (@Inject(Operations) operations: Operations) {
+    this.#operations = operations
+  }
+
+  /** Every path of the operators' listener. */
+  @Get('*')
+  async handleGet (@Req() request: FastifyRequest, @Res() reply: FastifyReply): Promise<void> {
+    const path = new URL(request.url, 'http://entry').pathname
+    const answer = await this.#operations.answer(path, request.headers.authorization)
+    await reply.status(answer.status).header('content-type', answer.contentType).send(answer.body)
+  }
+}
--- /dev/null
+++ b/src/edge/entry/process.ts
@@ -0,0 +1,121 @@
+/** The process on an entry host. */
+
+import { Operations } from '../operations.js'
+import { ProcessEdge } from '../process.js'
+import { OperatorAuthenticator } from '../security/operators.js'
+import type { EntrySettings, ListenerSettings } from '../../settings/process.js'
+import { CallersController, CONFIGURATION } from './callers.js'
+import { Gateway } from './gateway.js'
+import { OperationsController } from './operations.js'
+import { EntryServer } from './server.js'
+import type { ServerOptions } from './server.js'
+import { TeamAuthenticator } from './teams.js'
+
+/** Who is told when the planned stop is finished. */
+interface LeaveState {
+  handleLeft: (workCut: boolean) => void
+}
+
+/** One entry. */
+export class EntryProcess {
+  readonly #edge: ProcessEdge
+  readonly #gateway: Gateway
+  readonly #callers: EntryServer
+  readonly #operations: EntryServer
+  readonly #state: LeaveState
+
+  private constructor (state: LeaveState, edge: ProcessEdge, gateway: Gateway, callers: EntryServer, operations: EntryServer) {
+    this.#edge = edge
+    this.#gateway = gateway
+    this.#callers = callers
+    this.#operations = operations
+    this.#state = state
+  }
+
+  /**
+   * @param settings - checked settings
+   * @returns a process that is not started
+   */
+  static async create (settings: EntrySettings): Promise<EntryProcess> {
+    const gateway = Gateway.create()
+    const state: LeaveState = { handleLeft: () => undefined }
+    const edge = ProcessEdge.create({
+      role: 'entry',
+      settings,
+      addressHoldMs: settings.addressHoldMs,
+      handleRoleEffect: effect => { gateway.applyEffect(effect) },
+      handleLeaveFinished: () => { state.handleLeft(gateway.countExchanges() > 0) }
+    })
+    gateway.connect(event => { edge.runtime.dispatch(event) })
+    const callers = await EntryServer.create(buildCallersOptions(settings, edge, gateway))
+    const operations = await EntryServer.create(buildOperationsOptions(settings, edge))
+    return new EntryProcess(state, edge, gateway, callers, operations)
+  }
+
+  /** @throws Error when a port is taken */
+  async start (): Promise<void> {
+    await this.#callers.start()
+    await this.#operations.start()
+    await this.#edge.start()
+  }
+
+  /**
+   * @param handleLeft - called when the planned stop is finished
+   */
+  leave (handleLeft: (workCut: boolean) => void): void {
+    this.#state.handleLeft = handleLeft
+    this.#edge.leave()
+  }
+
+  /** Closes idle connections and all sockets. */
+  async stop (): Promise<void> {
+    await this.#callers.stop()
+    await this.#edge.stop()
+    await this.#operations.stop()
+  }
+
+  /** @returns count of callers that wait for an answer */
+  countWork (): number {
+    return this.#gateway.countExchanges()
+  }
+
+  /**
+   * @param count - requests that are cut off
+   */
+  noteCut (count: number): void {
+    this.#edge.logger.write('work-cut', { count })
+  }
+}
+
+function buildCallersOptions (settings: EntrySettings, edge: ProcessEdge, gateway: Gateway): ServerOptions {
+  const configuration = edge.kernel.port('configuration')
+  return {
+    ...getAddress(settings.callerListener),
+    limits: settings.limits,
+    controller: CallersController,
+    providers: [
+      { provide: Gateway, useValue: gateway },
+      { provide: TeamAuthenticator, useValue: TeamAuthenticator.create(configuration) },
+      { provide: CONFIGURATION, useValue: configuration }
+    ]
+  }
+}
+
+function buildOperationsOptions (settings: EntrySettings, edge: ProcessEdge): ServerOptions {
+  const operators = OperatorAuthenticator.create(settings.operationsListener.operatorKeysFile)
+  const operations = Operations.create({
+    kernel: edge.kernel,
+    metrics: edge.metrics,
+    isOperator: authorization => operators.isOperator(authorization)
+  })
+  return {
+    ...getAddress(settings.operationsListener),
+    limits: settings.limits,
+    controller: OperationsController,
+    providers: [{ provide: Operations, useValue: operations }]
+  }
+}
+
+function getAddress (listener: ListenerSettings): { readonly ip: string, readonly port: number } {
+  return { ip: listener.ip, port: listener.port }
+}
--- /dev/null
+++ b/src/edge/peer/connection.ts
@@ -0,0 +1,140 @@
+import type { WebSocket } from 'ws'
+import { decodeMessage, encodeMessage } from '../../protocol/codec.js'
+import { PROTOCOL_VERSION } from '../../protocol/messages.js'
+import type { Hello, Message, ProcessRef } from '../../protocol/messages.js'
+import { createNonce, signProof, verifyProof } from './proof.js'
+
+/** Time within which both hellos must have arrived, in ms. */
+const HANDSHAKE_TIMEOUT_MS = 2_000
+
+/** Unsent bytes on one connection above which it is closed as stuck. */
+const SEND_BUFFER_MAX_BYTES = 64 * 1024 * 1024
+
+/** What a connection tells its owner. */
+export interface ConnectionListener {
+  handleOpen (connection: PeerConnection, peer: ProcessRef): void
+  handleMessage (connection: PeerConnection, message: Message): void
+  handleClose (connection: PeerConnection, reason: string): void
+}
+
+/** What a connection needs to prove who it is. */
+export interface ConnectionIdentity {
+  readonly self: ProcessRef
+  readonly clusterSecret: string
+  /** @returns the configuration version in force */
+  readonly getConfigVersion: () => number
+}
+
+/**
+ * One authenticated connection to a peer. Either side first sends a hello with
+ * a nonce, then a hello with a proof over both nonces; messages pass only after
+ * the peer's proof was verified.
+ */
+export class PeerConnection {
+  /** Whether this side opened the connection. */
+  readonly dialled: boolean
+  readonly #socket: WebSocket
+  readonly #identity: ConnectionIdentity
+  readonly #listener: ConnectionListener
+  readonly #nonce = createNonce()
+  readonly #timer: NodeJS.Timeout
+  #peer: ProcessRef | undefined
+  #theirNonce: string | undefined
+  #closed = false
+
+  private constructor (socket: WebSocket, dialled: boolean, identity: ConnectionIdentity, listener: ConnectionListener) {
+    this.#socket = socket
+    this.dialled = dialled
+    this.#identity = identity
+    this.#listener = listener
+    this.#timer = setTimeout(() => { this.close('handshake timeout') }, HANDSHAKE_TIMEOUT_MS)
+    socket.binaryType = 'nodebuffer'
+    socket.on('message', data => { this.#handleData(data as Buffer) })
+    socket.on('close', () => { this.#finish('closed by peer') })
+    socket.on('error', error => { this.#finish(error.message) })
+    if (dialled) socket.on('open', () => { this.#sendHello('') })
+    else this.#sendHello('')
+  }
+
+  /**
+   * @param socket - WebSocket, open or connecting
+   * @param dialled - whether this side opened it
+   * @param identity - who this process is
+   * @param listener - told of the opening, messages and the closing
+   * @returns the connection
+   */
+  static create (socket: WebSocket, dialled: boolean, identity: ConnectionIdentity, listener: ConnectionListener): PeerConnection {
+    return new PeerConnection(socket, dialled, identity, listener)
+  }
+
+  /** The peer, once its proof was verified. */
+  get peer (): ProcessRef | undefined {
+    return this.#peer
+  }
+
+  /**
+   * @param message - sent when the connection is open, dropped otherwise
+   */
+  send (message: Message): void {
+    if (this.#closed || this.#socket.readyState !== this.#socket.OPEN) return
+    if (this.#socket.bufferedAmount > SEND_BUFFER_MAX_BYTES) {
+      this.close('send buffer is full')
+      return
+    }
+    this.#socket.send(encodeMessage(message))
+  }
+
+  /**
+   * @param reason - told to the listener
+   */
+  close (reason: string): void {
+    if (this.#closed) return
+    this.#finish(reason)
+    this.#socket.terminate()
+  }
+
+  #finish (reason: string): void {
+    if (this.#closed) return
+    this.#closed = true
+    clearTimeout(this.#timer)
+    this.#listener.handleClose(this, reason)
+  }
+
+  #sendHello (proof: string): void {
+    const { self, getConfigVersion } = this.#identity
+    this.send({ kind: 'hello', protocol: PROTOCOL_VERSION, process: self, configVersion: getConfigVersion(), nonce: this.#nonce, proof })
+  }
+
+  #handleData (data: Buffer): void {
+    if (this.#closed) return
+    decodeMessage(data).caseOf({
+      Left: reason => { this.close(reason) },
+      Right: message => {
+        if (message.kind === 'hello') this.#handleHello(message)
+        else if (this.#peer === undefined) this.close('message before hello')
+        else this.#listener.handleMessage(this, message)
+      }
+    })
+  }
+
+  #handleHello (hello: Hello): void {
+    if (hello.protocol !== PROTOCOL_VERSION) {
+      this.close(`protocol ${String(hello.protocol)} is not ${PROTOCOL_VERSION}`)
+      return
+    }
+    const { self, clusterSecret } = this.#identity
+    if (this.#theirNonce === undefined) {
+      this.#theirNonce = hello.nonce
+      this.#sendHello(signProof(clusterSecret, self, hello.nonce, this.#nonce))
+      return
+    }
+    const expected = signProof(clusterSecret, hello.process, this.#nonce, this.#theirNonce)
+    if (this.#peer !== undefined || hello.nonce !== this.#theirNonce || !verifyProof(hello.proof, expected)) {
+      this.close('wrong proof of the cluster secret')
+      return
+    }
+    clearTimeout(this.#timer)
+    this.#peer = hello.process
+    this.#listener.handleOpen(this, hello.process)
+  }
+}
--- /dev/null
+++ b/src/edge/peer/hub.ts
@@ -0,0 +1,178 @@
+import { createServer as createHttpServer } from 'node:http'
+import type { Server } from 'node:http'
+import { createServer as createHttpsServer } from 'node:https'
+import { WebSocket, WebSocketServer } from 'ws'
+import { MESSAGE_MAX_BYTES } from '../../protocol/codec.js'
+import type { Message, ProcessRef } from '../../protocol/messages.js'
+import { PeerConnection } from './connection.js'
+import type { ConnectionIdentity, ConnectionListener } from './connection.js'
+
+/** Time to open a connection in ms. */
+const CONNECT_TIMEOUT_MS = 2_000
+
+/** What the hub tells its owner. */
+export interface HubListener {
+  handlePeerConnected (peer: ProcessRef): void
+  handlePeerDisconnected (peer: ProcessRef, reason: string): void
+  handlePeerMessage (peer: ProcessRef, message: Message): void
+  /** A connection ended before its peer was authenticated. */
+  handlePeerRefused (reason: string): void
+}
+
+/** TLS of the peer listener and of outgoing connections, in PEM. */
+export interface PeerTls {
+  readonly cert: string
+  readonly key: string
+  readonly ca: string
+}
+
+/** Keeps at most one authenticated connection to each peer. */
+export class PeerHub implements ConnectionListener {
+  readonly #identity: ConnectionIdentity
+  readonly #listener: HubListener
+  readonly #tls: PeerTls | undefined
+  readonly #server: Server
+  readonly #sockets: WebSocketServer
+  readonly #byPeer = new Map<string, PeerConnection>()
+  readonly #pending = new Set<PeerConnection>()
+  readonly #dialling = new Map<string, PeerConnection>()
+
+  private constructor (identity: ConnectionIdentity, listener: HubListener, tls: PeerTls | undefined) {
+    this.#identity = identity
+    this.#listener = listener
+    this.#tls = tls
+    this.#server = tls === undefined
+      ? createHttpServer()
+      : createHttpsServer({ cert: tls.cert, key: tls.key, ca: tls.ca, requestCert: true, rejectUnauthorized: true })
+    this.#sockets = new WebSocketServer({ server: this.#server, maxPayload: MESSAGE_MAX_BYTES, perMessageDeflate: false })
+    this.#sockets.on('connection', socket => {
+      this.#pending.add(PeerConnection.create(socket, false, identity, this))
+    })
+  }
+
+  /**
+   * @param identity - who this process is
+   * @param listener - told of peers and their messages
+   * @param tls - key material; plain TCP when absent
+   * @returns a hub that does not listen yet
+   */
+  static create (identity: ConnectionIdentity, listener: HubListener, tls?: PeerTls): PeerHub {
+    return new PeerHub(identity, listener, tls)
+  }
+
+  /** Server of the peer listener, for reloads of its key material. */
+  get server (): Server {
+    return this.#server
+  }
+
+  /**
+   * @param ip - address to listen on
+   * @param port - TCP port
+   * @returns resolved when listening
+   * @throws Error when the port is taken
+   */
+  async start (ip: string, port: number): Promise<void> {
+    await new Promise<void>((resolve, reject) => {
+      this.#server.once('error', reject)
+      this.#server.listen(port, ip, () => {
+        this.#server.removeListener('error', reject)
+        resolve()
+      })
+    })
+  }
+
+  /**
+   * Opens a connection unless one stands or is being opened.
+   *
+   * @param peer - process id
+   * @param address - `ip:port`
+   */
+  connect (peer: string, address: string): void {
+    if (this.#byPeer.has(peer) || this.#dialling.has(peer)) return
+    const tls = this.#tls
+    const socket = tls === undefined
+      ? new WebSocket(`ws://${address}`, { handshakeTimeout: CONNECT_TIMEOUT_MS, perMessageDeflate: false, maxPayload: MESSAGE_MAX_BYTES })
+      : new WebSocket(`wss://${address}`, { handshakeTimeout: CONNECT_TIMEOUT_MS, perMessageDeflate: false, maxPayload: MESSAGE_MAX_BYTES, cert: tls.cert, key: tls.key, ca: tls.ca })
+    this.#dialling.set(peer, PeerConnection.create(socket, true, this.#identity, this))
+  }
+
+  /**
+   * @param peer - process id
+   * @param message - dropped when no connection stands
+   */
+  send (peer: string, message: Message): void {
+    this.#byPeer.get(peer)?.send(message)
+  }
+
+  /**
+   * Closes the connection to a peer. The listener is not told, since the caller
+   * decided it.
+   *
+   * @param peer - process id
+   */
+  disconnect (peer: string): void {
+    this.#dialling.get(peer)?.close('disconnected')
+    const connection = this.#byPeer.get(peer)
+    this.#byPeer.delete(peer)
+    connection?.close('disconnected')
+  }
+
+  /** Closes the listener and every connection. */
+  async stop (): Promise<void> {
+    const closed = new Promise<void>(resolve => { this.#server.close(() => { resolve() }) })
+    this.#sockets.close()
+    for (const connection of [...this.#byPeer.values(), ...this.#dialling.values(), ...this.#pending]) connection.close('process stops')
+    await closed
+  }
+
+  handleOpen (connection: PeerConnection, peer: ProcessRef): void {
+    this.#forgetOpening(connection)
+    const present = this.#byPeer.get(peer.id)
+    if (present !== undefined) {
+      if (!this.#isPreferred(connection, present, peer)) {
+        connection.close('duplicate connection')
+        return
+      }
+      present.close('replaced by a newer connection')
+    }
+    this.#byPeer.set(peer.id, connection)
+    this.#listener.handlePeerConnected(peer)
+  }
+
+  handleMessage (connection: PeerConnection, message: Message): void {
+    const peer = connection.peer
+    if (peer === undefined || this.#byPeer.get(peer.id) !== connection) return
+    this.#listener.handlePeerMessage(peer, message)
+  }
+
+  handleClose (connection: PeerConnection, reason: string): void {
+    this.#forgetOpening(connection)
+    const peer = connection.peer
+    if (peer === undefined) {
+      this.#listener.handlePeerRefused(reason)
+    } else if (this.#byPeer.get(peer.id) === connection) {
+      this.#byPeer.delete(peer.id)
+      this.#listener.handlePeerDisconnected(peer, reason)
+    }
+  }
+
+  #forgetOpening (connection: PeerConnection): void {
+    this.#pending.delete(connection)
+    for (const [peer, opening] of this.#dialling) {
+      if (opening === connection) this.#dialling.delete(peer)
+    }
+  }
+
+  /**
+   * Two processes that dial each other at once must keep the same connection:
+   * the one that the smaller process id opened. A newer connection in the same
+   * direction, or of a newer incarnation, replaces the present one.
+   */
+  #isPreferred (connection: PeerConnection, present: PeerConnection, peer: ProcessRef): boolean {
+    const presentIncarnation = present.peer?.incarnation ?? 0
+    if (peer.incarnation !== presentIncarnation) return peer.incarnation > presentIncarnation
+    if (connection.dialled === present.dialled) return true
+    const openedBySmaller = connection.dialled === (this.#identity.self.id < peer.id)
+    return openedBySmaller
+  }
+}
--- /dev/null
+++ b/src/edge/platform/reader.ts
@@ -0,0 +1,114 @@
+/** Reads the configuration from the platform and watches for newer ones. */
+
+import { ROOT_KEY, formatPartKey } from '../../kernel/document.js'
+import type { ConfigurationRoot } from '../../kernel/document.js'
+import type { KernelEvent } from '../../kernel/events.js'
+import type { ConfigurationPort, MembershipPort } from '../../kernel/ports.js'
+import type { PlatformClient } from './client.js'
+
+/** Time in which peers may give the configuration before the platform is read, in ms. */
+const PEERS_FIRST_MS = 500
+
+/** Mean interval in which a process without any configuration reads, in ms. */
+const RETRY_MS = 1_000
+
+/** Interval in which it is checked whether this process should watch, in ms. */
+const WATCH_CHECK_MS = 1_000
+
+/** Source of configurations that came from the platform, in logs. */
+const SOURCE = 'platform'
+
+/** What a reader is created with. */
+export interface ConfigurationReaderOptions {
+  readonly platform: PlatformClient
+  readonly configuration: ConfigurationPort
+  readonly membership: MembershipPort
+  readonly dispatch: (event: KernelEvent) => void
+}
+
+/**
+ * Only the entries that membership names as watchers hold a watch, since each
+ * waiting watch counts against the platform's rate; all others get newer
+ * configurations from peers.
+ */
+export class ConfigurationReader {
+  readonly #options: ConfigurationReaderOptions
+  readonly #timers: NodeJS.Timeout[] = []
+  #stopWatch: (() => void) | undefined
+  #reading = false
+  #again = false
+
+  private constructor (options: ConfigurationReaderOptions) {
+    this.#options = options
+  }
+
+  /**
+   * @param options - platform and where to send what was read
+   * @returns a reader that is not started
+   */
+  static create (options: ConfigurationReaderOptions): ConfigurationReader {
+    return new ConfigurationReader(options)
+  }
+
+  /** Reads while no peer gave a configuration, and watches while membership asks for it. */
+  start (): void {
+    const readIfEmpty = (): void => { if (this.#getVersion() === 0) this.#read() }
+    this.#timers.push(setTimeout(readIfEmpty, PEERS_FIRST_MS))
+    this.#timers.push(setInterval(readIfEmpty, RETRY_MS * (1 + Math.random())))
+    this.#timers.push(setInterval(() => { this.#updateWatch() }, WATCH_CHECK_MS))
+  }
+
+  /** Ends the watch. */
+  stop (): void {
+    for (const timer of this.#timers) clearTimeout(timer)
+    this.#stopWatch?.()
+  }
+
+  #getVersion (): number {
+    return this.#options.configuration.getCurrent().version
+  }
+
+  #updateWatch (): void {
+    const wanted = this.#options.membership.isWatcher()
+    if (wanted && this.#stopWatch === undefined) {
+      this.#stopWatch = this.#options.platform.watch(ROOT_KEY, () => { this.#read() })
+      this.#read()
+    } else if (!wanted) {
+      this.#stopWatch?.()
+      this.#stopWatch = undefined
+    }
+  }
+
+  /** Reads the root and missing parts; a call during a read leads to one more read. */
+  #read (): void {
+    if (this.#reading) {
+      this.#again = true
+      return
+    }
+    this.#reading = true
+    this.#readOnce().finally(() => {
+      this.#reading = false
+      if (this.#again) {
+        this.#again = false
+        this.#read()
+      }
+    })
+  }
+
+  async #readOnce (): Promise<void> {
+    const { platform, configuration, dispatch } = this.#options
+    const found = await platform.read(ROOT_KEY)
+    if (found.kind !== 'found') return
+    const root = JSON.parse(found.value) as ConfigurationRoot
+    if (root.version <= this.#getVersion()) return
+    const held = new Set(configuration.listPartHashes())
+    const parts: [string, string][] = []
+    for (const [name, hash] of Object.entries(root.parts)) {
+      if (held.has(hash)) continue
+      const part = await platform.read(formatPartKey(name, hash))
+      if (part.kind !== 'found') return
+      parts.push([hash, part.value])
+    }
+    dispatch({ kind: 'configuration-read', root: found.value, parts, source: SOURCE })
+  }
+}
--- /dev/null
+++ b/src/edge/process.ts
@@ -0,0 +1,145 @@
+/** What the edges of both roles have in common: kernel, peers, platform, logs. */
+
+import { readFileSync } from 'node:fs'
+import type { Effect } from '../kernel/effects.js'
+import { Kernel } from '../kernel/kernel.js'
+import '../plugins/index.js'
+import type { ProcessRef, Role } from '../protocol/messages.js'
+import type { ProcessSettings } from '../settings/process.js'
+import { Logger } from './log/logger.js'
+import { Metrics } from './metrics/metrics.js'
+import { PeerHub } from './peer/hub.js'
+import { PlatformClient } from './platform/client.js'
+import { ConfigurationReader } from './platform/reader.js'
+import { Runtime } from './runtime.js'
+
+/** What differs between the roles. */
+export interface ProcessOptions {
+  readonly role: Role
+  readonly settings: ProcessSettings
+  /** Service of the endpoint; endpoint role only. */
+  readonly service?: string
+  readonly addressHoldMs?: number
+  readonly handleRoleEffect: (effect: Effect) => void
+  /** Called once, when the process may exit. */
+  readonly handleLeaveFinished: () => void
+}
+
+/** Range of seeds of the kernel's random numbers. */
+const SEED_RANGE = 2 ** 31
+
+/** Kernel and shared edges of one process. */
+export class ProcessEdge {
+  readonly kernel: Kernel
+  readonly logger: Logger
+  readonly metrics: Metrics
+  readonly runtime: Runtime
+  readonly hub: PeerHub
+  readonly platform: PlatformClient
+  readonly #reader: ConfigurationReader
+  readonly #settings: ProcessSettings
+
+  private constructor (options: ProcessOptions) {
+    const { settings, role } = options
+    const self = buildSelf(settings, role)
+    const clusterSecret = readFileSync(settings.clusterSecretFile, 'utf8').trim()
+    this.#settings = settings
+    this.logger = Logger.create({ processId: self.id })
+    this.metrics = Metrics.create({ role })
+    this.platform = PlatformClient.create({
+      urls: settings.platform.urls,
+      timeoutMs: settings.platform.timeoutMs,
+      ...(settings.platform.credentialFile === undefined ? {} : { credential: readFileSync(settings.platform.credentialFile, 'utf8').trim() })
+    })
+    this.kernel = Kernel.create({
+      self,
+      seed: Math.floor(Math.random() * SEED_RANGE),
+      ...(options.service === undefined ? {} : { service: options.service }),
+      settings: {
+        clusterSecret,
+        seeds: settings.seeds.map(seed => ({ id: seed.id, address: seed.peerAddress })),
+        ...(options.addressHoldMs === undefined ? {} : { addressHoldMs: options.addressHoldMs })
+      }
+    })
+    this.hub = this.#createHub(self, clusterSecret)
+    this.runtime = Runtime.create({ ...this.#parts(), handleRoleEffect: options.handleRoleEffect, handleLeaveFinished: options.handleLeaveFinished })
+    this.#reader = ConfigurationReader.create({
+      platform: this.platform,
+      configuration: this.kernel.port('configuration'),
+      membership: this.kernel.port('membership'),
+      dispatch: event => { this.runtime.dispatch(event) }
+    })
+  }
+
+  /**
+   * @param options - role and settings
+   * @returns edges that are not started
+   * @throws Error when a file named by the settings cannot be read
+   */
+  static create (options: ProcessOptions): ProcessEdge {
+    return new ProcessEdge(options)
+  }
+
+  /** @throws Error when the peer listener's port is taken */
+  async start (): Promise<void> {
+    const { ip, port } = this.#settings.peerListener
+    await this.hub.start(ip, port)
+    this.runtime.start()
+    // Endpoint processes outnumber entries and get the configuration from them.
+    if (this.kernel.self.role === 'entry') this.#reader.start()
+    const { id, role, incarnation } = this.kernel.self
+    this.logger.write('process-started', { role, id, incarnation })
+  }
+
+  /** Asks the kernel to finish what was accepted and to take nothing more. */
+  leave (): void {
+    const deadlineMs = this.#settings.leaveDeadlineMs
+    this.logger.write('process-leaving', { deadlineMs })
+    this.runtime.dispatch({ kind: 'leave-requested', deadlineMs })
+  }
+
+  /** Closes every socket and timer. */
+  async stop (): Promise<void> {
+    this.#reader.stop()
+    this.runtime.stop()
+    await this.hub.stop()
+    await this.platform.stop()
+    this.logger.write('process-stopped', {})
+  }
+
+  #parts (): { kernel: Kernel, hub: PeerHub, platform: PlatformClient, logger: Logger, metrics: Metrics } {
+    return { kernel: this.kernel, hub: this.hub, platform: this.platform, logger: this.logger, metrics: this.metrics }
+  }
+
+  #createHub (self: ProcessRef, clusterSecret: string): PeerHub {
+    const identity = {
+      self,
+      clusterSecret,
+      getConfigVersion: () => this.kernel.port('configuration').getCurrent().version
+    }
+    return PeerHub.create(identity, {
+      handlePeerConnected: peer => {
+        this.logger.write('peer-connected', { peer: peer.id, incarnation: peer.incarnation })
+        this.runtime.dispatch({ kind: 'peer-connected', peer })
+      },
+      handlePeerDisconnected: (peer, reason) => {
+        this.logger.write('peer-disconnected', { peer: peer.id, reason })
+        this.runtime.dispatch({ kind: 'peer-disconnected', peer })
+      },
+      handlePeerMessage: (peer, message) => { this.runtime.dispatch({ kind: 'message-received', peer, message }) },
+      handlePeerRefused: reason => { this.logger.write('peer-refused', { reason }) }
+    })
+  }
+}
+
+/** The wall clock in ms serves as incarnation number: it rises with each start. */
+function buildSelf (settings: ProcessSettings, role: Role): ProcessRef {
+  return {
+    id: settings.processId,
+    role,
+    domain: settings.failureDomain,
+    host: settings.host,
+    address: `${settings.peerListener.ip}:${settings.peerListener.port}`,
+    incarnation: Date.now()
+  }
+}
--- /dev/null
+++ b/src/edge/runtime.ts
@@ -0,0 +1,118 @@
+/**
+ * Drives a kernel: gives it events with the time and carries out its effects.
+ */
+
+import type { Effect } from '../kernel/effects.js'
+import type { KernelEvent } from '../kernel/events.js'
+import type { Kernel } from '../kernel/kernel.js'
+import type { PlatformClient } from './platform/client.js'
+import type { Logger } from './log/logger.js'
+import type { Metrics } from './metrics/metrics.js'
+import type { PeerHub } from './peer/hub.js'
+import { getNowMs } from './clock.js'
+
+/** Interval of the kernel's `tick` event in ms. */
+export const TICK_MS = 100
+
+/** What every role's edge provides. */
+export interface RuntimeParts {
+  readonly kernel: Kernel
+  readonly hub: PeerHub
+  readonly platform: PlatformClient
+  readonly logger: Logger
+  readonly metrics: Metrics
+  /** Carries out the effects of one role. */
+  readonly handleRoleEffect: (effect: Effect) => void
+  /** Called once when a planned leave is finished. */
+  readonly handleLeaveFinished: () => void
+}
+
+/** Runs one kernel on the process's event loop. */
+export class Runtime {
+  readonly #parts: RuntimeParts
+  readonly #queue: KernelEvent[] = []
+  #running = false
+  #timer: NodeJS.Timeout | undefined
+
+  private constructor (parts: RuntimeParts) {
+    this.#parts = parts
+  }
+
+  /**
+   * @param parts - kernel and the edges around it
+   * @returns a runtime whose timer is not started
+   */
+  static create (parts: RuntimeParts): Runtime {
+    return new Runtime(parts)
+  }
+
+  /** Starts the regular timer. */
+  start (): void {
+    this.#timer = setInterval(() => { this.dispatch({ kind: 'tick' }) }, TICK_MS)
+  }
+
+  /** Stops the regular timer. */
+  stop (): void {
+    clearInterval(this.#timer)
+  }
+
+  /**
+   * Gives an event to the kernel. An event that arrives while effects are being
+   * carried out waits until they are done.
+   *
+   * @param event - what happened
+   */
+  dispatch (event: KernelEvent): void {
+    this.#queue.push(event)
+    if (this.#running) return
+    this.#running = true
+    try {
+      for (let next = this.#queue.shift(); next !== undefined; next = this.#queue.shift()) {
+        for (const effect of this.#parts.kernel.dispatch(next, getNowMs())) this.#applyEffect(effect)
+      }
+    } finally {
+      this.#running = false
+    }
+  }
+
+  #applyEffect (effect: Effect): void {
+    const { hub, logger, metrics } = this.#parts
+    switch (effect.kind) {
+      case 'send':
+        hub.send(effect.peer, effect.message)
+        return
+      case 'connect':
+        hub.connect(effect.peer, effect.address)
+        return
+      case 'disconnect':
+        hub.disconnect(effect.peer)
+        return
+      case 'platform-call':
+        this.#callPlatform(effect)
+        return
+      case 'log':
+        logger.write(effect.event, effect.fields)
+        return
+      case 'count':
+        metrics.count(effect.metric, effect.label)
+        return
+      case 'observe':
+        metrics.observe(effect.metric, effect.value, effect.label)
+        return
+      case 'leave-finished':
+        this.#parts.handleLeaveFinished()
+        return
+      default:
+        this.#parts.handleRoleEffect(effect)
+    }
+  }
+
+  async #callPlatform (effect: Extract<Effect, { kind: 'platform-call' }>): Promise<void> {
+    const { platform } = this.#parts
+    const { operation, callId } = effect
+    const result = operation.kind === 'read'
+      ? await platform.read(operation.key)
+      : await platform.write(operation.key, operation.value, operation.revision)
+    this.dispatch({ kind: 'platform-answered', callId, result })
+  }
+}
--- /dev/null
+++ b/src/edge/signals.ts
@@ -0,0 +1,19 @@
+/** Planned stop on a signal; a second signal ends the process at once. */
+
+/** Exit code after a planned stop that cut off work. */
+export const EXIT_WORK_CUT = 1
+
+/**
+ * @param leave - starts the planned stop
+ * @param cut - ends the process; called on the second signal
+ */
+export function registerSignals (leave: () => void, cut: () => void): void {
+  let signals = 0
+  const handleSignal = (): void => {
+    signals += 1
+    if (signals === 1) leave()
+    else cut()
+  }
+  process.on('SIGTERM', handleSignal)
+  process.on('SIGINT', handleSignal)
+}
--- a/src/kernel/effects.ts
+++ b/src/kernel/effects.ts
@@ -16,6 +16,14 @@
   /** Conditional update; revision 0 creates. */
   | { readonly kind: 'write', readonly key: string, readonly value: string, readonly revision: number }
 
+/** Answer to a caller that asks which entry to use. */
+export interface AddressAnswer {
+  readonly addresses: readonly { readonly url: string, readonly domain: string }[]
+  /** How long the answer may be kept, in ms. */
+  readonly holdMs: number
+  readonly tokens: readonly { readonly service: string, readonly token: string, readonly domain: string }[]
+}
+
 export type Effect =
   | { readonly kind: 'send', readonly peer: string, readonly message: Message }
   | { readonly kind: 'connect', readonly peer: string, readonly address: string }
@@ -26,6 +34,7 @@
   | { readonly kind: 'reply-chunk', readonly requestId: string, readonly data: Uint8Array }
   | { readonly kind: 'reply-end', readonly requestId: string }
   | { readonly kind: 'reply-error', readonly requestId: string, readonly error: ErrorKind, readonly outcome: Outcome, readonly forwarded: boolean, readonly retryAfterMs?: number }
+  | { readonly kind: 'address-told', readonly askId: string, readonly answer: AddressAnswer }
   | { readonly kind: 'outcome-told', readonly askId: string, readonly state: KeyState }
   /* endpoint role */
   | { readonly kind: 'run', readonly work: Submit }
--- a/src/kernel/events.ts
+++ b/src/kernel/events.ts
@@ -61,6 +61,7 @@
   /* entry role */
   | RequestReceived
   | { readonly kind: 'caller-gone', readonly requestId: string }
+  | { readonly kind: 'address-asked', readonly askId: string, readonly services: readonly string[] }
   | { readonly kind: 'outcome-asked', readonly askId: string, readonly team: string, readonly keyText: string }
   /* endpoint role */
   | { readonly kind: 'work-offered', readonly work: Submit }
--- a/src/kernel/kernel.ts
+++ b/src/kernel/kernel.ts
@@ -3,6 +3,7 @@
 import { listPlugins } from './plugin.js'
 import type { Context, Plugin, PluginOptions } from './plugin.js'
 import type { Ports } from './ports.js'
+import type { ProcessRef } from '../protocol/messages.js'
 import { Random } from './random.js'
 
 /** What a kernel is created with. */
@@ -80,6 +81,11 @@
     return port as Ports[N]
   }
 
+  /** The process that this kernel runs in. */
+  get self (): ProcessRef {
+    return this.#options.self
+  }
+
   /** @returns the names of the plug-ins in order */
   listPluginNames (): readonly string[] {
     return this.#plugins.map(plugin => plugin.name)
--- a/src/kernel/plugin.ts
+++ b/src/kernel/plugin.ts
@@ -62,8 +62,8 @@
   readonly clusterSecret: string
   /** Addresses of peers known at start, by process id. */
   readonly seeds: readonly { readonly id: string, readonly address: string }[]
-  /** Callers' URL of this entry. */
-  readonly callerUrl?: string
+  /** Time for which callers may keep an address answer, in ms; entries only. */
+  readonly addressHoldMs?: number
 }
 
 /** How a plug-in makes itself known. */
--- /dev/null
+++ b/src/plugins/addresses/index.ts
@@ -0,0 +1,74 @@
+/** Answers callers that ask which entry to use and which key tokens to take. */
+
+import type { AddressAnswer } from '../../kernel/effects.js'
+import type { KernelEvent } from '../../kernel/events.js'
+import { registerPlugin } from '../../kernel/plugin.js'
+import type { Context, Plugin, PluginOptions } from '../../kernel/plugin.js'
+
+/** Largest count of addresses in one answer; bounds the answer at fleet size. */
+const ADDRESSES_MAX = 8
+
+/** Time for which callers may keep an answer when settings give none, in ms. */
+const DEFAULT_HOLD_MS = 30_000
+
+class AddressesPlugin implements Plugin {
+  readonly name = 'addresses'
+  readonly subscribesTo = ['address-asked'] as const
+  readonly #holdMs: number
+
+  private constructor (options: PluginOptions) {
+    this.#holdMs = options.settings.addressHoldMs ?? DEFAULT_HOLD_MS
+  }
+
+  static create (options: PluginOptions): AddressesPlugin {
+    return new AddressesPlugin(options)
+  }
+
+  handle (event: KernelEvent, context: Context): void {
+    if (event.kind !== 'address-asked') return
+    const answer: AddressAnswer = {
+      addresses: chooseAddresses(context),
+      holdMs: this.#holdMs,
+      tokens: event.services.flatMap(service => formatTokens(service, context))
+    }
+    context.emit({ kind: 'address-told', askId: event.askId, answer })
+  }
+}
+
+/**
+ * Chooses live entries in random order, alternating between failure domains, so
+ * that callers spread over entries and the second address survives the loss of
+ * the first one's domain.
+ */
+function chooseAddresses (context: Context): AddressAnswer['addresses'] {
+  const configuration = context.port('configuration')
+  const specs = new Map(configuration.getCurrent().entries.map(spec => [spec.id, spec]))
+  const byDomain = new Map<string, { url: string, domain: string }[]>()
+  for (const entry of context.port('membership').listEntries()) {
+    const spec = specs.get(entry.id)
+    if (spec === undefined || !configuration.isInService(spec)) continue
+    const list = byDomain.get(spec.domain) ?? []
+    list.splice(context.random.pickInt(list.length + 1), 0, { url: spec.callerUrl, domain: spec.domain })
+    byDomain.set(spec.domain, list)
+  }
+  const domains = [...byDomain.values()]
+  const first = domains.length === 0 ? 0 : context.random.pickInt(domains.length)
+  const chosen: { url: string, domain: string }[] = []
+  while (chosen.length < ADDRESSES_MAX && domains.some(list => list.length > 0)) {
+    for (let offset = 0; offset < domains.length; offset += 1) {
+      const next = domains[(first + offset) % domains.length]?.shift()
+      if (next !== undefined && chosen.length < ADDRESSES_MAX) chosen.push(next)
+    }
+  }
+  return chosen
+}
+
+function formatTokens (service: string, context: Context): AddressAnswer['tokens'] {
+  return context.port('routing').chooseHomes(service, context).map(home => ({
+    service,
+    token: context.port('tokens').formatToken(service, home),
+    domain: home.domain
+  }))
+}
+
+registerPlugin({ name: 'addresses', roles: ['entry'], create: options => AddressesPlugin.create(options) })
--- a/src/protocol/messages.ts
+++ b/src/protocol/messages.ts
@@ -58,7 +58,9 @@
   readonly protocol: number
   readonly process: ProcessRef
   readonly configVersion: number
-  /** HMAC over the connection's challenge by the cluster secret. */
+  /** Random text that the other side signs. */
+  readonly nonce: string
+  /** HMAC over both nonces and the process by the cluster secret; empty in the acceptor's first hello. */
   readonly proof: string
 }
 
