Add configuration, membership and routing plug-ins

The entry needs the state that it decides with: the configuration in force, connected peers and members, and the choice of endpoints. Contract files gain findPort, the events configuration-read, peer-wanted and hosts-listed, and port methods for watchers and connection use.

--- a/src/kernel/events.ts
+++ b/src/kernel/events.ts
@@ -51,11 +51,21 @@
   | { readonly kind: 'tick' }
   | { readonly kind: 'leave-requested', readonly deadlineMs: number }
   | { readonly kind: 'peer-connected', readonly peer: ProcessRef }
+  /**
+   * The connection is gone. Raised by the membership plug-in after its own
+   * `disconnect`; the edge gives it only for connections that it lost itself.
+   */
   | { readonly kind: 'peer-disconnected', readonly peer: ProcessRef }
+  /** Asks the membership plug-in for a connection to an endpoint outside the subset. */
+  | { readonly kind: 'peer-wanted', readonly peer: string }
+  /** The platform's list of hosts, which lags. */
+  | { readonly kind: 'hosts-listed', readonly live: readonly string[], readonly leaving: readonly string[] }
   | { readonly kind: 'message-received', readonly peer: ProcessRef, readonly message: Message }
   | { readonly kind: 'platform-answered', readonly callId: string, readonly result: PlatformResult }
   /** A configuration read from the platform or sent by a peer; accepted only when newer. */
   | { readonly kind: 'configuration-offered', readonly configuration: Configuration, readonly source: string }
+  /** A root and parts as the platform or a peer holds them; parts that are held already may be absent. */
+  | { readonly kind: 'configuration-read', readonly root: string, readonly parts: readonly (readonly [hash: string, json: string])[], readonly source: string }
   /** Raised by the configuration plug-in when a newer version is in force. */
   | { readonly kind: 'configuration-changed', readonly version: number }
   /* entry role */
--- a/src/kernel/kernel.ts
+++ b/src/kernel/kernel.ts
@@ -59,7 +59,8 @@
       self: this.#options.self,
       emit: effect => { effects.push(effect) },
       raise: raised => { queue.push(raised) },
-      port: name => this.port(name)
+      port: name => this.port(name),
+      findPort: name => this.#ports[name] as Ports[typeof name] | undefined
     }
     for (let next = queue.shift(); next !== undefined; next = queue.shift()) {
       for (const plugin of this.#subscribers.get(next.kind) ?? []) plugin.handle(next, context)
--- a/src/kernel/plugin.ts
+++ b/src/kernel/plugin.ts
@@ -31,6 +31,13 @@
    * @throws Error when no plug-in of the role provides it
    */
   port<N extends keyof Ports> (name: N): Ports[N]
+  /**
+   * Gives the typed port of another plug-in where one provides it.
+   *
+   * @param name - the port's name
+   * @returns the port; undefined when no plug-in of the role provides it
+   */
+  findPort<N extends keyof Ports> (name: N): Ports[N] | undefined
 }
 
 /** A set of decisions with its own state. */
@@ -64,6 +71,8 @@
   readonly seeds: readonly { readonly id: string, readonly address: string }[]
   /** Callers' URL of this entry. */
   readonly callerUrl?: string
+  /** How long callers may keep an address answer, in ms; 30,000 when absent. */
+  readonly addressHoldMs?: number
 }
 
 /** How a plug-in makes itself known. */
--- a/src/kernel/ports.ts
+++ b/src/kernel/ports.ts
@@ -17,6 +17,8 @@
   listEndpoints (service: string): readonly EndpointSpec[]
   /** Whether the endpoint's domain is in and its host is not draining. */
   isInService (endpoint: Pick<EndpointSpec, 'domain' | 'host'>): boolean
+  /** Hashes of the parts held as JSON text; the edge reads only the others. */
+  listPartHashes (): readonly string[]
 }
 
 /** A peer process with which a connection stands. */
@@ -36,6 +38,10 @@
   /** Live entries for the address answer; leaving ones are left out. */
   listEntries (): readonly ProcessRef[]
   isLeaving (): boolean
+  /** Whether the platform's host list names the host as leaving. */
+  isHostLeaving (host: string): boolean
+  /** Whether this entry is one of those of its region that watch the platform. */
+  isWatcher (): boolean
 }
 
 /** What a routing choice is made for. */
@@ -81,6 +87,8 @@
 /** Requests in flight at an entry. */
 export interface RequestsPort {
   countInFlight (): number
+  /** Requests in flight at one endpoint process; its connection is kept while there are any. */
+  countAt (endpoint: string): number
   /** Steps of a recent request; undefined when it is not remembered. */
   explain (requestId: string): readonly TraceStep[] | undefined
 }
--- /dev/null
+++ b/src/plugins/configuration/plugin.ts
@@ -0,0 +1,99 @@
+/** Spread of the configuration: versions only rise, peers pull what they lack. */
+
+import type { KernelEvent } from '../../kernel/events.js'
+import { registerPlugin } from '../../kernel/plugin.js'
+import type { Context, Plugin } from '../../kernel/plugin.js'
+import type { Message } from '../../protocol/messages.js'
+import { ConfigurationStore } from './store.js'
+import type { Acceptance } from './store.js'
+
+/** Time in ms after which an unanswered pull is repeated. */
+const PULL_TIMEOUT_MS = 2_000
+
+class ConfigurationPlugin implements Plugin {
+  readonly name = 'configuration'
+  readonly subscribesTo = ['configuration-offered', 'configuration-read', 'message-received', 'peer-disconnected'] as const
+  readonly #store = ConfigurationStore.create()
+  readonly ports = { configuration: this.#store.port }
+  #pull: { readonly peer: string, readonly version: number, readonly sentAtMs: number } | undefined
+
+  private constructor () {}
+
+  static create (): ConfigurationPlugin {
+    return new ConfigurationPlugin()
+  }
+
+  handle (event: KernelEvent, context: Context): void {
+    switch (event.kind) {
+      case 'configuration-offered':
+        this.#note(this.#store.acceptAssembled(event.configuration, context.nowMs), event.source, context)
+        break
+      case 'configuration-read':
+        this.#note(this.#store.acceptTexts(event, context.nowMs), event.source, context)
+        break
+      case 'message-received':
+        this.#handleMessage(event.peer.id, event.message, context)
+        break
+      case 'peer-disconnected':
+        if (this.#pull?.peer === event.peer.id) this.#pull = undefined
+        break
+      default:
+    }
+  }
+
+  #handleMessage (peer: string, message: Message, context: Context): void {
+    const version = findVersion(message)
+    if (version !== undefined && version > this.#store.getVersion()) this.#pullFrom(peer, version, context)
+    if (message.kind === 'config-pull' && message.have < this.#store.getVersion()) {
+      const texts = this.#store.findTexts(message.hashes)
+      if (texts !== undefined) context.emit({ kind: 'send', peer, message: { kind: 'config-parts', version: this.#store.getVersion(), ...texts } })
+    }
+    if (message.kind === 'config-parts') {
+      if (this.#pull?.peer === peer) this.#pull = undefined
+      this.#note(this.#store.acceptTexts(message, context.nowMs), peer, context)
+    }
+  }
+
+  #pullFrom (peer: string, version: number, context: Context): void {
+    const pending = this.#pull
+    const waits = pending !== undefined && context.nowMs - pending.sentAtMs < PULL_TIMEOUT_MS
+    if (waits && pending.version >= version) return
+    this.#pull = { peer, version, sentAtMs: context.nowMs }
+    const message: Message = { kind: 'config-pull', have: this.#store.getVersion(), hashes: this.#store.port.listPartHashes() }
+    context.emit({ kind: 'send', peer, message })
+  }
+
+  #note (acceptance: Acceptance, source: string, context: Context): void {
+    switch (acceptance.kind) {
+      case 'accepted':
+        context.emit({ kind: 'log', event: 'configuration-accepted', fields: { version: acceptance.version, source } })
+        context.raise({ kind: 'configuration-changed', version: acceptance.version })
+        break
+      case 'ignored':
+        if (acceptance.version < this.#store.getVersion()) {
+          context.emit({ kind: 'log', event: 'configuration-ignored', fields: { version: acceptance.version, inForce: this.#store.getVersion(), source } })
+        }
+        break
+      case 'rejected':
+        context.emit({ kind: 'log', event: 'configuration-rejected', fields: { reason: acceptance.reason, source } })
+        break
+    }
+  }
+}
+
+/** Finds the sender's configuration version in a message. */
+function findVersion (message: Message): number | undefined {
+  switch (message.kind) {
+    case 'hello':
+    case 'heartbeat':
+    case 'submit':
+    case 'refused':
+      return message.configVersion
+    case 'config-offer':
+      return message.version
+    default:
+      return undefined
+  }
+}
+
+registerPlugin({ name: 'configuration', roles: ['entry', 'endpoint'], create: () => ConfigurationPlugin.create() })
--- /dev/null
+++ b/src/plugins/membership/connections.ts
@@ -0,0 +1,191 @@
+/** Connections to peers: dialling, heartbeats, silence. */
+
+import type { Context } from '../../kernel/plugin.js'
+import type { PeerView } from '../../kernel/ports.js'
+import type { Heartbeat, ProcessRef } from '../../protocol/messages.js'
+
+/** Interval of heartbeats in ms. */
+export const HEARTBEAT_MS = 1_000
+
+/** Silence in ms after which a connection is replaced. */
+export const SILENCE_MS = 3_000
+
+/** Time in ms after which a dial without a connection counts as failed. */
+const DIAL_TIMEOUT_MS = 3_000
+
+/** First and largest wait in ms between two dials of one peer. */
+const BACKOFF_BASE_MS = 250
+const BACKOFF_MAX_MS = 10_000
+
+/** Time in ms for which a connection that is no longer wanted is kept. */
+const UNWANTED_GRACE_MS = 10_000
+
+/** Gap in ms between two ticks that shows that this process was paused. */
+const PAUSE_MS = 2_000
+
+interface Peer {
+  readonly process: ProcessRef
+  readonly connectedAtMs: number
+  readonly dialled: boolean
+  view: PeerView
+  unwantedSinceMs: number | undefined
+}
+
+interface Dial {
+  failures: number
+  nextAtMs: number
+  startedAtMs: number | undefined
+}
+
+/** What the table asks of its owner. */
+export interface ConnectionsOptions {
+  /** Builds the heartbeat of this process. */
+  readonly buildHeartbeat: (context: Context) => Heartbeat
+  /** Whether a connection must stay open although it is no longer wanted. */
+  readonly isInUse: (peer: string, context: Context) => boolean
+}
+
+/** Table of connections. */
+export class Connections {
+  readonly #options: ConnectionsOptions
+  readonly #peers = new Map<string, Peer>()
+  readonly #dials = new Map<string, Dial>()
+  #wanted: ReadonlyMap<string, string> = new Map()
+  #lastTickMs: number | undefined
+  #nextHeartbeatMs = 0
+
+  private constructor (options: ConnectionsOptions) {
+    this.#options = options
+  }
+
+  /**
+   * @param options - heartbeat and use of connections
+   * @returns an empty table
+   */
+  static create (options: ConnectionsOptions): Connections {
+    return new Connections(options)
+  }
+
+  /** @returns the peer's view; undefined without a connection */
+  findView (id: string): PeerView | undefined {
+    return this.#peers.get(id)?.view
+  }
+
+  /** @returns every connected peer */
+  listViews (): readonly PeerView[] {
+    return [...this.#peers.values()].map(peer => peer.view)
+  }
+
+  /** @returns since when the peer is dialled without success, in monotonic ms */
+  findDialStartMs (id: string): number | undefined {
+    return this.#dials.get(id)?.startedAtMs
+  }
+
+  /**
+   * Sets which peers this process connects to.
+   *
+   * @param wanted - address by peer id
+   */
+  updateWanted (wanted: ReadonlyMap<string, string>): void {
+    this.#wanted = wanted
+    for (const id of this.#dials.keys()) {
+      if (!wanted.has(id)) this.#dials.delete(id)
+    }
+  }
+
+  /** Notes a connection and sends the first heartbeat over it. */
+  addPeer (process: ProcessRef, context: Context): void {
+    const dialled = this.#dials.delete(process.id)
+    const view = { process, heardAtMs: context.nowMs, configVersion: 0 }
+    this.#peers.set(process.id, { process, connectedAtMs: context.nowMs, dialled, view, unwantedSinceMs: undefined })
+    context.emit({ kind: 'log', event: 'peer-connected', fields: { peer: process.id, role: process.role } })
+    context.emit({ kind: 'send', peer: process.id, message: this.#options.buildHeartbeat(context) })
+  }
+
+  /** Notes the end of a connection. */
+  removePeer (id: string, context: Context): void {
+    if (!this.#peers.delete(id)) return
+    if (this.#wanted.has(id)) this.#schedule(id, 0, context)
+    context.emit({ kind: 'log', event: 'peer-disconnected', fields: { peer: id } })
+  }
+
+  /** Notes that a message arrived, and what a heartbeat says. */
+  noteHeard (id: string, heartbeat: Heartbeat | undefined, context: Context): void {
+    const peer = this.#peers.get(id)
+    if (peer === undefined) return
+    if (heartbeat === undefined) {
+      peer.view = { ...peer.view, heardAtMs: context.nowMs }
+      return
+    }
+    const { configVersion, endpoint } = heartbeat
+    peer.view = { process: peer.process, heardAtMs: context.nowMs, configVersion, ...(endpoint === undefined ? {} : { endpoint }) }
+  }
+
+  /** Replaces silent connections, dials wanted peers, closes unwanted ones, sends heartbeats. */
+  handleTick (context: Context): void {
+    this.#notePause(context)
+    for (const [id, peer] of this.#peers) {
+      if (context.nowMs - peer.view.heardAtMs > SILENCE_MS) this.#dropSilent(id, peer, context)
+      else this.#closeUnwanted(id, peer, context)
+    }
+    for (const [id, address] of this.#wanted) {
+      if (!this.#peers.has(id) && id !== context.self.id) this.#dial(id, address, context)
+    }
+    if (context.nowMs < this.#nextHeartbeatMs) return
+    this.sendHeartbeats(context)
+  }
+
+  /** Sends a heartbeat over each connection. */
+  sendHeartbeats (context: Context): void {
+    this.#nextHeartbeatMs = context.nowMs + HEARTBEAT_MS
+    if (this.#peers.size === 0) return
+    const message = this.#options.buildHeartbeat(context)
+    for (const peer of this.#peers.keys()) context.emit({ kind: 'send', peer, message })
+  }
+
+  /** After a pause of this process the peers' messages wait unread, so their silence counts from now. */
+  #notePause (context: Context): void {
+    if (this.#lastTickMs !== undefined && context.nowMs - this.#lastTickMs > PAUSE_MS) {
+      for (const peer of this.#peers.values()) peer.view = { ...peer.view, heardAtMs: context.nowMs }
+    }
+    this.#lastTickMs = context.nowMs
+  }
+
+  #dropSilent (id: string, peer: Peer, context: Context): void {
+    const silentMs = context.nowMs - peer.view.heardAtMs
+    context.emit({ kind: 'log', event: 'peer-silent', fields: { peer: id, silentMs } })
+    this.#disconnect(id, peer, context)
+  }
+
+  #closeUnwanted (id: string, peer: Peer, context: Context): void {
+    if (!peer.dialled || this.#wanted.has(id)) {
+      peer.unwantedSinceMs = undefined
+      return
+    }
+    peer.unwantedSinceMs ??= context.nowMs
+    if (context.nowMs - peer.unwantedSinceMs < UNWANTED_GRACE_MS || this.#options.isInUse(id, context)) return
+    this.#disconnect(id, peer, context)
+  }
+
+  #disconnect (id: string, peer: Peer, context: Context): void {
+    context.emit({ kind: 'disconnect', peer: id })
+    context.raise({ kind: 'peer-disconnected', peer: peer.process })
+    this.removePeer(id, context)
+  }
+
+  #dial (id: string, address: string, context: Context): void {
+    const dial = this.#dials.get(id) ?? this.#schedule(id, 0, context)
+    if (context.nowMs < dial.nextAtMs) return
+    if (dial.startedAtMs === undefined) dial.startedAtMs = context.nowMs
+    context.emit({ kind: 'connect', peer: id, address })
+    dial.failures += 1
+    const backoffMs = Math.min(BACKOFF_MAX_MS, BACKOFF_BASE_MS * 2 ** dial.failures)
+    dial.nextAtMs = context.nowMs + DIAL_TIMEOUT_MS + backoffMs * context.random.pickFloat()
+  }
+
+  #schedule (id: string, failures: number, context: Context): Dial {
+    const dial = { failures, nextAtMs: context.nowMs + BACKOFF_BASE_MS * context.random.pickFloat(), startedAtMs: undefined }
+    this.#dials.set(id, dial)
+    return dial
+  }
+}
--- /dev/null
+++ b/src/plugins/membership/members.ts
@@ -0,0 +1,230 @@
+/** What this entry knows of the entries: states, incarnations, updates to spread. */
+
+import type { Context } from '../../kernel/plugin.js'
+import type { MemberUpdate, ProcessRef } from '../../protocol/messages.js'
+
+/** Largest size in bytes of the updates in one message. */
+export const UPDATES_MAX_BYTES = 600
+
+/** Bytes of one encoded update apart from its texts: field names, numbers, length marks. */
+const UPDATE_FIXED_BYTES = 100
+
+/** Times that an update is sent, per doubling of the count of members. */
+const SPREAD_FACTOR = 3
+
+/** Time in ms for which a dead member is remembered when the configuration does not name it. */
+const TOMBSTONE_MS = 300_000
+
+export type MemberState = MemberUpdate['state']
+
+/** One known entry. */
+export interface Member {
+  readonly process: ProcessRef
+  readonly state: MemberState
+  readonly configVersion: number
+  readonly sinceMs: number
+}
+
+/** At equal incarnations the later state of this order wins. */
+const STATE_ORDER: Readonly<Record<MemberState, number>> = { alive: 0, suspect: 1, leaving: 2, dead: 3 }
+
+/** Table of members with the queue of updates to spread. */
+export class Members {
+  readonly #members = new Map<string, Member>()
+  /** Times that the latest update of a member is still to be sent. */
+  readonly #pending = new Map<string, number>()
+  readonly #self: ProcessRef
+  #incarnation: number
+  #leaving = false
+  #rotation = 0
+  /** Rises with each change of the table. */
+  revision = 0
+
+  private constructor (self: ProcessRef) {
+    this.#self = self
+    this.#incarnation = self.incarnation
+  }
+
+  /**
+   * @param self - this entry
+   * @returns a table that knows this entry only
+   */
+  static create (self: ProcessRef): Members {
+    const members = new Members(self)
+    members.#spread(self.id)
+    return members
+  }
+
+  /** @returns the member; undefined when unknown or this entry itself */
+  findMember (id: string): Member | undefined {
+    return this.#members.get(id)
+  }
+
+  /** @returns all other members */
+  listMembers (): readonly Member[] {
+    return [...this.#members.values()]
+  }
+
+  /** @returns members that are believed to run, suspected ones included */
+  listRunning (): readonly Member[] {
+    return this.listMembers().filter(member => member.state === 'alive' || member.state === 'suspect' || member.state === 'leaving')
+  }
+
+  /** Announces that this entry leaves. */
+  noteLeaving (): void {
+    this.#leaving = true
+    this.#incarnation += 1
+    this.#spread(this.#self.id)
+  }
+
+  /** Adds entries of the configuration; they count as alive until found otherwise. */
+  addConfigured (entries: readonly ProcessRef[], nowMs: number): void {
+    const configured = new Set(entries.map(entry => entry.id))
+    for (const entry of entries) {
+      if (entry.id !== this.#self.id && !this.#members.has(entry.id)) this.#set({ process: entry, state: 'alive', configVersion: 0, sinceMs: nowMs })
+    }
+    for (const [id, member] of this.#members) {
+      const old = member.state === 'dead' && nowMs - member.sinceMs > TOMBSTONE_MS
+      if (!configured.has(id) && (member.process.incarnation === 0 || old)) this.#remove(id)
+    }
+  }
+
+  /**
+   * Merges what another member said.
+   *
+   * @param updates - states of members
+   * @param context - time and log
+   */
+  applyUpdates (updates: readonly MemberUpdate[], context: Context): void {
+    for (const update of updates) this.#apply(update, context)
+  }
+
+  /** Notes a state that this entry found out itself. */
+  noteState (id: string, state: MemberState, context: Context): void {
+    const member = this.#members.get(id)
+    if (member === undefined) return
+    this.#apply({ process: member.process, state, configVersion: member.configVersion }, context)
+  }
+
+  /** Notes a process that this entry is connected to. */
+  noteConnected (process: ProcessRef, context: Context): void {
+    const known = this.#members.get(process.id)
+    if (known !== undefined && known.process.incarnation >= process.incarnation) return
+    this.#apply({ process, state: 'alive', configVersion: known?.configVersion ?? 0 }, context)
+  }
+
+  /**
+   * Picks the updates for one message: what the receiver should refute first,
+   * then the least spread ones, then one member in turn.
+   *
+   * @param receiver - id of the receiver
+   * @param configVersion - version in force here
+   * @returns updates within `UPDATES_MAX_BYTES`
+   */
+  pickUpdates (receiver: string, configVersion: number): readonly MemberUpdate[] {
+    const ids = [...this.#pending].sort((a, b) => b[1] - a[1]).map(([id]) => id)
+    const about = this.#members.get(receiver)
+    if (about !== undefined && about.state !== 'alive') ids.unshift(receiver)
+    const turn = this.#pickTurn()
+    if (turn !== undefined) ids.push(turn)
+    const updates: MemberUpdate[] = []
+    let bytes = 0
+    for (const id of new Set(ids)) {
+      const update = this.#build(id, configVersion)
+      if (update === undefined) continue
+      const size = computeUpdateBytes(update)
+      if (bytes + size > UPDATES_MAX_BYTES) break
+      bytes += size
+      updates.push(update)
+      this.#noteSent(id)
+    }
+    return updates
+  }
+
+  #pickTurn (): string | undefined {
+    const ids = [...this.#members.keys()]
+    if (ids.length === 0) return undefined
+    this.#rotation = (this.#rotation + 1) % ids.length
+    return ids[this.#rotation]
+  }
+
+  #build (id: string, configVersion: number): MemberUpdate | undefined {
+    if (id === this.#self.id) {
+      const process = { ...this.#self, incarnation: this.#incarnation }
+      return { process, state: this.#leaving ? 'leaving' : 'alive', configVersion }
+    }
+    const member = this.#members.get(id)
+    return member === undefined ? undefined : { process: member.process, state: member.state, configVersion: member.configVersion }
+  }
+
+  #apply (update: MemberUpdate, context: Context): void {
+    const { process, state } = update
+    if (process.role !== 'entry') return
+    if (process.id === this.#self.id) {
+      this.#refute(update)
+      return
+    }
+    const known = this.#members.get(process.id)
+    if (known !== undefined) {
+      const older = process.incarnation < known.process.incarnation
+      const same = process.incarnation === known.process.incarnation
+      if (older || (same && STATE_ORDER[state] <= STATE_ORDER[known.state])) return
+    }
+    this.#set({ process, state, configVersion: update.configVersion, sinceMs: context.nowMs })
+    this.#spread(process.id)
+    logChange(known, update, context)
+  }
+
+  /** A claim about this entry that is wrong is answered with a higher incarnation. */
+  #refute (update: MemberUpdate): void {
+    const mine: MemberState = this.#leaving ? 'leaving' : 'alive'
+    if (update.process.incarnation < this.#incarnation || update.state === mine) return
+    this.#incarnation = update.process.incarnation + 1
+    this.#spread(this.#self.id)
+  }
+
+  #set (member: Member): void {
+    this.#members.set(member.process.id, member)
+    this.revision += 1
+  }
+
+  #remove (id: string): void {
+    this.#members.delete(id)
+    this.#pending.delete(id)
+    this.revision += 1
+  }
+
+  #spread (id: string): void {
+    this.#pending.set(id, Math.ceil(SPREAD_FACTOR * Math.log2(this.#members.size + 2)))
+  }
+
+  #noteSent (id: string): void {
+    const left = this.#pending.get(id)
+    if (left === undefined) return
+    if (left <= 1) this.#pending.delete(id)
+    else this.#pending.set(id, left - 1)
+  }
+}
+
+/** Estimates the encoded size of an update in bytes, from above. */
+function computeUpdateBytes ({ process }: MemberUpdate): number {
+  return UPDATE_FIXED_BYTES + process.id.length + process.domain.length + process.host.length + process.address.length
+}
+
+function logChange (known: Member | undefined, update: MemberUpdate, context: Context): void {
+  const fields = { member: update.process.id, incarnation: update.process.incarnation }
+  switch (update.state) {
+    case 'alive':
+      if (known?.state !== 'alive') context.emit({ kind: 'log', event: 'member-joined', fields })
+      break
+    case 'suspect':
+      context.emit({ kind: 'log', event: 'member-suspected', fields })
+      break
+    case 'leaving':
+      context.emit({ kind: 'log', event: 'member-leaving', fields })
+      break
+    case 'dead':
+      context.emit({ kind: 'log', event: 'member-dead', fields })
+      break
+  }
+}
--- /dev/null
+++ b/src/plugins/membership/plugin.ts
@@ -0,0 +1,230 @@
+/** Connections, heartbeats and members; the endpoint role has no members. */
+
+import type { KernelEvent } from '../../kernel/events.js'
+import { hashRendezvous } from '../../kernel/hash.js'
+import { registerPlugin } from '../../kernel/plugin.js'
+import type { Context, Plugin, PluginOptions } from '../../kernel/plugin.js'
+import type { MembershipPort } from '../../kernel/ports.js'
+import type { Heartbeat, Message, ProcessRef } from '../../protocol/messages.js'
+import { Connections } from './connections.js'
+import { Members } from './members.js'
+import type { Member } from './members.js'
+import { Prober } from './prober.js'
+import { buildEndpointState } from './state.js'
+import { chooseSubset } from './subset.js'
+
+/** Count of entries that an entry connects to for probes and updates. */
+const NEIGHBOURS = 5
+
+/** Count of entries per region that watch the platform. */
+const WATCHERS_PER_REGION = 2
+
+/** Time in ms for which a connection that was asked for is kept. */
+const WANTED_MS = 60_000
+
+/** Interval in ms at which one dead member is dialled, so that parted sides meet again. */
+const DEAD_RETRY_MS = 10_000
+
+/** Time in ms without any connection to an entry after which seeds are dialled. */
+const SEED_WAIT_MS = 1_000
+
+/** Silence in ms after which the platform's host list may declare a member gone. */
+const HOST_LIST_TRUST_MS = 30_000
+
+class MembershipPlugin implements Plugin {
+  readonly name = 'membership'
+  readonly subscribesTo = ['tick', 'peer-connected', 'peer-disconnected', 'message-received', 'configuration-changed', 'leave-requested', 'peer-wanted', 'hosts-listed'] as const
+  readonly ports: { readonly membership: MembershipPort }
+  readonly #options: PluginOptions
+  readonly #connections: Connections
+  readonly #members: Members
+  readonly #prober: Prober
+  readonly #wantedUntilMs = new Map<string, number>()
+  #subset = new Map<string, string>()
+  #neighbours: readonly string[] = []
+  #neighboursRevision = -1
+  #hostsLeaving: ReadonlySet<string> = new Set()
+  #regions: ReadonlyMap<string, string> = new Map()
+  #leaving = false
+  #aloneSinceMs: number | undefined
+  #nextDeadRetryMs = 0
+
+  private constructor (options: PluginOptions) {
+    this.#options = options
+    this.#connections = Connections.create({
+      buildHeartbeat: context => this.#buildHeartbeat(context),
+      isInUse: (peer, context) => (context.findPort('requests')?.countAt(peer) ?? 0) > 0
+    })
+    this.#members = Members.create(options.self)
+    this.#prober = Prober.create(this.#members, this.#connections)
+    this.ports = {
+      membership: {
+        findPeer: id => this.#connections.findView(id),
+        listPeers: () => this.#connections.listViews(),
+        listEntries: () => this.#listEntries(),
+        isLeaving: () => this.#leaving,
+        isHostLeaving: host => this.#hostsLeaving.has(host),
+        isWatcher: () => this.#isWatcher()
+      }
+    }
+  }
+
+  static create (options: PluginOptions): MembershipPlugin {
+    return new MembershipPlugin(options)
+  }
+
+  handle (event: KernelEvent, context: Context): void {
+    switch (event.kind) {
+      case 'tick':
+        this.#handleTick(context)
+        break
+      case 'peer-connected':
+        this.#connections.addPeer(event.peer, context)
+        if (event.peer.role === 'entry' && this.#isEntry()) this.#members.noteConnected(event.peer, context)
+        break
+      case 'peer-disconnected':
+        this.#connections.removePeer(event.peer.id, context)
+        break
+      case 'message-received':
+        this.#handleMessage(event.peer, event.message, context)
+        break
+      case 'configuration-changed':
+        this.#applyConfiguration(context)
+        break
+      case 'leave-requested':
+        this.#leaving = true
+        this.#members.noteLeaving()
+        this.#connections.sendHeartbeats(context)
+        break
+      case 'peer-wanted':
+        this.#wantedUntilMs.set(event.peer, context.nowMs + WANTED_MS)
+        this.#handleTick(context)
+        break
+      case 'hosts-listed':
+        this.#applyHosts(event.live, event.leaving, context)
+        break
+      default:
+    }
+  }
+
+  #isEntry (): boolean {
+    return this.#options.self.role === 'entry'
+  }
+
+  #handleTick (context: Context): void {
+    this.#connections.updateWanted(this.#listWanted(context))
+    this.#connections.handleTick(context)
+    if (!this.#isEntry()) return
+    this.#prober.handleTick(this.#neighbours, context)
+  }
+
+  #handleMessage (peer: ProcessRef, message: Message, context: Context): void {
+    this.#connections.noteHeard(peer.id, message.kind === 'heartbeat' ? message : undefined, context)
+    if (!this.#isEntry()) return
+    if (message.kind === 'probe' || message.kind === 'probe-ack' || message.kind === 'probe-request') this.#prober.handleMessage(peer.id, message, context)
+  }
+
+  #buildHeartbeat (context: Context): Heartbeat {
+    const endpoint = this.#isEntry() ? undefined : buildEndpointState(this.#options, this.#leaving, context)
+    return {
+      kind: 'heartbeat',
+      incarnation: context.self.incarnation,
+      configVersion: context.port('configuration').getCurrent().version,
+      ...(endpoint === undefined ? {} : { endpoint })
+    }
+  }
+
+  #applyConfiguration (context: Context): void {
+    if (!this.#isEntry()) return
+    const configuration = context.port('configuration').getCurrent()
+    this.#regions = new Map(configuration.domains.map(domain => [domain.name, domain.region]))
+    this.#members.addConfigured(configuration.entries.map(({ id, domain, host, peerAddress }) =>
+      ({ id, role: 'entry', domain, host, address: peerAddress, incarnation: 0 })), context.nowMs)
+    const services = configuration.services
+    this.#subset = new Map(services.flatMap(service =>
+      chooseSubset(context.self, context.port('configuration').listEndpoints(service.name), services.length)
+        .map(endpoint => [endpoint.id, endpoint.peerAddress] as const)))
+  }
+
+  /** Lists the peers that this process keeps connections to, address by id. */
+  #listWanted (context: Context): ReadonlyMap<string, string> {
+    const wanted = new Map(this.#isEntry() ? this.#subset : [])
+    if (this.#isEntry()) {
+      this.#updateNeighbours(context)
+      for (const id of [...this.#neighbours, ...this.#prober.listRelayTargets()]) this.#addWanted(id, wanted, context)
+    }
+    for (const [id, untilMs] of this.#wantedUntilMs) {
+      if (untilMs <= context.nowMs) this.#wantedUntilMs.delete(id)
+      else this.#addWanted(id, wanted, context)
+    }
+    this.#addSeeds(wanted, context)
+    return wanted
+  }
+
+  #addWanted (id: string, wanted: Map<string, string>, context: Context): void {
+    const address = this.#members.findMember(id)?.process.address ?? context.port('configuration').findEndpoint(id)?.peerAddress
+    if (address !== undefined) wanted.set(id, address)
+  }
+
+  /** Seeds are dialled while no entry is connected, and before any configuration is known. */
+  #addSeeds (wanted: Map<string, string>, context: Context): void {
+    const connected = this.#connections.listViews().some(view => view.process.role === 'entry')
+    if (connected) this.#aloneSinceMs = undefined
+    else this.#aloneSinceMs ??= context.nowMs
+    const alone = this.#aloneSinceMs !== undefined && context.nowMs - this.#aloneSinceMs >= SEED_WAIT_MS
+    const unconfigured = context.port('configuration').getCurrent().version === 0
+    if (!alone && !unconfigured) return
+    for (const seed of this.#options.settings.seeds) {
+      if (seed.id !== context.self.id) wanted.set(seed.id, seed.address)
+    }
+  }
+
+  #updateNeighbours (context: Context): void {
+    this.#retryDead(context)
+    if (this.#neighboursRevision === this.#members.revision) return
+    this.#neighboursRevision = this.#members.revision
+    this.#neighbours = this.#members.listRunning()
+      .map(member => ({ id: member.process.id, score: hashRendezvous(context.self.id, member.process.id) }))
+      .sort((a, b) => b.score - a.score || (a.id < b.id ? -1 : 1))
+      .slice(0, NEIGHBOURS)
+      .map(({ id }) => id)
+  }
+
+  #retryDead (context: Context): void {
+    if (context.nowMs < this.#nextDeadRetryMs) return
+    this.#nextDeadRetryMs = context.nowMs + DEAD_RETRY_MS
+    const dead = this.#members.listMembers().filter(member => member.state === 'dead')
+    const member = dead[context.random.pickInt(Math.max(1, dead.length))]
+    if (member !== undefined) this.#wantedUntilMs.set(member.process.id, context.nowMs + DEAD_RETRY_MS)
+  }
+
+  #applyHosts (live: readonly string[], leaving: readonly string[], context: Context): void {
+    this.#hostsLeaving = new Set(leaving)
+    const hosts = new Set([...live, ...leaving])
+    for (const member of this.#members.listMembers()) {
+      const heardAtMs = this.#connections.findView(member.process.id)?.heardAtMs ?? -Infinity
+      const stale = Math.max(heardAtMs, member.sinceMs) < context.nowMs - HOST_LIST_TRUST_MS
+      if (!hosts.has(member.process.host) && stale && member.state === 'alive') this.#members.noteState(member.process.id, 'suspect', context)
+    }
+  }
+
+  #listEntries (): readonly ProcessRef[] {
+    const others = this.#members.listMembers().filter(member => this.#isServing(member)).map(member => member.process)
+    if (!this.#isEntry() || this.#leaving || this.#hostsLeaving.has(this.#options.self.host)) return others
+    return [...others, this.#options.self].sort((a, b) => a.id < b.id ? -1 : 1)
+  }
+
+  #isServing (member: Member): boolean {
+    return member.state === 'alive' && !this.#hostsLeaving.has(member.process.host)
+  }
+
+  #isWatcher (): boolean {
+    if (!this.#isEntry()) return false
+    const region = this.#regions.get(this.#options.self.domain)
+    if (region === undefined) return true
+    const rank = this.#listEntries().filter(entry => this.#regions.get(entry.domain) === region).findIndex(entry => entry.id === this.#options.self.id)
+    return rank >= 0 && rank < WATCHERS_PER_REGION
+  }
+}
+
+registerPlugin({ name: 'membership', roles: ['entry', 'endpoint'], create: options => MembershipPlugin.create(options) })
--- /dev/null
+++ b/src/plugins/membership/prober.ts
@@ -0,0 +1,173 @@
+/** Probes between entries, direct and through others, and suspicion. */
+
+import type { Context } from '../../kernel/plugin.js'
+import type { Message, Probe, ProbeAck, ProbeRequest } from '../../protocol/messages.js'
+import type { Connections } from './connections.js'
+import type { Members } from './members.js'
+
+/** Interval of probes in ms. */
+const PROBE_MS = 1_000
+
+/** Wait in ms for a direct answer before other members are asked to probe. */
+const DIRECT_WAIT_MS = 400
+
+/** Wait in ms for any answer before the member is suspected. */
+const INDIRECT_WAIT_MS = 1_500
+
+/** Time in ms after which a suspected member counts as dead. */
+export const SUSPICION_MS = 3_000
+
+/** Count of members asked to probe in place of this entry. */
+const INDIRECT_PROBES = 3
+
+/** Time in ms for which an indirect probe is worth sending. */
+const RELAY_MS = 3_000
+
+interface PendingProbe {
+  readonly target: string
+  readonly sequence: number
+  readonly sentAtMs: number
+  asked: boolean
+}
+
+interface Relay {
+  readonly requester: string
+  readonly sequence: number
+  readonly target: string
+  readonly untilMs: number
+  sentSequence: number | undefined
+}
+
+/** One entry's failure detector. */
+export class Prober {
+  readonly #members: Members
+  readonly #connections: Connections
+  #order: string[] = []
+  #nextProbeMs = 0
+  /** A gap between ticks means that this process was paused and its waits prove nothing. */
+  #lastTickMs: number | undefined
+  #sequence = 0
+  #pending: PendingProbe[] = []
+  #relays: Relay[] = []
+
+  private constructor (members: Members, connections: Connections) {
+    this.#members = members
+    this.#connections = connections
+  }
+
+  /**
+   * @param members - table that learns of suspicions
+   * @param connections - ways to the members
+   * @returns a prober without pending probes
+   */
+  static create (members: Members, connections: Connections): Prober {
+    return new Prober(members, connections)
+  }
+
+  /** @returns ids of members that a connection is needed to for indirect probes */
+  listRelayTargets (): readonly string[] {
+    return this.#relays.map(relay => relay.target)
+  }
+
+  /**
+   * @param neighbours - ids of the members that this entry keeps connections to
+   * @param context - time, random numbers and ways out
+   */
+  handleTick (neighbours: readonly string[], context: Context): void {
+    if (this.#lastTickMs !== undefined && context.nowMs - this.#lastTickMs > INDIRECT_WAIT_MS) this.#pending = []
+    this.#lastTickMs = context.nowMs
+    this.#relays = this.#relays.filter(relay => relay.untilMs > context.nowMs)
+    for (const relay of this.#relays) this.#sendRelay(relay, context)
+    for (const probe of [...this.#pending]) this.#follow(probe, context)
+    for (const member of this.#members.listMembers()) {
+      if (member.state === 'suspect' && context.nowMs - member.sinceMs >= SUSPICION_MS) this.#members.noteState(member.process.id, 'dead', context)
+    }
+    if (context.nowMs < this.#nextProbeMs) return
+    this.#nextProbeMs = context.nowMs + PROBE_MS
+    const target = this.#pickTarget(neighbours, context)
+    if (target === undefined || this.#isDialFresh(target, context)) return
+    this.#sequence += 1
+    this.#pending.push({ target, sequence: this.#sequence, sentAtMs: context.nowMs, asked: false })
+    this.sendProbe(target, this.#sequence, context)
+  }
+
+  /** Sends a probe with updates when the member is connected. */
+  sendProbe (target: string, sequence: number, context: Context): void {
+    if (this.#connections.findView(target) === undefined) return
+    context.emit({ kind: 'send', peer: target, message: { kind: 'probe', sequence, updates: this.#pickUpdates(target, context) } })
+  }
+
+  /** Handles the messages of probes. */
+  handleMessage (peer: string, message: Probe | ProbeAck | ProbeRequest, context: Context): void {
+    switch (message.kind) {
+      case 'probe': {
+        this.#members.applyUpdates(message.updates, context)
+        const answer: Message = { kind: 'probe-ack', sequence: message.sequence, updates: this.#pickUpdates(peer, context) }
+        context.emit({ kind: 'send', peer, message: answer })
+        break
+      }
+      case 'probe-ack':
+        this.#members.applyUpdates(message.updates, context)
+        this.#pending = this.#pending.filter(probe => probe.sequence !== message.sequence)
+        this.#answerRelays(peer, message.sequence, context)
+        break
+      case 'probe-request':
+        this.#relays.push({ requester: peer, sequence: message.sequence, target: message.target, untilMs: context.nowMs + RELAY_MS, sentSequence: undefined })
+        break
+    }
+  }
+
+  #pickUpdates (receiver: string, context: Context): ReturnType<Members['pickUpdates']> {
+    return this.#members.pickUpdates(receiver, context.port('configuration').getCurrent().version)
+  }
+
+  #pickTarget (neighbours: readonly string[], context: Context): string | undefined {
+    if (this.#order.length === 0) {
+      const connected = this.#connections.listViews().filter(view => view.process.role === 'entry').map(view => view.process.id)
+      const rest = [...new Set([...neighbours, ...connected])].sort()
+      while (rest.length > 0) this.#order.push(...rest.splice(context.random.pickInt(rest.length), 1))
+    }
+    return this.#order.shift()
+  }
+
+  /** A member whose first dial has not had time to succeed is not probed yet. */
+  #isDialFresh (target: string, context: Context): boolean {
+    if (this.#connections.findView(target) !== undefined) return false
+    const startedAtMs = this.#connections.findDialStartMs(target)
+    return startedAtMs === undefined || context.nowMs - startedAtMs < PROBE_MS
+  }
+
+  #follow (probe: PendingProbe, context: Context): void {
+    const waitedMs = context.nowMs - probe.sentAtMs
+    if (waitedMs >= INDIRECT_WAIT_MS) {
+      this.#pending = this.#pending.filter(other => other !== probe)
+      if (this.#members.findMember(probe.target)?.state === 'alive') this.#members.noteState(probe.target, 'suspect', context)
+      else if (this.#members.findMember(probe.target)?.state === 'leaving') this.#members.noteState(probe.target, 'dead', context)
+      return
+    }
+    if (probe.asked || waitedMs < DIRECT_WAIT_MS) return
+    probe.asked = true
+    const helpers = this.#connections.listViews()
+      .filter(view => view.process.role === 'entry' && view.process.id !== probe.target)
+      .map(view => view.process.id)
+    for (let left = INDIRECT_PROBES; left > 0 && helpers.length > 0; left -= 1) {
+      const [helper] = helpers.splice(context.random.pickInt(helpers.length), 1)
+      if (helper !== undefined) context.emit({ kind: 'send', peer: helper, message: { kind: 'probe-request', sequence: probe.sequence, target: probe.target } })
+    }
+  }
+
+  #sendRelay (relay: Relay, context: Context): void {
+    if (relay.sentSequence !== undefined || this.#connections.findView(relay.target) === undefined) return
+    this.#sequence += 1
+    relay.sentSequence = this.#sequence
+    this.sendProbe(relay.target, this.#sequence, context)
+  }
+
+  #answerRelays (peer: string, sequence: number, context: Context): void {
+    for (const relay of this.#relays) {
+      if (relay.target !== peer || relay.sentSequence !== sequence) continue
+      context.emit({ kind: 'send', peer: relay.requester, message: { kind: 'probe-ack', sequence: relay.sequence, updates: this.#pickUpdates(relay.requester, context) } })
+    }
+    this.#relays = this.#relays.filter(relay => relay.sentSequence !== sequence)
+  }
+}
--- /dev/null
+++ b/src/plugins/requests/admit.ts
@@ -0,0 +1,86 @@
+/** First checks of a request and the state it starts with. */
+
+import type { ErrorKind, Outcome } from '../../kernel/errors.js'
+import type { RequestReceived } from '../../kernel/events.js'
+import type { Idempotency } from '../../kernel/document.js'
+import type { Context } from '../../kernel/plugin.js'
+import type { RequestKey } from '../../protocol/messages.js'
+import type { Active } from './types.js'
+
+/** Start of every key token; a text without it can never have run. */
+const TOKEN_PREFIX = 'hdk1.'
+
+const SAFE_METHODS: ReadonlySet<string> = new Set(['GET', 'HEAD'])
+
+/** Result of the first checks. */
+export type Admission =
+  | { readonly kind: 'admitted', readonly active: Active }
+  | { readonly kind: 'refused', readonly error: ErrorKind, readonly outcome: Outcome }
+
+/**
+ * Checks a request against the configuration in force.
+ *
+ * @param received - the request
+ * @param context - time and ports
+ * @returns the request's first state, or why it is refused
+ */
+export function checkRequest (received: RequestReceived, context: Context): Admission {
+  const configuration = context.port('configuration')
+  const service = configuration.findService(received.service)
+  const profile = service === undefined ? undefined : configuration.findProfile(service.profile)
+  const notSent: Outcome = received.keyText === undefined ? 'not-run' : 'unknown'
+  if (service === undefined || profile === undefined) return { kind: 'refused', error: 'unknown-service', outcome: notSent }
+  const key = parseKey(received, context)
+  if (key.kind === 'refused') return key
+  if (context.findPort('quarantine')?.isRefused(received.fingerprint) === true) return { kind: 'refused', error: 'quarantined', outcome: notSent }
+  const idempotent = key.key === undefined && isIdempotent(profile.idempotency, received.method)
+  const deadlineMs = Math.min(profile.deadlineMs, received.deadlineMs ?? Infinity)
+  return {
+    kind: 'admitted',
+    active: {
+      received,
+      profile,
+      serviceKind: service.kind,
+      teamWeight: configuration.findTeam(received.team)?.weight ?? 1,
+      idempotent,
+      receivedAtMs: context.nowMs,
+      deadlineAtMs: context.nowMs + deadlineMs,
+      key: key.key,
+      keyIsInternal: key.key === undefined,
+      stage: { kind: 'open' },
+      attempts: new Map(),
+      tried: new Set(),
+      attemptsMade: 0,
+      winner: undefined,
+      headSent: false,
+      status: 0,
+      relayed: 0,
+      uncertain: false,
+      hasRun: false
+    }
+  }
+}
+
+type ParsedKey =
+  | { readonly kind: 'parsed', readonly key: RequestKey | undefined }
+  | { readonly kind: 'refused', readonly error: ErrorKind, readonly outcome: Outcome }
+
+/**
+ * A text that starts like a token but fails its proof may have been accepted
+ * under another cluster secret, so nothing is said about its run.
+ */
+function parseKey ({ service, keyText }: RequestReceived, context: Context): ParsedKey {
+  if (keyText === undefined) return { kind: 'parsed', key: undefined }
+  const key = context.findPort('tokens')?.parseKey(service, keyText)
+  if (key !== undefined) return { kind: 'parsed', key }
+  if (!keyText.startsWith(TOKEN_PREFIX)) return { kind: 'refused', error: 'key-without-token', outcome: 'not-run' }
+  return { kind: 'refused', error: 'key-malformed', outcome: 'unknown' }
+}
+
+function isIdempotent (idempotency: Idempotency, method: string): boolean {
+  switch (idempotency) {
+    case 'always': return true
+    case 'never': return false
+    case 'safe-methods': return SAFE_METHODS.has(method.toUpperCase())
+  }
+}
--- /dev/null
+++ b/src/plugins/requests/homes.ts
@@ -0,0 +1,72 @@
+import type { Context } from '../../kernel/plugin.js'
+import type { ProcessRef, RequestKey } from '../../protocol/messages.js'
+
+/** Time in ms for which a move is remembered: the retention of records and one window. */
+const MOVE_KEPT_MS = 930_000
+
+/** Successors followed in a row. */
+const HOPS_MAX = 4
+
+/** Where a key is served. */
+export type HomeState =
+  | { readonly kind: 'connected', readonly id: string }
+  /** Not connected; may return. */
+  | { readonly kind: 'absent', readonly id: string }
+  /** Another incarnation runs in its place. */
+  | { readonly kind: 'replaced', readonly id: string }
+
+interface Move {
+  readonly to: string
+  readonly atMs: number
+}
+
+/** Homes that handed their keys to a successor. */
+export class Homes {
+  readonly #moves = new Map<string, Move>()
+
+  private constructor () {}
+
+  /** @returns a table without moves */
+  static create (): Homes {
+    return new Homes()
+  }
+
+  /** Notes the successor that a leaving home reports. */
+  noteMove (process: ProcessRef, to: string, nowMs: number): void {
+    const name = formatHome(process.id, process.incarnation)
+    this.#moves.delete(name)
+    this.#moves.set(name, { to, atMs: nowMs })
+    for (const [old, move] of this.#moves) {
+      if (nowMs - move.atMs <= MOVE_KEPT_MS) break
+      this.#moves.delete(old)
+    }
+  }
+
+  /**
+   * Finds the process that serves a key, following planned moves.
+   *
+   * @param key - the key with the home that it names
+   * @param context - gives the connected peers
+   * @returns the process and whether it can be reached
+   */
+  findHome (key: RequestKey, context: Context): HomeState {
+    let id = key.home
+    let incarnation: number | undefined = key.incarnation
+    for (let hop = 0; hop < HOPS_MAX; hop += 1) {
+      const present = context.port('membership').findPeer(id)?.process.incarnation
+      incarnation ??= present
+      const move = incarnation === undefined ? undefined : this.#moves.get(formatHome(id, incarnation))
+      if (move === undefined) {
+        if (present === undefined) return { kind: 'absent', id }
+        return present === incarnation ? { kind: 'connected', id } : { kind: 'replaced', id }
+      }
+      id = move.to
+      incarnation = undefined
+    }
+    return { kind: 'absent', id }
+  }
+}
+
+function formatHome (id: string, incarnation: number): string {
+  return `${id}#${incarnation}`
+}
--- /dev/null
+++ b/src/plugins/requests/replies.ts
@@ -0,0 +1,52 @@
+/** Last replies of requests and what they say about the run. */
+
+import type { Outcome } from '../../kernel/errors.js'
+import type { Context } from '../../kernel/plugin.js'
+import type { Active, Failure } from './types.js'
+
+/**
+ * Decides what an error answer says about the run of a request.
+ *
+ * "Not run" is said only when every attempt is known never to run: each one
+ * was refused or cancelled as such, or none was sent and no other process can
+ * hold the key.
+ *
+ * @param active - the request
+ * @param stated - what the last endpoint process stated
+ * @returns the outcome to answer
+ */
+export function computeOutcome (active: Active, stated: Outcome): Outcome {
+  if (active.hasRun || stated === 'run') return 'run'
+  if (active.uncertain || active.attempts.size > 0) return 'unknown'
+  if (active.attemptsMade === 0) return active.keyIsInternal ? 'not-run' : 'unknown'
+  return stated
+}
+
+/** Sends the error answer of a request. */
+export function sendFailure (active: Active, failure: Failure, context: Context): Outcome {
+  const { requestId } = active.received
+  const outcome = computeOutcome(active, failure.outcome)
+  context.emit({
+    kind: 'reply-error',
+    requestId,
+    error: failure.error,
+    outcome,
+    forwarded: active.attemptsMade > 0,
+    ...(failure.retryAfterMs === undefined ? {} : { retryAfterMs: failure.retryAfterMs })
+  })
+  context.emit({ kind: 'log', event: 'request-refused', fields: { request: requestId, error: failure.error, outcome, forwarded: active.attemptsMade > 0 } })
+  context.emit({ kind: 'count', metric: 'requests', label: failure.error })
+  return outcome
+}
+
+/** Sends the end of a whole answer. */
+export function sendEnd (active: Active, context: Context): void {
+  const { requestId } = active.received
+  context.emit({ kind: 'reply-end', requestId })
+  context.emit({
+    kind: 'log',
+    event: 'request-finished',
+    fields: { request: requestId, status: active.status, chunks: active.relayed, elapsedMs: context.nowMs - active.receivedAtMs }
+  })
+  context.emit({ kind: 'count', metric: 'requests', label: 'ok' })
+}
--- /dev/null
+++ b/src/plugins/routing/load.ts
@@ -0,0 +1,47 @@
+import type { EndpointState } from '../../protocol/messages.js'
+
+/** Time constant in ms by which a report of load loses weight. */
+const REPORT_DECAY_MS = 2_000
+
+/** Length in ms of the slow start of an endpoint that returns. */
+export const RAMP_MS = 20_000
+
+/** Share of the cap that a returning endpoint gets at first. */
+const RAMP_FLOOR = 0.1
+
+/** What an entry counts for one endpoint. */
+export interface Counters {
+  /** Requests of this entry in flight there. */
+  inFlight: number
+  /** The same count when the last heartbeat arrived. */
+  inFlightAtReport: number
+  reportAtMs: number
+  /** Start of the slow start in monotonic ms. */
+  rampFromMs: number
+}
+
+/**
+ * Estimates the load of an endpoint relative to what it can take now.
+ *
+ * @param state - last report of the endpoint process
+ * @param counters - this entry's own counts
+ * @param nowMs - monotonic time in ms
+ * @returns requests per unit of capacity, the next request included, where 1
+ * is full; and the part of it that one request makes
+ */
+export function computeLoad (state: EndpointState, counters: Counters, nowMs: number): { readonly load: number, readonly unit: number } {
+  const others = Math.max(0, state.running + state.queued - counters.inFlightAtReport)
+  const weight = Math.exp(-Math.max(0, nowMs - counters.reportAtMs) / REPORT_DECAY_MS)
+  const unit = 1 / (Math.max(1, state.cap) * computeRamp(counters, nowMs))
+  return { load: (counters.inFlight + others * weight + 1) * unit, unit }
+}
+
+/**
+ * @param counters - start of the slow start
+ * @param nowMs - monotonic time in ms
+ * @returns share of the cap to use, from `RAMP_FLOOR` to 1
+ */
+export function computeRamp (counters: Pick<Counters, 'rampFromMs'>, nowMs: number): number {
+  const passed = (nowMs - counters.rampFromMs) / RAMP_MS
+  return Math.max(RAMP_FLOOR, Math.min(1, passed))
+}
