--- a/src/kernel/plugin.ts
+++ b/src/kernel/plugin.ts
@@ -31,6 +31,13 @@
    * @throws Error when no plug-in of the role provides it
    */
   port<N extends keyof Ports> (name: N): Ports[N]
+  /**
+   * Gives the typed port of another plug-in where one provides it.
+   *
+   * @param name - the port's name
+   * @returns the port; undefined when no plug-in of the role provides it
+   */
+  findPort<N extends keyof Ports> (name: N): Ports[N] | undefined
 }
 
 /** A set of decisions with its own state. */
