--- a/demo/steps.ts
+++ b/demo/steps.ts
@@ -120,7 +120,7 @@
   const answer = await request(`http://${IP}:${port}/services/counter/bookings`, {
     method: 'POST',
     headers: { ...buildHeaders(files), 'content-type': 'application/json', 'idempotency-key': key },
-    body: JSON.stringify({ tavern: 'To Elaiono', boards: 14 })
+    body: JSON.stringify({ board: 'beech-14', slot: '09:00' })
   })
   const text = await answer.body.text()
   if (answer.statusCode >= 300) throw new Error(`booking answered ${answer.statusCode} ${text}`)
@@ -131,8 +131,8 @@
   let runs = 0
   for (const port of [PORTS.counterNorth, PORTS.counterSouth]) {
     const answer = await request(`http://${IP}:${port}/counters`)
-    const counters = await answer.body.json() as { readonly runs_by_key: Readonly<Record<string, number>> }
-    runs += counters.runs_by_key[key] ?? 0
+    const counters = await answer.body.json() as { readonly by_key: Readonly<Record<string, number>> }
+    runs += counters.by_key[key] ?? 0
   }
   return runs
 }
--- a/src/edge/endpoint/server-events.ts
+++ b/src/edge/endpoint/server-events.ts
@@ -13,7 +13,7 @@
  * @throws Error when an event exceeds the limit
  */
 export async function * splitServerEvents (body: AsyncIterable<Buffer>): AsyncGenerator<Buffer, void> {
-  let rest = Buffer.alloc(0)
+  let rest: Buffer = Buffer.alloc(0)
   for await (const piece of body) {
     rest = rest.length === 0 ? piece : Buffer.concat([rest, piece])
     for (let end = rest.indexOf(SEPARATOR); end >= 0; end = rest.indexOf(SEPARATOR)) {
--- a/src/edge/process.ts
+++ b/src/edge/process.ts
@@ -103,7 +103,7 @@
     this.#reader.stop()
     this.runtime.stop()
     await this.hub.stop()
-    await this.platform.stop()
+    await this.platform.close()
     this.logger.write('process-stopped', {})
   }
 
