Load and check settings and configuration files

Processes and the command line read TOML. One run reports every fault with file, line, key path, found and expected value and the nearest known name.

--- /dev/null
+++ b/src/settings/case.ts
@@ -0,0 +1,22 @@
+/** Names of TOML keys (snake case) to names of fields (camel case). */
+
+type CamelCase<S extends string> = S extends `${infer Head}_${infer Tail}` ? `${Head}${Capitalize<CamelCase<Tail>>}` : S
+
+/** Type of a value after `buildCamelCase`. */
+export type CamelCased<T> = T extends readonly (infer E)[]
+  ? readonly CamelCased<E>[]
+  : T extends object ? { readonly [K in keyof T as K extends string ? CamelCase<K> : K]: CamelCased<T[K]> } : T
+
+/**
+ * @param value - parsed TOML value
+ * @returns a copy with the keys of all tables in camel case
+ */
+export function buildCamelCase<T> (value: T): CamelCased<T> {
+  if (Array.isArray(value)) return value.map(element => buildCamelCase<unknown>(element)) as CamelCased<T>
+  if (typeof value !== 'object' || value === null) return value as CamelCased<T>
+  const entries = Object.entries(value).map(([key, inner]) => [
+    key.replace(/_([a-z0-9])/g, (_match, letter: string) => letter.toUpperCase()),
+    buildCamelCase<unknown>(inner)
+  ])
+  return Object.fromEntries(entries) as CamelCased<T>
+}
--- /dev/null
+++ b/src/settings/fields.ts
@@ -0,0 +1,113 @@
+/** Schemas of single fields; the error text of each states what is expected. */
+
+import { z } from 'zod'
+
+/** Largest duration of a setting: one day, in ms. */
+const DURATION_MAX_MS = 86_400_000
+
+/**
+ * @param min - smallest accepted value
+ * @param max - largest accepted value
+ * @returns schema of an integer
+ */
+export function buildInteger (min: number, max: number) {
+  const error = `an integer from ${min} to ${max}`
+  return z.number({ error }).int({ error }).min(min, { error }).max(max, { error })
+}
+
+/**
+ * @param minMs - smallest accepted value in ms
+ * @returns schema of a duration in ms
+ */
+export function buildDuration (minMs: number) {
+  return buildInteger(minMs, DURATION_MAX_MS)
+}
+
+/**
+ * @param min - smallest accepted value, exclusive
+ * @param max - largest accepted value
+ * @returns schema of a number
+ */
+export function buildNumber (min: number, max: number) {
+  const error = `a number above ${min}, at most ${max}`
+  return z.number({ error }).gt(min, { error }).max(max, { error })
+}
+
+/**
+ * @param pattern - pattern of the whole text
+ * @param error - what is expected, in words
+ * @returns schema of a text
+ */
+export function buildText (pattern: RegExp, error: string) {
+  return z.string({ error }).regex(pattern, { error })
+}
+
+/**
+ * @param choices - accepted texts
+ * @returns schema of one of them
+ */
+export function buildChoice<const T extends readonly [string, ...string[]]> (choices: T) {
+  return z.enum(choices, { error: `one of ${choices.join(', ')}` })
+}
+
+/**
+ * @param element - schema of one element
+ * @param what - what the list holds, in words
+ * @returns schema of a list
+ */
+export function buildList<T extends z.ZodType> (element: T, what: string) {
+  return z.array(element, { error: `a list of ${what}` })
+}
+
+/**
+ * @param shape - schema by key
+ * @returns schema of a table in which other keys are faults
+ */
+export function buildTable<T extends z.ZodRawShape> (shape: T) {
+  return z.strictObject(shape, { error: issue => issue.code === 'invalid_type' ? 'a table' : undefined })
+}
+
+const IP_ERROR = 'an IPv4 or IPv6 address'
+
+/** Name of a failure domain, team, service and so on; part of platform keys and metrics labels. */
+export const NAME = buildText(/^[a-z0-9][a-z0-9-]{0,62}$/, 'a name of 1 to 63 lower-case letters, digits and hyphens')
+
+/** Name of a host. */
+export const HOST = buildText(/^[a-z0-9][a-z0-9.-]{0,62}$/, 'a host name of 1 to 63 lower-case letters, digits, dots and hyphens')
+
+/** Names with spaces and capitals, such as model names. */
+export const LABEL = buildText(/^[\x21-\x7e][\x20-\x7e]{0,127}$/, 'text of 1 to 128 printable ASCII characters')
+
+/** Path of a file. */
+export const FILE = buildText(/^[^\0]+$/, 'the path of a file')
+
+/** Address without a port. */
+export const IP = z.union([z.ipv4(), z.ipv6()], { error: IP_ERROR })
+
+/** TCP port. */
+export const PORT = buildInteger(1, 65_535)
+
+/** Address and port, the IPv6 address in brackets. */
+export const IP_PORT = buildText(
+  /^(\d{1,3}(\.\d{1,3}){3}|\[[0-9a-fA-F:.]+\]):([1-9]\d{0,4})$/,
+  'an IP address and a port, such as 10.0.0.1:7000'
+)
+
+/** Base URL without a path. */
+export const BASE_URL = buildText(
+  /^https?:\/\/[A-Za-z0-9.[\]:-]+$/,
+  'an http or https URL without a path or a final slash, such as http://10.0.0.1:8080'
+)
+
+/** Yes or no. */
+export const FLAG = z.boolean({ error: 'true or false' })
+
+/** TLS of outbound connections: the certificate is for servers that ask for one. */
+export const TLS_FILES = buildTable({
+  cert_file: FILE.exactOptional(),
+  key_file: FILE.exactOptional(),
+  ca_file: FILE.exactOptional()
+}).refine(files => (files.cert_file === undefined) === (files.key_file === undefined), { error: 'both cert_file and key_file, or neither' })
+
+/** TLS of a listener: certificate and key are needed. */
+export const LISTENER_TLS_FILES = buildTable({ cert_file: FILE, key_file: FILE, ca_file: FILE.exactOptional() })
--- /dev/null
+++ b/src/settings/load.ts
@@ -0,0 +1,138 @@
+/** Reads a TOML file and checks it against a schema. */
+
+import { readFileSync } from 'node:fs'
+import { distance } from 'fastest-levenshtein'
+import { Either, Left, Right } from 'purify-ts'
+import { parse, TomlError } from 'smol-toml'
+import { z } from 'zod'
+import { describeFound } from './faults.js'
+import type { SettingsFault } from './faults.js'
+import { buildLineIndex, findLine } from './lines.js'
+
+/** Steps from a document's top to a value. */
+export type KeyPath = readonly (string | number)[]
+
+/** A parsed file whose shape is not yet known to be right. */
+export interface TomlDocument {
+  readonly file: string
+  readonly root: Readonly<Record<string, unknown>>
+  readonly lines: ReadonlyMap<string, number>
+}
+
+/** A checked value, with the document that it came from. */
+export interface Checked<T> {
+  readonly faults: readonly SettingsFault[]
+  /** Undefined when the shape is wrong. */
+  readonly value: T | undefined
+}
+
+/**
+ * @param file - path of a TOML file
+ * @returns the document, or one fault when it cannot be read or parsed
+ */
+export function readTomlDocument (file: string): Either<readonly SettingsFault[], TomlDocument> {
+  return Either.encase(() => readFileSync(file, 'utf8'))
+    .mapLeft((error): readonly SettingsFault[] => [{ file, keyPath: '', found: `no readable file (${findCode(error)})`, expected: 'a TOML file' }])
+    .chain(text => parseTomlDocument(file, text))
+}
+
+/**
+ * @param file - name for reports
+ * @param text - TOML text
+ * @returns the document, or one fault when the text is no TOML
+ */
+export function parseTomlDocument (file: string, text: string): Either<readonly SettingsFault[], TomlDocument> {
+  try {
+    return Right({ file, root: parse(text), lines: buildLineIndex(text) })
+  } catch (error) {
+    if (!(error instanceof TomlError)) throw error
+    const found = (error.message.split('\n')[0] ?? '').replace('Invalid TOML document: ', '')
+    return Left([{ file, keyPath: '', line: error.line, found: `invalid TOML (${found})`, expected: 'TOML 1.0 text' }])
+  }
+}
+
+/**
+ * Checks a document against a schema.
+ *
+ * @param document - parsed file
+ * @param schema - schema made of the builders of `fields.ts`
+ * @returns every fault, and the value when there is none
+ */
+export function checkDocument<T extends z.ZodType> (document: TomlDocument, schema: T): Checked<z.output<T>> {
+  const result = schema.safeParse(document.root)
+  if (result.success) return { faults: [], value: result.data }
+  const faults = result.error.issues.flatMap(issue => buildIssueFaults(document, schema, issue))
+  return { faults: [...new Map(faults.map(fault => [fault.keyPath, fault])).values()], value: undefined }
+}
+
+/**
+ * @param document - parsed file
+ * @param path - steps to the value at fault
+ * @param expected - what belongs there
+ * @param nearest - nearest known name
+ * @returns the fault, with line and found value
+ */
+export function buildFault (document: TomlDocument, path: KeyPath, expected: string, nearest?: string): SettingsFault {
+  const keyPath = formatKeyPath(path)
+  const line = findLine(document.lines, keyPath)
+  return {
+    file: document.file,
+    keyPath,
+    ...(line === undefined ? {} : { line }),
+    found: describeFound(findValue(document.root, path), keyPath),
+    expected,
+    ...(nearest === undefined ? {} : { nearest })
+  }
+}
+
+/**
+ * @param name - unknown name
+ * @param known - known names
+ * @returns the known name with the least edits, if it is near enough to be meant
+ */
+export function findNearestName (name: string, known: readonly string[]): string | undefined {
+  const [best] = known.map(text => ({ text, edits: distance(name, text) })).sort((a, b) => a.edits - b.edits)
+  return best !== undefined && best.edits <= Math.max(1, Math.floor(name.length / 2)) ? best.text : undefined
+}
+
+function buildIssueFaults (document: TomlDocument, schema: z.ZodType, issue: z.core.$ZodIssue): readonly SettingsFault[] {
+  const path = issue.path.filter(step => typeof step !== 'symbol')
+  if (issue.code !== 'unrecognized_keys') return [buildFault(document, path, issue.message)]
+  const known = listKnownKeys(schema, path)
+  return issue.keys.map(key => buildFault(document, [...path, key], 'no key of this name', findNearestName(key, known)))
+}
+
+function listKnownKeys (schema: z.core.$ZodType, path: KeyPath): readonly string[] {
+  let current: z.core.$ZodType = schema
+  for (const step of path) {
+    const inner = removeWrapper(current)
+    if (inner instanceof z.ZodArray) current = inner.element as z.core.$ZodType
+    else if (inner instanceof z.ZodObject) current = (inner.shape as Readonly<Record<string, z.core.$ZodType>>)[step] ?? inner
+  }
+  const table = removeWrapper(current)
+  return table instanceof z.ZodObject ? Object.keys(table.shape as object) : []
+}
+
+function removeWrapper (schema: z.core.$ZodType): z.core.$ZodType {
+  let current = schema
+  while ('innerType' in current._zod.def) current = current._zod.def.innerType as z.core.$ZodType
+  return current
+}
+
+function findValue (root: unknown, path: KeyPath): unknown {
+  let value = root
+  for (const step of path) {
+    if (typeof value !== 'object' || value === null) return undefined
+    value = (value as Readonly<Record<string, unknown>>)[step]
+  }
+  return value
+}
+
+function formatKeyPath (path: KeyPath): string {
+  return path.reduce<string>((text, step) =>
+    typeof step === 'number' ? `${text}[${step}]` : text === '' ? step : `${text}.${step}`, '')
+}
+
+function findCode (error: Error): string {
+  return 'code' in error ? String(error.code) : error.message
+}
--- /dev/null
+++ b/src/settings/process.ts
@@ -0,0 +1,182 @@
+/** Settings of the processes: schemas and types. */
+
+import { dirname, resolve } from 'node:path'
+import { z } from 'zod'
+import { BASE_URL, buildDuration, buildInteger, buildList, buildTable, FILE, FLAG, HOST, IP, IP_PORT, LISTENER_TLS_FILES, NAME, PORT, TLS_FILES } from './fields.js'
+
+/** TLS files of a listener. */
+export interface ListenerTlsFiles {
+  readonly certFile: string
+  readonly keyFile: string
+  /** Authorities of client certificates; clients need none when absent. */
+  readonly caFile?: string
+}
+
+/** TLS files of outbound connections. */
+export interface DiallerTlsFiles {
+  readonly certFile?: string
+  readonly keyFile?: string
+  readonly caFile?: string
+}
+
+/** A listening socket. */
+export interface ListenerSettings {
+  readonly ip: string
+  readonly port: number
+  readonly tls?: ListenerTlsFiles
+}
+
+/** The listener of callers; `publicUrl` is the URL that callers are told. */
+export interface CallerListenerSettings extends ListenerSettings {
+  readonly publicUrl: string
+}
+
+/** The operators' listener. */
+export interface OperationsListenerSettings extends ListenerSettings {
+  /** File of salted hashes of the operators' credentials; without it only health and metrics are served. */
+  readonly operatorKeysFile?: string
+}
+
+/** How the platform is reached. */
+export interface PlatformSettings {
+  readonly urls: readonly string[]
+  readonly credentialFile?: string
+  /** Time limit of one call in ms. */
+  readonly timeoutMs: number
+  readonly tls?: DiallerTlsFiles
+}
+
+/** A process known at start. */
+export interface SeedSettings {
+  readonly id: string
+  /** `ip:port` of the peer listener. */
+  readonly peerAddress: string
+}
+
+/** What entries and endpoint processes have in common. */
+export interface ProcessSettings {
+  readonly processId: string
+  readonly host: string
+  readonly failureDomain: string
+  readonly clusterSecretFile: string
+  /** Longest time of a planned stop in ms. */
+  readonly leaveDeadlineMs: number
+  readonly peerListener: ListenerSettings
+  readonly operationsListener: OperationsListenerSettings
+  readonly peerDialler?: { readonly tls?: DiallerTlsFiles }
+  readonly platform: PlatformSettings
+  readonly seeds: readonly SeedSettings[]
+}
+
+/** Limits of callers' requests. */
+export interface LimitSettings {
+  readonly bodyMaxBytes: number
+  readonly headerMaxBytes: number
+  readonly headersTimeoutMs: number
+  readonly idleTimeoutMs: number
+}
+
+/** Settings of `heatherdoor-entry`. */
+export interface EntrySettings extends ProcessSettings {
+  readonly callerListener: CallerListenerSettings
+  /** Time for which callers may cache an answer of `/v1/address`, in ms. */
+  readonly addressHoldMs: number
+  readonly limits: LimitSettings
+}
+
+/** Settings of `heatherdoor-endpoint`. */
+export interface EndpointSettings extends ProcessSettings {
+  readonly service: string
+  readonly endpoint: {
+    readonly url: string
+    /** Whether the endpoint refuses commands with an old fencing number. */
+    readonly checksFencing: boolean
+    readonly tls?: DiallerTlsFiles
+  }
+  readonly warmCap: number
+  readonly coldCap: number
+  readonly group?: string
+  readonly rank?: number
+}
+
+/** Settings of the command line. */
+export interface CliSettings {
+  readonly platform: PlatformSettings
+  /** Base URLs of entries' operations listeners. */
+  readonly operationsUrls: readonly string[]
+  readonly operatorCredentialFile?: string
+  readonly tls?: DiallerTlsFiles
+}
+
+const LISTENER = { ip: IP, port: PORT, tls: LISTENER_TLS_FILES.exactOptional() }
+
+const PLATFORM = buildTable({
+  urls: buildList(BASE_URL, 'base URLs').min(1, { error: 'a list of at least 1 base URL' }),
+  credential_file: FILE.exactOptional(),
+  timeout_ms: buildDuration(10).default(2000),
+  tls: TLS_FILES.exactOptional()
+})
+
+const PROCESS = {
+  process_id: NAME,
+  host: HOST,
+  failure_domain: NAME,
+  cluster_secret_file: FILE,
+  leave_deadline_ms: buildDuration(1000).default(120_000),
+  peer_listener: buildTable(LISTENER),
+  operations_listener: buildTable({ ...LISTENER, operator_keys_file: FILE.exactOptional() }),
+  peer_dialler: buildTable({ tls: TLS_FILES.exactOptional() }).exactOptional(),
+  platform: PLATFORM,
+  seeds: buildList(buildTable({ id: NAME, peer_address: IP_PORT }), 'tables with id and peer_address').default([])
+}
+
+/** Schema of the settings of `heatherdoor-entry`. */
+export const ENTRY_SCHEMA = buildTable({
+  ...PROCESS,
+  address_hold_ms: buildDuration(1000).default(30_000),
+  caller_listener: buildTable({ ...LISTENER, public_url: BASE_URL }),
+  limits: buildTable({
+    body_max_bytes: buildInteger(1024, 268_435_456).default(8_388_608),
+    header_max_bytes: buildInteger(1024, 1_048_576).default(32_768),
+    headers_timeout_ms: buildDuration(100).default(10_000),
+    idle_timeout_ms: buildDuration(100).default(75_000)
+  }).prefault({})
+})
+
+/** Schema of the settings of `heatherdoor-endpoint`. */
+export const ENDPOINT_SCHEMA = buildTable({
+  ...PROCESS,
+  service: NAME,
+  endpoint: buildTable({ url: BASE_URL, checks_fencing: FLAG, tls: TLS_FILES.exactOptional() }),
+  warm_cap: buildInteger(1, 100_000),
+  cold_cap: buildInteger(1, 100_000),
+  group: NAME.exactOptional(),
+  rank: buildInteger(0, 1023).exactOptional()
+})
+
+/** Schema of the settings of the command line. */
+export const CLI_SCHEMA = buildTable({
+  platform: PLATFORM,
+  operations_urls: buildList(BASE_URL, 'base URLs').default([]),
+  operator_credential_file: FILE.exactOptional(),
+  tls: TLS_FILES.exactOptional()
+})
+
+/** Parsed settings of `heatherdoor-endpoint`, before their keys are renamed. */
+export type EndpointTable = z.output<typeof ENDPOINT_SCHEMA>
+
+/**
+ * Makes the paths of all keys that end in `_file` absolute.
+ *
+ * @param value - parsed settings
+ * @param file - settings file; relative paths start at its folder
+ * @returns a copy
+ */
+export function buildAbsolutePaths<T> (value: T, file: string): T {
+  if (Array.isArray(value)) return value.map(element => buildAbsolutePaths<unknown>(element, file)) as T
+  if (typeof value !== 'object' || value === null) return value
+  return Object.fromEntries(Object.entries(value).map(([key, inner]) => [
+    key,
+    key.endsWith('_file') && typeof inner === 'string' ? resolve(dirname(file), inner) : buildAbsolutePaths<unknown>(inner, file)
+  ])) as T
+}
