--- a/src/settings/index.ts
+++ b/src/settings/index.ts
@@ -14,6 +14,7 @@
 
 export { formatFault, formatFaults } from './faults.js'
 export type { SettingsFault } from './faults.js'
+export { loadSecretFile } from './secrets.js'
 export type { ConfigurationFile } from './configuration.js'
 export type * from './process.js'
 
--- a/src/settings/load.ts
+++ b/src/settings/load.ts
@@ -92,7 +92,7 @@
  */
 export function findNearestName (name: string, known: readonly string[]): string | undefined {
   const [best] = known.map(text => ({ text, edits: distance(name, text) })).sort((a, b) => a.edits - b.edits)
-  return best !== undefined && best.edits <= Math.max(1, Math.floor(name.length / 2)) ? best.text : undefined
+  return best !== undefined && best.edits <= Math.floor((name.length + 1) / 3) ? best.text : undefined
 }
 
 function buildIssueFaults (document: TomlDocument, schema: z.ZodType, issue: z.core.$ZodIssue): readonly SettingsFault[] {
--- /dev/null
+++ b/test/security/tls.test.ts
@@ -0,0 +1,62 @@
+import test from 'ava'
+import { once } from 'node:events'
+import { copyFileSync, mkdtempSync, rmSync, utimesSync } from 'node:fs'
+import type { AddressInfo } from 'node:net'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import { connect, createServer } from 'node:tls'
+import { TlsSource } from '../../src/edge/security/tls.js'
+
+const FIXTURES = 'test/security/fixtures'
+
+// Guards against a renewed certificate not being used, a half renewed pair being used, and standing connections being closed.
+test('renewed files are used for new connections', async t => {
+  const folder = mkdtempSync(join(tmpdir(), 'heatherdoor-'))
+  const files = { certFile: join(folder, 'tls.crt'), keyFile: join(folder, 'tls.key') }
+  const events: string[] = []
+  let stamp = 1
+  const renew = (name: string, file: string): void => {
+    copyFileSync(join(FIXTURES, name), file)
+    utimesSync(file, stamp, stamp++)
+  }
+  renew('first.crt', files.certFile)
+  renew('first.key', files.keyFile)
+  const source = TlsSource.create({ files, onReload: () => events.push('reload'), onFault: reason => events.push(reason.replaceAll(`${folder}/`, '')) })
+  const server = createServer(source.getOptions(), socket => { socket.pipe(socket) })
+  source.addServer(server)
+  server.listen(0, '127.0.0.1')
+  await once(server, 'listening')
+  const open = async () => {
+    const socket = connect({ port: (server.address() as AddressInfo).port, host: '127.0.0.1', rejectUnauthorized: false })
+    await once(socket, 'secureConnect')
+    return { socket, subject: socket.getPeerCertificate().subject.CN }
+  }
+
+  const standing = await open()
+  t.is(standing.subject, 'first')
+  source.checkFiles()
+  renew('second.crt', files.certFile)
+  source.checkFiles()
+  const between = await open()
+  t.is(between.subject, 'first')
+  renew('second.key', files.keyFile)
+  source.checkFiles()
+  const renewed = await open()
+  t.is(renewed.subject, 'second')
+  t.deepEqual(events, ['tls.key is not the key of tls.crt', 'reload'])
+
+  standing.socket.write('still open')
+  const [answer] = await once(standing.socket, 'data') as [Buffer]
+  t.is(answer.toString(), 'still open')
+  for (const { socket } of [standing, between, renewed]) socket.destroy()
+  source.stop()
+  server.close()
+  rmSync(folder, { recursive: true })
+})
+
+// Guards against a listener that starts with a wrong pair of files.
+test('wrong files at the start', t => {
+  t.throws(() => TlsSource.create({ files: { certFile: `${FIXTURES}/first.crt`, keyFile: `${FIXTURES}/second.key` } }), { message: /is not the key of/ })
+  t.throws(() => TlsSource.create({ files: { caFile: `${FIXTURES}/missing.crt` } }), { message: /ENOENT/ })
+  t.throws(() => TlsSource.create({ files: { certFile: `${FIXTURES}/first.key`, keyFile: `${FIXTURES}/first.key` } }))
+})
