--- a/src/kernel/events.ts
+++ b/src/kernel/events.ts
@@ -65,6 +65,8 @@
   /* endpoint role */
   | { readonly kind: 'work-offered', readonly work: Submit }
   | { readonly kind: 'work-refused', readonly workId: string, readonly error: ErrorKind, readonly outcome: Outcome, readonly retryAfterMs?: number }
+  /** Raised by admission for each offer that it takes, before any start. */
+  | { readonly kind: 'work-queued', readonly workId: string, readonly queued: number, readonly waitMs: number }
   | { readonly kind: 'work-started', readonly workId: string }
   | { readonly kind: 'endpoint-head', readonly workId: string, readonly status: number, readonly headers: HeaderList }
   | { readonly kind: 'endpoint-chunk', readonly workId: string, readonly data: Uint8Array }
--- a/src/kernel/kernel.ts
+++ b/src/kernel/kernel.ts
@@ -52,7 +52,7 @@
    */
   dispatch (event: KernelEvent, nowMs: number): readonly Effect[] {
     const effects: Effect[] = []
-    const queue: KernelEvent[] = [event]
+    const queue: KernelEvent[] = []
     const context: Context = {
       nowMs,
       random: this.#random,
@@ -61,10 +61,17 @@
       raise: raised => { queue.push(raised) },
       port: name => this.port(name)
     }
+    for (const plugin of this.#plugins) plugin.checkTime?.(context)
+    this.#dispatchAll(queue, context)
+    queue.push(event)
+    this.#dispatchAll(queue, context)
+    return effects
+  }
+
+  #dispatchAll (queue: KernelEvent[], context: Context): void {
     for (let next = queue.shift(); next !== undefined; next = queue.shift()) {
       for (const plugin of this.#subscribers.get(next.kind) ?? []) plugin.handle(next, context)
     }
-    return effects
   }
 
   /**
--- a/src/kernel/plugin.ts
+++ b/src/kernel/plugin.ts
@@ -39,6 +39,13 @@
   readonly subscribesTo: readonly EventKind[]
   /** Ports that this plug-in provides to others. */
   readonly ports?: Partial<Ports>
+  /**
+   * Called before any plug-in handles an event of the edge, whatever its kind.
+   * What it raises is handled before that event.
+   *
+   * @param context - time, random numbers and ways out
+   */
+  checkTime? (context: Context): void
   /**
    * Handles one event of a subscribed kind.
    *
--- /dev/null
+++ b/src/plugins/outcomes/execution.ts
@@ -0,0 +1,84 @@
+/** One piece of work at this home, and the attempts that wait for its answer. */
+
+import { ANSWER_MAX_BYTES } from './table.js'
+import type { Answer, RecordTable } from './table.js'
+import type { HeaderList, Submit } from '../../protocol/messages.js'
+
+/** An attempt that receives the answer. */
+export interface Attachment {
+  readonly peer: string
+  readonly workId: string
+  /** Joined after the start of the answer was dropped; told the result only. */
+  readonly late: boolean
+}
+
+/** Where the key of a piece of work is recorded. */
+export interface RecordPlace {
+  readonly table: RecordTable
+  readonly scope: string
+}
+
+/** Work that waits or runs. */
+export class Execution {
+  readonly work: Submit
+  readonly place: RecordPlace | undefined
+  readonly attachments = new Map<string, Attachment>()
+  state: 'waiting' | 'running' = 'waiting'
+  #head: { readonly status: number, readonly headers: HeaderList } | undefined
+  #chunks: Uint8Array[] = []
+  #bytes = 0
+  #count = 0
+
+  private constructor (work: Submit, place: RecordPlace | undefined) {
+    this.work = work
+    this.place = place
+  }
+
+  /**
+   * @param work - first attempt; its work id names the execution
+   * @param place - record of the key; undefined for work without a key
+   * @returns an execution that waits
+   */
+  static create (work: Submit, place: RecordPlace | undefined): Execution {
+    return new Execution(work, place)
+  }
+
+  /** Count of chunks so far. */
+  get count (): number { return this.#count }
+
+  /** Status and headers, once known. */
+  get head (): { readonly status: number, readonly headers: HeaderList } | undefined { return this.#head }
+
+  noteHead (status: number, headers: HeaderList): void {
+    this.#head = { status, headers }
+  }
+
+  /**
+   * Counts a chunk, and keeps it while the answer is within the limit.
+   *
+   * @param data - the chunk
+   * @returns its index
+   */
+  noteChunk (data: Uint8Array): number {
+    this.#bytes += data.byteLength
+    if (!this.isKept()) this.#chunks = []
+    else this.#chunks.push(data)
+    return this.#count++
+  }
+
+  /** @returns whether the whole answer so far is kept */
+  isKept (): boolean {
+    return this.place !== undefined && this.#bytes <= ANSWER_MAX_BYTES
+  }
+
+  /** @returns the kept chunks from the first */
+  listChunks (): readonly Uint8Array[] {
+    return this.#chunks
+  }
+
+  /** @returns the answer; undefined when it is not kept */
+  findAnswer (): Answer | undefined {
+    if (this.#head === undefined || !this.isKept()) return undefined
+    return { ...this.#head, chunks: this.#chunks }
+  }
+}
--- /dev/null
+++ b/src/plugins/outcomes/table.ts
@@ -0,0 +1,136 @@
+/** Idempotency records of one home incarnation. */
+
+import type { HeaderList, RequestKey } from '../../protocol/messages.js'
+
+/** Length of a window on the home's monotonic clock. */
+export const WINDOW_MS = 30_000
+/** A key may start while its window is at most this many windows old. */
+export const START_LIMIT_WINDOWS = 3
+/** Records are kept for this many windows. */
+export const RECORD_WINDOWS = 30
+/** Larger answers are not kept. */
+export const ANSWER_MAX_BYTES = 64 * 1024
+
+/** A complete answer. */
+export interface Answer {
+  readonly status: number
+  readonly headers: HeaderList
+  readonly chunks: readonly Uint8Array[]
+}
+
+/** What is known of a key. `closed` keys never run. */
+export type RecordState =
+  | { readonly kind: 'waiting', readonly runId: string }
+  | { readonly kind: 'running', readonly runId: string }
+  | { readonly kind: 'run', readonly answer?: Answer }
+  | { readonly kind: 'closed' }
+  | { readonly kind: 'unknown' }
+
+/** Record of one key. */
+export interface KeyRecord {
+  readonly window: number
+  readonly bodyHash: string
+  readonly state: RecordState
+}
+
+/** Age of a key that has no record. */
+export type KeyAge = 'startable' | 'past-start' | 'expired'
+
+/** Records by scope, dropped by window. */
+export class RecordTable {
+  readonly home: string
+  readonly incarnation: number
+  readonly #startMs: number
+  readonly #firstWindow: number
+  readonly #records = new Map<string, KeyRecord>()
+  readonly #scopesByWindow = new Map<number, Set<string>>()
+
+  private constructor (home: string, incarnation: number, startMs: number, firstWindow: number) {
+    this.home = home
+    this.incarnation = incarnation
+    this.#startMs = startMs
+    this.#firstWindow = firstWindow
+  }
+
+  /**
+   * @param home - id of the home
+   * @param incarnation - its incarnation
+   * @param startMs - monotonic time at which the first window starts here
+   * @param firstWindow - number of that window
+   * @returns an empty table
+   */
+  static create (home: string, incarnation: number, startMs: number, firstWindow: number): RecordTable {
+    return new RecordTable(home, incarnation, startMs, firstWindow)
+  }
+
+  get size (): number { return this.#records.size }
+
+  /**
+   * @param nowMs - monotonic time in ms
+   * @returns the current window
+   */
+  getWindow (nowMs: number): number {
+    return this.#firstWindow + Math.floor((nowMs - this.#startMs) / WINDOW_MS)
+  }
+
+  /**
+   * @param key - a key of this home
+   * @param nowMs - monotonic time in ms
+   * @returns whether a key without a record may start, can no longer start, or is too old to tell
+   */
+  getAge (key: Pick<RequestKey, 'window'>, nowMs: number): KeyAge {
+    const age = this.getWindow(nowMs) - key.window
+    if (age > RECORD_WINDOWS) return 'expired'
+    return age > START_LIMIT_WINDOWS ? 'past-start' : 'startable'
+  }
+
+  find (scope: string): KeyRecord | undefined {
+    return this.#records.get(scope)
+  }
+
+  update (scope: string, record: KeyRecord): void {
+    this.#records.set(scope, record)
+    const scopes = this.#scopesByWindow.get(record.window)
+    if (scopes === undefined) this.#scopesByWindow.set(record.window, new Set([scope]))
+    else scopes.add(scope)
+  }
+
+  remove (scope: string): void {
+    const record = this.#records.get(scope)
+    if (record === undefined) return
+    this.#records.delete(scope)
+    this.#scopesByWindow.get(record.window)?.delete(scope)
+  }
+
+  /**
+   * Removes records older than the record time. Keys in work stay until they end.
+   *
+   * @param nowMs - monotonic time in ms
+   */
+  removeExpired (nowMs: number): void {
+    const oldest = this.getWindow(nowMs) - RECORD_WINDOWS
+    for (const [window, scopes] of this.#scopesByWindow) {
+      if (window >= oldest) continue
+      for (const scope of scopes) {
+        const kind = this.#records.get(scope)?.state.kind
+        if (kind !== 'waiting' && kind !== 'running') this.remove(scope)
+      }
+      if (scopes.size === 0) this.#scopesByWindow.delete(window)
+    }
+  }
+
+  /** @returns every record with its scope */
+  list (): readonly (readonly [scope: string, record: KeyRecord])[] {
+    return [...this.#records]
+  }
+}
+
+/**
+ * @param team - team name
+ * @param service - service name
+ * @param key - idempotency key
+ * @returns the text under which the key is recorded
+ */
+export function formatScope (team: string, service: string, key: RequestKey): string {
+  return `${team}\n${service}\n${key.text}`
+}
--- a/src/protocol/messages.ts
+++ b/src/protocol/messages.ts
@@ -156,6 +156,8 @@
   readonly error: ErrorKind
   readonly outcome: Outcome
   readonly retryAfterMs?: number
+  /** Process that serves the key now; the same key may be sent there. */
+  readonly movedTo?: string
   readonly configVersion: number
 }
 
@@ -208,6 +210,8 @@
   readonly incarnation: number
   readonly service: string
   readonly window: number
+  /** 0 is the whole table; later batches hold results of work that still ran then. */
+  readonly batch: number
   readonly part: number
   readonly parts: number
   readonly records: readonly RecordEntry[]
@@ -217,6 +221,9 @@
   readonly kind: 'handover-ack'
   readonly home: string
   readonly incarnation: number
+  readonly batch: number
+  /** False when the receiver leaves too and took nothing over. */
+  readonly accepted: boolean
 }
 
 /** Announces a configuration version. */
--- /dev/null
+++ b/test/endpoint/harness.ts
@@ -0,0 +1,146 @@
+/** An endpoint process's kernel with fixed configuration and membership. */
+
+import type { EndpointSpec } from '../../src/kernel/document.js'
+import { EMPTY_CONFIGURATION } from '../../src/kernel/document.js'
+import type { Effect } from '../../src/kernel/effects.js'
+import type { KernelEvent } from '../../src/kernel/events.js'
+import { Kernel } from '../../src/kernel/kernel.js'
+import { registerPlugin } from '../../src/kernel/plugin.js'
+import type { ConfigurationPort, MembershipPort } from '../../src/kernel/ports.js'
+import { WINDOW_MS } from '../../src/plugins/outcomes/table.js'
+import type { Message, ProcessRef, RequestKey, Role, Submit, WorkTerms } from '../../src/protocol/messages.js'
+import '../../src/plugins/tokens/tokens.js'
+import '../../src/plugins/quarantine/plugin.js'
+import '../../src/plugins/outcomes/plugin.js'
+import '../../src/plugins/admission/plugin.js'
+
+export function buildRef (id: string, role: Role = 'endpoint', domain = 'a', incarnation = 1): ProcessRef {
+  return { id, role, domain, host: `host-${id}`, address: `127.0.0.1:${id}`, incarnation }
+}
+
+export const ENDPOINT: Omit<EndpointSpec, 'id' | 'host' | 'domain' | 'peerAddress'> = { service: 'counter', checksFencing: false, warmCap: 2, coldCap: 2 }
+
+/** Mutable world that the fake ports of every kernel show. */
+export class World {
+  static current: World
+  version = 1
+  out = new Set<string>()
+  endpoints: EndpointSpec[] = ['h1', 'h2'].map(id => ({ ...ENDPOINT, ...buildRef(id), peerAddress: `127.0.0.1:${id}` }))
+  peers: ProcessRef[] = []
+  teamShareMax = 1
+
+  static create (change: Partial<World> = {}): World {
+    World.current = Object.assign(new World(), change)
+    return World.current
+  }
+}
+
+const configuration: ConfigurationPort = {
+  getCurrent: () => ({ ...EMPTY_CONFIGURATION, version: World.current.version }),
+  getInForceSinceMs: () => 0,
+  findService: name => name === 'counter' ? { name, kind: 'plain', profile: 'p' } : undefined,
+  findServiceByModel: () => undefined,
+  findProfile: name => ({ name, priority: 'normal', idempotency: 'never', deadlineMs: 10_000, queueMax: 8, teamShareMax: World.current.teamShareMax, attemptsMax: 1, backoffBaseMs: 1 }),
+  findTeam: () => undefined,
+  findEndpoint: id => World.current.endpoints.find(endpoint => endpoint.id === id),
+  listEndpoints: () => World.current.endpoints,
+  isInService: endpoint => !World.current.out.has(endpoint.domain)
+}
+const membership: MembershipPort = {
+  findPeer: id => membership.listPeers().find(peer => peer.process.id === id),
+  listPeers: () => World.current.peers.map(process => ({ process, heardAtMs: 0, configVersion: 1 })),
+  listEntries: () => [],
+  isLeaving: () => false
+}
+registerPlugin({ name: 'fake', roles: ['entry', 'endpoint'], create: () => ({ name: 'fake', subscribesTo: [], ports: { configuration, membership }, handle: () => {} }) })
+
+export const TERMS: WorkTerms = { profile: 'p', priority: 'normal', idempotent: false, queueMax: 8 }
+
+export function buildKey (text: string, window = 0, home = 'h1', incarnation = 1): RequestKey {
+  return { home, incarnation, window, text }
+}
+
+export function buildSubmit (workId: string, change: Partial<Submit> = {}): Submit {
+  return {
+    kind: 'submit',
+    workId,
+    requestId: `r-${workId}`,
+    team: 't',
+    teamWeight: 1,
+    service: 'counter',
+    terms: TERMS,
+    bodyHash: 'b',
+    fingerprint: `f-${workId}`,
+    method: 'POST',
+    path: '/',
+    headers: [],
+    body: new Uint8Array(),
+    timeLeftMs: 10_000,
+    configVersion: 1,
+    ...change
+  }
+}
+
+/** One endpoint process; keeps a transcript of events and effects. */
+export class Process {
+  readonly lines: string[] = []
+  readonly kernel: Kernel
+  readonly self: ProcessRef
+  nowMs = 0
+
+  constructor (self = buildRef('h1'), seed = 1) {
+    this.self = self
+    this.kernel = Kernel.create({ self, service: 'counter', seed, settings: { clusterSecret: 's', seeds: [] } })
+  }
+
+  /** Passes time in ticks of 500 ms. */
+  wait (ms: number): void {
+    for (const end = this.nowMs + ms; this.nowMs < end;) {
+      this.nowMs = Math.min(end, this.nowMs + 500)
+      this.dispatch({ kind: 'tick' }, false)
+    }
+  }
+
+  waitWindows (count: number): void { this.wait(count * WINDOW_MS) }
+
+  dispatch (event: KernelEvent, isShown = true): readonly Effect[] {
+    const effects = this.kernel.dispatch(event, this.nowMs)
+    if (isShown) this.lines.push(`${this.nowMs} > ${formatEvent(event)}`)
+    for (const effect of effects) if (!['count', 'observe'].includes(effect.kind)) this.lines.push(`${this.nowMs}   < ${formatEffect(effect)}`)
+    return effects
+  }
+
+  receive (message: Message, from = 'e1'): readonly Effect[] {
+    return this.dispatch({ kind: 'message-received', peer: buildRef(from, from.startsWith('h') ? 'endpoint' : 'entry'), message })
+  }
+
+  /** Completes work with a one-chunk answer. */
+  finish (workId: string, text = workId): void {
+    this.dispatch({ kind: 'endpoint-head', workId, status: 200, headers: [] })
+    this.dispatch({ kind: 'endpoint-chunk', workId, data: Buffer.from(text) })
+    this.dispatch({ kind: 'endpoint-ended', workId })
+  }
+}
+
+function formatValue (value: unknown): string {
+  if (value instanceof Uint8Array) return value.byteLength > 40 ? `${value.byteLength} B` : Buffer.from(value).toString()
+  if (Array.isArray(value)) return `[${value.map(formatValue).join(', ')}]`
+  if (typeof value === 'object' && value !== null) return `{${formatFields(value)}}`
+  return String(value)
+}
+
+function formatFields (value: object): string {
+  const hidden = ['kind', 'peer', 'configVersion', 'requestId', 'teamWeight', 'service', 'terms', 'method', 'path', 'headers', 'fingerprint', 'process']
+  return Object.entries(value).filter(([name]) => !hidden.includes(name)).map(([name, field]) => `${name}=${formatValue(field)}`).join(' ')
+}
+
+function formatEvent (event: KernelEvent): string {
+  if (event.kind === 'message-received') return `${event.peer.id}: ${event.message.kind} ${formatFields(event.message)}`
+  return `${event.kind} ${formatFields(event)}`
+}
+
+function formatEffect (effect: Effect): string {
+  if (effect.kind === 'send') return `send ${effect.peer} ${effect.message.kind} ${formatFields(effect.message)}`
+  if (effect.kind === 'run') return `run ${effect.work.workId}`
+  return `${effect.kind} ${formatFields(effect)}`
+}
