--- /dev/null
+++ b/src/plugins/requests/answers.ts
@@ -0,0 +1,130 @@
+/** Messages of endpoint processes about the work of a request. */
+
+import type { Context } from '../../kernel/plugin.js'
+import type { Cancelled, Chunk, End, Head, QueryAnswer, Refused } from '../../protocol/messages.js'
+import type { Homes } from './homes.js'
+import type { Lifecycle } from './lifecycle.js'
+import type { Active, Attempt } from './types.js'
+
+/** Times that a request rejoins its key at the home after a lost connection, the first send included. */
+const KEYED_SENDS_MAX = 3
+
+/** Messages that this module handles. */
+export type Answer = Head | Chunk | End | Refused | Cancelled
+
+/**
+ * Handles one message about an attempt; ignores attempts that are settled.
+ *
+ * @param message - the message
+ * @param lifecycle - requests in flight
+ * @param homes - finds the process that serves a key
+ * @param context - time and ways out
+ */
+export function handleAnswer (message: Answer, lifecycle: Lifecycle, homes: Homes, context: Context): void {
+  const work = lifecycle.findWork(message.workId)
+  if (work === undefined) return
+  const { active, attempt } = work
+  switch (message.kind) {
+    case 'head':
+      handleHead(active, attempt, message, lifecycle, context)
+      break
+    case 'chunk':
+      handleChunk(active, attempt, message, lifecycle, context)
+      break
+    case 'end':
+      handleEnd(active, attempt, message, lifecycle, context)
+      break
+    case 'refused':
+      handleRefused(active, attempt, message, lifecycle, homes, context)
+      break
+    case 'cancelled':
+      lifecycle.settle(active, attempt, 'refused', context)
+      lifecycle.handleLoss(active, { error: 'cancelled', outcome: message.outcome }, context)
+      break
+  }
+}
+
+function handleHead (active: Active, attempt: Attempt, message: Head, lifecycle: Lifecycle, context: Context): void {
+  if (active.stage.kind === 'cancelling') return
+  attempt.headAfterMs = context.nowMs - attempt.sentAtMs
+  active.winner = attempt.workId
+  lifecycle.cancelOthers(active, attempt.workId, context)
+  lifecycle.note(active, 'head', `${attempt.endpoint} ${message.status}`, context)
+  if (active.headSent) {
+    if (message.status !== active.status) lifecycle.abandon(active, attempt, context)
+    return
+  }
+  active.headSent = true
+  active.status = message.status
+  context.emit({ kind: 'reply-head', requestId: active.received.requestId, status: message.status, headers: message.headers })
+  context.emit({ kind: 'observe', metric: 'first_byte_ms', value: context.nowMs - active.receivedAtMs, label: active.received.service })
+}
+
+/** A chunk that the caller has is dropped; one beyond the next breaks the answer. */
+function handleChunk (active: Active, attempt: Attempt, message: Chunk, lifecycle: Lifecycle, context: Context): void {
+  if (active.winner !== attempt.workId || active.stage.kind === 'cancelling' || message.index < active.relayed) return
+  if (message.index > active.relayed) {
+    lifecycle.abandon(active, attempt, context)
+    return
+  }
+  active.relayed += 1
+  context.emit({ kind: 'reply-chunk', requestId: active.received.requestId, data: message.data })
+}
+
+function handleEnd (active: Active, attempt: Attempt, message: End, lifecycle: Lifecycle, context: Context): void {
+  if (active.stage.kind === 'cancelling') {
+    lifecycle.settle(active, attempt, 'ok', context)
+    lifecycle.handleLoss(active, { error: 'cancelled', outcome: 'run' }, context)
+    return
+  }
+  if (active.winner !== attempt.workId || message.chunks !== active.relayed) {
+    lifecycle.abandon(active, attempt, context)
+    return
+  }
+  lifecycle.settle(active, attempt, 'ok', context)
+  lifecycle.finish(active, context)
+}
+
+function handleRefused (active: Active, attempt: Attempt, message: Refused, lifecycle: Lifecycle, homes: Homes, context: Context): void {
+  lifecycle.settle(active, attempt, message.outcome === 'not-run' ? 'refused' : 'failed', context)
+  const { error, outcome, retryAfterMs } = message
+  // The home's word on a key covers earlier sends of the same key too.
+  if (active.key !== undefined && outcome !== 'unknown') active.uncertain = false
+  if (error === 'leaving' && outcome !== 'not-run' && isMoved(active, attempt, homes, context)) {
+    lifecycle.note(active, 'home-moved', attempt.endpoint, context)
+    lifecycle.place(active, context)
+    return
+  }
+  lifecycle.handleLoss(active, { error, outcome, ...(retryAfterMs === undefined ? {} : { retryAfterMs }) }, context)
+}
+
+function isMoved (active: Active, attempt: Attempt, homes: Homes, context: Context): boolean {
+  if (active.key === undefined || active.keyIsInternal || active.headSent || active.attemptsMade >= KEYED_SENDS_MAX) return false
+  const home = homes.findHome(active.key, context)
+  return home.kind === 'connected' && home.id !== attempt.endpoint
+}
+
+/**
+ * Handles a home's word on a key whose connection was lost. While the work
+ * runs or when it has run, the same key is sent again: the home joins it to
+ * the running work or repeats the answer, and never runs it twice.
+ *
+ * @param active - the request that waits for the word
+ * @param message - the word
+ * @param lifecycle - requests in flight
+ * @param context - time and ways out
+ */
+export function handleQueryAnswer (active: Active, message: QueryAnswer, lifecycle: Lifecycle, context: Context): void {
+  if (active.stage.kind !== 'querying' || active.stage.queryId !== message.queryId) return
+  const target = active.stage.target
+  lifecycle.note(active, 'home-answered', `${target} ${message.state}`, context)
+  const known = message.state === 'run' || message.state === 'running'
+  if (known && !active.headSent && active.attemptsMade < KEYED_SENDS_MAX && context.nowMs < active.deadlineAtMs) {
+    lifecycle.rejoin(active, target, context)
+    return
+  }
+  if (message.state === 'run') active.hasRun = true
+  if (message.state === 'not-run') active.uncertain = false
+  const outcome = message.state === 'running' ? 'unknown' : message.state
+  lifecycle.fail(active, { error: active.headSent ? 'stream-broken' : 'connection-lost', outcome }, context)
+}
--- /dev/null
+++ b/src/plugins/requests/lifecycle.ts
@@ -0,0 +1,309 @@
+/** Attempts, retries, resumes and the end of requests. */
+
+import { ERROR_ANSWERS } from '../../kernel/errors.js'
+import type { ErrorKind } from '../../kernel/errors.js'
+import type { Context } from '../../kernel/plugin.js'
+import type { RouteChoice } from '../../kernel/ports.js'
+import type { RequestKey } from '../../protocol/messages.js'
+import { QUERY_WAIT_MS } from './asks.js'
+import { RetryBudget } from './budget.js'
+import type { Homes } from './homes.js'
+import { sendEnd, sendFailure } from './replies.js'
+import { buildSubmit, formatWorkId } from './submit.js'
+import type { TraceLog } from './trace.js'
+import type { Active, Attempt, Failure } from './types.js'
+
+/** Longest wait in ms for a connection to the home of a key. */
+const CONNECT_WAIT_MS = 2_000
+
+/** Longest wait in ms for the answer to a cancel after the deadline. */
+const CANCEL_WAIT_MS = 1_000
+
+/** Largest backoff in ms. */
+const BACKOFF_MAX_MS = 5_000
+
+/** Wait in ms that callers are advised when no endpoint is available. */
+const NO_ENDPOINT_RETRY_MS = 1_000
+
+/** Refusals of planned changes: the work is placed anew even when it may run only once, for it never ran. */
+const PLANNED_REFUSALS: ReadonlySet<ErrorKind> = new Set(['leaving', 'domain-out', 'configuration-stale'])
+
+/** Requests in flight with everything that moves them on. */
+export class Lifecycle {
+  readonly #active = new Map<string, Active>()
+  /** Request id by work id. */
+  readonly #works = new Map<string, string>()
+  readonly #budget = RetryBudget.create()
+  readonly #homes: Homes
+  readonly #trace: TraceLog
+
+  private constructor (homes: Homes, trace: TraceLog) {
+    this.#homes = homes
+    this.#trace = trace
+  }
+
+  /**
+   * @param homes - finds the process that serves a key
+   * @param trace - takes the steps of requests
+   * @returns a lifecycle without requests
+   */
+  static create (homes: Homes, trace: TraceLog): Lifecycle {
+    return new Lifecycle(homes, trace)
+  }
+
+  /** @returns requests in flight */
+  listActive (): readonly Active[] {
+    return [...this.#active.values()]
+  }
+
+  /** @returns count of requests in flight */
+  countActive (): number {
+    return this.#active.size
+  }
+
+  /** @returns the request and attempt of a work id; undefined once settled */
+  findWork (workId: string): { readonly active: Active, readonly attempt: Attempt } | undefined {
+    const active = this.#active.get(this.#works.get(workId) ?? '')
+    const attempt = active?.attempts.get(workId)
+    return active === undefined || attempt === undefined ? undefined : { active, attempt }
+  }
+
+  /** @returns the request; undefined when it is not in flight */
+  findActive (requestId: string): Active | undefined {
+    return this.#active.get(requestId)
+  }
+
+  /** Adds a step to the trace of a request. */
+  note (active: Active, step: string, detail: string, context: Context): void {
+    this.#trace.add(active.received.requestId, context.nowMs, step, detail)
+  }
+
+  /** Takes a request in and sends its first attempt. */
+  start (active: Active, context: Context): void {
+    this.#active.set(active.received.requestId, active)
+    this.#budget.noteFirst(active.received.service)
+    this.place(active, context)
+  }
+
+  /** Sends an attempt: to the home of the caller's key, or to a chosen endpoint. */
+  place (active: Active, context: Context): void {
+    active.stage = { kind: 'open' }
+    if (active.key !== undefined && !active.keyIsInternal) this.#placeAtHome(active, active.key, context)
+    else this.#placeAnywhere(active, context)
+  }
+
+  #placeAtHome (active: Active, key: RequestKey, context: Context): void {
+    const home = this.#homes.findHome(key, context)
+    switch (home.kind) {
+      case 'connected':
+        this.#submit(active, home.id, 'home', context)
+        break
+      case 'absent':
+        this.#waitForHome(active, home.id, context)
+        break
+      case 'replaced':
+        this.fail(active, { error: 'home-lost', outcome: 'unknown' }, context)
+        break
+    }
+  }
+
+  #waitForHome (active: Active, target: string, context: Context): void {
+    if (context.port('configuration').findEndpoint(target) === undefined) {
+      this.fail(active, { error: 'home-lost', outcome: 'unknown' }, context)
+      return
+    }
+    active.stage = { kind: 'connecting', target, untilMs: Math.min(active.deadlineAtMs, context.nowMs + CONNECT_WAIT_MS) }
+    this.note(active, 'connecting', target, context)
+    context.raise({ kind: 'peer-wanted', peer: target })
+  }
+
+  #placeAnywhere (active: Active, context: Context): void {
+    const choice = this.#choose(active, active.tried, context) ?? this.#choose(active, new Set(), context)
+    if (choice === undefined) {
+      this.fail(active, { error: 'no-endpoint', outcome: 'not-run', retryAfterMs: NO_ENDPOINT_RETRY_MS }, context)
+      return
+    }
+    if (!active.idempotent) active.key = this.#createKey(active, choice.endpoint, context)
+    this.#submit(active, choice.endpoint, choice.reason, context)
+  }
+
+  #choose ({ received, profile }: Active, exclude: ReadonlySet<string>, context: Context): RouteChoice | undefined {
+    const { service, fingerprint, prefixHash } = received
+    return context.port('routing').chooseEndpoint({ service, profile, fingerprint, exclude, ...(prefixHash === undefined ? {} : { prefixHash }) }, context)
+  }
+
+  /** Makes a key that only this entry sends, so that a lost connection can be asked about. */
+  #createKey (active: Active, endpoint: string, context: Context): RequestKey | undefined {
+    const view = context.port('membership').findPeer(endpoint)
+    const tokens = context.findPort('tokens')
+    if (view?.endpoint === undefined || tokens === undefined) return undefined
+    const { id, incarnation, domain } = view.process
+    const { window } = view.endpoint
+    const token = tokens.formatToken(active.received.service, { id, incarnation, domain, window })
+    return { home: id, incarnation, window, text: `${token}.${context.random.pickHex(32)}` }
+  }
+
+  #submit (active: Active, endpoint: string, reason: string, context: Context): void {
+    active.attemptsMade += 1
+    active.tried.add(endpoint)
+    const workId = formatWorkId(active)
+    active.attempts.set(workId, { workId, endpoint, sentAtMs: context.nowMs, headAfterMs: undefined })
+    this.#works.set(workId, active.received.requestId)
+    context.port('routing').noteStart(endpoint, context)
+    context.emit({ kind: 'send', peer: endpoint, message: buildSubmit(active, workId, context) })
+    this.note(active, 'submitted', `${endpoint} ${reason}`, context)
+  }
+
+  /** Sends a second attempt of slow idempotent work to another endpoint when the budget allows it. */
+  hedge (active: Active, context: Context): void {
+    if (active.attemptsMade >= active.profile.attemptsMax) return
+    const choice = this.#choose(active, active.tried, context)
+    if (choice === undefined || !this.#budget.acceptRetry(active.received.service)) return
+    context.emit({ kind: 'count', metric: 'hedges' })
+    this.#submit(active, choice.endpoint, `hedge ${choice.reason}`, context)
+  }
+
+  /** Ends an attempt and tells routing how it went. */
+  settle (active: Active, attempt: Attempt, result: 'ok' | 'refused' | 'failed', context: Context): void {
+    if (!active.attempts.delete(attempt.workId)) return
+    this.#works.delete(attempt.workId)
+    const elapsedMs = attempt.headAfterMs ?? context.nowMs - attempt.sentAtMs
+    context.port('routing').noteEnd(attempt.endpoint, result, elapsedMs, context)
+  }
+
+  /** Cancels every attempt but one and forgets those that are cancelled. */
+  cancelOthers (active: Active, kept: string, context: Context): void {
+    for (const attempt of [...active.attempts.values()]) {
+      if (attempt.workId !== kept) this.#cancel(active, attempt, context)
+    }
+  }
+
+  /** Cancels an attempt whose answer no longer matters. */
+  #cancel (active: Active, attempt: Attempt, context: Context): void {
+    context.emit({ kind: 'send', peer: attempt.endpoint, message: { kind: 'cancel', workId: attempt.workId } })
+    this.settle(active, attempt, 'refused', context)
+    active.uncertain = true
+  }
+
+  /** Ends a broken answer at its worker. */
+  abandon (active: Active, attempt: Attempt, context: Context): void {
+    context.emit({ kind: 'send', peer: attempt.endpoint, message: { kind: 'cancel', workId: attempt.workId } })
+    this.settle(active, attempt, 'failed', context)
+    this.handleLoss(active, { error: 'stream-broken', outcome: 'unknown' }, context)
+  }
+
+  /** Decides what follows after an attempt ended without a whole answer. */
+  handleLoss (active: Active, failure: Failure, context: Context): void {
+    if (failure.outcome === 'unknown') active.uncertain = true
+    if (failure.outcome === 'run') active.hasRun = true
+    this.note(active, 'attempt-lost', `${failure.error} ${failure.outcome}`, context)
+    if (active.stage.kind === 'cancelling') {
+      if (active.attempts.size === 0) this.fail(active, { error: 'deadline-exceeded', outcome: failure.outcome }, context)
+      return
+    }
+    if (active.attempts.size > 0) return
+    active.winner = undefined
+    if (active.headSent) this.#resume(active, context)
+    else if (this.#mayRetry(active, failure)) this.#retry(active, failure, context)
+    else this.fail(active, failure, context)
+  }
+
+  #mayRetry (active: Active, failure: Failure): boolean {
+    if (active.attemptsMade >= active.profile.attemptsMax || !active.keyIsInternal) return false
+    if (active.idempotent) return ERROR_ANSWERS[failure.error].retryable
+    return failure.outcome === 'not-run' && !active.uncertain && PLANNED_REFUSALS.has(failure.error)
+  }
+
+  #retry (active: Active, failure: Failure, context: Context): void {
+    const backoffMs = Math.min(BACKOFF_MAX_MS, active.profile.backoffBaseMs * 2 ** (active.attemptsMade - 1)) * (0.5 + 0.5 * context.random.pickFloat())
+    const untilMs = context.nowMs + backoffMs
+    if (untilMs >= active.deadlineAtMs || !this.#budget.acceptRetry(active.received.service)) {
+      this.fail(active, failure, context)
+      return
+    }
+    active.stage = { kind: 'backoff', untilMs }
+    this.note(active, 'backoff', `${Math.round(backoffMs)} ms`, context)
+    context.emit({ kind: 'log', event: 'request-retried', fields: { request: active.received.requestId, error: failure.error, attempt: active.attemptsMade + 1 } })
+    context.emit({ kind: 'count', metric: 'retries' })
+  }
+
+  /**
+   * Goes on with a model stream on another worker. A resume runs only what is
+   * left, so it is bounded by the count of attempts and not by the retry budget.
+   */
+  #resume (active: Active, context: Context): void {
+    const resumable = active.idempotent && active.serviceKind === 'model' && active.status === 200
+    if (!resumable || active.attemptsMade >= active.profile.attemptsMax || context.nowMs >= active.deadlineAtMs) {
+      this.fail(active, { error: 'stream-broken', outcome: 'unknown' }, context)
+      return
+    }
+    context.emit({ kind: 'log', event: 'stream-resumed', fields: { request: active.received.requestId, chunks: active.relayed } })
+    context.emit({ kind: 'count', metric: 'resumes' })
+    this.place(active, context)
+  }
+
+  /** After a lost connection asks the home what became of the key. */
+  query (active: Active, key: RequestKey, context: Context): void {
+    active.uncertain = true
+    const home = this.#homes.findHome(key, context)
+    const queryId = `query-${active.received.requestId}-${active.attemptsMade}`
+    active.stage = { kind: 'querying', queryId, target: home.id, sent: false, untilMs: context.nowMs + QUERY_WAIT_MS }
+    this.note(active, 'querying', home.id, context)
+    if (home.kind === 'absent') context.raise({ kind: 'peer-wanted', peer: home.id })
+    else this.sendQuery(active, context)
+  }
+
+  /** Sends the open question of a request when its home is connected. */
+  sendQuery (active: Active, context: Context): void {
+    if (active.stage.kind !== 'querying' || active.stage.sent || active.key === undefined) return
+    const home = this.#homes.findHome(active.key, context)
+    if (home.kind === 'replaced') this.fail(active, { error: 'home-lost', outcome: 'unknown' }, context)
+    if (home.kind !== 'connected') return
+    const { team, service } = active.received
+    context.emit({ kind: 'send', peer: home.id, message: { kind: 'query', queryId: active.stage.queryId, team, service, key: active.key } })
+    active.stage = { ...active.stage, target: home.id, sent: true }
+  }
+
+  /** Sends the same key to its home again, to join the running work or get the kept answer. */
+  rejoin (active: Active, target: string, context: Context): void {
+    active.stage = { kind: 'open' }
+    this.#submit(active, target, 'rejoin', context)
+  }
+
+  /** Cancels all attempts at the deadline and waits a bounded time for the outcome. */
+  expire (active: Active, context: Context): void {
+    this.note(active, 'deadline-passed', '', context)
+    if (active.attempts.size === 0) {
+      this.fail(active, { error: 'deadline-exceeded', outcome: active.attemptsMade === 0 ? 'not-run' : active.uncertain ? 'unknown' : 'not-run' }, context)
+      return
+    }
+    active.stage = { kind: 'cancelling', untilMs: context.nowMs + CANCEL_WAIT_MS }
+    for (const { endpoint, workId } of active.attempts.values()) context.emit({ kind: 'send', peer: endpoint, message: { kind: 'cancel', workId } })
+  }
+
+  /** Answers with an error and forgets the request. */
+  fail (active: Active, failure: Failure, context: Context): void {
+    const outcome = sendFailure(active, failure, context)
+    this.note(active, 'failed', `${failure.error} ${outcome}`, context)
+    this.#forget(active, context)
+  }
+
+  /** Answers with the end of a whole answer and forgets the request. */
+  finish (active: Active, context: Context): void {
+    sendEnd(active, context)
+    this.note(active, 'finished', `${active.relayed} chunks`, context)
+    this.#forget(active, context)
+  }
+
+  /** Drops a request whose caller is gone. */
+  drop (active: Active, context: Context): void {
+    this.note(active, 'caller-gone', '', context)
+    context.emit({ kind: 'count', metric: 'requests', label: 'cancelled' })
+    this.#forget(active, context)
+  }
+
+  #forget (active: Active, context: Context): void {
+    for (const attempt of [...active.attempts.values()]) this.#cancel(active, attempt, context)
+    this.#active.delete(active.received.requestId)
+  }
+}
--- a/src/plugins/requests/plugin.ts
+++ b/src/plugins/requests/plugin.ts
@@ -0,0 +1,203 @@
+/** Life of requests at an entry: from their receipt to the last reply. */
+
+import type { KernelEvent } from '../../kernel/events.js'
+import { registerPlugin } from '../../kernel/plugin.js'
+import type { Context, Plugin, PluginOptions } from '../../kernel/plugin.js'
+import type { RequestsPort } from '../../kernel/ports.js'
+import type { Message, ProcessRef } from '../../protocol/messages.js'
+import { checkRequest } from './admit.js'
+import { handleAnswer, handleQueryAnswer } from './answers.js'
+import { Asks } from './asks.js'
+import { Homes } from './homes.js'
+import { Lifecycle } from './lifecycle.js'
+import { TraceLog } from './trace.js'
+import type { Active } from './types.js'
+
+/** Time in ms for which callers may keep an address answer that names this entry. */
+const ADDRESS_HOLD_MS = 30_000
+
+interface Leave {
+  readonly holdUntilMs: number
+  readonly deadlineAtMs: number
+}
+
+class RequestsPlugin implements Plugin {
+  readonly name = 'requests'
+  readonly subscribesTo = ['tick', 'request-received', 'caller-gone', 'outcome-asked', 'message-received', 'peer-connected', 'peer-disconnected', 'leave-requested'] as const
+  readonly ports: { readonly requests: RequestsPort }
+  readonly #addressHoldMs: number
+  readonly #homes = Homes.create()
+  readonly #trace = TraceLog.create()
+  readonly #lifecycle = Lifecycle.create(this.#homes, this.#trace)
+  readonly #asks = Asks.create(this.#homes)
+  #leave: Leave | undefined
+  #left = false
+
+  private constructor (options: PluginOptions) {
+    this.#addressHoldMs = options.settings.addressHoldMs ?? ADDRESS_HOLD_MS
+    this.ports = {
+      requests: {
+        countInFlight: () => this.#lifecycle.countActive(),
+        countAt: endpoint => this.#lifecycle.listActive().filter(active => listTargets(active).includes(endpoint)).length,
+        explain: requestId => this.#trace.find(requestId)
+      }
+    }
+  }
+
+  static create (options: PluginOptions): RequestsPlugin {
+    return new RequestsPlugin(options)
+  }
+
+  handle (event: KernelEvent, context: Context): void {
+    switch (event.kind) {
+      case 'tick':
+        this.#handleTick(context)
+        break
+      case 'request-received': {
+        this.#trace.add(event.requestId, context.nowMs, 'received', `${event.team} ${event.service} ${event.method}`)
+        const admission = checkRequest(event, context)
+        if (admission.kind === 'admitted') this.#lifecycle.start(admission.active, context)
+        else this.#refuse(event.requestId, admission, context)
+        break
+      }
+      case 'caller-gone': {
+        const active = this.#lifecycle.findActive(event.requestId)
+        if (active !== undefined) this.#lifecycle.drop(active, context)
+        break
+      }
+      case 'outcome-asked':
+        this.#asks.add(event.askId, event.team, event.keyText, context)
+        break
+      case 'message-received':
+        this.#handleMessage(event.peer, event.message, context)
+        break
+      case 'peer-connected':
+        this.#handleConnected(event.peer.id, context)
+        break
+      case 'peer-disconnected':
+        this.#handleDisconnected(event.peer.id, context)
+        break
+      case 'leave-requested':
+        this.#leave = { holdUntilMs: context.nowMs + this.#addressHoldMs, deadlineAtMs: context.nowMs + event.deadlineMs }
+        context.emit({ kind: 'log', event: 'process-leaving', fields: { inFlight: this.#lifecycle.countActive() } })
+        break
+      default:
+    }
+  }
+
+  #refuse (requestId: string, refusal: Extract<ReturnType<typeof checkRequest>, { kind: 'refused' }>, context: Context): void {
+    const { error, outcome } = refusal
+    context.emit({ kind: 'reply-error', requestId, error, outcome, forwarded: false })
+    context.emit({ kind: 'log', event: 'request-refused', fields: { request: requestId, error, outcome, forwarded: false } })
+    context.emit({ kind: 'count', metric: 'requests', label: error })
+    this.#trace.add(requestId, context.nowMs, 'refused', `${error} ${outcome}`)
+  }
+
+  #handleMessage (peer: ProcessRef, message: Message, context: Context): void {
+    switch (message.kind) {
+      case 'heartbeat':
+        if (message.endpoint?.movedTo !== undefined) this.#homes.noteMove(peer, message.endpoint.movedTo, context.nowMs)
+        break
+      case 'accepted':
+      case 'started': {
+        const work = this.#lifecycle.findWork(message.workId)
+        if (work !== undefined) this.#lifecycle.note(work.active, message.kind, work.attempt.endpoint, context)
+        break
+      }
+      case 'head':
+      case 'chunk':
+      case 'end':
+      case 'refused':
+      case 'cancelled':
+        handleAnswer(message, this.#lifecycle, this.#homes, context)
+        break
+      case 'query-answer': {
+        const active = this.#lifecycle.listActive().find(({ stage }) => stage.kind === 'querying' && stage.queryId === message.queryId)
+        if (active === undefined) this.#asks.noteAnswer(message.queryId, message.state, context)
+        else handleQueryAnswer(active, message, this.#lifecycle, context)
+        break
+      }
+      default:
+    }
+  }
+
+  #handleConnected (peer: string, context: Context): void {
+    for (const active of this.#lifecycle.listActive()) {
+      if (active.stage.kind === 'connecting' && active.stage.target === peer) this.#lifecycle.place(active, context)
+      else if (active.stage.kind === 'querying') this.#lifecycle.sendQuery(active, context)
+    }
+    this.#asks.update(context)
+  }
+
+  #handleDisconnected (peer: string, context: Context): void {
+    for (const active of this.#lifecycle.listActive()) {
+      const { stage } = active
+      if (stage.kind === 'querying' && stage.target === peer) active.stage = { ...stage, sent: false }
+      for (const attempt of [...active.attempts.values()]) {
+        if (attempt.endpoint !== peer) continue
+        this.#lifecycle.settle(active, attempt, 'failed', context)
+        if (active.key !== undefined && stage.kind === 'open') this.#lifecycle.query(active, active.key, context)
+        else this.#lifecycle.handleLoss(active, { error: 'connection-lost', outcome: 'unknown' }, context)
+      }
+    }
+    this.#asks.noteDisconnected(context)
+  }
+
+  #handleTick (context: Context): void {
+    for (const active of this.#lifecycle.listActive()) this.#update(active, context)
+    this.#asks.update(context)
+    this.#updateLeave(context)
+  }
+
+  /** Moves a request on whose wait is over. */
+  #update (active: Active, context: Context): void {
+    const { stage } = active
+    switch (stage.kind) {
+      case 'open':
+        if (context.nowMs >= active.deadlineAtMs) this.#lifecycle.expire(active, context)
+        else if (isHedgeDue(active, context.nowMs)) this.#lifecycle.hedge(active, context)
+        break
+      case 'backoff':
+        if (context.nowMs >= active.deadlineAtMs) this.#lifecycle.expire(active, context)
+        else if (context.nowMs >= stage.untilMs) this.#lifecycle.place(active, context)
+        break
+      case 'connecting':
+        if (context.nowMs >= stage.untilMs) this.#lifecycle.fail(active, { error: 'home-lost', outcome: 'unknown' }, context)
+        break
+      case 'cancelling':
+        if (context.nowMs >= stage.untilMs) this.#lifecycle.fail(active, { error: 'deadline-exceeded', outcome: 'unknown' }, context)
+        break
+      case 'querying':
+        if (context.nowMs >= stage.untilMs) this.#lifecycle.fail(active, { error: active.headSent ? 'stream-broken' : 'connection-lost', outcome: 'unknown' }, context)
+        break
+    }
+  }
+
+  #updateLeave (context: Context): void {
+    if (this.#leave === undefined || this.#left) return
+    const inFlight = this.#lifecycle.countActive()
+    const held = context.nowMs >= this.#leave.holdUntilMs
+    const cut = context.nowMs >= this.#leave.deadlineAtMs
+    if (!cut && (!held || inFlight > 0)) return
+    if (inFlight > 0) {
+      context.emit({ kind: 'log', event: 'work-cut', fields: { count: inFlight } })
+      for (const active of this.#lifecycle.listActive()) this.#lifecycle.fail(active, { error: 'leaving', outcome: 'unknown' }, context)
+    }
+    this.#left = true
+    context.emit({ kind: 'leave-finished' })
+  }
+}
+
+/** Lists the endpoint processes that a request needs a connection to. */
+function listTargets (active: Active): readonly string[] {
+  const targets = [...active.attempts.values()].map(attempt => attempt.endpoint)
+  return active.stage.kind === 'connecting' || active.stage.kind === 'querying' ? [...targets, active.stage.target] : targets
+}
+
+function isHedgeDue (active: Active, nowMs: number): boolean {
+  const { hedgeAfterMs } = active.profile
+  if (hedgeAfterMs === undefined || !active.idempotent || active.winner !== undefined || active.attempts.size !== 1) return false
+  return active.attemptsMade === 1 && nowMs - active.receivedAtMs >= hedgeAfterMs
+}
+
+registerPlugin({ name: 'requests', roles: ['entry'], create: options => RequestsPlugin.create(options) })
--- /dev/null
+++ b/src/plugins/requests/submit.ts
@@ -0,0 +1,42 @@
+import type { Context } from '../../kernel/plugin.js'
+import type { Submit } from '../../protocol/messages.js'
+import type { Active } from './types.js'
+
+/**
+ * @param active - the request; its count of attempts includes the present one
+ * @returns the id of the present attempt
+ */
+export function formatWorkId (active: Active): string {
+  return `${active.received.requestId}-${active.attemptsMade}`
+}
+
+/**
+ * Builds the message of one attempt.
+ *
+ * @param active - the request
+ * @param workId - id of the attempt
+ * @param context - time and configuration version
+ * @returns the message; resumes after the chunks that the caller has
+ */
+export function buildSubmit (active: Active, workId: string, context: Context): Submit {
+  const { received, profile } = active
+  return {
+    kind: 'submit',
+    workId,
+    requestId: received.requestId,
+    team: received.team,
+    teamWeight: active.teamWeight,
+    service: received.service,
+    terms: { profile: profile.name, priority: profile.priority, idempotent: active.idempotent, queueMax: profile.queueMax },
+    ...(active.key === undefined ? {} : { key: active.key }),
+    bodyHash: received.bodyHash,
+    fingerprint: received.fingerprint,
+    method: received.method,
+    path: received.path,
+    headers: received.headers,
+    body: received.body,
+    timeLeftMs: Math.max(0, active.deadlineAtMs - context.nowMs),
+    configVersion: context.port('configuration').getCurrent().version,
+    ...(active.relayed > 0 ? { resumeFrom: active.relayed } : {})
+  }
+}
