Wire credentials and TLS into the processes

Cause: edges had their own credential code, and a first peer proof that could be reflected: it did not say which end made it. Change: the shared credentials, cluster proof and renewable TLS sources are used by all listeners and outbound connections.

--- a/demo/files.ts
+++ b/demo/files.ts
@@ -1,10 +1,11 @@
 /** Settings and configuration of the demo, written to a temporary folder. */
 
-import { createHash, randomBytes } from 'node:crypto'
+import { randomBytes } from 'node:crypto'
 import { mkdtempSync, writeFileSync } from 'node:fs'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { stringify } from 'smol-toml'
+import { createCredential } from '../src/edge/security/credentials.js'
 import { IP, PORTS } from './ports.js'
 
 type Port = keyof typeof PORTS
@@ -30,15 +31,15 @@
     writeFileSync(path, stringify(value))
     return path
   }
-  const operatorCredential = randomBytes(32).toString('hex')
+  const operator = createCredential('hdop', 'demo')
+  const team = createCredential('hd', 'tavern')
   writeFileSync(join(folder, 'cluster.secret'), randomBytes(32).toString('hex'))
-  writeFileSync(join(folder, 'operator.credential'), operatorCredential)
-  writeFileSync(join(folder, 'operators.keys'), `${formatSaltedHash(operatorCredential)}\n`)
-  const teamKey = `hd_tavern_${randomBytes(32).toString('hex')}`
+  writeFileSync(join(folder, 'operator.credential'), operator.text)
+  writeFileSync(join(folder, 'operators.keys'), `demo ${operator.stored}\n`)
   return {
     folder,
-    teamKey,
-    configuration: write('configuration.toml', buildConfiguration(teamKey)),
+    teamKey: team.text,
+    configuration: write('configuration.toml', buildConfiguration(team.stored)),
     cli: write('cli.toml', {
       platform: { urls: [formatUrl('platform')] },
       operations_urls: [formatUrl('entryNorthOperations'), formatUrl('entrySouthOperations')],
@@ -52,7 +53,7 @@
   }
 }
 
-function buildConfiguration (teamKey: string): Record<string, unknown> {
+function buildConfiguration (storedKey: string): Record<string, unknown> {
   return {
     failure_domains: DOMAINS.map(name => ({ name, region: 'home' })),
     entries: DOMAINS.map(domain => ({
@@ -80,7 +81,7 @@
       { name: 'guidance', priority: 'normal', idempotency: 'always', deadline_ms: 20_000, queue_max: 64, team_share_max: 0.5, attempts_max: 3, backoff_base_ms: 50 },
       { name: 'counter', priority: 'urgent', idempotency: 'safe-methods', deadline_ms: 5_000, queue_max: 64, team_share_max: 0.5, attempts_max: 3, backoff_base_ms: 20 }
     ],
-    teams: [{ name: 'tavern', weight: 1, services: ['guidance', 'counter'], keys: [formatSaltedHash(teamKey)] }]
+    teams: [{ name: 'tavern', weight: 1, services: ['guidance', 'counter'], keys: [storedKey] }]
   }
 }
 
@@ -134,8 +135,3 @@
 function formatAddress (port: Port): string {
   return `${IP}:${PORTS[port]}`
 }
-
-function formatSaltedHash (text: string): string {
-  const salt = randomBytes(16).toString('hex')
-  return `${salt}:${createHash('sha256').update(salt).update(text).digest('hex')}`
-}
--- a/src/edge/endpoint/operations.ts
+++ b/src/edge/endpoint/operations.ts
@@ -7,25 +7,22 @@
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import { createServer as createHttpsServer } from 'node:https'
 import type { Operations } from '../operations.js'
-
-/** Key material of a listener, in PEM. */
-export interface ListenerTls {
-  readonly cert: string
-  readonly key: string
-  readonly ca?: string
-}
+import type { TlsSource } from '../security/tls.js'
 
 /**
  * @param operations - gives the answers
  * @param tls - key material; plain TCP when absent
  * @returns a server that does not listen yet
  */
-export function createOperationsServer (operations: Operations, tls?: ListenerTls): Server {
+export function createOperationsServer (operations: Operations, tls?: TlsSource): Server {
   const handle = (request: IncomingMessage, response: ServerResponse): void => {
     const path = new URL(request.url ?? '/', 'http://endpoint').pathname
     operations.answer(path, request.headers.authorization).then(answer => {
       response.writeHead(answer.status, { 'content-type': answer.contentType }).end(answer.body)
     })
   }
-  return tls === undefined ? createServer(handle) : createHttpsServer(tls, handle)
+  if (tls === undefined) return createServer(handle)
+  const server = createHttpsServer(tls.getOptions(), handle)
+  tls.addServer(server)
+  return server
 }
--- a/src/edge/endpoint/process.ts
+++ b/src/edge/endpoint/process.ts
@@ -5,7 +5,6 @@
 import type { EndpointSettings } from '../../settings/process.js'
 import { Operations } from '../operations.js'
 import { ProcessEdge } from '../process.js'
-import { OperatorAuthenticator } from '../security/operators.js'
 import { createOperationsServer } from './operations.js'
 import { Orders } from './orders.js'
 import { Reporter } from './reporter.js'
@@ -39,12 +38,11 @@
     this.#runner = Runner.create({ url, fence: this.#edge.kernel.self.incarnation, dispatch })
     this.#reporter = Reporter.create({ url, dispatch })
     this.#orders = Orders.create({ url, dispatch })
-    const operators = OperatorAuthenticator.create(settings.operationsListener.operatorKeysFile)
     this.#server = createOperationsServer(Operations.create({
       kernel: this.#edge.kernel,
       metrics: this.#edge.metrics,
-      isOperator: authorization => operators.isOperator(authorization)
-    }))
+      operators: this.#edge.operators
+    }), this.#edge.tls.loadListener(settings.operationsListener))
   }
 
   /**
--- a/src/edge/entry/callers.ts
+++ b/src/edge/entry/callers.ts
@@ -5,11 +5,12 @@
 import type { ErrorKind } from '../../kernel/errors.js'
 import type { RequestReceived } from '../../kernel/events.js'
 import type { ConfigurationPort } from '../../kernel/ports.js'
+import type { Team } from '../../kernel/document.js'
+import { verifyTeamHeader } from '../security/credentials.js'
 import { CallerExchange } from './exchange.js'
 import { Gateway } from './gateway.js'
 import { parseModelRequest, parseServiceRequest } from './request.js'
 import type { CallerRequest } from './request.js'
-import { TeamAuthenticator } from './teams.js'
 
 /** Path under which plain services are reached. */
 const SERVICES_PATH = '/services/'
@@ -21,12 +22,10 @@
 @Controller()
 export class CallersController {
   readonly #gateway: Gateway
-  readonly #teams: TeamAuthenticator
   readonly #configuration: ConfigurationPort
 
-  constructor (@Inject(Gateway) gateway: Gateway, @Inject(TeamAuthenticator) teams: TeamAuthenticator, @Inject(CONFIGURATION) configuration: ConfigurationPort) {
+  constructor (@Inject(Gateway) gateway: Gateway, @Inject(CONFIGURATION) configuration: ConfigurationPort) {
     this.#gateway = gateway
-    this.#teams = teams
     this.#configuration = configuration
   }
 
@@ -49,7 +48,7 @@
   @Get('/v1/address')
   async handleAddress (@Req() request: FastifyRequest, @Res() reply: FastifyReply): Promise<void> {
     const exchange = takeOver(reply)
-    const team = this.#teams.authenticate(request.headers.authorization)
+    const team = this.#findTeam(request.headers.authorization)
     if (team === undefined) {
       this.#gateway.refuseRequest(exchange, 'unauthenticated', false)
       return
@@ -72,7 +71,7 @@
   @Get('/v1/outcome')
   async handleOutcome (@Req() request: FastifyRequest, @Res() reply: FastifyReply): Promise<void> {
     const exchange = takeOver(reply)
-    const team = this.#teams.authenticate(request.headers.authorization)
+    const team = this.#findTeam(request.headers.authorization)
     const key = new URL(request.url, 'http://entry').searchParams.get('key')
     if (team === undefined || key === null) {
       this.#gateway.refuseRequest(exchange, team === undefined ? 'unauthenticated' : 'bad-request', true)
@@ -81,10 +80,14 @@
     exchange.writeJson({ key, state: await this.#gateway.askOutcome(team.name, key) })
   }
 
+  #findTeam (authorization: string | undefined): Team | undefined {
+    return verifyTeamHeader(authorization, name => this.#configuration.findTeam(name))
+  }
+
   #handleRequest (request: FastifyRequest, reply: FastifyReply, path: string, parse: (caller: CallerRequest) => Either<ErrorKind, RequestReceived>): void {
     const exchange = takeOver(reply)
     const hasKey = request.headers['idempotency-key'] !== undefined
-    const team = this.#teams.authenticate(request.headers.authorization)
+    const team = this.#findTeam(request.headers.authorization)
     if (team === undefined) {
       this.#gateway.refuseRequest(exchange, 'unauthenticated', hasKey)
       return
--- a/src/edge/entry/process.ts
+++ b/src/edge/entry/process.ts
@@ -2,14 +2,12 @@
 
 import { Operations } from '../operations.js'
 import { ProcessEdge } from '../process.js'
-import { OperatorAuthenticator } from '../security/operators.js'
 import type { EntrySettings, ListenerSettings } from '../../settings/process.js'
 import { CallersController, CONFIGURATION } from './callers.js'
 import { Gateway } from './gateway.js'
 import { OperationsController } from './operations.js'
 import { EntryServer } from './server.js'
 import type { ServerOptions } from './server.js'
-import { TeamAuthenticator } from './teams.js'
 
 /** Who is told when the planned stop is finished. */
 interface LeaveState {
@@ -90,32 +88,31 @@
 function buildCallersOptions (settings: EntrySettings, edge: ProcessEdge, gateway: Gateway): ServerOptions {
   const configuration = edge.kernel.port('configuration')
   return {
-    ...getAddress(settings.callerListener),
+    ...buildListener(edge, settings.callerListener),
     limits: settings.limits,
     controller: CallersController,
     providers: [
       { provide: Gateway, useValue: gateway },
-      { provide: TeamAuthenticator, useValue: TeamAuthenticator.create(configuration) },
       { provide: CONFIGURATION, useValue: configuration }
     ]
   }
 }
 
 function buildOperationsOptions (settings: EntrySettings, edge: ProcessEdge): ServerOptions {
-  const operators = OperatorAuthenticator.create(settings.operationsListener.operatorKeysFile)
   const operations = Operations.create({
     kernel: edge.kernel,
     metrics: edge.metrics,
-    isOperator: authorization => operators.isOperator(authorization)
+    operators: edge.operators
   })
   return {
-    ...getAddress(settings.operationsListener),
+    ...buildListener(edge, settings.operationsListener),
     limits: settings.limits,
     controller: OperationsController,
     providers: [{ provide: Operations, useValue: operations }]
   }
 }
 
-function getAddress (listener: ListenerSettings): { readonly ip: string, readonly port: number } {
-  return { ip: listener.ip, port: listener.port }
+function buildListener (edge: ProcessEdge, listener: ListenerSettings): Pick<ServerOptions, 'ip' | 'port' | 'tls'> {
+  const tls = edge.tls.loadListener(listener)
+  return { ip: listener.ip, port: listener.port, ...(tls === undefined ? {} : { tls }) }
 }
--- a/src/edge/entry/server.ts
+++ b/src/edge/entry/server.ts
@@ -3,6 +3,7 @@
 import 'reflect-metadata'
 import { randomUUID } from 'node:crypto'
 import type { Server } from 'node:http'
+import type { Server as HttpsServer } from 'node:https'
 import { Module } from '@nestjs/common'
 import type { DynamicModule, Provider, Type } from '@nestjs/common'
 import { NestFactory } from '@nestjs/core'
@@ -11,16 +12,10 @@
 import type { FastifyInstance } from 'fastify'
 import { ERROR_ANSWERS } from '../../kernel/errors.js'
 import type { ErrorKind } from '../../kernel/errors.js'
+import type { TlsSource } from '../security/tls.js'
 import { CallerExchange } from './exchange.js'
 import type { LimitSettings } from '../../settings/process.js'
 
-/** Key material of a listener, in PEM. */
-export interface ListenerTls {
-  readonly cert: string
-  readonly key: string
-  readonly ca?: string
-}
-
 /** What a server is started with. */
 export interface ServerOptions {
   readonly ip: string
@@ -28,7 +23,8 @@
   readonly controller: Type
   readonly providers: readonly Provider[]
   readonly limits: LimitSettings
-  readonly tls?: ListenerTls
+  /** Plain HTTP when absent. */
+  readonly tls?: TlsSource
 }
 
 @Module({})
@@ -64,6 +60,7 @@
       CallerExchange.create(randomUUID(), reply.raw).writeError({ error: findKind(error), outcome: hasKey ? 'unknown' : 'not-run', forwarded: false })
     })
     await app.init()
+    options.tls?.addServer(app.getHttpServer() as HttpsServer)
     return new EntryServer(app, options)
   }
 
@@ -95,7 +92,7 @@
     exposeHeadRoutes: false
   }
   if (tls === undefined) return { ...common, http }
-  return { ...common, https: { ...http, ...tls, ...(tls.ca === undefined ? {} : { requestCert: true, rejectUnauthorized: true }) } }
+  return { ...common, https: { ...http, ...tls.getOptions() } }
 }
 
 function findKind (error: unknown): ErrorKind {
--- a/src/edge/operations.ts
+++ b/src/edge/operations.ts
@@ -6,6 +6,7 @@
 import type { Kernel } from '../kernel/kernel.js'
 import type { PeerView } from '../kernel/ports.js'
 import type { Metrics } from './metrics/metrics.js'
+import type { OperatorKeys } from './security/credentials.js'
 import { getNowMs } from './clock.js'
 
 /** An answer to an operator. */
@@ -19,8 +20,7 @@
 export interface OperationsParts {
   readonly kernel: Kernel
   readonly metrics: Metrics
-  /** Whether the credential in an `authorization` header is an operator's. */
-  readonly isOperator: (authorization: string | undefined) => boolean
+  readonly operators: OperatorKeys
 }
 
 const JSON_TYPE = 'application/json'
@@ -54,7 +54,7 @@
     if (path === '/healthz') return formatJson(200, { status: 'ok' })
     if (path === '/readyz') return this.#describeReadiness()
     if (path === '/metrics') return { status: 200, contentType: 'text/plain; version=0.0.4', body: await this.#parts.metrics.format() }
-    if (!this.#parts.isOperator(authorization)) return formatJson(401, { error: { kind: 'unauthenticated' } })
+    if (this.#parts.operators.verifyHeader(authorization) === undefined) return formatJson(401, { error: { kind: 'unauthenticated' } })
     if (path === '/v1/status') return formatJson(200, this.#describeStatus())
     if (path.startsWith(EXPLAIN_PATH)) return this.#describeRequest(path.slice(EXPLAIN_PATH.length))
     return formatJson(404, { error: { kind: 'unknown-path' } })
--- a/src/edge/peer/connection.ts
+++ b/src/edge/peer/connection.ts
@@ -2,7 +2,8 @@
 import { decodeMessage, encodeMessage } from '../../protocol/codec.js'
 import { PROTOCOL_VERSION } from '../../protocol/messages.js'
 import type { Hello, Message, ProcessRef } from '../../protocol/messages.js'
-import { createNonce, signProof, verifyProof } from './proof.js'
+import { createChallenge, signChallenge, verifyProof } from '../security/cluster-proof.js'
+import type { ConnectionSide } from '../security/cluster-proof.js'
 
 /** Time within which both hellos must have arrived, in ms. */
 const HANDSHAKE_TIMEOUT_MS = 2_000
@@ -27,7 +28,7 @@
 
 /**
  * One authenticated connection to a peer. Either side first sends a hello with
- * a nonce, then a hello with a proof over both nonces; messages pass only after
+ * a nonce, then a hello with a proof over the other's nonce; messages pass only after
  * the peer's proof was verified.
  */
 export class PeerConnection {
@@ -36,7 +37,7 @@
   readonly #socket: WebSocket
   readonly #identity: ConnectionIdentity
   readonly #listener: ConnectionListener
-  readonly #nonce = createNonce()
+  readonly #nonce = createChallenge()
   readonly #timer: NodeJS.Timeout
   #peer: ProcessRef | undefined
   #theirNonce: string | undefined
@@ -125,11 +126,11 @@
     const { self, clusterSecret } = this.#identity
     if (this.#theirNonce === undefined) {
       this.#theirNonce = hello.nonce
-      this.#sendHello(signProof(clusterSecret, self, hello.nonce, this.#nonce))
+      this.#sendHello(signChallenge(clusterSecret, { challenge: hello.nonce, side: this.#getSide(this.dialled), process: self }))
       return
     }
-    const expected = signProof(clusterSecret, hello.process, this.#nonce, this.#theirNonce)
-    if (this.#peer !== undefined || hello.nonce !== this.#theirNonce || !verifyProof(hello.proof, expected)) {
+    const subject = { challenge: this.#nonce, side: this.#getSide(!this.dialled), process: hello.process }
+    if (this.#peer !== undefined || !verifyProof(clusterSecret, subject, hello.proof)) {
       this.close('wrong proof of the cluster secret')
       return
     }
@@ -137,4 +138,8 @@
     this.#peer = hello.process
     this.#listener.handleOpen(this, hello.process)
   }
+
+  #getSide (dialled: boolean): ConnectionSide {
+    return dialled ? 'dialler' : 'listener'
+  }
 }
--- a/src/edge/peer/hub.ts
+++ b/src/edge/peer/hub.ts
@@ -1,9 +1,11 @@
 import { createServer as createHttpServer } from 'node:http'
 import type { Server } from 'node:http'
 import { createServer as createHttpsServer } from 'node:https'
+import type { Server as HttpsServer } from 'node:https'
 import { WebSocket, WebSocketServer } from 'ws'
 import { MESSAGE_MAX_BYTES } from '../../protocol/codec.js'
 import type { Message, ProcessRef } from '../../protocol/messages.js'
+import type { TlsSource } from '../security/tls.js'
 import { PeerConnection } from './connection.js'
 import type { ConnectionIdentity, ConnectionListener } from './connection.js'
 
@@ -19,31 +21,29 @@
   handlePeerRefused (reason: string): void
 }
 
-/** TLS of the peer listener and of outgoing connections, in PEM. */
+/** TLS of the peer listener and of outgoing connections; plain TCP where absent. */
 export interface PeerTls {
-  readonly cert: string
-  readonly key: string
-  readonly ca: string
+  readonly listener?: TlsSource
+  readonly dialler?: TlsSource
 }
 
 /** Keeps at most one authenticated connection to each peer. */
 export class PeerHub implements ConnectionListener {
   readonly #identity: ConnectionIdentity
   readonly #listener: HubListener
-  readonly #tls: PeerTls | undefined
+  readonly #tls: PeerTls
   readonly #server: Server
   readonly #sockets: WebSocketServer
   readonly #byPeer = new Map<string, PeerConnection>()
   readonly #pending = new Set<PeerConnection>()
   readonly #dialling = new Map<string, PeerConnection>()
 
-  private constructor (identity: ConnectionIdentity, listener: HubListener, tls: PeerTls | undefined) {
+  private constructor (identity: ConnectionIdentity, listener: HubListener, tls: PeerTls) {
     this.#identity = identity
     this.#listener = listener
     this.#tls = tls
-    this.#server = tls === undefined
-      ? createHttpServer()
-      : createHttpsServer({ cert: tls.cert, key: tls.key, ca: tls.ca, requestCert: true, rejectUnauthorized: true })
+    this.#server = tls.listener === undefined ? createHttpServer() : createHttpsServer(tls.listener.getOptions())
+    if (tls.listener !== undefined) tls.listener.addServer(this.#server as HttpsServer)
     this.#sockets = new WebSocketServer({ server: this.#server, maxPayload: MESSAGE_MAX_BYTES, perMessageDeflate: false })
     this.#sockets.on('connection', socket => {
       this.#pending.add(PeerConnection.create(socket, false, identity, this))
@@ -56,15 +56,10 @@
    * @param tls - key material; plain TCP when absent
    * @returns a hub that does not listen yet
    */
-  static create (identity: ConnectionIdentity, listener: HubListener, tls?: PeerTls): PeerHub {
+  static create (identity: ConnectionIdentity, listener: HubListener, tls: PeerTls = {}): PeerHub {
     return new PeerHub(identity, listener, tls)
   }
 
-  /** Server of the peer listener, for reloads of its key material. */
-  get server (): Server {
-    return this.#server
-  }
-
   /**
    * @param ip - address to listen on
    * @param port - TCP port
@@ -89,10 +84,11 @@
    */
   connect (peer: string, address: string): void {
     if (this.#byPeer.has(peer) || this.#dialling.has(peer)) return
-    const tls = this.#tls
-    const socket = tls === undefined
-      ? new WebSocket(`ws://${address}`, { handshakeTimeout: CONNECT_TIMEOUT_MS, perMessageDeflate: false, maxPayload: MESSAGE_MAX_BYTES })
-      : new WebSocket(`wss://${address}`, { handshakeTimeout: CONNECT_TIMEOUT_MS, perMessageDeflate: false, maxPayload: MESSAGE_MAX_BYTES, cert: tls.cert, key: tls.key, ca: tls.ca })
+    const dialler = this.#tls.dialler
+    const options = { handshakeTimeout: CONNECT_TIMEOUT_MS, perMessageDeflate: false, maxPayload: MESSAGE_MAX_BYTES }
+    const socket = dialler === undefined
+      ? new WebSocket(`ws://${address}`, options)
+      : new WebSocket(`wss://${address}`, { ...options, ...dialler.getOptions() })
     this.#dialling.set(peer, PeerConnection.create(socket, true, this.#identity, this))
   }
 
--- a/src/edge/process.ts
+++ b/src/edge/process.ts
@@ -5,6 +5,7 @@
 import { Kernel } from '../kernel/kernel.js'
 import '../plugins/index.js'
 import type { ProcessRef, Role } from '../protocol/messages.js'
+import { formatFaults, loadSecretFile } from '../settings/index.js'
 import type { ProcessSettings } from '../settings/process.js'
 import { Logger } from './log/logger.js'
 import { Metrics } from './metrics/metrics.js'
@@ -12,6 +13,8 @@
 import { PlatformClient } from './platform/client.js'
 import { ConfigurationReader } from './platform/reader.js'
 import { Runtime } from './runtime.js'
+import { OperatorKeys } from './security/credentials.js'
+import { TlsFiles } from './security/files.js'
 
 /** What differs between the roles. */
 export interface ProcessOptions {
@@ -36,20 +39,22 @@
   readonly runtime: Runtime
   readonly hub: PeerHub
   readonly platform: PlatformClient
+  readonly tls: TlsFiles
+  readonly operators: OperatorKeys
   readonly #reader: ConfigurationReader
   readonly #settings: ProcessSettings
 
   private constructor (options: ProcessOptions) {
     const { settings, role } = options
     const self = buildSelf(settings, role)
-    const clusterSecret = readFileSync(settings.clusterSecretFile, 'utf8').trim()
+    const clusterSecret = loadSecret(settings.clusterSecretFile)
     this.#settings = settings
     this.logger = Logger.create({ processId: self.id })
     this.metrics = Metrics.create({ role })
     this.platform = PlatformClient.create({
       urls: settings.platform.urls,
       timeoutMs: settings.platform.timeoutMs,
-      ...(settings.platform.credentialFile === undefined ? {} : { credential: readFileSync(settings.platform.credentialFile, 'utf8').trim() })
+      ...(settings.platform.credentialFile === undefined ? {} : { credential: loadSecret(settings.platform.credentialFile, 1) })
     })
     this.kernel = Kernel.create({
       self,
@@ -61,6 +66,8 @@
         ...(options.addressHoldMs === undefined ? {} : { addressHoldMs: options.addressHoldMs })
       }
     })
+    this.tls = TlsFiles.create(this.logger)
+    this.operators = OperatorKeys.create(loadOperatorKeys(settings))
     this.hub = this.#createHub(self, clusterSecret)
     this.runtime = Runtime.create({ ...this.#parts(), handleRoleEffect: options.handleRoleEffect, handleLeaveFinished: options.handleLeaveFinished })
     this.#reader = ConfigurationReader.create({
@@ -104,6 +111,7 @@
     this.runtime.stop()
     await this.hub.stop()
     await this.platform.close()
+    this.tls.stop()
     this.logger.write('process-stopped', {})
   }
 
@@ -117,6 +125,7 @@
       clusterSecret,
       getConfigVersion: () => this.kernel.port('configuration').getCurrent().version
     }
+    const tls = this.tls.loadPeerTls(this.#settings)
     return PeerHub.create(identity, {
       handlePeerConnected: peer => {
         this.logger.write('peer-connected', { peer: peer.id, incarnation: peer.incarnation })
@@ -128,10 +137,22 @@
       },
       handlePeerMessage: (peer, message) => { this.runtime.dispatch({ kind: 'message-received', peer, message }) },
       handlePeerRefused: reason => { this.logger.write('peer-refused', { reason }) }
-    })
+    }, tls)
   }
 }
 
+function loadSecret (file: string, minCharacters?: number): string {
+  return loadSecretFile(file, minCharacters).caseOf({
+    Left: faults => { throw new Error(formatFaults(faults)) },
+    Right: secret => secret
+  })
+}
+
+function loadOperatorKeys (settings: ProcessSettings): string {
+  const file = settings.operationsListener.operatorKeysFile
+  return file === undefined ? '' : readFileSync(file, 'utf8')
+}
+
 /** The wall clock in ms serves as incarnation number: it rises with each start. */
 function buildSelf (settings: ProcessSettings, role: Role): ProcessRef {
   return {
--- a/src/protocol/messages.ts
+++ b/src/protocol/messages.ts
@@ -60,7 +60,7 @@
   readonly configVersion: number
   /** Random text that the other side signs. */
   readonly nonce: string
-  /** HMAC over both nonces and the process by the cluster secret; empty in the acceptor's first hello. */
+  /** HMAC over the receiver's nonce and this process by the cluster secret; empty in the first hello. */
   readonly proof: string
 }
 
