--- a/src/edge/process.ts
+++ b/src/edge/process.ts
@@ -127,14 +127,8 @@
     }
     const tls = this.tls.loadPeerTls(this.#settings)
     return PeerHub.create(identity, {
-      handlePeerConnected: peer => {
-        this.logger.write('peer-connected', { peer: peer.id, incarnation: peer.incarnation })
-        this.runtime.dispatch({ kind: 'peer-connected', peer })
-      },
-      handlePeerDisconnected: (peer, reason) => {
-        this.logger.write('peer-disconnected', { peer: peer.id, reason })
-        this.runtime.dispatch({ kind: 'peer-disconnected', peer })
-      },
+      handlePeerConnected: peer => { this.runtime.dispatch({ kind: 'peer-connected', peer }) },
+      handlePeerDisconnected: peer => { this.runtime.dispatch({ kind: 'peer-disconnected', peer }) },
       handlePeerMessage: (peer, message) => { this.runtime.dispatch({ kind: 'message-received', peer, message }) },
       handlePeerRefused: reason => { this.logger.write('peer-refused', { reason }) }
     }, tls)
--- a/test/endpoint/harness.ts
+++ b/test/endpoint/harness.ts
@@ -44,13 +44,16 @@
   findTeam: () => undefined,
   findEndpoint: id => World.current.endpoints.find(endpoint => endpoint.id === id),
   listEndpoints: () => World.current.endpoints,
-  isInService: endpoint => !World.current.out.has(endpoint.domain)
+  isInService: endpoint => !World.current.out.has(endpoint.domain),
+  listPartHashes: () => []
 }
 const membership: MembershipPort = {
   findPeer: id => membership.listPeers().find(peer => peer.process.id === id),
   listPeers: () => World.current.peers.map(process => ({ process, heardAtMs: 0, configVersion: 1 })),
   listEntries: () => [],
-  isLeaving: () => false
+  isLeaving: () => false,
+  isHostLeaving: () => false,
+  isWatcher: () => false
 }
 registerPlugin({ name: 'fake', roles: ['entry', 'endpoint'], create: () => ({ name: 'fake', subscribesTo: [], ports: { configuration, membership }, handle: () => {} }) })
 
