Add the change protocol for expert maps

The ranks of a group must execute each step with one map while processes pause, die and are replaced. Adds the rank's side (plug-in experts), the holder's side with its lease (plug-in map-holder) and a simulated world for tests.

The record map/<group> is the only place of decision: its version rises with every commit and abort, and a proposal for version n can only be decided while the record stands at n - 1. A new holder, a restarted endpoint process and a rank that waits too long each close the open version by the same conditional write. Orders bear the version as the fencing number, because a lease number alone does not order two changes of one holder, or a process and its replacement.

Contract edits: map-prepare gets base and baseStep, map-decided gets mapVersion, message expert-load, EndpointReport.expertCounts, ports mapHolder and ExpertsPort.describeState.

--- a/src/kernel/events.ts
+++ b/src/kernel/events.ts
@@ -44,6 +44,8 @@
   readonly stepMs?: number
   /** Current decoding step; ranks of a group only. */
   readonly step?: number
+  /** Tokens per layer and expert slot since the last report; ranks of a group only. */
+  readonly expertCounts?: readonly (readonly number[])[]
 }
 
 export type KernelEvent =
--- a/src/kernel/ports.ts
+++ b/src/kernel/ports.ts
@@ -115,6 +115,24 @@
 /** State of a group's expert map at an endpoint process. */
 export interface ExpertsPort {
   getStepMs (): number | undefined
+  /** Undefined while the endpoint belongs to no group. */
+  describeState (): RankView | undefined
+}
+
+/** What a rank's endpoint process knows of its map. */
+export interface RankView {
+  readonly group: string
+  readonly rank: number
+  readonly joined: boolean
+  readonly mapVersion: number | undefined
+  readonly pendingVersion: number | undefined
+  readonly pendingStep: number | undefined
+}
+
+/** Groups whose expert map this entry may change. */
+export interface MapHolderPort {
+  isHolder (group: string): boolean
+  getMapVersion (group: string): number | undefined
 }
 
 /** All ports by name. */
@@ -128,4 +146,5 @@
   readonly admission: AdmissionPort
   readonly outcomes: OutcomesPort
   readonly experts: ExpertsPort
+  readonly mapHolder: MapHolderPort
 }
--- /dev/null
+++ b/src/plugins/experts/change.ts
@@ -0,0 +1,378 @@
+import type { PlatformResult } from '../../kernel/events.js'
+import type { Context } from '../../kernel/plugin.js'
+import type { MapPrepared, MapQuery, Message } from '../../protocol/messages.js'
+import { buildAbort, buildCommit, formatMapKey, parseRecord } from './record.js'
+import type { MapContent, MapRecord, StoredRecord } from './record.js'
+
+/** Largest age of the platform's answer when a change begins, in ms. */
+export const PLATFORM_FRESH_MS = 1_000
+/** Time between repeats of a proposal to ranks that have not answered, in ms. */
+export const PREPARE_REPEAT_MS = 500
+/** Time after which a change that is not prepared everywhere is aborted, in ms. */
+export const CHANGE_LIMIT_MS = 30_000
+/** Time after which a platform call without an answer counts as unknown, in ms. */
+const CALL_LIMIT_MS = 5_000
+/** Time until the next attempt after a failed call, in ms. */
+const RETRY_MS = 500
+
+/** Ways out of a change; the kernel's context fits. */
+export type ChangeContext = Pick<Context, 'nowMs' | 'emit'>
+
+/** A map that the holder wants in force. */
+export interface WantedMap {
+  readonly ranks: MapContent['ranks']
+  /** First step that may use it. */
+  readonly step: number
+}
+
+/** A change that ranks prepare, or whose outcome is being written. */
+export interface Proposal extends WantedMap {
+  readonly version: number
+  readonly prepared: readonly boolean[]
+  readonly sinceMs: number
+  readonly nextSendAtMs: number
+  /** What the holder writes; undefined while ranks prepare. */
+  readonly intent?: 'commit' | 'abort'
+}
+
+/** Whole state of a holder's changes; plain data. */
+export interface ChangeState {
+  /** Fencing number of the lease; 0 when not held. */
+  readonly fence: number
+  /** The record bears this holder's number: nothing older can be decided. */
+  readonly closed: boolean
+  readonly stored?: StoredRecord
+  readonly wanted?: WantedMap
+  readonly proposal?: Proposal
+  readonly calls: number
+  readonly nextCallAtMs: number
+  readonly call?: { readonly id: string, readonly sentAtMs: number, readonly writes?: StoredRecord }
+  /** Result of the last change until it is taken. */
+  readonly outcome?: ChangeOutcome
+}
+
+/** Result of a change. */
+export interface ChangeOutcome {
+  readonly committed: boolean
+  /** Time from the proposal to the decision in ms. */
+  readonly elapsedMs: number
+}
+
+/** A holder that knows nothing yet. */
+export const INITIAL_CHANGE: ChangeState = { fence: 0, closed: false, calls: 0, nextCallAtMs: 0 }
+
+/** Safeguards of a holder. Tests switch single ones off to show that the checks notice. */
+export interface ChangeRules {
+  /** A new holder closes the next version by a write before it proposes. */
+  readonly closesOnTakeOver: boolean
+  /** A change is committed only when every rank has prepared it. */
+  readonly waitsForAll: boolean
+  /** A lost answer is resolved by reading back, and decided again by the same condition. */
+  readonly readsBack: boolean
+  /** Ranks are told only what stands in the record. */
+  readonly tellsAfterWrite: boolean
+}
+
+/** All safeguards in force. */
+export const CHANGE_RULES: ChangeRules = { closesOnTakeOver: true, waitsForAll: true, readsBack: true, tellsAfterWrite: true }
+
+/** The holder's side of the change protocol for one group. */
+export class Change {
+  readonly #group: string
+  readonly #peers: readonly string[]
+  readonly #rules: ChangeRules
+  #state: ChangeState
+
+  private constructor (group: string, peers: readonly string[], rules: ChangeRules, state: ChangeState) {
+    this.#group = group
+    this.#peers = peers
+    this.#rules = rules
+    this.#state = state
+  }
+
+  /**
+   * @param group - name of the group
+   * @param peers - endpoint process of each rank
+   * @param rules - safeguards
+   * @param state - state to continue from
+   * @returns the holder's side of the protocol
+   */
+  static create (group: string, peers: readonly string[], rules: ChangeRules = CHANGE_RULES, state: ChangeState = INITIAL_CHANGE): Change {
+    return new Change(group, peers, rules, state)
+  }
+
+  /** @returns the whole state */
+  getState (): ChangeState {
+    return this.#state
+  }
+
+  /** @returns whether a change can be asked for now */
+  isReady (): boolean {
+    const { closed, proposal, wanted, fence } = this.#state
+    return fence > 0 && closed && proposal === undefined && wanted === undefined
+  }
+
+  /** @returns the result of the last change, once */
+  removeOutcome (): ChangeOutcome | undefined {
+    const { outcome, ...rest } = this.#state
+    this.#state = rest
+    return outcome
+  }
+
+  /**
+   * Takes note of the lease.
+   *
+   * @param fence - fencing number; 0 when the lease is not held
+   */
+  updateLease (fence: number): void {
+    if (fence === this.#state.fence) return
+    const { proposal: _proposal, wanted: _wanted, call: _call, ...rest } = this.#state
+    this.#state = { ...rest, fence, closed: false, nextCallAtMs: 0 }
+  }
+
+  /**
+   * Asks for a map; it is proposed after the platform has answered a read.
+   *
+   * @param wanted - the map and its first step
+   */
+  propose (wanted: WantedMap): void {
+    if (this.isReady()) this.#update({ wanted, nextCallAtMs: 0 })
+  }
+
+  /**
+   * Repeats what has not been answered.
+   *
+   * @param context - ways out
+   */
+  handleTick (context: ChangeContext): void {
+    const { call, fence, closed, wanted, proposal } = this.#state
+    if (call !== undefined && context.nowMs - call.sentAtMs >= CALL_LIMIT_MS) this.#removeCall()
+    if (fence === 0) return
+    if (proposal !== undefined && proposal.intent === undefined) this.#continuePreparing(proposal, context)
+    const waiting = !closed || wanted !== undefined || proposal?.intent !== undefined
+    if (waiting && this.#state.call === undefined && context.nowMs >= this.#state.nextCallAtMs) this.#read(context)
+  }
+
+  /**
+   * Takes a rank's answer to a proposal.
+   *
+   * @param from - endpoint process that answers
+   * @param message - its answer
+   * @param context - ways out
+   */
+  handlePrepared (from: string, message: MapPrepared, context: ChangeContext): void {
+    const { proposal, fence } = this.#state
+    if (proposal === undefined || proposal.intent !== undefined) return
+    if (message.version !== proposal.version || message.fence !== fence || this.#peers[message.rank] !== from) return
+    if (!message.accepted) {
+      this.#decide('abort', context)
+      return
+    }
+    const prepared = proposal.prepared.map((done, rank) => done || rank === message.rank)
+    this.#update({ proposal: { ...proposal, prepared } })
+    if (prepared.every(done => done) || !this.#rules.waitsForAll) this.#decide('commit', context)
+  }
+
+  /**
+   * Answers a rank that asks for an outcome.
+   *
+   * @param from - endpoint process that asks
+   * @param message - the question
+   * @param context - ways out
+   */
+  handleQuery (from: string, message: MapQuery, context: ChangeContext): void {
+    const { stored } = this.#state
+    if (stored !== undefined && stored.record.version >= message.version) this.#tell(from, stored.record, context)
+  }
+
+  /**
+   * Handles the platform's answer.
+   *
+   * @param callId - id of the call
+   * @param result - the answer
+   * @param context - ways out
+   */
+  handlePlatform (callId: string, result: PlatformResult, context: ChangeContext): void {
+    const call = this.#state.call
+    if (call?.id !== callId) return
+    this.#removeCall()
+    this.#update({ nextCallAtMs: context.nowMs + RETRY_MS })
+    switch (result.kind) {
+      case 'found': {
+        const record = parseRecord(result.value)
+        if (record !== undefined) this.#handleStored({ revision: result.revision, record }, call.sentAtMs, context)
+        return
+      }
+      case 'missing':
+        this.#handleMissing(context)
+        return
+      case 'written':
+        if (call.writes !== undefined) this.#handleStored({ ...call.writes, revision: result.revision }, call.sentAtMs, context)
+        return
+      case 'conflict':
+      case 'unknown':
+        if (this.#rules.readsBack) this.#read(context)
+        else this.#removeProposal()
+        return
+      case 'unavailable':
+        if (this.#state.wanted !== undefined) this.#removeWanted()
+    }
+  }
+
+  /** Takes in what stands in the platform, then continues from there. */
+  #handleStored (stored: StoredRecord, sentAtMs: number, context: ChangeContext): void {
+    const { fence, closed, proposal, wanted } = this.#state
+    const older = this.#state.stored !== undefined && stored.record.version < this.#state.stored.record.version
+    if (older) return
+    this.#update({ stored })
+    const { record } = stored
+    if (record.fence > fence) {
+      // A later holder wrote the record; the lease is gone, although this process may not know yet.
+      this.#removeProposal()
+      this.#update({ closed: false, nextCallAtMs: context.nowMs + CALL_LIMIT_MS })
+    } else if (!closed) {
+      this.#handleClosing(stored, context)
+    } else if (proposal !== undefined) {
+      if (record.version >= proposal.version) this.#handleDecided(record, proposal, context)
+      else if (proposal.intent !== undefined) this.#writeDecision(stored, proposal, proposal.intent, context)
+    } else if (wanted !== undefined) {
+      this.#removeWanted()
+      if (context.nowMs - sentAtMs <= PLATFORM_FRESH_MS) this.#begin(record, wanted, context)
+    }
+  }
+
+  #handleClosing (stored: StoredRecord, context: ChangeContext): void {
+    const { fence } = this.#state
+    if (stored.record.fence === fence || !this.#rules.closesOnTakeOver) {
+      this.#removeWanted()
+      this.#update({ closed: true })
+      this.#tellAll(stored.record, context)
+    } else {
+      this.#write({ revision: stored.revision, record: buildAbort(stored.record, fence) }, context)
+    }
+  }
+
+  #handleMissing (context: ChangeContext): void {
+    const { fence, wanted, closed } = this.#state
+    if (closed) return
+    if (wanted === undefined) return
+    this.#write({ revision: 0, record: buildCommit(undefined, fence, 0, wanted.ranks) }, context)
+  }
+
+  /**
+   * Gives the map that a group without a record starts with.
+   *
+   * @param ranks - experts by rank and layer
+   */
+  updateInitialMap (ranks: MapContent['ranks']): void {
+    if (!this.#state.closed && this.#state.stored === undefined) this.#update({ wanted: { ranks, step: 0 } })
+    else if (!this.#state.closed) this.#removeWanted()
+  }
+
+  #handleDecided (record: MapRecord, proposal: Proposal, context: ChangeContext): void {
+    const committed = record.map.version === proposal.version
+    context.emit({ kind: 'log', event: 'map-decided', fields: { group: this.#group, version: proposal.version, committed } })
+    context.emit({ kind: 'observe', metric: 'map_change_ms', value: context.nowMs - proposal.sinceMs, label: committed ? 'commit' : 'abort' })
+    this.#removeProposal()
+    this.#update({ outcome: { committed, elapsedMs: context.nowMs - proposal.sinceMs } })
+    this.#tellAll(record, context)
+  }
+
+  #begin (record: MapRecord, wanted: WantedMap, context: ChangeContext): void {
+    const proposal: Proposal = {
+      ...wanted,
+      version: record.version + 1,
+      prepared: this.#peers.map(() => false),
+      sinceMs: context.nowMs,
+      nextSendAtMs: context.nowMs
+    }
+    context.emit({ kind: 'log', event: 'map-proposed', fields: { group: this.#group, version: proposal.version, step: proposal.step, fence: this.#state.fence } })
+    this.#update({ proposal })
+    this.#continuePreparing(proposal, context)
+  }
+
+  #continuePreparing (proposal: Proposal, context: ChangeContext): void {
+    if (context.nowMs - proposal.sinceMs >= CHANGE_LIMIT_MS) {
+      this.#decide('abort', context)
+      return
+    }
+    if (context.nowMs < proposal.nextSendAtMs) return
+    this.#update({ proposal: { ...proposal, nextSendAtMs: context.nowMs + PREPARE_REPEAT_MS } })
+    const { map } = this.#state.stored!.record
+    const { fence } = this.#state
+    const { version, step } = proposal
+    this.#peers.forEach((peer, rank) => {
+      if (proposal.prepared[rank] === true) return
+      const layers = proposal.ranks[rank] ?? []
+      const message: Message = { kind: 'map-prepare', group: this.#group, version, step, fence, rank, layers, base: map.version, baseStep: map.step }
+      context.emit({ kind: 'send', peer, message })
+    })
+  }
+
+  #decide (intent: 'commit' | 'abort', context: ChangeContext): void {
+    const { proposal, stored } = this.#state
+    if (proposal === undefined || stored === undefined) return
+    const decided: Proposal = { ...proposal, intent }
+    this.#update({ proposal: decided })
+    this.#writeDecision(stored, decided, intent, context)
+  }
+
+  #writeDecision (stored: StoredRecord, proposal: Proposal, intent: 'commit' | 'abort', context: ChangeContext): void {
+    const { fence } = this.#state
+    const record = intent === 'commit'
+      ? buildCommit(stored.record, fence, proposal.step, proposal.ranks)
+      : buildAbort(stored.record, fence)
+    this.#write({ revision: stored.revision, record }, context)
+    if (!this.#rules.tellsAfterWrite) this.#tellAll(record, context)
+  }
+
+  #tellAll (record: MapRecord, context: ChangeContext): void {
+    for (const peer of this.#peers) this.#tell(peer, record, context)
+  }
+
+  #tell (peer: string, record: MapRecord, context: ChangeContext): void {
+    const { version, decision, fence, map } = record
+    context.emit({
+      kind: 'send',
+      peer,
+      message: { kind: 'map-decided', group: this.#group, version, decision, fence, mapVersion: map.version, step: map.step }
+    })
+  }
+
+  #read (context: ChangeContext): void {
+    const id = this.#noteCall(context)
+    context.emit({ kind: 'platform-call', callId: id, operation: { kind: 'read', key: formatMapKey(this.#group) } })
+  }
+
+  #write (writes: StoredRecord, context: ChangeContext): void {
+    const id = this.#noteCall(context, writes)
+    const value = JSON.stringify(writes.record)
+    context.emit({ kind: 'platform-call', callId: id, operation: { kind: 'write', key: formatMapKey(this.#group), value, revision: writes.revision } })
+  }
+
+  #noteCall (context: ChangeContext, writes?: StoredRecord): string {
+    const calls = this.#state.calls + 1
+    const id = `map/${this.#group}/${calls}`
+    this.#update({ calls, call: { id, sentAtMs: context.nowMs, ...(writes === undefined ? {} : { writes }) } })
+    return id
+  }
+
+  #removeCall (): void {
+    const { call: _call, ...rest } = this.#state
+    this.#state = rest
+  }
+
+  #removeWanted (): void {
+    const { wanted: _wanted, ...rest } = this.#state
+    this.#state = rest
+  }
+
+  #removeProposal (): void {
+    const { proposal: _proposal, ...rest } = this.#state
+    this.#state = rest
+  }
+
+  #update (change: Partial<ChangeState>): void {
+    this.#state = { ...this.#state, ...change }
+  }
+}
--- /dev/null
+++ b/src/plugins/experts/gate.ts
@@ -0,0 +1,77 @@
+import type { EndpointOrder } from '../../kernel/effects.js'
+import type { Context } from '../../kernel/plugin.js'
+
+/** An order with its fencing number. */
+export interface FencedOrder {
+  readonly fence: number
+  readonly order: EndpointOrder
+}
+
+/** Orders of one rank: at most one is with the engine, the rest wait. */
+export interface GateState {
+  readonly sequence: number
+  readonly fence: number
+  readonly outstanding?: FencedOrder & { readonly orderId: string }
+  readonly waiting: readonly FencedOrder[]
+}
+
+/** A gate through which nothing has passed. */
+export const EMPTY_GATE: GateState = { sequence: 0, fence: 0, waiting: [] }
+
+/**
+ * Queues orders behind those that wait.
+ *
+ * @param gate - the gate
+ * @param fence - fencing number of the orders
+ * @param orders - orders in sequence
+ * @returns the new gate; its number rises to the orders' number
+ */
+export function addOrders (gate: GateState, fence: number, orders: readonly EndpointOrder[]): GateState {
+  return { ...gate, fence: Math.max(gate.fence, fence), waiting: [...gate.waiting, ...orders.map(order => ({ fence, order }))] }
+}
+
+/**
+ * Emits the next order when none is with the engine. Engines that ignore fencing
+ * numbers carry out whatever arrives, so an order with an older number is dropped
+ * here, and an order leaves only after the engine answered the one before it.
+ *
+ * @param gate - the gate
+ * @param context - where the effect goes
+ * @returns the new gate
+ */
+export function sendNextOrder (gate: GateState, context: Pick<Context, 'emit'>): GateState {
+  if (gate.outstanding !== undefined) return gate
+  const waiting = gate.waiting.filter(item => item.fence >= gate.fence)
+  const [next, ...rest] = waiting
+  if (next === undefined) return { ...gate, waiting }
+  const orderId = `map-${gate.sequence + 1}`
+  context.emit({ kind: 'order', orderId, fence: next.fence, order: next.order })
+  return { ...gate, sequence: gate.sequence + 1, outstanding: { ...next, orderId }, waiting: rest }
+}
+
+/**
+ * @param gate - the gate
+ * @param keepOutstanding - false when the engine that got the order is gone
+ * @returns the gate without waiting orders
+ */
+export function removeWaiting (gate: GateState, keepOutstanding: boolean): GateState {
+  const { outstanding, ...rest } = gate
+  return { ...rest, waiting: [], ...(keepOutstanding && outstanding !== undefined ? { outstanding } : {}) }
+}
+
+/**
+ * @param gate - the gate
+ * @returns the gate after the engine answered the outstanding order
+ */
+export function removeOutstanding (gate: GateState): GateState {
+  const { outstanding: _answered, ...rest } = gate
+  return rest
+}
+
+/**
+ * @param gate - the gate
+ * @returns whether no order waits or is with the engine
+ */
+export function isIdle (gate: GateState): boolean {
+  return gate.outstanding === undefined && gate.waiting.length === 0
+}
--- /dev/null
+++ b/src/plugins/experts/rank-state.ts
@@ -0,0 +1,141 @@
+import type { EndpointOrder } from '../../kernel/effects.js'
+import type { GateState } from './gate.js'
+import { EMPTY_GATE } from './gate.js'
+import type { StoredRecord } from './record.js'
+
+/** Experts of one rank by layer. */
+export type RankLayers = readonly (readonly number[])[]
+
+/** A map as one rank holds it. */
+export interface RankMap {
+  readonly version: number
+  readonly step: number
+  readonly layers: RankLayers
+}
+
+/** A map that the rank prepares or has promised to wait for. */
+export interface PendingMap extends RankMap {
+  readonly fence: number
+  /** Process that proposed it. */
+  readonly holder: string
+  /** The promise was sent: the rank stays before `step` until the outcome is known. */
+  readonly promised: boolean
+  readonly sinceMs: number
+  /** Time at which the rank was first seen waiting before `step`. */
+  readonly heldSinceMs?: number
+}
+
+/** Place of one rank in its group. */
+export interface RankPlace {
+  readonly group: string
+  readonly rank: number
+  readonly ranks: number
+}
+
+/** Platform call of a rank; one at a time. */
+export interface RankCall {
+  readonly id: string
+  readonly purpose: 'join-read' | 'join-write' | 'ask-read' | 'abort-write'
+  readonly sentAtMs: number
+  /** Record that the write would leave. */
+  readonly writes?: StoredRecord
+}
+
+/** Whole state of a rank; plain data, so that a test can copy and hash it. */
+export interface RankState {
+  readonly joined: boolean
+  /** Highest fencing number of a holder seen. */
+  readonly fence: number
+  /** Latest decided version known. */
+  readonly decided: number
+  readonly base?: RankMap
+  readonly pending?: PendingMap
+  /** The engine carried out every order that the state asks for. */
+  readonly synced: boolean
+  readonly gate: GateState
+  readonly call?: RankCall
+  readonly calls: number
+  readonly nextCallAtMs: number
+  readonly nextAskAtMs: number
+  readonly nextSyncAtMs: number
+  readonly startId?: string
+  readonly step: number
+  readonly stepMs: number
+}
+
+/** State of a rank's process that has just started. */
+export const INITIAL_RANK: RankState = {
+  joined: false,
+  fence: 0,
+  decided: 0,
+  synced: false,
+  gate: EMPTY_GATE,
+  calls: 0,
+  nextCallAtMs: 0,
+  nextAskAtMs: 0,
+  nextSyncAtMs: 0,
+  step: 0,
+  stepMs: 0
+}
+
+/** Safeguards of a rank. Tests switch single ones off to show that the checks notice. */
+export interface RankRules {
+  /** A new process closes the next version by a write before it orders anything. */
+  readonly closesOnJoin: boolean
+  /** The rank is held before the step when it promises. */
+  readonly holdsBeforePromise: boolean
+  /** A promise for a version is never given to a second proposal of that version. */
+  readonly keepsPromise: boolean
+  /** Decisions at or below the latest known one are ignored. */
+  readonly ignoresOldDecisions: boolean
+  /** Proposals for a version already decided are refused. */
+  readonly refusesOldProposals: boolean
+  /** A restarted engine is held again before it may use a map. */
+  readonly holdsRestartedEngine: boolean
+  /** A rank that waits too long releases itself only after its abort was written. */
+  readonly abortsByWrite: boolean
+}
+
+/** All safeguards in force. */
+export const RANK_RULES: RankRules = {
+  closesOnJoin: true,
+  holdsBeforePromise: true,
+  keepsPromise: true,
+  ignoresOldDecisions: true,
+  refusesOldProposals: true,
+  holdsRestartedEngine: true,
+  abortsByWrite: true
+}
+
+/**
+ * Lists the orders that bring an engine in any state to the rank's state. The map
+ * in force is loaded first and used last: an engine that restarts in between has
+ * not loaded it and refuses to use it, so it never steps without the hold.
+ *
+ * @param state - state of the rank
+ * @param rules - safeguards
+ * @returns orders in sequence
+ */
+export function buildSyncOrders (state: RankState, rules: RankRules): readonly EndpointOrder[] {
+  const { base, pending } = state
+  if (base === undefined) return []
+  const load: EndpointOrder = { kind: 'load-map', version: base.version, layers: base.layers }
+  const use: EndpointOrder = { kind: 'use-map', version: base.version, step: base.step }
+  if (pending === undefined) return [load, use, { kind: 'release-hold' }]
+  const prepare = buildPrepareOrders(pending)
+  return [load, ...(rules.holdsRestartedEngine ? prepare : prepare.slice(0, 1)), use]
+}
+
+/**
+ * Lists the orders that prepare a map. The hold comes last: weights may take long
+ * to load, and the rank goes on stepping meanwhile.
+ *
+ * @param pending - the map to prepare
+ * @returns orders in sequence
+ */
+export function buildPrepareOrders (pending: RankMap): readonly EndpointOrder[] {
+  return [
+    { kind: 'load-map', version: pending.version, layers: pending.layers },
+    { kind: 'hold-at-step', step: pending.step }
+  ]
+}
--- /dev/null
+++ b/src/plugins/experts/rank.ts
@@ -0,0 +1,363 @@
+import type { EndpointOrder } from '../../kernel/effects.js'
+import type { EndpointReport, PlatformResult } from '../../kernel/events.js'
+import type { Context } from '../../kernel/plugin.js'
+import type { MapDecided, MapPrepare, MapQuery, Message } from '../../protocol/messages.js'
+import { addOrders, isIdle, removeOutstanding, removeWaiting, sendNextOrder } from './gate.js'
+import { buildAbort, formatMapKey, parseRecord } from './record.js'
+import type { MapRecord, StoredRecord } from './record.js'
+import { INITIAL_RANK, RANK_RULES, buildPrepareOrders, buildSyncOrders } from './rank-state.js'
+import type { PendingMap, RankCall, RankPlace, RankRules, RankState } from './rank-state.js'
+
+/** Time between two questions of a rank that does not know an outcome, in ms. */
+export const ASK_MS = 500
+/** Time that a rank waits before its step until it aborts the change itself, in ms. */
+export const STALL_LIMIT_MS = 2_000
+/** Age of a promise at which the rank aborts the change although it is not held yet, in ms. */
+export const PROMISE_LIMIT_MS = 60_000
+/** Time after which a platform call without an answer counts as unknown, in ms. */
+export const CALL_LIMIT_MS = 5_000
+/** Time between two attempts to bring an engine to the rank's state, in ms. */
+export const SYNC_RETRY_MS = 500
+/** Spread of repeated writes over time per rank of the group, in ms: a whole group may start at once. */
+export const JOIN_SPREAD_MS = 50
+
+/** Ways out of the rank; the kernel's context fits. */
+export type RankContext = Pick<Context, 'nowMs' | 'random' | 'emit'>
+
+/** What a decision says: the latest decided version and the map in force after it. */
+type Decision = Pick<MapDecided, 'version' | 'mapVersion' | 'step' | 'fence'>
+
+/**
+ * One rank's side of the change protocol. It holds its engine before the step of
+ * a promised map until the record in the platform has passed the map's version.
+ */
+export class Rank {
+  readonly #place: RankPlace
+  readonly #rules: RankRules
+  #state: RankState
+
+  private constructor (place: RankPlace, rules: RankRules, state: RankState) {
+    this.#place = place
+    this.#rules = rules
+    this.#state = state
+  }
+
+  /**
+   * @param place - group, rank and count of ranks
+   * @param rules - safeguards
+   * @param state - state to continue from
+   * @returns the rank's side of the protocol
+   */
+  static create (place: RankPlace, rules: RankRules = RANK_RULES, state: RankState = INITIAL_RANK): Rank {
+    return new Rank(place, rules, state)
+  }
+
+  /** @returns the whole state */
+  getState (): RankState {
+    return this.#state
+  }
+
+  /**
+   * Starts over after a pause of the process: another process may have taken its
+   * place. Nothing queued leaves; the record is closed by a write before the
+   * engine gets another order.
+   */
+  handlePause (): void {
+    const { pending: _pending, call: _call, ...rest } = this.#state
+    this.#state = { ...rest, joined: false, synced: false, gate: removeWaiting(rest.gate, true), nextCallAtMs: 0 }
+  }
+
+  /**
+   * Handles a proposal.
+   *
+   * @param from - process that proposes
+   * @param message - the proposal
+   * @param context - ways out
+   */
+  handlePrepare (from: string, message: MapPrepare, context: RankContext): void {
+    const known = this.#state.pending
+    if (known?.version === message.version && known.fence === message.fence) {
+      if (known.promised) this.#sendPrepared(from, message, true, context)
+      return
+    }
+    if (!this.#isAcceptable(message)) {
+      this.#sendPrepared(from, message, false, context)
+      return
+    }
+    this.#settle({ version: message.version - 1, mapVersion: message.base, step: message.baseStep, fence: message.fence }, context)
+    const { joined, base, synced, gate } = this.#state
+    // The holder repeats the proposal; the rank takes it when the engine has caught up.
+    if (!joined || base?.version !== message.base || !synced || !isIdle(gate)) return
+    const { version, step, fence, layers } = message
+    const pending: PendingMap = { version, step, fence, layers, holder: from, promised: false, sinceMs: context.nowMs }
+    this.#update({ fence, pending, nextAskAtMs: context.nowMs + ASK_MS })
+    const orders = buildPrepareOrders(pending)
+    this.#order(version, this.#rules.holdsBeforePromise ? orders : orders.slice(0, 1), context)
+  }
+
+  /**
+   * Handles a decision told by the holder or another rank.
+   *
+   * @param message - the decision
+   * @param context - ways out
+   */
+  handleDecided (message: MapDecided, context: RankContext): void {
+    if (this.#state.joined) this.#settle(message, context)
+  }
+
+  /**
+   * Answers a rank that asks for an outcome.
+   *
+   * @param from - process that asks
+   * @param message - the question
+   * @param context - ways out
+   */
+  handleQuery (from: string, message: MapQuery, context: RankContext): void {
+    const { joined, decided, base, fence } = this.#state
+    if (!joined || base === undefined || decided < message.version) return
+    context.emit({
+      kind: 'send',
+      peer: from,
+      message: {
+        kind: 'map-decided',
+        group: this.#place.group,
+        version: decided,
+        fence,
+        decision: base.version === decided ? 'commit' : 'abort',
+        mapVersion: base.version,
+        step: base.step
+      }
+    })
+  }
+
+  /**
+   * Handles the engine's answer to an order.
+   *
+   * @param orderId - id of the order
+   * @param accepted - whether the engine carried it out
+   * @param context - ways out
+   */
+  handleOrderAnswered (orderId: string, accepted: boolean, context: RankContext): void {
+    if (this.#state.gate.outstanding?.orderId !== orderId) return
+    this.#update({ gate: removeOutstanding(this.#state.gate) })
+    if (accepted) {
+      this.#update({ gate: sendNextOrder(this.#state.gate, context) })
+      if (isIdle(this.#state.gate)) this.#handleOrdersDone(context)
+      return
+    }
+    this.#update({ gate: removeWaiting(this.#state.gate, false) })
+    const pending = this.#state.pending
+    if (pending !== undefined && !pending.promised && this.#state.synced) {
+      this.#removePending()
+      this.#sendPrepared(pending.holder, pending, false, context)
+    }
+    this.#update({ synced: false, nextSyncAtMs: context.nowMs + SYNC_RETRY_MS })
+  }
+
+  /**
+   * Notes what the engine reports.
+   *
+   * @param report - the report, possibly late
+   * @param context - ways out
+   */
+  handleReport (report: EndpointReport, context: RankContext): void {
+    const { startId, pending, joined } = this.#state
+    const step = report.step ?? this.#state.step
+    this.#update({ startId: report.startId, step, stepMs: report.stepMs ?? this.#state.stepMs })
+    if (pending?.promised === true && pending.heldSinceMs === undefined && step >= pending.step) {
+      this.#update({ pending: { ...pending, heldSinceMs: context.nowMs } })
+    }
+    if (startId === undefined || startId === report.startId) return
+    // The engine restarted: it holds no map, and the order it had is lost with it.
+    this.#update({ gate: removeWaiting(this.#state.gate, false), synced: false })
+    if (pending?.promised === false) this.#removePending()
+    if (joined) this.#startSync(context)
+  }
+
+  /**
+   * Repeats what has not been answered.
+   *
+   * @param peers - other processes that may know an outcome
+   * @param context - ways out
+   */
+  handleTick (peers: readonly string[], context: RankContext): void {
+    const { call, joined, nextSyncAtMs, synced, gate, pending } = this.#state
+    if (call !== undefined && context.nowMs - call.sentAtMs >= CALL_LIMIT_MS) this.#removeCall()
+    if (!joined) {
+      if (context.nowMs >= this.#state.nextCallAtMs) this.#callPlatform('join-read', context)
+      return
+    }
+    if (!synced && isIdle(gate) && context.nowMs >= nextSyncAtMs) this.#startSync(context)
+    if (pending?.promised === true && context.nowMs >= this.#state.nextAskAtMs) this.#ask(pending, peers, context)
+  }
+
+  /**
+   * Handles the platform's answer.
+   *
+   * @param callId - id of the call
+   * @param result - the answer
+   * @param context - ways out
+   */
+  handlePlatform (callId: string, result: PlatformResult, context: RankContext): void {
+    const call = this.#state.call
+    if (call?.id !== callId) return
+    this.#removeCall()
+    const backoff = context.random.pickInt(Math.max(ASK_MS, this.#place.ranks * JOIN_SPREAD_MS))
+    this.#update({ nextCallAtMs: context.nowMs + backoff })
+    if (result.kind === 'written' && call.writes !== undefined) {
+      this.#handleRecord(call, { ...call.writes, revision: result.revision }, true, context)
+    } else if (result.kind === 'found') {
+      const record = parseRecord(result.value)
+      if (record !== undefined) this.#handleRecord(call, { revision: result.revision, record }, false, context)
+    }
+  }
+
+  #handleRecord (call: RankCall, stored: StoredRecord, written: boolean, context: RankContext): void {
+    const { record } = stored
+    switch (call.purpose) {
+      case 'join-read':
+        if (this.#rules.closesOnJoin) this.#write('join-write', stored, context)
+        else this.#join(record, context)
+        return
+      case 'join-write':
+        if (written) this.#join(record, context)
+        return
+      case 'ask-read':
+      case 'abort-write': {
+        const pending = this.#state.pending
+        this.#settle({ version: record.version, mapVersion: record.map.version, step: record.map.step, fence: record.fence }, context)
+        if (pending !== undefined && record.version < pending.version && this.#isOverdue(pending, context)) {
+          if (this.#rules.abortsByWrite) this.#write('abort-write', stored, context)
+          else this.#settle({ version: pending.version, mapVersion: record.map.version, step: record.map.step, fence: record.fence }, context)
+        }
+      }
+    }
+  }
+
+  #join (record: MapRecord, context: RankContext): void {
+    if (record.version < this.#state.decided) return
+    const { map } = record
+    const layers = map.ranks[this.#place.rank] ?? []
+    const { pending: _pending, ...rest } = this.#state
+    this.#state = {
+      ...rest,
+      joined: true,
+      fence: Math.max(rest.fence, record.fence),
+      decided: record.version,
+      base: { version: map.version, step: map.step, layers },
+      synced: false
+    }
+    this.#update({ gate: removeWaiting(this.#state.gate, true) })
+    this.#startSync(context)
+  }
+
+  #isAcceptable (message: MapPrepare): boolean {
+    const { joined, fence, decided, pending, step } = this.#state
+    if (!joined || message.fence < fence || step >= message.step) return false
+    if (message.version <= decided && this.#rules.refusesOldProposals) return false
+    if (pending === undefined || pending.version < message.version) return true
+    return !this.#rules.keepsPromise && pending.version === message.version
+  }
+
+  /** Takes a decided version in: the record in the platform stands at it or above. */
+  #settle (decision: Decision, context: RankContext): void {
+    const { decided, pending, fence } = this.#state
+    if (decision.version <= decided && this.#rules.ignoresOldDecisions) return
+    this.#update({ decided: decision.version, fence: Math.max(fence, decision.fence) })
+    if (pending !== undefined && pending.version <= decision.version) {
+      const committed = decision.mapVersion === pending.version
+      this.#removePending()
+      this.#update({ gate: removeWaiting(this.#state.gate, true) })
+      if (committed) this.#update({ base: { version: pending.version, step: decision.step, layers: pending.layers } })
+      const use: EndpointOrder = { kind: 'use-map', version: decision.mapVersion, step: decision.step }
+      if (this.#state.synced) this.#order(decision.version, [...(committed ? [use] : []), { kind: 'release-hold' }], context)
+      else this.#startSync(context)
+      context.emit({ kind: 'log', event: 'map-decided', fields: { group: this.#place.group, version: pending.version, committed } })
+    }
+    // A map is in force that this process never saw: it starts over from the record.
+    if (this.#state.base?.version !== decision.mapVersion) this.handlePause()
+  }
+
+  #startSync (context: RankContext): void {
+    const { pending, decided, gate } = this.#state
+    this.#update({ nextSyncAtMs: context.nowMs + SYNC_RETRY_MS })
+    this.#order(Math.max(pending?.version ?? 0, decided, gate.fence), buildSyncOrders(this.#state, this.#rules), context)
+  }
+
+  #order (fence: number, orders: readonly EndpointOrder[], context: RankContext): void {
+    this.#update({ gate: sendNextOrder(addOrders(this.#state.gate, fence, orders), context) })
+  }
+
+  #handleOrdersDone (context: RankContext): void {
+    const { pending, synced, joined } = this.#state
+    if (!joined) return
+    if (!synced) {
+      this.#update({ synced: true })
+      return
+    }
+    if (pending === undefined || pending.promised) return
+    this.#update({ pending: { ...pending, promised: true } })
+    this.#sendPrepared(pending.holder, pending, true, context)
+  }
+
+  #isOverdue (pending: PendingMap, context: RankContext): boolean {
+    const heldMs = pending.heldSinceMs === undefined ? 0 : context.nowMs - pending.heldSinceMs
+    return heldMs >= STALL_LIMIT_MS || context.nowMs - pending.sinceMs >= PROMISE_LIMIT_MS
+  }
+
+  #ask (pending: PendingMap, peers: readonly string[], context: RankContext): void {
+    const { group, rank } = this.#place
+    this.#update({ nextAskAtMs: context.nowMs + ASK_MS + context.random.pickInt(ASK_MS) })
+    for (const peer of new Set([pending.holder, ...peers])) {
+      context.emit({ kind: 'send', peer, message: { kind: 'map-query', group, version: pending.version, rank } })
+    }
+    if (pending.heldSinceMs === undefined && !this.#isOverdue(pending, context)) return
+    if (pending.heldSinceMs !== undefined) {
+      const heldMs = context.nowMs - pending.heldSinceMs
+      context.emit({ kind: 'log', event: 'map-stalled', fields: { group, rank, version: pending.version, step: pending.step, held_ms: heldMs } })
+      context.emit({ kind: 'observe', metric: 'map_stall_ms', value: heldMs })
+    }
+    this.#callPlatform('ask-read', context)
+  }
+
+  #callPlatform (purpose: RankCall['purpose'], context: RankContext): void {
+    if (this.#state.call !== undefined) return
+    const id = this.#noteCall(purpose, context)
+    context.emit({ kind: 'platform-call', callId: id, operation: { kind: 'read', key: formatMapKey(this.#place.group) } })
+  }
+
+  #write (purpose: RankCall['purpose'], stored: StoredRecord, context: RankContext): void {
+    const record = buildAbort(stored.record, stored.record.fence)
+    const id = this.#noteCall(purpose, context, { revision: stored.revision, record })
+    const key = formatMapKey(this.#place.group)
+    context.emit({ kind: 'platform-call', callId: id, operation: { kind: 'write', key, value: JSON.stringify(record), revision: stored.revision } })
+  }
+
+  #noteCall (purpose: RankCall['purpose'], context: RankContext, writes?: StoredRecord): string {
+    const calls = this.#state.calls + 1
+    const id = `experts/${this.#place.group}/${calls}`
+    this.#update({ calls, call: { id, purpose, sentAtMs: context.nowMs, ...(writes === undefined ? {} : { writes }) } })
+    return id
+  }
+
+  #sendPrepared (to: string, proposal: Pick<MapPrepare, 'version' | 'fence'>, accepted: boolean, context: RankContext): void {
+    const { group, rank } = this.#place
+    const { version, fence } = proposal
+    const message: Message = { kind: 'map-prepared', group, version, fence, rank, accepted, step: this.#state.step }
+    context.emit({ kind: 'send', peer: to, message })
+  }
+
+  #removePending (): void {
+    const { pending: _pending, ...rest } = this.#state
+    this.#state = rest
+  }
+
+  #removeCall (): void {
+    const { call: _call, ...rest } = this.#state
+    this.#state = rest
+  }
+
+  #update (change: Partial<RankState>): void {
+    this.#state = { ...this.#state, ...change }
+  }
+}
--- /dev/null
+++ b/src/plugins/experts/record.ts
@@ -0,0 +1,111 @@
+/** Objects that the expert maps keep in the platform. */
+
+/** A map of one group: experts by rank and layer. */
+export interface MapContent {
+  readonly version: number
+  /** First step that uses the map. */
+  readonly step: number
+  /** Fencing number of the holder that proposed it. */
+  readonly fence: number
+  /** Experts by rank and layer. */
+  readonly ranks: readonly (readonly (readonly number[])[])[]
+}
+
+/**
+ * Value of `map/<group>`: the only place where a change is decided. The version
+ * rises by 1 with each decision, so a proposal for version n can only be decided
+ * while the record stands at n - 1.
+ */
+export interface MapRecord {
+  readonly version: number
+  readonly decision: 'commit' | 'abort'
+  /** Highest fencing number of a holder that wrote the record. */
+  readonly fence: number
+  /** Map in force after the decision. */
+  readonly map: MapContent
+}
+
+/** A record and the platform revision it was read or written at. */
+export interface StoredRecord {
+  readonly revision: number
+  readonly record: MapRecord
+}
+
+/** Value of `lease/<group>`. */
+export interface LeaseValue {
+  readonly holder: string
+  readonly incarnation: number
+  readonly fence: number
+  /** The holder gave the lease up. */
+  readonly released: boolean
+}
+
+/**
+ * @param group - name of the group
+ * @returns platform key of the group's map record
+ */
+export function formatMapKey (group: string): string {
+  return `map/${group}`
+}
+
+/**
+ * @param group - name of the group
+ * @returns platform key of the group's lease
+ */
+export function formatLeaseKey (group: string): string {
+  return `lease/${group}`
+}
+
+/**
+ * @param value - text read from the platform
+ * @returns the record; undefined when the text is not one
+ */
+export function parseRecord (value: string): MapRecord | undefined {
+  const found = parseObject(value) as Partial<MapRecord> | undefined
+  if (typeof found?.version !== 'number' || typeof found.fence !== 'number') return undefined
+  return typeof found.map?.version === 'number' && Array.isArray(found.map.ranks) ? found as MapRecord : undefined
+}
+
+/**
+ * @param value - text read from the platform
+ * @returns the lease; undefined when the text is not one
+ */
+export function parseLease (value: string): LeaseValue | undefined {
+  const found = parseObject(value) as Partial<LeaseValue> | undefined
+  return typeof found?.fence === 'number' && typeof found.holder === 'string' ? found as LeaseValue : undefined
+}
+
+/**
+ * Builds the record that closes the next version without a change of map. Any
+ * proposal for that version can no longer be committed.
+ *
+ * @param record - the record that stands
+ * @param fence - fencing number of the writer; a rank gives the record's own
+ * @returns the record to write
+ */
+export function buildAbort (record: MapRecord, fence: number): MapRecord {
+  return { version: record.version + 1, decision: 'abort', fence, map: record.map }
+}
+
+/**
+ * Builds the record that puts a map into force.
+ *
+ * @param record - the record that stands; undefined before the first
+ * @param fence - fencing number of the holder
+ * @param step - first step that uses the map
+ * @param ranks - experts by rank and layer
+ * @returns the record to write
+ */
+export function buildCommit (record: MapRecord | undefined, fence: number, step: number, ranks: MapContent['ranks']): MapRecord {
+  const version = (record?.version ?? 0) + 1
+  return { version, decision: 'commit', fence, map: { version, step, fence, ranks } }
+}
+
+function parseObject (value: string): object | undefined {
+  try {
+    const found: unknown = JSON.parse(value)
+    return typeof found === 'object' && found !== null ? found : undefined
+  } catch {
+    return undefined
+  }
+}
--- a/src/protocol/messages.ts
+++ b/src/protocol/messages.ts
@@ -290,6 +290,9 @@
   /** Experts by layer held by the receiving rank, and the rank's index. */
   readonly rank: number
   readonly layers: readonly (readonly number[])[]
+  /** Version of the map in force when the change began, and its first step. */
+  readonly base: number
+  readonly baseStep: number
 }
 
 export interface MapPrepared {
@@ -306,10 +309,13 @@
 export interface MapDecided {
   readonly kind: 'map-decided'
   readonly group: string
+  /** Latest decided version. */
   readonly version: number
-  readonly step: number
   readonly fence: number
   readonly decision: 'commit' | 'abort'
+  /** Map in force after that decision, and its first step. */
+  readonly mapVersion: number
+  readonly step: number
 }
 
 export interface MapQuery {
@@ -319,6 +325,19 @@
   readonly rank: number
 }
 
+/** Load of the experts that a rank holds, sent to the holder of the group's map. */
+export interface ExpertLoad {
+  readonly kind: 'expert-load'
+  readonly group: string
+  readonly rank: number
+  readonly step: number
+  /** Mean time of a step in ms; 0 when not known. */
+  readonly stepMs: number
+  readonly mapVersion: number
+  /** Tokens per layer and slot since the last report. */
+  readonly counts: readonly (readonly number[])[]
+}
+
 /** Any message between two processes of the system. */
 export type Message =
   | Hello | Heartbeat
@@ -326,7 +345,7 @@
   | Cancel | Cancelled | Query | QueryAnswer | Handover | HandoverAck
   | ConfigOffer | ConfigPull | ConfigParts
   | Probe | ProbeAck | ProbeRequest | Strikes
-  | MapPrepare | MapPrepared | MapDecided | MapQuery
+  | MapPrepare | MapPrepared | MapDecided | MapQuery | ExpertLoad
 
 /** Discriminator of a message. */
 export type MessageKind = Message['kind']
--- /dev/null
+++ b/test/experts/world.ts
@@ -0,0 +1,267 @@
+import type { Configuration } from '../../src/kernel/document.js'
+import { EMPTY_CONFIGURATION } from '../../src/kernel/document.js'
+import type { Effect } from '../../src/kernel/effects.js'
+import type { KernelEvent, PlatformResult } from '../../src/kernel/events.js'
+import type { Context, Plugin } from '../../src/kernel/plugin.js'
+import type { Ports } from '../../src/kernel/ports.js'
+import { Random } from '../../src/kernel/random.js'
+import type { Message, ProcessRef } from '../../src/protocol/messages.js'
+import { ExpertsPlugin } from '../../src/plugins/experts/endpoint-plugin.js'
+import { MapHolderPlugin } from '../../src/plugins/experts/holder-plugin.js'
+import type { RankRules } from '../../src/plugins/experts/rank-state.js'
+import { FRESH_ENGINE, applyOrder, buildRestarted, findUsedVersion } from './engine.js'
+import type { EngineState } from './engine.js'
+
+export const TICK_MS = 100
+const STEP_MS = 50
+
+export interface WorldOptions {
+  readonly ranks: number
+  readonly holders: number
+  readonly checksFencing: boolean
+  readonly seed: number
+  readonly rules?: RankRules
+  /** Times at which the holder wants another map. */
+  readonly changesAtMs: readonly number[]
+}
+
+interface Node {
+  readonly self: ProcessRef
+  plugin: Plugin
+  alive: boolean
+  paused: boolean
+  inbox: KernelEvent[]
+}
+
+type Route = (from: string, to: string, message: Message) => readonly number[]
+
+/** Processes, engines, network and platform in simulated time, with the real plug-ins. */
+export class World {
+  readonly log: string[] = []
+  readonly engines: EngineState[]
+  readonly executed = new Map<number, number>()
+  readonly #nodes = new Map<string, Node>()
+  readonly #queue: { at: number, sequence: number, run: () => void }[] = []
+  readonly #objects = new Map<string, { value: string, revision: number }>()
+  readonly #random: Random
+  readonly #configuration: Configuration
+  nowMs = 0
+  /** Delays in ms of each copy of a message; an empty list loses it. */
+  route: Route = () => [1]
+  platformUp = true
+  loseAnswers = 0
+  /** Ranks whose engines do not step. */
+  readonly stalled = new Set<number>()
+  #sequence = 0
+  #wanted = 0
+
+  private constructor (readonly options: WorldOptions) {
+    this.#random = Random.create(options.seed)
+    this.engines = Array.from({ length: options.ranks }, () => FRESH_ENGINE)
+    this.#configuration = {
+      ...EMPTY_CONFIGURATION,
+      version: 1,
+      groups: [{ name: 'g', service: 's', ranks: options.ranks, layers: 1, expertsPerLayer: options.ranks, slotsPerRank: 2 }],
+      endpoints: this.engines.map((_, rank) => ({
+        id: `r${rank}`, host: `h${rank}`, domain: 'a', service: 's', peerAddress: '', checksFencing: options.checksFencing, warmCap: 1, coldCap: 1, group: 'g', rank
+      }))
+    }
+    for (let rank = 0; rank < options.ranks; rank += 1) this.#addNode(`r${rank}`, 'endpoint')
+    for (let holder = 0; holder < options.holders; holder += 1) this.#addNode(`e${holder}`, 'entry')
+  }
+
+  static create (options: WorldOptions): World {
+    return new World(options)
+  }
+
+  /** Replaces the process; its memory is empty. */
+  startProcess (id: string): void {
+    const node = this.#nodes.get(id)!
+    this.#addNode(id, node.self.role, node.self.incarnation + 1)
+    this.#note(`${id} replaced`)
+  }
+
+  stopProcess (id: string): void {
+    this.#nodes.get(id)!.alive = false
+    this.#note(`${id} killed`)
+  }
+
+  updatePaused (id: string, paused: boolean): void {
+    const node = this.#nodes.get(id)!
+    node.paused = paused
+    this.#note(`${id} ${paused ? 'paused' : 'resumed'}`)
+    if (!paused) for (const event of node.inbox.splice(0)) this.dispatch(id, event)
+  }
+
+  startEngine (rank: number): void {
+    this.engines[rank] = buildRestarted(this.engines[rank]!)
+    this.#note(`engine ${rank} restarted`)
+  }
+
+  run (untilMs: number, actions: readonly (readonly [atMs: number, run: (world: World) => void])[] = []): this {
+    for (const [at, run] of actions) this.#schedule(at - this.nowMs, () => { run(this) })
+    while (this.nowMs < untilMs) {
+      this.nowMs += 10
+      this.#queue.sort((a, b) => a.at - b.at || a.sequence - b.sequence)
+      while (this.#queue.length > 0 && this.#queue[0]!.at <= this.nowMs) this.#queue.shift()!.run()
+      if (this.nowMs % TICK_MS === 0) this.#tick()
+      if (this.nowMs % STEP_MS === 0) this.#stepEngines()
+    }
+    return this
+  }
+
+  dispatch (id: string, event: KernelEvent): void {
+    const node = this.#nodes.get(id)
+    if (node === undefined || !node.alive) return
+    if (node.paused) {
+      if (event.kind !== 'tick') node.inbox.push(event)
+      return
+    }
+    const effects: Effect[] = []
+    const context: Context = {
+      nowMs: this.nowMs,
+      random: this.#random,
+      self: node.self,
+      emit: effect => { effects.push(effect) },
+      raise: () => {},
+      port: name => this.#getPort(name)
+    }
+    node.plugin.handle(event, context)
+    for (const effect of effects) this.#apply(node, effect)
+  }
+
+  #tick (): void {
+    for (const [id, node] of this.#nodes) {
+      const rank = Number(id.slice(1))
+      if (node.self.role === 'endpoint') {
+        const { startId, step } = this.engines[rank]!
+        this.dispatch(id, { kind: 'endpoint-reported', report: { healthy: true, startId: String(startId), warmth: 1, step, stepMs: STEP_MS } })
+      }
+      this.dispatch(id, { kind: 'tick' })
+    }
+  }
+
+  /** Lock-step: a rank executes a step only when no rank is behind it. */
+  #stepEngines (): void {
+    const group = Math.min(...this.engines.map(engine => engine.step))
+    this.engines.forEach((engine, rank) => {
+      const version = findUsedVersion(engine)
+      if (engine.step > group || version === undefined || this.stalled.has(rank)) return
+      const other = this.executed.get(engine.step)
+      if (other !== undefined && other !== version) throw new Error(`step ${engine.step}: rank ${rank} uses map ${version}, another rank ${other}`)
+      if (other === undefined) this.executed.set(engine.step, version)
+      this.engines[rank] = { ...engine, step: engine.step + 1 }
+    })
+  }
+
+  #apply (node: Node, effect: Effect): void {
+    const { id } = node.self
+    switch (effect.kind) {
+      case 'send': {
+        if (effect.message.kind !== 'expert-load') this.#note(`${id} to ${effect.peer}: ${formatMessage(effect.message)}`)
+        for (const delay of this.route(id, effect.peer, effect.message)) {
+          this.#schedule(delay, () => { this.dispatch(effect.peer, { kind: 'message-received', peer: node.self, message: effect.message }) })
+        }
+        return
+      }
+      case 'order': {
+        const rank = Number(id.slice(1))
+        const { startId } = this.engines[rank]!
+        this.#note(`${id} orders ${formatOrder(effect)}`)
+        this.#schedule(20, () => {
+          const engine = this.engines[rank]!
+          if (engine.startId !== startId) return
+          const [next, accepted] = applyOrder(engine, effect.order, effect.fence, this.options.checksFencing)
+          this.engines[rank] = next
+          this.dispatch(id, { kind: 'order-answered', orderId: effect.orderId, accepted, fence: next.fence })
+        })
+        return
+      }
+      case 'platform-call': {
+        const { self } = node
+        this.#schedule(5, () => {
+          const result = this.#callPlatform(id, effect.operation)
+          this.#schedule(5, () => {
+            if (this.#nodes.get(id)?.self === self) this.dispatch(id, { kind: 'platform-answered', callId: effect.callId, result })
+          })
+        })
+        return
+      }
+      case 'log':
+        if (effect.event !== 'map-stalled') this.#note(`${id} ${effect.event} ${JSON.stringify(effect.fields)}`)
+    }
+  }
+
+  #callPlatform (id: string, operation: Extract<Effect, { kind: 'platform-call' }>['operation']): PlatformResult {
+    if (!this.platformUp) return { kind: 'unavailable' }
+    const found = this.#objects.get(operation.key)
+    if (operation.kind === 'read') return found === undefined ? { kind: 'missing' } : { kind: 'found', ...found }
+    if ((found?.revision ?? 0) !== operation.revision) return { kind: 'conflict' }
+    this.#objects.set(operation.key, { value: operation.value, revision: operation.revision + 1 })
+    const { version, decision, fence, map } = JSON.parse(operation.value) as { version?: number, decision?: string, fence: number, map?: { version: number } }
+    if (version !== undefined) this.#note(`${id} writes version ${version} ${decision} fence ${fence} map ${map?.version}`)
+    if (this.loseAnswers > 0 && version !== undefined) {
+      this.loseAnswers -= 1
+      return { kind: 'unknown' }
+    }
+    return { kind: 'written', revision: operation.revision + 1 }
+  }
+
+  #getPort<N extends keyof Ports> (name: N): Ports[N] {
+    const live = [...this.#nodes.values()].filter(node => node.alive)
+    const ports = {
+      configuration: {
+        getCurrent: () => this.#configuration,
+        findEndpoint: (id: string) => this.#configuration.endpoints.find(endpoint => endpoint.id === id)
+      },
+      membership: {
+        isLeaving: () => false,
+        findPeer: (id: string) => this.#nodes.get(id),
+        listPeers: () => live.map(node => ({ process: node.self })),
+        listEntries: () => live.filter(node => node.self.role === 'entry').map(node => node.self)
+      }
+    }
+    return ports[name as keyof typeof ports] as unknown as Ports[N]
+  }
+
+  #addNode (id: string, role: 'entry' | 'endpoint', incarnation = 1): void {
+    const plugin = role === 'endpoint' ? ExpertsPlugin.create(this.options.rules) : MapHolderPlugin.create(() => this.#createPlanner())
+    this.#nodes.set(id, { self: { id, role, domain: 'a', host: id, address: '', incarnation }, plugin, alive: true, paused: false, inbox: [] })
+  }
+
+  /** Moves the experts around the ranks once for each time in `changesAtMs`. */
+  #createPlanner (): ReturnType<Parameters<typeof MapHolderPlugin.create>[0]> {
+    return {
+      noteLoad: () => {},
+      noteChange: committed => { if (committed) this.#wanted += 1 },
+      choosePlacement: inForce => {
+        const at = this.options.changesAtMs[this.#wanted]
+        return at === undefined || this.nowMs < at ? undefined : [...inForce.ranks.slice(1), inForce.ranks[0]!]
+      }
+    }
+  }
+
+  #schedule (delayMs: number, run: () => void): void {
+    this.#sequence += 1
+    this.#queue.push({ at: this.nowMs + delayMs, sequence: this.#sequence, run })
+  }
+
+  #note (text: string): void {
+    this.log.push(`${this.nowMs} ${text}`)
+  }
+}
+
+function formatMessage (message: Message): string {
+  switch (message.kind) {
+    case 'map-prepare': return `prepare ${message.version} from step ${message.step} fence ${message.fence}`
+    case 'map-prepared': return `prepared ${message.version} ${message.accepted}`
+    case 'map-decided': return `decided ${message.version} ${message.decision} map ${message.mapVersion}`
+    case 'map-query': return `query ${message.version}`
+    default: return message.kind
+  }
+}
+
+function formatOrder ({ order, fence }: Extract<Effect, { kind: 'order' }>): string {
+  const detail = order.kind === 'load-map' ? order.version : order.kind === 'release-hold' ? '' : order.kind === 'use-map' ? `${order.version} from step ${order.step}` : order.step
+  return `${order.kind} ${detail} (fence ${fence})`
+}
