Complete the outcome decisions of a home

Cause: the thin version had no cancel, pause check, lost peers, planned leave or configuration checks.

--- a/src/plugins/outcomes/execution.ts
+++ b/src/plugins/outcomes/execution.ts
@@ -23,15 +23,16 @@
   readonly work: Submit
   readonly place: RecordPlace | undefined
   readonly attachments = new Map<string, Attachment>()
-  state: 'waiting' | 'running' = 'waiting'
+  state: 'waiting' | 'running' | 'aborted' = 'waiting'
   #head: { readonly status: number, readonly headers: HeaderList } | undefined
   #chunks: Uint8Array[] = []
   #bytes = 0
-  #count = 0
+  #count: number
 
   private constructor (work: Submit, place: RecordPlace | undefined) {
     this.work = work
     this.place = place
+    this.#count = work.resumeFrom ?? 0
   }
 
   /**
@@ -43,7 +44,7 @@
     return new Execution(work, place)
   }
 
-  /** Count of chunks so far. */
+  /** Count of chunks so far, those before a resume included. */
   get count (): number { return this.#count }
 
   /** Status and headers, once known. */
@@ -68,7 +69,7 @@
 
   /** @returns whether the whole answer so far is kept */
   isKept (): boolean {
-    return this.place !== undefined && this.#bytes <= ANSWER_MAX_BYTES
+    return this.place !== undefined && this.work.resumeFrom === undefined && this.#bytes <= ANSWER_MAX_BYTES
   }
 
   /** @returns the kept chunks from the first */
--- /dev/null
+++ b/src/plugins/outcomes/leave.ts
@@ -0,0 +1,245 @@
+/** Planned leave of a home: drain, handover to a successor, exit. */
+
+import type { Attachment, Execution, RecordPlace } from './execution.js'
+import type { Executions } from './executions.js'
+import { sendRefused } from './outbox.js'
+import { buildEntry, buildParts } from './parts.js'
+import type { Records } from './records.js'
+import type { RecordTable } from './table.js'
+import type { Context } from '../../kernel/plugin.js'
+import type { Handover, HandoverAck, Submit } from '../../protocol/messages.js'
+
+/** Accepted work may still start for this time; a leaving endpoint gets nothing new after 5 s. */
+const DRAIN_MS = 3_000
+/** Wait for a connection or an acknowledgement. */
+const RETRY_MS = 2_000
+/** Time after which a home that reached no successor gives up. */
+const SEARCH_MS = 10_000
+/** Heartbeats of 1 s tell entries of the successor before attempts are sent on to it. */
+const ANNOUNCE_MS = 1_500
+/** Time for which the process still answers after the handover. */
+const STAY_MS = 3_000
+
+type Stage =
+  | { readonly kind: 'none' }
+  | { readonly kind: 'draining', readonly sinceMs: number }
+  | { readonly kind: 'searching', readonly sinceMs: number }
+  | { readonly kind: 'moved', readonly successor: string, readonly sinceMs: number }
+  /** No successor was reached, and none has the records. */
+  | { readonly kind: 'alone' }
+  | { readonly kind: 'finished' }
+
+/** How new work of a leaving home is treated. */
+export type LeaveGate = 'open' | 'refused' | 'parked'
+
+interface Parked {
+  readonly to: Attachment
+  readonly work: Submit
+  readonly place: RecordPlace
+}
+
+interface Outgoing {
+  readonly table: RecordTable
+  readonly batch: number
+  readonly parts: readonly Handover[]
+  sentAtMs: number
+}
+
+/** The leave of this process. */
+export class Leave {
+  readonly #records: Records
+  readonly #executions: Executions
+  readonly #service: string
+  #stage: Stage = { kind: 'none' }
+  #deadlineAtMs = Infinity
+  #parked: Parked[] = []
+  #successor: { readonly id: string, readonly sinceMs: number, readonly hasRecords: boolean } | undefined
+  #tried = new Set<string>()
+  #outgoing: Outgoing[] = []
+  #batch = 0
+
+  private constructor (records: Records, executions: Executions, service: string) {
+    this.#records = records
+    this.#executions = executions
+    this.#service = service
+  }
+
+  static create (records: Records, executions: Executions, service: string): Leave {
+    return new Leave(records, executions, service)
+  }
+
+  isLeaving (): boolean { return this.#stage.kind !== 'none' }
+
+  /** Whether a successor may hold the records, so that nothing about a key without a record is permanent here. */
+  isFrozen (): boolean { return this.#stage.kind === 'searching' || this.#stage.kind === 'moved' || this.#successor?.hasRecords === true }
+
+  /** @returns the process that serves the keys of this home now */
+  getMovedTo (): string | undefined {
+    return this.#stage.kind === 'moved' ? this.#stage.successor : undefined
+  }
+
+  /** @returns how work without a record is treated */
+  getGate (work: Submit): LeaveGate {
+    if (this.#stage.kind === 'none') return 'open'
+    if (work.key === undefined) return 'refused'
+    if (this.#stage.kind === 'draining') return 'open'
+    return this.isFrozen() ? 'parked' : 'refused'
+  }
+
+  /** Keeps an attempt of an open key until entries know the successor. */
+  addParked (work: Submit, place: RecordPlace, to: Attachment): void {
+    this.#parked.push({ to, work, place })
+  }
+
+  /**
+   * @param deadlineMs - time left for the leave in ms
+   * @param context - time and ways out
+   */
+  start (deadlineMs: number, context: Context): void {
+    if (this.isLeaving()) return
+    this.#stage = { kind: 'draining', sinceMs: context.nowMs }
+    this.#deadlineAtMs = context.nowMs + deadlineMs
+    context.emit({ kind: 'log', event: 'process-leaving', fields: { running: this.#executions.size } })
+    this.check(context)
+  }
+
+  /** Moves the leave on; called with each event of the edge. */
+  check (context: Context): void {
+    const stage = this.#stage
+    if (stage.kind === 'none' || stage.kind === 'finished') return
+    if (context.nowMs >= this.#deadlineAtMs) return this.#cut(context)
+    if (stage.kind === 'draining') {
+      if (context.nowMs - stage.sinceMs >= DRAIN_MS || this.#executions.listWaiting().length === 0) this.#freeze(context)
+    } else if (stage.kind === 'searching') this.#search(stage.sinceMs, context)
+    else if (stage.kind === 'moved' && context.nowMs - stage.sinceMs >= ANNOUNCE_MS) this.#refuseParked(context)
+    this.#sendOutgoing(context)
+    this.#checkFinished(context)
+  }
+
+  /** Hands over the result of work that was running when the table was sent. */
+  noteResult (execution: Execution, context: Context): void {
+    if (execution.place === undefined || this.#successor?.hasRecords !== true) return
+    const { table, scope } = execution.place
+    const record = table.find(scope)
+    const entry = record === undefined ? undefined : buildEntry(scope, record)
+    if (entry !== undefined) this.#addOutgoing(table, ++this.#batch, [entry], context)
+  }
+
+  handleAck (peer: string, ack: HandoverAck, context: Context): void {
+    if (peer !== this.#successor?.id) return
+    this.#outgoing = this.#outgoing.filter(({ table, batch }) => !(batch === ack.batch && table.home === ack.home && table.incarnation === ack.incarnation))
+    if (this.#stage.kind !== 'searching') return
+    if (ack.batch === 0 && !ack.accepted) {
+      // The receiver leaves as well and took nothing over.
+      this.#successor = undefined
+      this.#outgoing = []
+    } else if (!this.#outgoing.some(({ batch }) => batch === 0)) {
+      this.#stage = { kind: 'moved', successor: peer, sinceMs: context.nowMs }
+      context.emit({ kind: 'log', event: 'handover-finished', fields: { successor: peer } })
+    }
+  }
+
+  /** Stops every start, so that open keys may start at the successor. */
+  #freeze (context: Context): void {
+    const admission = context.port('admission')
+    for (const execution of this.#executions.listWaiting()) {
+      if (!admission.removeWaiting(execution.work.workId)) continue
+      const { place, work } = execution
+      if (place === undefined) this.#executions.refuse(work.workId, { error: 'leaving', outcome: 'not-run' }, context)
+      else for (const to of this.#executions.removeUnstarted(execution)) this.addParked(work, place, to)
+    }
+    this.#stage = { kind: 'searching', sinceMs: context.nowMs }
+    context.emit({ kind: 'log', event: 'handover-started', fields: { records: this.#records.countRecords() } })
+    this.#search(context.nowMs, context)
+  }
+
+  #search (sinceMs: number, context: Context): void {
+    const current = this.#successor
+    // Only one process may ever hold the records: after they were sent, no other is tried.
+    if (current?.hasRecords === true) return
+    if (current !== undefined && context.port('membership').findPeer(current.id) !== undefined) {
+      this.#successor = { ...current, hasRecords: true }
+      for (const table of this.#records.listTables()) {
+        const entries = table.list().flatMap(([scope, record]) => buildEntry(scope, record) ?? [])
+        this.#addOutgoing(table, 0, entries, context)
+      }
+      return
+    }
+    if (context.nowMs - sinceMs >= SEARCH_MS) return this.#giveUp(context)
+    if (current !== undefined && context.nowMs - current.sinceMs < RETRY_MS) return
+    this.#connectNext(context)
+  }
+
+  #connectNext (context: Context): void {
+    const candidates = this.#listCandidates(context)
+    if (candidates.length === 0) return this.#giveUp(context)
+    const next = candidates.find(candidate => !this.#tried.has(candidate.id)) ?? candidates[0]!
+    if (this.#tried.has(next.id)) this.#tried.clear()
+    this.#tried.add(next.id)
+    this.#successor = { id: next.id, sinceMs: context.nowMs, hasRecords: false }
+    if (context.port('membership').findPeer(next.id) === undefined) context.emit({ kind: 'connect', peer: next.id, address: next.peerAddress })
+  }
+
+  /** Endpoint processes of the service in domains that are in, beginning after this one's id so that leavers spread. */
+  #listCandidates (context: Context): readonly { readonly id: string, readonly peerAddress: string }[] {
+    const configuration = context.port('configuration')
+    const membership = context.port('membership')
+    const ids = configuration.listEndpoints(this.#service)
+      .filter(spec => spec.id !== context.self.id && configuration.isInService(spec) && membership.findPeer(spec.id)?.endpoint?.leaving !== true)
+      .sort((left, right) => left.id < right.id ? -1 : 1)
+    return [...ids.filter(spec => spec.id > context.self.id), ...ids.filter(spec => spec.id < context.self.id)]
+  }
+
+  #giveUp (context: Context): void {
+    this.#successor = undefined
+    this.#stage = { kind: 'alone' }
+    for (const { to, work, place } of this.#parked) {
+      this.#records.update(place, work, { kind: 'closed' })
+      sendRefused(to, { error: 'leaving', outcome: 'not-run' }, context)
+    }
+    this.#parked = []
+  }
+
+  #refuseParked (context: Context): void {
+    for (const { to } of this.#parked) sendRefused(to, { error: 'leaving', outcome: 'unknown' }, context)
+    this.#parked = []
+  }
+
+  #addOutgoing (table: RecordTable, batch: number, entries: Parameters<typeof buildParts>[3], context: Context): void {
+    this.#outgoing.push({ table, batch, parts: buildParts(table, batch, this.#service, entries, context.nowMs), sentAtMs: -Infinity })
+    this.#sendOutgoing(context)
+  }
+
+  #sendOutgoing (context: Context): void {
+    const peer = this.#successor?.id
+    if (peer === undefined) return
+    for (const outgoing of this.#outgoing) {
+      if (context.nowMs - outgoing.sentAtMs < RETRY_MS) continue
+      outgoing.sentAtMs = context.nowMs
+      if (context.port('membership').findPeer(peer) === undefined) {
+        const address = context.port('configuration').findEndpoint(peer)?.peerAddress
+        if (address !== undefined) context.emit({ kind: 'connect', peer, address })
+      } else {
+        for (const message of outgoing.parts) context.emit({ kind: 'send', peer, message })
+      }
+    }
+  }
+
+  #checkFinished (context: Context): void {
+    const stage = this.#stage
+    const isMoved = stage.kind === 'moved' && context.nowMs - stage.sinceMs >= STAY_MS
+    if (!isMoved && stage.kind !== 'alone') return
+    if (this.#executions.size === 0 && this.#outgoing.length === 0 && this.#parked.length === 0) this.#finish(context)
+  }
+
+  #cut (context: Context): void {
+    this.#refuseParked(context)
+    context.emit({ kind: 'log', event: 'work-cut', fields: { count: this.#executions.size } })
+    this.#finish(context)
+  }
+
+  #finish (context: Context): void {
+    this.#stage = { kind: 'finished' }
+    context.emit({ kind: 'leave-finished' })
+  }
+}
--- /dev/null
+++ b/src/plugins/outcomes/peers.ts
@@ -0,0 +1,56 @@
+/** When peers were last heard, and cancels that came before their submit. */
+
+import type { ProcessRef } from '../../protocol/messages.js'
+
+/** Silence in ms after which a peer's attempts are dropped. */
+export const VANISHED_MS = 3_000
+/** Cancelled attempts that are remembered in case their submit arrives later. */
+const CANCELS_MAX = 10_000
+
+interface Seen {
+  readonly incarnation: number
+  readonly atMs: number
+}
+
+/** Peers that send work. */
+export class Peers {
+  readonly #seen = new Map<string, Seen>()
+  readonly #cancelled = new Set<string>()
+
+  private constructor () {}
+
+  static create (): Peers {
+    return new Peers()
+  }
+
+  /** @returns whether the peer is a new incarnation of one that was heard before */
+  noteHeard (peer: ProcessRef, nowMs: number): boolean {
+    const before = this.#seen.get(peer.id)
+    this.#seen.set(peer.id, { incarnation: peer.incarnation, atMs: nowMs })
+    return before !== undefined && before.incarnation < peer.incarnation
+  }
+
+  /** Counts silence from now: after a pause of this process the peers' messages wait unread. */
+  notePause (nowMs: number): void {
+    for (const [id, seen] of this.#seen) this.#seen.set(id, { ...seen, atMs: nowMs })
+  }
+
+  /** @returns the peers that have been silent for too long; each is named once */
+  removeVanished (nowMs: number): readonly string[] {
+    const vanished = [...this.#seen].filter(([, seen]) => nowMs - seen.atMs > VANISHED_MS).map(([id]) => id)
+    for (const id of vanished) this.#seen.delete(id)
+    return vanished
+  }
+
+  noteCancelled (workId: string): void {
+    this.#cancelled.add(workId)
+    for (const oldest of this.#cancelled) {
+      if (this.#cancelled.size <= CANCELS_MAX) return
+      this.#cancelled.delete(oldest)
+    }
+  }
+
+  isCancelled (workId: string): boolean {
+    return this.#cancelled.has(workId)
+  }
+}
--- a/src/plugins/outcomes/plugin.ts
+++ b/src/plugins/outcomes/plugin.ts
@@ -2,205 +2,129 @@
  * Outcomes at a home: which key may run, which attempt joins, what is answered.
  */
 
-import { Execution } from './execution.js'
-import type { Attachment, RecordPlace } from './execution.js'
-import { RecordTable, formatScope } from './table.js'
-import type { KeyRecord } from './table.js'
-import type { ErrorKind, Outcome } from '../../kernel/errors.js'
-import { assertNever } from '../../kernel/errors.js'
+import { Executions } from './executions.js'
+import { Intake } from './intake.js'
+import { Leave } from './leave.js'
+import { Peers } from './peers.js'
+import { Records } from './records.js'
+import { Takeover } from './takeover.js'
 import type { KernelEvent } from '../../kernel/events.js'
 import { registerPlugin } from '../../kernel/plugin.js'
 import type { Context, Plugin, PluginOptions } from '../../kernel/plugin.js'
 import type { OutcomesPort, Ports } from '../../kernel/ports.js'
-import type { KeyState, Message, Query, Submit } from '../../protocol/messages.js'
+import type { Message, ProcessRef } from '../../protocol/messages.js'
 
-/** Largest count of records of one process. */
-const RECORDS_MAX = 20_000
+/**
+ * Gap between two events of the edge that shows that the process was paused.
+ * Entries take a silent home's work over after 3 s, so the gap must be shorter.
+ */
+const PAUSE_MS = 2_000
+
+/** Event kinds that the plug-in handles. */
+const KINDS = [
+  'tick', 'leave-requested', 'peer-connected', 'message-received', 'work-queued', 'work-started', 'work-refused',
+  'endpoint-head', 'endpoint-chunk', 'endpoint-ended', 'endpoint-failed'
+] as const satisfies readonly KernelEvent['kind'][]
 
 /** Decides on submits and relays answers. */
 export class Outcomes implements Plugin, OutcomesPort {
   readonly name = 'outcomes'
-  readonly subscribesTo = ['message-received', 'work-queued', 'work-started', 'work-refused', 'endpoint-head', 'endpoint-chunk', 'endpoint-ended', 'endpoint-failed', 'tick'] as const
+  readonly subscribesTo = KINDS
   readonly ports: Partial<Ports> = { outcomes: this }
-  readonly #tables: RecordTable[]
-  readonly #executions = new Map<string, Execution>()
-  readonly #byAttempt = new Map<string, Execution>()
-  #nowMs = 0
+  readonly #records: Records
+  readonly #executions: Executions
+  readonly #leave: Leave
+  readonly #takeover: Takeover
+  readonly #intake: Intake
+  readonly #peers = Peers.create()
+  #nowMs: number | undefined
 
   private constructor (options: PluginOptions) {
-    this.#tables = [RecordTable.create(options.self.id, options.self.incarnation, 0, 0)]
-  }
-
+    const service = options.service ?? ''
+    this.#records = Records.create(options.self)
+    this.#executions = Executions.create(this.#records)
+    this.#leave = Leave.create(this.#records, this.#executions, service)
+    this.#takeover = Takeover.create(this.#records)
+    this.#intake = Intake.create({ service, records: this.#records, executions: this.#executions, leave: this.#leave, peers: this.#peers })
+  }
+
+  /**
+   * @param options - identity and service of the process
+   * @returns the plug-in without records
+   */
   static create (options: PluginOptions): Outcomes {
     return new Outcomes(options)
   }
 
-  getWindow (): number { return this.#tables[0]!.getWindow(this.#nowMs) }
-  getMovedTo (): string | undefined { return undefined }
-  countRecords (): number { return this.#tables.reduce((sum, table) => sum + table.size, 0) }
+  getWindow (): number { return this.#records.own.getWindow(this.#nowMs ?? 0) }
+  getMovedTo (): string | undefined { return this.#leave.getMovedTo() }
+  countRecords (): number { return this.#records.countRecords() }
 
+  /** After a pause, entries may have answered for waiting work, so none of it starts any more. */
   checkTime (context: Context): void {
+    const gapMs = context.nowMs - (this.#nowMs ?? context.nowMs)
     this.#nowMs = context.nowMs
+    if (gapMs <= PAUSE_MS) return
+    this.#peers.notePause(context.nowMs)
+    const closed = this.#executions.refuseWaiting({ error: 'process-paused', outcome: 'not-run' }, context)
+    context.emit({ kind: 'log', event: 'pause-detected', fields: { gapMs, closed } })
   }
 
   handle (event: KernelEvent, context: Context): void {
     switch (event.kind) {
-      case 'message-received': return this.#handleMessage(event.peer.id, event.message, context)
-      case 'work-queued': return this.#sendAll(event.workId, workId => ({ kind: 'accepted', workId, queued: event.queued, waitMs: event.waitMs }), context)
-      case 'work-started': return this.#handleStarted(event.workId, context)
-      case 'work-refused': return this.#finishRefused(event.workId, event.error, event.outcome, event.retryAfterMs, context)
-      case 'endpoint-head': {
-        this.#executions.get(event.workId)?.noteHead(event.status, event.headers)
-        return this.#sendAll(event.workId, workId => ({ kind: 'head', workId, status: event.status, headers: event.headers }), context)
-      }
-      case 'endpoint-chunk': {
-        const index = this.#executions.get(event.workId)?.noteChunk(event.data) ?? 0
-        return this.#sendAll(event.workId, workId => ({ kind: 'chunk', workId, index, data: event.data }), context)
-      }
-      case 'endpoint-ended': return this.#handleEnded(event.workId, context)
-      case 'endpoint-failed': return this.#finishRefused(event.workId, 'endpoint-failed', event.sent ? 'unknown' : 'not-run', undefined, context)
-      case 'tick': for (const table of this.#tables) table.removeExpired(context.nowMs)
+      case 'tick': return this.#handleTick(context)
+      case 'leave-requested': return this.#leave.start(event.deadlineMs, context)
+      case 'peer-connected':
+        this.#noteHeard(event.peer, context)
+        return this.#leave.check(context)
+      case 'message-received':
+        this.#noteHeard(event.peer, context)
+        return this.#handleMessage(event.peer.id, event.message, context)
+      case 'work-queued': return this.#executions.noteQueued(event.workId, event.queued, event.waitMs, context)
+      case 'work-started': return this.#executions.noteStarted(event.workId, context)
+      case 'endpoint-head': return this.#executions.noteHead(event.workId, event.status, event.headers, context)
+      case 'endpoint-chunk': return this.#executions.noteChunk(event.workId, event.data, context)
+      case 'work-refused':
+      case 'endpoint-ended':
+      case 'endpoint-failed': return this.#handleEnd(event, context)
     }
   }
 
-  #handleMessage (peer: string, message: Message, context: Context): void {
-    if (message.kind === 'submit') this.#handleSubmit(peer, message, context)
-    if (message.kind === 'query') this.#handleQuery(peer, message, context)
+  #handleEnd (event: Extract<KernelEvent, { kind: 'work-refused' | 'endpoint-ended' | 'endpoint-failed' }>, context: Context): void {
+    const ended = event.kind === 'endpoint-ended'
+      ? this.#executions.finish(event.workId, context)
+      : this.#executions.refuse(event.workId, event.kind === 'work-refused'
+        ? event
+        : { error: 'endpoint-failed', outcome: event.sent ? 'unknown' : 'not-run' }, context)
+    if (ended !== undefined) this.#leave.noteResult(ended, context)
   }
 
-  #handleSubmit (peer: string, work: Submit, context: Context): void {
-    if (this.#byAttempt.has(work.workId)) return
-    const to: Attachment = { peer, workId: work.workId, late: false }
-    if (work.key === undefined) return this.#offer(work, undefined, to, context)
-    const table = this.#findTable(work.key)
-    if (table === undefined) return this.#refuse(to, 'home-lost', 'unknown', context)
-    const scope = formatScope(work.team, work.service, work.key)
-    const record = table.find(scope)
-    if (record !== undefined) return this.#answerRecord(record, work, to, context)
-    const age = table.getAge(work.key, context.nowMs)
-    if (age === 'expired') return this.#refuse(to, 'key-expired', 'unknown', context)
-    if (age === 'past-start') return this.#refuse(to, 'key-closed', 'not-run', context)
-    if (this.countRecords() >= RECORDS_MAX) return this.#refuse(to, 'records-full', 'unknown', context)
-    this.#offer(work, { table, scope }, to, context)
+  #handleTick (context: Context): void {
+    for (const peer of this.#peers.removeVanished(context.nowMs)) this.#executions.removePeer(peer, context)
+    this.#records.removeExpired(context.nowMs)
+    this.#leave.check(context)
   }
 
-  #offer (work: Submit, place: RecordPlace | undefined, to: Attachment, context: Context): void {
-    const execution = Execution.create(work, place)
-    execution.attachments.set(to.workId, to)
-    this.#executions.set(work.workId, execution)
-    this.#byAttempt.set(work.workId, execution)
-    this.#updateRecord(execution, { kind: 'waiting', runId: work.workId })
-    context.raise({ kind: 'work-offered', work })
+  #noteHeard (peer: ProcessRef, context: Context): void {
+    if (this.#peers.noteHeard(peer, context.nowMs)) this.#executions.removePeer(peer.id, context)
   }
 
-  #answerRecord (record: KeyRecord, work: Submit, to: Attachment, context: Context): void {
-    const { state } = record
-    if (record.bodyHash !== work.bodyHash) {
-      // A waiting key may still be freed for another body, so nothing permanent can be said.
-      return this.#refuse(to, 'key-reused', state.kind === 'waiting' ? 'unknown' : 'not-run', context)
-    }
-    switch (state.kind) {
-      case 'waiting':
-      case 'running': return this.#addAttachment(state.runId, to, context)
-      case 'closed': return this.#refuse(to, 'key-closed', 'not-run', context)
-      case 'unknown': return this.#refuse(to, 'endpoint-failed', 'unknown', context)
-      case 'run': {
-        if (state.answer === undefined) return this.#refuse(to, 'answer-not-kept', 'run', context)
-        const { status, headers, chunks } = state.answer
-        this.#send(to, { kind: 'head', workId: to.workId, status, headers }, context)
-        chunks.forEach((data, index) => { this.#send(to, { kind: 'chunk', workId: to.workId, index, data }, context) })
-        return this.#send(to, { kind: 'end', workId: to.workId, chunks: chunks.length }, context)
+  #handleMessage (peer: string, message: Message, context: Context): void {
+    switch (message.kind) {
+      case 'submit': return this.#intake.handleSubmit(peer, message, context)
+      case 'cancel': {
+        const { workId } = message
+        if (!this.#executions.hasAttempt(workId)) this.#peers.noteCancelled(workId)
+        return context.emit({ kind: 'send', peer, message: { kind: 'cancelled', workId, outcome: this.#executions.cancel(workId, context) } })
       }
-      default: assertNever(state)
+      case 'query':
+        return context.emit({ kind: 'send', peer, message: { kind: 'query-answer', queryId: message.queryId, state: this.#intake.findState(message, context.nowMs) } })
+      case 'handover': return this.#takeover.handlePart(peer, message, this.#leave.isLeaving(), context)
+      case 'handover-ack':
+        this.#leave.handleAck(peer, message, context)
+        return this.#leave.check(context)
     }
   }
-
-  #addAttachment (runId: string, to: Attachment, context: Context): void {
-    const execution = this.#executions.get(runId)!
-    const { workId } = to
-    const late = execution.count > 0 && !execution.isKept()
-    execution.attachments.set(workId, { ...to, late })
-    this.#byAttempt.set(workId, execution)
-    this.#send(to, { kind: 'accepted', workId, queued: 0, waitMs: 0 }, context)
-    if (execution.state === 'running') this.#send(to, { kind: 'started', workId }, context)
-    if (late || execution.head === undefined) return
-    this.#send(to, { kind: 'head', workId, ...execution.head }, context)
-    execution.listChunks().forEach((data, index) => { this.#send(to, { kind: 'chunk', workId, index, data }, context) })
-  }
-
-  #handleStarted (workId: string, context: Context): void {
-    const execution = this.#executions.get(workId)
-    if (execution === undefined) return
-    execution.state = 'running'
-    this.#updateRecord(execution, { kind: 'running', runId: workId })
-    this.#sendAll(workId, attempt => ({ kind: 'started', workId: attempt }), context)
-  }
-
-  #handleEnded (workId: string, context: Context): void {
-    const execution = this.#executions.get(workId)
-    if (execution === undefined) return
-    const answer = execution.findAnswer()
-    this.#updateRecord(execution, answer === undefined ? { kind: 'run' } : { kind: 'run', answer })
-    for (const to of this.#removeExecution(execution)) {
-      if (to.late) this.#refuse(to, 'answer-not-kept', 'run', context)
-      else this.#send(to, { kind: 'end', workId: to.workId, chunks: execution.count }, context)
-    }
-  }
-
-  #finishRefused (workId: string, error: ErrorKind, outcome: Outcome, retryAfterMs: number | undefined, context: Context): void {
-    const execution = this.#executions.get(workId)
-    if (execution === undefined) return
-    this.#updateRecord(execution, outcome === 'not-run' ? { kind: 'closed' } : { kind: 'unknown' })
-    for (const to of this.#removeExecution(execution)) this.#refuse(to, error, outcome, context, retryAfterMs)
-  }
-
-  #handleQuery (peer: string, query: Query, context: Context): void {
-    context.emit({ kind: 'send', peer, message: { kind: 'query-answer', queryId: query.queryId, state: this.#findKeyState(query, context) } })
-  }
-
-  #findKeyState (query: Query, context: Context): KeyState {
-    const table = this.#findTable(query.key)
-    const record = table?.find(formatScope(query.team, query.service, query.key))
-    if (table === undefined) return 'unknown'
-    if (record === undefined) return table.getAge(query.key, context.nowMs) === 'past-start' ? 'not-run' : 'unknown'
-    switch (record.state.kind) {
-      case 'waiting':
-      case 'running': return 'running'
-      case 'closed': return 'not-run'
-      default: return record.state.kind
-    }
-  }
-
-  #findTable (key: { readonly home: string, readonly incarnation: number }): RecordTable | undefined {
-    return this.#tables.find(table => table.home === key.home && table.incarnation === key.incarnation)
-  }
-
-  #updateRecord (execution: Execution, state: KeyRecord['state']): void {
-    const { place, work } = execution
-    if (place === undefined || work.key === undefined) return
-    place.table.update(place.scope, { window: work.key.window, bodyHash: work.bodyHash, state })
-  }
-
-  #removeExecution (execution: Execution): readonly Attachment[] {
-    this.#executions.delete(execution.work.workId)
-    for (const workId of execution.attachments.keys()) this.#byAttempt.delete(workId)
-    return [...execution.attachments.values()]
-  }
-
-  #sendAll (runId: string, build: (workId: string) => Message, context: Context): void {
-    for (const to of this.#executions.get(runId)?.attachments.values() ?? []) {
-      if (!to.late) this.#send(to, build(to.workId), context)
-    }
-  }
-
-  #refuse (to: Attachment, error: ErrorKind, outcome: Outcome, context: Context, retryAfterMs?: number): void {
-    const { version } = context.port('configuration').getCurrent()
-    this.#send(to, { kind: 'refused', workId: to.workId, error, outcome, configVersion: version, ...(retryAfterMs === undefined ? {} : { retryAfterMs }) }, context)
-  }
-
-  #send (to: Attachment, message: Message, context: Context): void {
-    context.emit({ kind: 'send', peer: to.peer, message })
-  }
 }
 
 registerPlugin({ name: 'outcomes', roles: ['endpoint'], create: options => Outcomes.create(options) })
--- /dev/null
+++ b/src/plugins/outcomes/records.ts
@@ -0,0 +1,72 @@
+/** The record tables of a process: its own, and those it took over. */
+
+import { RECORD_WINDOWS, RecordTable, START_LIMIT_WINDOWS } from './table.js'
+import type { KeyRecord, RecordState } from './table.js'
+import type { RecordPlace } from './execution.js'
+import type { ProcessRef, RequestKey, Submit } from '../../protocol/messages.js'
+
+/** Largest count of records of one process. */
+export const RECORDS_MAX = 20_000
+/** Largest size of all kept answers of one process. */
+const ANSWERS_MAX_BYTES = 16 * 1024 * 1024
+
+interface TakenTable {
+  readonly table: RecordTable
+  /** Window of the table when it was taken over. */
+  readonly fromWindow: number
+}
+
+/** All records of one process. */
+export class Records {
+  readonly own: RecordTable
+  readonly #taken: TakenTable[] = []
+
+  private constructor (own: RecordTable) {
+    this.own = own
+  }
+
+  /**
+   * @param self - the process
+   * @returns its empty records; windows are counted from monotonic time 0
+   */
+  static create (self: ProcessRef): Records {
+    return new Records(RecordTable.create(self.id, self.incarnation, 0, 0))
+  }
+
+  /** @returns the table of the key's home; undefined when it is not served here */
+  findTable (key: Pick<RequestKey, 'home' | 'incarnation'>): RecordTable | undefined {
+    return this.listTables().find(table => table.home === key.home && table.incarnation === key.incarnation)
+  }
+
+  listTables (): readonly RecordTable[] {
+    return [this.own, ...this.#taken.map(taken => taken.table)]
+  }
+
+  countRecords (): number {
+    return this.listTables().reduce((sum, table) => sum + table.size, 0)
+  }
+
+  isFull (): boolean {
+    return this.countRecords() >= RECORDS_MAX
+  }
+
+  addTaken (table: RecordTable, nowMs: number): void {
+    this.#taken.push({ table, fromWindow: table.getWindow(nowMs) })
+  }
+
+  /** Records the state of a key; work without a key has no record. */
+  update (place: RecordPlace | undefined, work: Submit, state: RecordState): void {
+    if (place === undefined || work.key === undefined) return
+    const record: KeyRecord = { window: work.key.window, bodyHash: work.bodyHash, state }
+    place.table.update(place.scope, record)
+    const bytes = this.listTables().reduce((sum, table) => sum + table.answerBytes, 0)
+    if (bytes > ANSWERS_MAX_BYTES) place.table.removeAnswers(Math.max(0, place.table.answerBytes - ANSWERS_MAX_BYTES / 8))
+  }
+
+  /** Drops expired records, and taken tables that can hold none any more. */
+  removeExpired (nowMs: number): void {
+    for (const table of this.listTables()) table.removeExpired(nowMs)
+    const kept = this.#taken.filter(({ table, fromWindow }) => table.size > 0 || table.getWindow(nowMs) - fromWindow <= RECORD_WINDOWS + START_LIMIT_WINDOWS)
+    this.#taken.splice(0, this.#taken.length, ...kept)
+  }
+}
--- a/src/plugins/outcomes/table.ts
+++ b/src/plugins/outcomes/table.ts
@@ -44,6 +44,7 @@
   readonly #firstWindow: number
   readonly #records = new Map<string, KeyRecord>()
   readonly #scopesByWindow = new Map<number, Set<string>>()
+  #answerBytes = 0
 
   private constructor (home: string, incarnation: number, startMs: number, firstWindow: number) {
     this.home = home
@@ -65,6 +66,9 @@
 
   get size (): number { return this.#records.size }
 
+  /** Bytes of the kept answers. */
+  get answerBytes (): number { return this.#answerBytes }
+
   /**
    * @param nowMs - monotonic time in ms
    * @returns the current window
@@ -89,6 +93,7 @@
   }
 
   update (scope: string, record: KeyRecord): void {
+    this.#answerBytes += countBytes(record) - countBytes(this.#records.get(scope))
     this.#records.set(scope, record)
     const scopes = this.#scopesByWindow.get(record.window)
     if (scopes === undefined) this.#scopesByWindow.set(record.window, new Set([scope]))
@@ -98,6 +103,7 @@
   remove (scope: string): void {
     const record = this.#records.get(scope)
     if (record === undefined) return
+    this.#answerBytes -= countBytes(record)
     this.#records.delete(scope)
     this.#scopesByWindow.get(record.window)?.delete(scope)
   }
@@ -119,12 +125,29 @@
     }
   }
 
+  /**
+   * Drops answers, first those of the oldest records; the records stay.
+   *
+   * @param maxBytes - bytes of answers to keep
+   */
+  removeAnswers (maxBytes: number): void {
+    for (const [scope, record] of this.#records) {
+      if (this.#answerBytes <= maxBytes) return
+      if (countBytes(record) > 0) this.update(scope, { ...record, state: { kind: 'run' } })
+    }
+  }
+
   /** @returns every record with its scope */
   list (): readonly (readonly [scope: string, record: KeyRecord])[] {
     return [...this.#records]
   }
 }
 
+function countBytes (record: KeyRecord | undefined): number {
+  if (record?.state.kind !== 'run') return 0
+  return record.state.answer?.chunks.reduce((sum, chunk) => sum + chunk.byteLength, 0) ?? 0
+}
+
 /**
  * @param team - team name
  * @param service - service name
--- a/src/protocol/messages.ts
+++ b/src/protocol/messages.ts
@@ -138,12 +138,12 @@
 export interface Chunk {
   readonly kind: 'chunk'
   readonly workId: string
-  /** Position from 0; a gap means that the stream broke. */
+  /** Position from 0 in the whole answer, so a resumed stream starts at `resumeFrom`; a gap means that the stream broke. */
   readonly index: number
   readonly data: Uint8Array
 }
 
-/** The answer is whole when `chunks` chunks were received. */
+/** The answer is whole when `chunks` chunks were received, those before a resume included. */
 export interface End {
   readonly kind: 'end'
   readonly workId: string
@@ -156,8 +156,6 @@
   readonly error: ErrorKind
   readonly outcome: Outcome
   readonly retryAfterMs?: number
-  /** Process that serves the key now; the same key may be sent there. */
-  readonly movedTo?: string
   readonly configVersion: number
 }
 
