--- a/src/protocol/messages.ts
+++ b/src/protocol/messages.ts
@@ -158,8 +158,6 @@
   readonly error: ErrorKind
   readonly outcome: Outcome
   readonly retryAfterMs?: number
-  /** Process that serves the key now; the same key may be sent there. */
-  readonly movedTo?: string
   readonly configVersion: number
 }
 
