--- a/test/experts/world.ts
+++ b/test/experts/world.ts
@@ -124,7 +124,8 @@
       self: node.self,
       emit: effect => { effects.push(effect) },
       raise: () => {},
-      port: name => this.#getPort(name)
+      port: name => this.#getPort(name),
+      findPort: () => undefined
     }
     node.plugin.handle(event, context)
     for (const effect of effects) this.#apply(node, effect)
