--- /dev/null
+++ b/bench/fleet/fleet.ts
@@ -0,0 +1,300 @@
+/**
+ * Real kernels of entries and endpoint processes in virtual time, joined by a
+ * fake network, in front of fake endpoints. The same seed gives the same run.
+ */
+
+import { hashPart } from '../../src/kernel/hash.js'
+import type { Configuration, ConfigurationRoot } from '../../src/kernel/document.js'
+import type { Effect } from '../../src/kernel/effects.js'
+import type { KernelEvent, RequestReceived } from '../../src/kernel/events.js'
+import { Kernel } from '../../src/kernel/kernel.js'
+import { Random } from '../../src/kernel/random.js'
+import '../../src/plugins/index.js'
+import type { Message, ProcessRef } from '../../src/protocol/messages.js'
+import { VirtualClock } from './clock.js'
+import { FakeEndpoint } from './endpoint.js'
+import type { FakeEndpointOptions } from './endpoint.js'
+
+/** Interval of the kernels' tick in ms. */
+const TICK_MS = 100
+
+/** Interval of endpoints' reports in ms. */
+const REPORT_MS = 500
+
+/** Time by which an endpoint's report lags, in ms. */
+const REPORT_LAG_MS = 300
+
+/** What a fleet is created with. */
+export interface FleetOptions {
+  readonly seed: number
+  readonly configuration: Configuration
+  /** One-way latency between processes in ms. */
+  readonly latencyMs: number
+  readonly endpoints: (id: string) => FakeEndpointOptions
+  /** Gets each reply to a caller. */
+  readonly handleReply: (entry: string, effect: Effect) => void
+}
+
+interface Node {
+  readonly ref: ProcessRef
+  kernel: Kernel
+  alive: boolean
+  paused: boolean
+  left: boolean
+  readonly inbox: KernelEvent[]
+  readonly links: Set<string>
+  readonly fake?: FakeEndpoint
+}
+
+/** Kernels, network and endpoints of one deployment. */
+export class Fleet {
+  readonly clock = VirtualClock.create()
+  readonly #options: FleetOptions
+  readonly #nodes = new Map<string, Node>()
+  readonly #random: Random
+  readonly #cuts = new Set<string>()
+  #bytes = 0
+
+  private constructor (options: FleetOptions) {
+    this.#options = options
+    this.#random = Random.create(options.seed)
+    const { entries, endpoints } = options.configuration
+    for (const entry of entries) this.#addNode({ id: entry.id, role: 'entry', domain: entry.domain, host: entry.host, address: entry.peerAddress, incarnation: 1 })
+    for (const endpoint of endpoints) this.#addNode({ id: endpoint.id, role: 'endpoint', domain: endpoint.domain, host: endpoint.host, address: endpoint.peerAddress, incarnation: 1 })
+    for (const node of this.#nodes.values()) this.#scheduleTicks(node)
+    this.applyConfiguration(options.configuration, entries.map(entry => entry.id))
+  }
+
+  /**
+   * @param options - deployment, network and endpoints
+   * @returns a fleet at 0 ms in which every entry holds the configuration
+   */
+  static create (options: FleetOptions): Fleet {
+    return new Fleet(options)
+  }
+
+  /** Messages sent so far. */
+  get messages (): number { return this.#bytes }
+
+  /** @returns ids of live entries that are not leaving */
+  listEntries (): readonly string[] {
+    return [...this.#nodes.values()].filter(node => node.ref.role === 'entry' && node.alive && !node.left).map(node => node.ref.id)
+  }
+
+  /**
+   * @param id - endpoint process
+   * @returns its endpoint
+   */
+  getFake (id: string): FakeEndpoint {
+    const fake = this.#nodes.get(id)?.fake
+    if (fake === undefined) throw new Error(`${id} is no endpoint process`)
+    return fake
+  }
+
+  /**
+   * @param id - process
+   * @returns its kernel
+   */
+  getKernel (id: string): Kernel {
+    return this.#getNode(id).kernel
+  }
+
+  /**
+   * Gives a newer configuration to some entries, as if they had read it from the
+   * platform; the others hear of it from them.
+   *
+   * @param configuration - with a higher version
+   * @param entries - ids of the entries that read it
+   */
+  applyConfiguration (configuration: Configuration, entries: readonly string[]): void {
+    const { root, parts } = formatConfiguration(configuration)
+    for (const id of entries) this.dispatch(id, { kind: 'configuration-read', root, parts, source: 'platform' })
+  }
+
+  /**
+   * @param entry - entry that the caller uses
+   * @param request - the request
+   */
+  request (entry: string, request: RequestReceived): void {
+    this.dispatch(entry, request)
+  }
+
+  /** Ends a process without notice; its connections break. */
+  kill (id: string): void {
+    const node = this.#getNode(id)
+    node.alive = false
+    for (const peer of [...node.links]) this.#breakLink(node, this.#getNode(peer))
+  }
+
+  /** Starts an empty process with a higher incarnation in the place of a killed one. */
+  restart (id: string): void {
+    const node = this.#getNode(id)
+    const ref = { ...node.ref, incarnation: node.ref.incarnation + 1 }
+    const fresh: Node = { ...node, ref, kernel: this.#createKernel(ref), alive: true, paused: false, left: false, inbox: [], links: new Set() }
+    this.#nodes.set(id, fresh)
+    this.#scheduleTicks(fresh)
+  }
+
+  /** Stops a process's event loop; events wait. */
+  pause (id: string): void {
+    this.#getNode(id).paused = true
+  }
+
+  /** Lets a paused process handle what waited. */
+  resume (id: string): void {
+    const node = this.#getNode(id)
+    node.paused = false
+    for (const event of node.inbox.splice(0)) this.dispatch(id, event)
+  }
+
+  /** Drops all messages between two processes without breaking the connection. */
+  cut (a: string, b: string): void {
+    this.#cuts.add(`${a} ${b}`).add(`${b} ${a}`)
+  }
+
+  /** Ends a cut. */
+  heal (a: string, b: string): void {
+    this.#cuts.delete(`${a} ${b}`)
+    this.#cuts.delete(`${b} ${a}`)
+  }
+
+  /**
+   * @param id - process
+   * @param event - given to its kernel now
+   */
+  dispatch (id: string, event: KernelEvent): void {
+    const node = this.#getNode(id)
+    if (!node.alive) return
+    if (node.paused) {
+      node.inbox.push(event)
+      return
+    }
+    for (const effect of node.kernel.dispatch(event, Math.floor(this.clock.nowMs))) this.#apply(node, effect)
+  }
+
+  #apply (node: Node, effect: Effect): void {
+    switch (effect.kind) {
+      case 'send': return this.#send(node, effect.peer, effect.message)
+      case 'connect': return this.#connect(node, effect.peer)
+      case 'disconnect': return this.#disconnect(node, effect.peer)
+      case 'run': return this.#run(node, effect)
+      case 'abort-run': return node.fake?.abort(effect.workId)
+      case 'leave-finished':
+        node.left = true
+        return this.kill(node.ref.id)
+      case 'platform-call':
+        return this.clock.schedule(1, () => { this.dispatch(node.ref.id, { kind: 'platform-answered', callId: effect.callId, result: { kind: 'unavailable' } }) })
+      default:
+        this.#options.handleReply(node.ref.id, effect)
+    }
+  }
+
+  #send (node: Node, peer: string, message: Message): void {
+    if (!node.links.has(peer)) return
+    this.#bytes += 1
+    const { ref } = node
+    this.clock.schedule(this.#computeLatency(), () => {
+      const target = this.#nodes.get(peer)
+      if (target === undefined || !target.links.has(ref.id) || this.#cuts.has(`${ref.id} ${peer}`)) return
+      this.dispatch(peer, { kind: 'message-received', peer: ref, message })
+    })
+  }
+
+  #connect (node: Node, peer: string): void {
+    this.clock.schedule(this.#computeLatency() * 2, () => {
+      const target = this.#nodes.get(peer)
+      if (target === undefined || !target.alive || !node.alive || node.links.has(peer) || this.#cuts.has(`${node.ref.id} ${peer}`)) return
+      node.links.add(peer)
+      target.links.add(node.ref.id)
+      this.dispatch(node.ref.id, { kind: 'peer-connected', peer: target.ref })
+      this.dispatch(peer, { kind: 'peer-connected', peer: node.ref })
+    })
+  }
+
+  #disconnect (node: Node, peer: string): void {
+    node.links.delete(peer)
+    const target = this.#nodes.get(peer)
+    if (target?.links.delete(node.ref.id) !== true) return
+    this.clock.schedule(this.#computeLatency(), () => { this.dispatch(peer, { kind: 'peer-disconnected', peer: node.ref }) })
+  }
+
+  #breakLink (node: Node, other: Node): void {
+    node.links.delete(other.ref.id)
+    other.links.delete(node.ref.id)
+    this.clock.schedule(this.#computeLatency(), () => { this.dispatch(other.ref.id, { kind: 'peer-disconnected', peer: node.ref }) })
+  }
+
+  #run (node: Node, effect: Extract<Effect, { kind: 'run' }>): void {
+    const { workId, key } = effect.work
+    const raise = (event: KernelEvent): void => { if (this.#nodes.get(node.ref.id) === node) this.dispatch(node.ref.id, event) }
+    node.fake?.run(workId, key?.text ?? effect.work.requestId, {
+      handleHead: () => { raise({ kind: 'endpoint-head', workId, status: 200, headers: [] }) },
+      handleChunk: () => { raise({ kind: 'endpoint-chunk', workId, data: CHUNK }) },
+      handleEnd: () => { raise({ kind: 'endpoint-ended', workId }) },
+      handleFailure: () => { this.clock.schedule(0, () => { raise({ kind: 'endpoint-failed', workId, sent: true }) }) }
+    })
+  }
+
+  #scheduleTicks (node: Node): void {
+    const live = (): boolean => node.alive && this.#nodes.get(node.ref.id) === node
+    const tick = (): void => {
+      if (!live()) return
+      if (!node.paused) this.dispatch(node.ref.id, { kind: 'tick' })
+      this.clock.schedule(TICK_MS, tick)
+    }
+    this.clock.schedule(this.#random.pickInt(TICK_MS), tick)
+    if (node.fake === undefined) return
+    const fake = node.fake
+    const report = (): void => {
+      if (!live()) return
+      const value = { healthy: fake.up, startId: fake.startId, warmth: fake.up ? fake.computeWarmth() : 0 }
+      this.clock.schedule(REPORT_LAG_MS, () => { if (live()) this.dispatch(node.ref.id, { kind: 'endpoint-reported', report: value }) })
+      this.clock.schedule(REPORT_MS, report)
+    }
+    report()
+  }
+
+  #addNode (ref: ProcessRef): void {
+    const fake = ref.role === 'endpoint' ? FakeEndpoint.create(this.clock, this.#options.endpoints(ref.id), true) : undefined
+    this.#nodes.set(ref.id, { ref, kernel: this.#createKernel(ref), alive: true, paused: false, left: false, inbox: [], links: new Set(), ...(fake === undefined ? {} : { fake }) })
+  }
+
+  #createKernel (self: ProcessRef): Kernel {
+    const service = this.#options.configuration.endpoints.find(endpoint => endpoint.id === self.id)?.service
+    const seeds = this.#options.configuration.entries.map(entry => ({ id: entry.id, address: entry.peerAddress }))
+    return Kernel.create({ self, seed: this.#random.pickInt(2 ** 31 - 1), settings: { clusterSecret: 'bench', seeds, addressHoldMs: 5_000 }, ...(service === undefined ? {} : { service }) })
+  }
+
+  #computeLatency (): number {
+    return this.#options.latencyMs * (0.8 + 0.4 * this.#random.pickFloat())
+  }
+
+  #getNode (id: string): Node {
+    const node = this.#nodes.get(id)
+    if (node === undefined) throw new Error(`no process ${id}`)
+    return node
+  }
+}
+
+const CHUNK = new Uint8Array(1)
+
+/** Formats a configuration as the platform holds it. */
+function formatConfiguration (configuration: Configuration): { readonly root: string, readonly parts: readonly (readonly [string, string])[] } {
+  const { domains, entries, endpoints, groups, services, profiles, teams } = configuration
+  const texts = {
+    topology: JSON.stringify({ domains: domains.map(({ name, region }) => ({ name, region })), entries, endpoints, groups }),
+    services: JSON.stringify({ services, profiles }),
+    'teams-00': JSON.stringify(teams)
+  }
+  const hashes = Object.fromEntries(Object.entries(texts).map(([name, text]) => [name, hashPart(text)]))
+  const root: ConfigurationRoot = {
+    version: configuration.version,
+    parts: hashes,
+    domainStates: Object.fromEntries(domains.map(domain => [domain.name, domain.state])),
+    drainingHosts: configuration.drainingHosts,
+    changedBy: 'bench',
+    changedAt: '2026-01-01T00:00:00Z',
+    reason: 'bench'
+  }
+  return { root: JSON.stringify(root), parts: Object.values(texts).map(text => [hashPart(text), text] as const) }
+}
