Add the command line

Operators change and inspect the configuration with heatherdoor. Each change records what is in force in the audit trail, writes missing parts, updates config/root conditionally and records itself; the root holds the change's own audit entry, so that a command that dies in between loses nothing. Lost answers are settled by reading back and by the change id in the trail.

Not covered by tests yet; tried by hand without a platform.

--- /dev/null
+++ b/src/cli/change.ts
@@ -0,0 +1,208 @@
+/** The way of every change: audit what is in force, write parts, update the root conditionally, audit. */
+
+import { ROOT_KEY, assembleConfiguration } from '../kernel/document.js'
+import type { Configuration, ConfigurationChange, ConfigurationDifference, ConfigurationRoot } from '../kernel/document.js'
+import { AuditTrail, buildRootEntry, formatEntry } from './audit.js'
+import type { AuditEntry } from './audit.js'
+import type { CommandContext } from './context.js'
+import { computeDifferences, formatDifference } from './diff.js'
+import { readSnapshot, writeParts } from './parts.js'
+import type { Part, Snapshot } from './parts.js'
+import { EXIT, buildDone, buildFailure } from './result.js'
+import type { CommandResult } from './result.js'
+import { PlatformUnavailableError } from './store.js'
+
+/** Count of tries against other operators, for commands without an expected version. */
+const RACES_MAX = 8
+
+/** Differences that the root holds; each process holds the root in memory. */
+const ROOT_DIFFERENCES_MAX = 16
+
+/** Differences that an audit entry holds. */
+const ENTRY_DIFFERENCES_MAX = 500
+
+/** Size of a part that the platform takes, in bytes. */
+const PART_MAX_BYTES = 1_000_000
+
+/** The state that a command wants. */
+export interface Target extends Pick<ConfigurationRoot, 'domainStates' | 'drainingHosts'> {
+  /** Parts to be in force; those of the root in force when absent. */
+  readonly parts?: readonly Part[]
+}
+
+/** A command's decision on the configuration in force. */
+export type Decision =
+  | { readonly kind: 'target', readonly target: Target }
+  | { readonly kind: 'refused', readonly result: CommandResult }
+
+/** A change that an operator asks for. */
+export interface ChangeRequest {
+  readonly command: string
+  readonly by: string
+  readonly reason: string
+  /** Version that the operator saw; the change is made only to this one. */
+  readonly expect?: number
+  /** Decides what is to be in force; called again when another operator was faster. */
+  readonly decide: (snapshot: Snapshot) => Decision
+}
+
+interface Draft {
+  readonly root: ConfigurationRoot
+  readonly entry: AuditEntry
+}
+
+/**
+ * Makes a change. Running it again when it took effect changes nothing.
+ *
+ * @param context - platform and clock
+ * @param request - the change
+ * @returns what the operator is told
+ */
+export async function applyChange (context: CommandContext, request: ChangeRequest): Promise<CommandResult> {
+  const trail = AuditTrail.create(context.store, context.outside.auditLimits)
+  let isSent = false
+  try {
+    for (let race = 0; race < RACES_MAX; race++) {
+      const snapshot = await readSnapshot(context.store, text => { context.outside.note(text) })
+      const decision = request.decide(snapshot)
+      if (decision.kind === 'refused') return decision.result
+      await trail.addMissing(snapshot.root)
+      const { version } = snapshot.configuration
+      const after = assembleTarget(snapshot, decision.target)
+      const differences = computeDifferences(snapshot.configuration, after)
+      if (differences.length === 0 && isSame(snapshot, decision.target)) {
+        return buildDone(`Nothing to change; version ${version} is in force.\n`, { changed: false, version })
+      }
+      if (request.expect !== undefined && request.expect !== version) return await describeLostRace(trail, request.expect, version)
+      const large = decision.target.parts?.find(part => Buffer.byteLength(part.json) > PART_MAX_BYTES)
+      if (large !== undefined) return buildFailure(EXIT.badInput, `Part ${large.name} has ${Buffer.byteLength(large.json)} bytes; the platform takes ${PART_MAX_BYTES}.`)
+      const draft = buildDraft(context, request, snapshot, decision.target, differences)
+      await writeParts(context.store, decision.target.parts ?? [], snapshot.root, text => { context.outside.note(text) })
+      context.outside.note('updating the root')
+      isSent = true
+      const hasWon = await writeRoot(context, trail, draft, snapshot.revision)
+      if (hasWon) return await finishChange(trail, draft, differences)
+      isSent = false
+    }
+    return buildFailure(EXIT.lostRace, `Other operators made ${RACES_MAX} changes meanwhile; nothing was changed. Run the command again.`)
+  } catch (error) {
+    if (error instanceof PlatformUnavailableError) return describeUnavailable(error, isSent)
+    throw error
+  }
+}
+
+/**
+ * @param error - the platform does not answer
+ * @param isRootSent - whether the root update was sent
+ * @returns what the operator is told
+ */
+export function describeUnavailable (error: PlatformUnavailableError, isRootSent = false): CommandResult {
+  const isUnknown = isRootSent && error.isSent
+  const effect = isUnknown
+    ? 'It is not known whether the change is in force. Run the same command again when the platform answers: it changes nothing if it is.'
+    : 'Nothing was changed.'
+  return buildFailure(EXIT.platformUnavailable, `The platform does not answer (${error.message}). ${effect}`, { changed: isUnknown ? 'unknown' : false })
+}
+
+/**
+ * @param trail - the audit trail
+ * @param expected - version that the operator saw
+ * @param version - version in force
+ * @returns a lost race, with who changed what
+ */
+async function describeLostRace (trail: AuditTrail, expected: number, version: number): Promise<CommandResult> {
+  const since = await trail.list(100, expected)
+  const changes = expected > version ? '' : `Changed since:\n${since.map(formatEntry).join('')}`
+  return buildFailure(
+    EXIT.lostRace,
+    `Version ${version} is in force, not ${expected}; nothing was changed.\n${changes}`,
+    { changed: false, version, expected, changes: since }
+  )
+}
+
+/* Tells whether the root with this draft is or was in force. */
+async function writeRoot (context: CommandContext, trail: AuditTrail, draft: Draft, revision: number): Promise<boolean> {
+  const written = await context.store.write(ROOT_KEY, JSON.stringify(draft.root), revision)
+  if (written.kind === 'written') return true
+  /* After a lost answer another operator may have replaced the root; the
+     trail then has the change, because each change is in it before the next. */
+  try {
+    const [entry] = await trail.list(Number.MAX_SAFE_INTEGER, draft.root.version - 1)
+    return entry?.changeId === draft.entry.changeId
+  } catch (error) {
+    if (error instanceof PlatformUnavailableError) throw new PlatformUnavailableError(error.message, true)
+    throw error
+  }
+}
+
+async function finishChange (trail: AuditTrail, draft: Draft, differences: readonly ConfigurationDifference[]): Promise<CommandResult> {
+  const { version } = draft.root
+  let audit = ''
+  try {
+    await trail.add(draft.entry)
+  } catch (error) {
+    if (!(error instanceof PlatformUnavailableError)) throw error
+    audit = 'The audit trail could not be written now; the root holds the entry and the next command adds it.\n'
+  }
+  const lines = differences.map(difference => `  ${formatDifference(difference)}\n`).join('')
+  return buildDone(`Version ${version} is accepted; it is in force everywhere within seconds.\n${lines}${audit}`, { changed: true, version, differences })
+}
+
+function buildDraft (context: CommandContext, request: ChangeRequest, snapshot: Snapshot, target: Target, differences: readonly ConfigurationDifference[]): Draft {
+  const change: ConfigurationChange = {
+    id: context.outside.pickHex(16),
+    command: request.command,
+    differences: differences.slice(0, ROOT_DIFFERENCES_MAX),
+    omitted: Math.max(0, differences.length - ROOT_DIFFERENCES_MAX)
+  }
+  const root: ConfigurationRoot = {
+    version: snapshot.configuration.version + 1,
+    parts: computeHashes(snapshot, target),
+    domainStates: target.domainStates,
+    drainingHosts: target.drainingHosts,
+    changedBy: request.by,
+    changedAt: context.outside.getTime(),
+    reason: request.reason,
+    change
+  }
+  const entry = buildRootEntry(root)
+  if (entry === undefined) throw new Error('a root without a change')
+  return {
+    root,
+    entry: { ...entry, differences: differences.slice(0, ENTRY_DIFFERENCES_MAX), omitted: Math.max(0, differences.length - ENTRY_DIFFERENCES_MAX) }
+  }
+}
+
+function computeHashes (snapshot: Snapshot, target: Target): Readonly<Record<string, string>> {
+  if (target.parts === undefined) return snapshot.root?.parts ?? {}
+  return Object.fromEntries(target.parts.map(part => [part.name, part.hash]))
+}
+
+/* Also sees what the differences do not show, such as the order of a list. */
+function isSame (snapshot: Snapshot, target: Target): boolean {
+  if (snapshot.root === undefined) return false
+  const hashes = computeHashes(snapshot, target)
+  const names = new Set([...Object.keys(hashes), ...Object.keys(snapshot.root.parts)])
+  return [...names].every(name => hashes[name] === snapshot.root?.parts[name])
+}
+
+function assembleTarget (snapshot: Snapshot, target: Target): Configuration {
+  const { configuration } = snapshot
+  if (target.parts === undefined) {
+    return {
+      ...configuration,
+      domains: configuration.domains.map(domain => ({ ...domain, state: target.domainStates[domain.name] ?? 'in' })),
+      drainingHosts: target.drainingHosts
+    }
+  }
+  const root: ConfigurationRoot = {
+    version: configuration.version + 1,
+    parts: computeHashes(snapshot, target),
+    domainStates: target.domainStates,
+    drainingHosts: target.drainingHosts,
+    changedBy: '',
+    changedAt: '',
+    reason: ''
+  }
+  return assembleConfiguration(root, new Map(target.parts.map(part => [part.name, JSON.parse(part.json) as unknown])))
+}
--- /dev/null
+++ b/src/cli/commands/status.ts
@@ -0,0 +1,63 @@
+import type { CommandContext, OperationsResult } from '../context.js'
+import { EXIT, buildDone, buildFailure } from '../result.js'
+import type { CommandResult } from '../result.js'
+
+/** Fields of `/v1/status` that the table shows. */
+interface Status {
+  readonly process?: { readonly id?: string, readonly domain?: string }
+  readonly configuration?: { readonly version?: number, readonly in_force_for_ms?: number }
+  readonly failure_domains?: readonly { readonly name: string, readonly state: string }[]
+  readonly draining_hosts?: readonly string[]
+  readonly leaving?: boolean
+  readonly peers?: readonly unknown[]
+  readonly in_flight?: number
+}
+
+const COLUMNS = ['entry', 'failure domain', 'version', 'for', 'in flight', 'peers', 'out', 'draining', 'state']
+
+/**
+ * Asks each entry for its state.
+ *
+ * @param context - settings with the entries' URLs
+ * @returns a table; exit code 1 when an entry does not answer or versions differ
+ */
+export async function runStatus (context: CommandContext): Promise<CommandResult> {
+  const urls = context.settings.operationsUrls
+  if (urls.length === 0) return buildFailure(EXIT.badInput, 'The settings have no operations_urls.')
+  context.outside.note(`asking ${urls.length} entries`)
+  const answers = await Promise.all(urls.map(async url => ({ url, result: await context.outside.readOperations(context.settings, `${url}/v1/status`) })))
+  const text = formatTable([COLUMNS, ...answers.map(({ url, result }) => buildRow(url, result))])
+  const json = { entries: answers }
+  const failed = answers.filter(({ result }) => result.kind !== 'answered' || result.status !== 200).length
+  if (failed > 0) return buildFailure(EXIT.failed, `${text}${failed} of ${urls.length} entries did not give their status.`, json)
+  const versions = new Set(answers.map(({ result }) => result.kind === 'answered' ? (result.body as Status).configuration?.version : undefined))
+  if (versions.size > 1) return buildFailure(EXIT.failed, `${text}The entries have different versions of the configuration.`, json)
+  return buildDone(text, json)
+}
+
+function buildRow (url: string, result: OperationsResult): readonly string[] {
+  if (result.kind === 'unreachable') return [url, '', '', '', '', '', '', '', `unreachable: ${result.reason}`]
+  if (result.status === 401) return [url, '', '', '', '', '', '', '', 'refuses the operator credential']
+  if (result.status !== 200) return [url, '', '', '', '', '', '', '', `answers ${result.status}`]
+  const status = result.body as Status
+  return [
+    status.process?.id ?? url,
+    status.process?.domain ?? '',
+    String(status.configuration?.version ?? ''),
+    `${Math.round((status.configuration?.in_force_for_ms ?? 0) / 1000)} s`,
+    String(status.in_flight ?? ''),
+    String(status.peers?.length ?? ''),
+    formatList((status.failure_domains ?? []).filter(({ state }) => state === 'out').map(({ name }) => name)),
+    formatList(status.draining_hosts ?? []),
+    status.leaving === true ? 'leaving' : 'in service'
+  ]
+}
+
+function formatList (names: readonly string[]): string {
+  return names.length === 0 ? '-' : names.join(',')
+}
+
+function formatTable (rows: readonly (readonly string[])[]): string {
+  const widths = COLUMNS.map((_name, column) => Math.max(...rows.map(row => row[column]?.length ?? 0)))
+  return rows.map(row => `${row.map((cell, column) => cell.padEnd(widths[column] ?? 0)).join('  ').trimEnd()}\n`).join('')
+}
--- /dev/null
+++ b/src/cli/options.ts
@@ -0,0 +1,59 @@
+/** Checks of the arguments that cac parsed; cac turns digits into numbers. */
+
+/** Options as cac gives them. */
+export type Options = Readonly<Record<string, unknown>>
+
+/** An argument is missing or malformed. */
+export class ArgumentError extends Error {}
+
+/**
+ * @param options - parsed options
+ * @param name - option name
+ * @returns its text
+ * @throws ArgumentError when it is missing or empty
+ */
+export function getText (options: Options, name: string): string {
+  const value = options[name]
+  if (typeof value !== 'string' && typeof value !== 'number') throw new ArgumentError(`--${name} is needed once, with a value`)
+  const text = String(value).trim()
+  if (text === '') throw new ArgumentError(`--${name} must not be empty`)
+  return text
+}
+
+/**
+ * @param options - parsed options
+ * @param name - option name
+ * @param min - smallest value
+ * @returns the integer; undefined when the option is absent
+ * @throws ArgumentError when it is no integer
+ */
+export function findInteger (options: Options, name: string, min: number): number | undefined {
+  const value = options[name]
+  if (value === undefined) return undefined
+  if (typeof value !== 'number' || !Number.isSafeInteger(value) || value < min) {
+    throw new ArgumentError(`--${name} must be an integer of at least ${min}, not ${JSON.stringify(value)}`)
+  }
+  return value
+}
+
+/**
+ * @param options - parsed options
+ * @param name - option name
+ * @param min - smallest value
+ * @returns the integer
+ * @throws ArgumentError when it is missing or no integer
+ */
+export function getInteger (options: Options, name: string, min: number): number {
+  const value = findInteger(options, name, min)
+  if (value === undefined) throw new ArgumentError(`--${name} is needed`)
+  return value
+}
+
+/**
+ * @param options - parsed options
+ * @param name - option name
+ * @returns whether the flag is set
+ */
+export function isSet (options: Options, name: string): boolean {
+  return options[name] === true
+}
--- /dev/null
+++ b/src/cli/outside.ts
@@ -0,0 +1,57 @@
+/** Ways out of the command line: platform, entries, clock. */
+
+import { randomBytes } from 'node:crypto'
+import { readFileSync } from 'node:fs'
+import { setTimeout as waitMs } from 'node:timers/promises'
+import { Agent, request } from 'undici'
+import { PlatformClient } from '../edge/platform/client.js'
+import { loadTlsOptions } from '../edge/security/tls.js'
+import type { CliSettings } from '../settings/index.js'
+import type { OperationsResult, Outside } from './context.js'
+import type { Progress } from './progress.js'
+
+/** Time limit of a question to an entry in ms. */
+const OPERATIONS_TIMEOUT_MS = 5000
+
+/**
+ * @param progress - told what commands do
+ * @returns the real ways out
+ */
+export function buildOutside (progress: Progress): Outside {
+  return {
+    openStore: ({ platform }) => PlatformClient.create({
+      urls: platform.urls,
+      timeoutMs: platform.timeoutMs,
+      ...(platform.credentialFile === undefined ? {} : { credential: readCredential(platform.credentialFile) })
+    }),
+    readOperations,
+    getTime: () => new Date().toISOString(),
+    pickHex: length => randomBytes(Math.ceil(length / 2)).toString('hex').slice(0, length),
+    wait: async ms => { await waitMs(ms) },
+    note: text => { progress.note(text) }
+  }
+}
+
+async function readOperations (settings: CliSettings, url: string): Promise<OperationsResult> {
+  const agent = new Agent(settings.tls === undefined ? {} : { connect: loadTlsOptions(settings.tls) })
+  try {
+    const answer = await request(url, {
+      dispatcher: agent,
+      headersTimeout: OPERATIONS_TIMEOUT_MS,
+      bodyTimeout: OPERATIONS_TIMEOUT_MS,
+      headers: settings.operatorCredentialFile === undefined
+        ? {}
+        : { authorization: `Bearer ${readCredential(settings.operatorCredentialFile)}` }
+    })
+    const text = await answer.body.text()
+    return { kind: 'answered', status: answer.statusCode, body: answer.statusCode === 200 ? JSON.parse(text) as unknown : undefined }
+  } catch (error) {
+    return { kind: 'unreachable', reason: error instanceof Error ? error.message : String(error) }
+  } finally {
+    await agent.destroy()
+  }
+}
+
+function readCredential (file: string): string {
+  return readFileSync(file, 'utf8').trim()
+}
--- /dev/null
+++ b/src/cli/parts.ts
@@ -0,0 +1,141 @@
+/** Parts of a configuration: names, texts and hashes. */
+
+import { ROOT_KEY, TEAM_PARTS, assembleConfiguration, formatPartKey } from '../kernel/document.js'
+import type { Configuration, ConfigurationParts, ConfigurationRoot, DomainState, Team } from '../kernel/document.js'
+import { hashPart } from '../kernel/hash.js'
+import type { ConfigurationFile } from '../settings/index.js'
+import type { PatientStore } from './store.js'
+import xxhash from 'xxhash-wasm'
+
+const { h32 } = await xxhash()
+
+/** Count of platform calls in flight at a time; the platform's rate is shared by all clients. */
+const CALLS_IN_FLIGHT = 8
+
+/** A part as it is stored. */
+export interface Part {
+  readonly name: string
+  readonly json: string
+  readonly hash: string
+}
+
+/** The configuration in force as it was read. */
+export interface Snapshot {
+  /** Undefined before the first change. */
+  readonly root: ConfigurationRoot | undefined
+  /** Revision of the root object; 0 when there is none. */
+  readonly revision: number
+  readonly configuration: Configuration
+}
+
+/**
+ * @param team - team name
+ * @returns name of the part that holds the team, `teams-00` to `teams-63`
+ */
+export function computeTeamPart (team: string): string {
+  return `teams-${String(h32(team) % TEAM_PARTS).padStart(2, '0')}`
+}
+
+/**
+ * Splits a configuration into parts. Equal configurations give equal parts;
+ * team parts without a team are left out.
+ *
+ * @param file - the configuration
+ * @returns parts in the order of their names
+ */
+export function buildParts (file: ConfigurationFile): readonly Part[] {
+  const topology: ConfigurationParts['topology'] = {
+    domains: file.domains, entries: file.entries, endpoints: file.endpoints, groups: file.groups
+  }
+  const services: ConfigurationParts['services'] = { services: file.services, profiles: file.profiles }
+  const teams = new Map<string, Team[]>()
+  for (const team of [...file.teams].sort((a, b) => a.name < b.name ? -1 : 1)) {
+    const name = computeTeamPart(team.name)
+    teams.set(name, [...teams.get(name) ?? [], team])
+  }
+  return [
+    buildPart('services', services),
+    ...[...teams].sort(([a], [b]) => a < b ? -1 : 1).map(([name, value]) => buildPart(name, value)),
+    buildPart('topology', topology)
+  ]
+}
+
+/**
+ * @param file - the configuration that is to be in force
+ * @param previous - root in force
+ * @returns states and draining hosts, without those of domains and hosts that are gone
+ */
+export function buildStates (file: ConfigurationFile, previous: ConfigurationRoot | undefined): Pick<ConfigurationRoot, 'domainStates' | 'drainingHosts'> {
+  const hosts = new Set([...file.entries, ...file.endpoints].map(({ host }) => host))
+  return {
+    domainStates: Object.fromEntries(file.domains.map(({ name }): [string, DomainState] => [name, previous?.domainStates[name] ?? 'in'])),
+    drainingHosts: (previous?.drainingHosts ?? []).filter(host => hosts.has(host))
+  }
+}
+
+/**
+ * Reads the root and all its parts.
+ *
+ * @param store - the platform
+ * @param note - told what is done, for the progress line
+ * @returns the configuration in force
+ * @throws PlatformUnavailableError when the platform does not answer
+ * @throws Error when a part is missing or does not match its hash
+ */
+export async function readSnapshot (store: PatientStore, note: (text: string) => void): Promise<Snapshot> {
+  note('reading the root')
+  const { value, revision } = await store.read(ROOT_KEY)
+  if (value === undefined) {
+    return { root: undefined, revision, configuration: assembleConfiguration(EMPTY_ROOT, EMPTY_PARTS) }
+  }
+  const root = JSON.parse(value) as ConfigurationRoot
+  const names = Object.entries(root.parts)
+  let read = 0
+  const parts = await runBounded(names, async ([name, hash]) => {
+    const part = await store.read(formatPartKey(name, hash))
+    note(`read ${++read} of ${names.length} parts`)
+    if (part.value === undefined || hashPart(part.value) !== hash) throw new Error(`part ${name} of version ${root.version} is missing or does not match its hash`)
+    return [name, JSON.parse(part.value) as unknown] as const
+  })
+  return { root, revision, configuration: assembleConfiguration(root, new Map(parts)) }
+}
+
+/**
+ * Writes the parts that the root in force does not name. Parts are immutable,
+ * so a part that is there already is the same.
+ *
+ * @param store - the platform
+ * @param parts - parts of the new configuration
+ * @param root - root in force
+ * @param note - told what is done, for the progress line
+ */
+export async function writeParts (store: PatientStore, parts: readonly Part[], root: ConfigurationRoot | undefined, note: (text: string) => void): Promise<void> {
+  const missing = parts.filter(part => root?.parts[part.name] !== part.hash)
+  let written = 0
+  await runBounded(missing, async part => {
+    await store.write(formatPartKey(part.name, part.hash), part.json, 0)
+    note(`wrote ${++written} of ${missing.length} parts`)
+  })
+}
+
+const EMPTY_ROOT: ConfigurationRoot = {
+  version: 0, parts: {}, domainStates: {}, drainingHosts: [], changedBy: '', changedAt: '', reason: ''
+}
+
+const EMPTY_PARTS: ReadonlyMap<string, unknown> = new Map<string, unknown>([
+  ['topology', { domains: [], entries: [], endpoints: [], groups: [] }],
+  ['services', { services: [], profiles: [] }]
+])
+
+function buildPart (name: string, value: unknown): Part {
+  const json = JSON.stringify(value)
+  return { name, json, hash: hashPart(json) }
+}
+
+async function runBounded<T, R> (items: readonly T[], run: (item: T) => Promise<R>): Promise<readonly R[]> {
+  const results: R[] = []
+  for (let start = 0; start < items.length; start += CALLS_IN_FLIGHT) {
+    results.push(...await Promise.all(items.slice(start, start + CALLS_IN_FLIGHT).map(run)))
+  }
+  return results
+}
--- /dev/null
+++ b/src/cli/program.ts
@@ -0,0 +1,163 @@
+/** The commands and their arguments. */
+
+import { cac } from 'cac'
+import type { CAC, Command } from 'cac'
+import { findNearestName } from '../settings/load.js'
+import { formatFaults, loadCliSettings } from '../settings/index.js'
+import { describeUnavailable } from './change.js'
+import { runApply } from './commands/apply.js'
+import { runAudit } from './commands/audit.js'
+import { runCheck } from './commands/check.js'
+import { runDomain } from './commands/domain.js'
+import { runDrain } from './commands/drain.js'
+import { runExplain } from './commands/explain.js'
+import { runOperatorKey } from './commands/operator-key.js'
+import { runProfiles } from './commands/profiles.js'
+import { runShow } from './commands/show.js'
+import { runStatus } from './commands/status.js'
+import { runTeamKey } from './commands/team-key.js'
+import { buildContext } from './context.js'
+import type { CommandContext, Outside } from './context.js'
+import { ArgumentError, findInteger, getInteger, getText, isSet } from './options.js'
+import type { Options } from './options.js'
+import { EXIT, buildFailure } from './result.js'
+import type { CommandResult, ExitCode } from './result.js'
+import { PlatformUnavailableError } from './store.js'
+
+/** Settings file when `--settings` is absent. */
+const SETTINGS_FILE = 'heatherdoor.toml'
+
+/** Count of changes that `audit` prints when `--last` is absent. */
+const AUDIT_LAST = 20
+
+const BY = ['--by <name>', 'Who makes the change'] as const
+const REASON = ['--reason <text>', 'Why, for the audit trail'] as const
+const EXPECT = ['--expect <version>', 'Version that you saw; the change is made only to this version'] as const
+
+/** Where output goes. */
+export interface Output {
+  writeOut (text: string): void
+  writeError (text: string): void
+}
+
+type Run = (options: Options) => Promise<CommandResult> | CommandResult
+
+/**
+ * Runs one command.
+ *
+ * @param args - arguments after the program's name
+ * @param outside - ways out
+ * @param output - where output goes
+ * @returns exit code
+ */
+export async function runProgram (args: readonly string[], outside: Outside, output: Output): Promise<ExitCode> {
+  const cli = cac('heatherdoor')
+  let result: CommandResult | undefined
+  const add = (command: Command, run: (...values: readonly unknown[]) => Run): void => {
+    command.action(async (...values: readonly unknown[]) => {
+      const options = values.at(-1) as Options
+      result = await run(...values.slice(0, -1))(options)
+    })
+  }
+  cli.option('--json', 'Print JSON')
+  cli.option('--settings <file>', `Settings of the command line (default: ${SETTINGS_FILE})`)
+  cli.help()
+  addLocalCommands(cli, add)
+  addChangeCommands(cli, add, outside)
+  addReadCommands(cli, add, outside)
+  try {
+    cli.parse(['node', 'heatherdoor', ...args], { run: false })
+    if (cli.options['help'] === true) return EXIT.done
+    if (cli.matchedCommand === undefined) result = describeUnknownCommand(cli)
+    else await cli.runMatchedCommand()
+  } catch (error) {
+    result = describeError(error)
+  }
+  return printResult(result ?? buildFailure(EXIT.failed, 'The command gave no result.'), cli.options['json'] === true, output)
+}
+
+type Add = (command: Command, run: (...values: readonly unknown[]) => Run) => void
+
+function addLocalCommands (cli: CAC, add: Add): void {
+  add(cli.command('check <...files>', 'Check configuration and settings files; asks nobody'),
+    files => () => runCheck((files as readonly unknown[]).map(String)))
+  add(cli.command('team-key <team>', 'Make an API key for a team; prints it once with its salted hash'),
+    team => () => runTeamKey(String(team)))
+  add(cli.command('operator-key', 'Make an operator credential; prints it once with its salted hash'),
+    () => () => runOperatorKey())
+}
+
+function addChangeCommands (cli: CAC, add: Add, outside: Outside): void {
+  add(cli.command('apply <file>', 'Put a configuration file in force').option(...EXPECT).option(...BY).option(...REASON),
+    file => options => {
+      const args = { file: String(file), expect: getInteger(options, 'expect', 0), ...getAuthor(options) }
+      return runWithSettings(options, outside, async context => await runApply(context, args))
+    })
+  add(cli.command('domain <out|in> <name>', 'Take a failure domain out of service, or bring it back')
+    .option(...BY).option(...REASON).option(...EXPECT).option('--force', 'Also when no failure domain stays in service'),
+  (state, name) => options => {
+    if (state !== 'out' && state !== 'in') throw new ArgumentError(`domain takes out or in, not ${String(state)}`)
+    const args = { state, name: String(name), force: isSet(options, 'force'), ...getAuthor(options), ...findExpected(options) } as const
+    return runWithSettings(options, outside, async context => await runDomain(context, args))
+  })
+  add(cli.command('drain <host>', 'Send no new work to a host').option(...BY).option(...REASON).option(...EXPECT).option('--undo', 'Bring the host back'),
+    host => options => {
+      const args = { host: String(host), undo: isSet(options, 'undo'), ...getAuthor(options), ...findExpected(options) }
+      return runWithSettings(options, outside, async context => await runDrain(context, args))
+    })
+}
+
+function addReadCommands (cli: CAC, add: Add, outside: Outside): void {
+  add(cli.command('status', 'Ask the entries for their state'),
+    () => options => runWithSettings(options, outside, runStatus))
+  add(cli.command('show', 'Print the configuration in force'),
+    () => options => runWithSettings(options, outside, runShow))
+  add(cli.command('profiles', 'List the profiles in force and explain them'),
+    () => options => runWithSettings(options, outside, runProfiles))
+  add(cli.command('audit', 'Print the last changes').option('--last <count>', `Count of changes (default: ${AUDIT_LAST})`),
+    () => options => {
+      const last = findInteger(options, 'last', 1) ?? AUDIT_LAST
+      return runWithSettings(options, outside, async context => await runAudit(context, last))
+    })
+  add(cli.command('explain <request-id>', 'Print what became of a request, step by step'),
+    id => options => runWithSettings(options, outside, async context => await runExplain(context, String(id))))
+}
+
+function getAuthor (options: Options): { readonly by: string, readonly reason: string } {
+  return { by: getText(options, 'by'), reason: getText(options, 'reason') }
+}
+
+function findExpected (options: Options): { readonly expect?: number } {
+  const expect = findInteger(options, 'expect', 0)
+  return expect === undefined ? {} : { expect }
+}
+
+async function runWithSettings (options: Options, outside: Outside, run: (context: CommandContext) => Promise<CommandResult>): Promise<CommandResult> {
+  const file = options['settings'] === undefined ? SETTINGS_FILE : getText(options, 'settings')
+  return await loadCliSettings(file).caseOf({
+    Left: async faults => buildFailure(EXIT.badInput, formatFaults(faults), { faults }),
+    Right: async settings => await run(buildContext(outside, settings))
+  })
+}
+
+function describeUnknownCommand (cli: CAC): CommandResult {
+  const names = cli.commands.map(({ name }) => name)
+  const [name] = cli.args
+  if (name === undefined) return buildFailure(EXIT.badInput, `A command is needed: ${names.join(', ')}. heatherdoor --help explains them.`)
+  const nearest = findNearestName(name, names)
+  return buildFailure(EXIT.badInput, `There is no command ${name}.${nearest === undefined ? '' : ` Did you mean ${nearest}?`} heatherdoor --help lists the commands.`)
+}
+
+function describeError (error: unknown): CommandResult {
+  if (error instanceof PlatformUnavailableError) return describeUnavailable(error)
+  if (error instanceof ArgumentError) return buildFailure(EXIT.badInput, error.message)
+  if (!(error instanceof Error)) return buildFailure(EXIT.failed, String(error))
+  return buildFailure(error.name === 'CACError' ? EXIT.badInput : EXIT.failed, error.message)
+}
+
+function printResult (result: CommandResult, isJson: boolean, output: Output): ExitCode {
+  if (isJson) output.writeOut(`${JSON.stringify(result.json, undefined, 2)}\n`)
+  else if (result.code === EXIT.done) output.writeOut(result.text)
+  else output.writeError(result.text)
+  return result.code
+}
--- /dev/null
+++ b/src/cli/store.ts
@@ -0,0 +1,137 @@
+/** Reads and conditional updates of platform objects, with repeats. */
+
+import type { PlatformResult } from '../kernel/events.js'
+
+/** The platform's objects; `PlatformClient` is one. */
+export interface ObjectStore {
+  /**
+   * @param key - object key
+   * @returns `found`, `missing` or `unavailable`
+   */
+  read (key: string): Promise<PlatformResult>
+  /**
+   * @param key - object key
+   * @param value - new value
+   * @param revision - revision that the object must have; 0 when it must not exist
+   * @returns `written`, `conflict`, `unavailable` or `unknown`
+   */
+  write (key: string, value: string, revision: number): Promise<PlatformResult>
+  /**
+   * @param key - object key
+   * @param revision - revision that the object must have
+   * @returns as `write`
+   */
+  remove (key: string, revision: number): Promise<PlatformResult>
+}
+
+/** An object that was read; revision 0 when there is none. */
+export interface ReadObject {
+  readonly value: string | undefined
+  readonly revision: number
+}
+
+/** The platform does not answer. */
+export class PlatformUnavailableError extends Error {
+  /** Whether a change was sent whose effect is not known. */
+  readonly isSent: boolean
+
+  /**
+   * @param message - what was being done
+   * @param isSent - whether a change was sent whose effect is not known
+   */
+  constructor (message: string, isSent: boolean) {
+    super(message)
+    this.isSent = isSent
+  }
+}
+
+/** Result of a write once its effect is known. */
+export type SettledWrite =
+  | { readonly kind: 'written', readonly revision: number }
+  | { readonly kind: 'conflict' }
+
+/** Largest count of tries of one call. */
+const TRIES_MAX = 5
+
+/** Wait before the second try in ms; doubles with each further one. */
+const BACKOFF_BASE_MS = 100
+
+/** Repeats calls and settles writes whose answer was lost. */
+export class PatientStore {
+  readonly #store: ObjectStore
+  readonly #wait: (ms: number) => Promise<void>
+
+  private constructor (store: ObjectStore, wait: (ms: number) => Promise<void>) {
+    this.#store = store
+    this.#wait = wait
+  }
+
+  /**
+   * @param store - the platform
+   * @param wait - waits for a time in ms
+   * @returns a store that repeats calls
+   */
+  static create (store: ObjectStore, wait: (ms: number) => Promise<void>): PatientStore {
+    return new PatientStore(store, wait)
+  }
+
+  /**
+   * @param key - object key
+   * @returns the object
+   * @throws PlatformUnavailableError when no try is answered
+   */
+  async read (key: string): Promise<ReadObject> {
+    for (let attempt = 0; attempt < TRIES_MAX; attempt++) {
+      if (attempt > 0) await this.#wait(BACKOFF_BASE_MS * 2 ** attempt)
+      const result = await this.#store.read(key)
+      if (result.kind === 'found') return { value: result.value, revision: result.revision }
+      if (result.kind === 'missing') return { value: undefined, revision: 0 }
+    }
+    throw new PlatformUnavailableError(`reading ${key}`, false)
+  }
+
+  /**
+   * Writes until the effect is known. A repeat is safe, because at most one
+   * write that expects a revision takes effect.
+   *
+   * @param key - object key
+   * @param value - new value, unlike every other writer's, or the same for all
+   * @param revision - revision that the object must have; 0 when it must not exist
+   * @returns `written` when the object has the value, `conflict` when it has another one
+   * @throws PlatformUnavailableError when the platform stops answering
+   */
+  async write (key: string, value: string, revision: number): Promise<SettledWrite> {
+    let isSent = false
+    for (let attempt = 0; attempt < TRIES_MAX; attempt++) {
+      if (attempt > 0) await this.#wait(BACKOFF_BASE_MS * 2 ** attempt)
+      const result = await this.#store.write(key, value, revision)
+      if (result.kind === 'written') return result
+      if (result.kind === 'conflict') {
+        if (!isSent) return { kind: 'conflict' }
+        const present = await this.#readAfterSend(key)
+        return present.value === value ? { kind: 'written', revision: present.revision } : { kind: 'conflict' }
+      }
+      if (result.kind === 'unknown') isSent = true
+    }
+    throw new PlatformUnavailableError(`writing ${key}`, isSent)
+  }
+
+  /**
+   * Removes an object; one that is gone or was changed meanwhile is left alone.
+   *
+   * @param key - object key
+   */
+  async remove (key: string): Promise<void> {
+    const { revision } = await this.read(key)
+    if (revision !== 0) await this.#store.remove(key, revision)
+  }
+
+  async #readAfterSend (key: string): Promise<ReadObject> {
+    try {
+      return await this.read(key)
+    } catch (error) {
+      if (error instanceof PlatformUnavailableError) throw new PlatformUnavailableError(error.message, true)
+      throw error
+    }
+  }
+}
--- a/src/kernel/document.ts
+++ b/src/kernel/document.ts
@@ -109,6 +109,24 @@
   readonly groups: readonly RankGroup[]
 }
 
+/** One value that a change replaced; holds no secret and no key hash. */
+export interface ConfigurationDifference {
+  /** Names as in the configuration file, such as `endpoints.worker-1.warm_cap`. */
+  readonly name: string
+  readonly was: string
+  readonly is: string
+}
+
+/** The audit entry of the last change, kept in the root until it is in the audit trail. */
+export interface ConfigurationChange {
+  /** Random; tells this change from another one of the same version number. */
+  readonly id: string
+  readonly command: string
+  /** Bounded; `omitted` counts the differences left out. */
+  readonly differences: readonly ConfigurationDifference[]
+  readonly omitted: number
+}
+
 /** Value of `config/root` in the platform. */
 export interface ConfigurationRoot {
   readonly version: number
@@ -120,6 +138,7 @@
   /** Wall-clock time, ISO 8601. */
   readonly changedAt: string
   readonly reason: string
+  readonly change?: ConfigurationChange
 }
 
 /** Count of parts over which team records are spread by name hash. */
