--- /dev/null
+++ b/src/plugins/outcomes/plugin.ts
@@ -0,0 +1,130 @@
+/**
+ * Outcomes at a home: which key may run, which attempt joins, what is answered.
+ */
+
+import { Executions } from './executions.js'
+import { Intake } from './intake.js'
+import { Leave } from './leave.js'
+import { Peers } from './peers.js'
+import { Records } from './records.js'
+import { Takeover } from './takeover.js'
+import type { KernelEvent } from '../../kernel/events.js'
+import { registerPlugin } from '../../kernel/plugin.js'
+import type { Context, Plugin, PluginOptions } from '../../kernel/plugin.js'
+import type { OutcomesPort, Ports } from '../../kernel/ports.js'
+import type { Message, ProcessRef } from '../../protocol/messages.js'
+
+/**
+ * Gap between two events of the edge that shows that the process was paused.
+ * Entries take a silent home's work over after 3 s, so the gap must be shorter.
+ */
+const PAUSE_MS = 2_000
+
+/** Event kinds that the plug-in handles. */
+const KINDS = [
+  'tick', 'leave-requested', 'peer-connected', 'message-received', 'work-queued', 'work-started', 'work-refused',
+  'endpoint-head', 'endpoint-chunk', 'endpoint-ended', 'endpoint-failed'
+] as const satisfies readonly KernelEvent['kind'][]
+
+/** Decides on submits and relays answers. */
+export class Outcomes implements Plugin, OutcomesPort {
+  readonly name = 'outcomes'
+  readonly subscribesTo = KINDS
+  readonly ports: Partial<Ports> = { outcomes: this }
+  readonly #records: Records
+  readonly #executions: Executions
+  readonly #leave: Leave
+  readonly #takeover: Takeover
+  readonly #intake: Intake
+  readonly #peers = Peers.create()
+  #nowMs: number | undefined
+
+  private constructor (options: PluginOptions) {
+    const service = options.service ?? ''
+    this.#records = Records.create(options.self)
+    this.#executions = Executions.create(this.#records)
+    this.#leave = Leave.create(this.#records, this.#executions, service)
+    this.#takeover = Takeover.create(this.#records)
+    this.#intake = Intake.create({ service, records: this.#records, executions: this.#executions, leave: this.#leave, peers: this.#peers })
+  }
+
+  /**
+   * @param options - identity and service of the process
+   * @returns the plug-in without records
+   */
+  static create (options: PluginOptions): Outcomes {
+    return new Outcomes(options)
+  }
+
+  getWindow (): number { return this.#records.own.getWindow(this.#nowMs ?? 0) }
+  getMovedTo (): string | undefined { return this.#leave.getMovedTo() }
+  countRecords (): number { return this.#records.countRecords() }
+
+  /** After a pause, entries may have answered for waiting work, so none of it starts any more. */
+  checkTime (context: Context): void {
+    const gapMs = context.nowMs - (this.#nowMs ?? context.nowMs)
+    this.#nowMs = context.nowMs
+    if (gapMs <= PAUSE_MS) return
+    this.#peers.notePause(context.nowMs)
+    const closed = this.#executions.refuseWaiting({ error: 'process-paused', outcome: 'not-run' }, context)
+    context.emit({ kind: 'log', event: 'pause-detected', fields: { gapMs, closed } })
+  }
+
+  handle (event: KernelEvent, context: Context): void {
+    switch (event.kind) {
+      case 'tick': return this.#handleTick(context)
+      case 'leave-requested': return this.#leave.start(event.deadlineMs, context)
+      case 'peer-connected':
+        this.#noteHeard(event.peer, context)
+        return this.#leave.check(context)
+      case 'message-received':
+        this.#noteHeard(event.peer, context)
+        return this.#handleMessage(event.peer.id, event.message, context)
+      case 'work-queued': return this.#executions.noteQueued(event.workId, event.queued, event.waitMs, context)
+      case 'work-started': return this.#executions.noteStarted(event.workId, context)
+      case 'endpoint-head': return this.#executions.noteHead(event.workId, event.status, event.headers, context)
+      case 'endpoint-chunk': return this.#executions.noteChunk(event.workId, event.data, context)
+      case 'work-refused':
+      case 'endpoint-ended':
+      case 'endpoint-failed': return this.#handleEnd(event, context)
+    }
+  }
+
+  #handleEnd (event: Extract<KernelEvent, { kind: 'work-refused' | 'endpoint-ended' | 'endpoint-failed' }>, context: Context): void {
+    const ended = event.kind === 'endpoint-ended'
+      ? this.#executions.finish(event.workId, context)
+      : this.#executions.refuse(event.workId, event.kind === 'work-refused'
+        ? event
+        : { error: 'endpoint-failed', outcome: event.sent ? 'unknown' : 'not-run' }, context)
+    if (ended !== undefined) this.#leave.noteResult(ended, context)
+  }
+
+  #handleTick (context: Context): void {
+    for (const peer of this.#peers.removeVanished(context.nowMs)) this.#executions.removePeer(peer, context)
+    this.#records.removeExpired(context.nowMs)
+    this.#leave.check(context)
+  }
+
+  #noteHeard (peer: ProcessRef, context: Context): void {
+    if (this.#peers.noteHeard(peer, context.nowMs)) this.#executions.removePeer(peer.id, context)
+  }
+
+  #handleMessage (peer: string, message: Message, context: Context): void {
+    switch (message.kind) {
+      case 'submit': return this.#intake.handleSubmit(peer, message, context)
+      case 'cancel': {
+        const { workId } = message
+        if (!this.#executions.hasAttempt(workId)) this.#peers.noteCancelled(workId)
+        return context.emit({ kind: 'send', peer, message: { kind: 'cancelled', workId, outcome: this.#executions.cancel(workId, context) } })
+      }
+      case 'query':
+        return context.emit({ kind: 'send', peer, message: { kind: 'query-answer', queryId: message.queryId, state: this.#intake.findState(message, context.nowMs) } })
+      case 'handover': return this.#takeover.handlePart(peer, message, this.#leave.isLeaving(), context)
+      case 'handover-ack':
+        this.#leave.handleAck(peer, message, context)
+        return this.#leave.check(context)
+    }
+  }
+}
+
+registerPlugin({ name: 'outcomes', roles: ['endpoint'], create: options => Outcomes.create(options) })
