--- a/demo/steps.ts
+++ b/demo/steps.ts
@@ -146,8 +146,8 @@
   await runCommand(processes, files, ['domain', 'in', 'north', '--by', 'demo', '--reason', 'drill over'])
   await waitUntil('north is offered again', async () => (await listOfferedDomains(files)).includes('north'))
   print('7. Brought failure domain north back in; its entry and homes are offered again.')
-  const audit = await runCommand(processes, files, ['audit'])
-  print(`8. Audit trail:\n${audit.trimEnd().split('\n').map(line => `   ${line}`).join('\n')}`)
+  const audit = await runCommand(processes, files, ['audit', '--last', '2'])
+  print(`8. The last two changes in the audit trail:\n${audit.trimEnd().split('\n').map(line => `   ${line}`).join('\n')}`)
 }
 
 async function readAnyAddress (files: DemoFiles): Promise<AddressAnswer> {
