Replace silent connections to the platform together, add TLS

Cause: when all open connections fall silent, each of them cost the client one time limit; a failed TLS handshake was reported as a write that may have taken effect. Change: after a call without an answer, later calls take new connections; every failure before a connection stands counts as not sent; TLS options are asked for with each new connection, so renewed files are used. The platform stand-in can refuse connections, fall silent and take TLS. Without the replacement the test of silent connections fails: the second read is unavailable as well.

--- a/src/edge/platform/client.ts
+++ b/src/edge/platform/client.ts
@@ -5,7 +5,7 @@
  */
 
 import { randomInt } from 'node:crypto'
-import { Agent } from 'undici'
+import type { SecureContextOptions } from 'node:tls'
 import type { PlatformResult } from '../../kernel/events.js'
 import { Random } from '../../kernel/random.js'
 import { PlatformTransport } from './transport.js'
@@ -17,8 +17,6 @@
 
 /** Largest value that the platform takes, in bytes. */
 export const VALUE_BYTES_MAX = 1_048_576
-/** Connections to each platform URL, the watches' included. */
-const CONNECTIONS_MAX = 16
 /** Time over which reconnects are spread after an outage, in ms. */
 const RECONNECT_SPREAD_MS = 10_000
 /** Largest count of writes and read-backs of one `writeUntilKnown`. */
@@ -32,6 +30,8 @@
   readonly timeoutMs: number
   /** Sent as a bearer credential. */
   readonly credential?: string
+  /** Gives the TLS options for each new connection; may give renewed ones. */
+  readonly tls?: () => SecureContextOptions
   /** Time over which reconnects of watches are spread, in ms. */
   readonly reconnectSpreadMs?: number
   /** Seed of the jitter. */
@@ -60,8 +60,7 @@
   readonly #watches = new Set<Watch>()
 
   private constructor (options: PlatformClientOptions) {
-    const agent = new Agent({ connections: CONNECTIONS_MAX, connect: { timeout: options.timeoutMs } })
-    this.#transport = PlatformTransport.create({ ...options, agent })
+    this.#transport = PlatformTransport.create(options)
     this.#watchOptions = {
       transport: this.#transport,
       random: Random.create(options.seed ?? randomInt(2 ** 31)),
--- a/src/edge/platform/transport.ts
+++ b/src/edge/platform/transport.ts
@@ -1,16 +1,20 @@
 /** HTTP calls to the platform and what a failed one means. */
 
-import { errors } from 'undici'
-import type { Agent } from 'undici'
+import type { SecureContextOptions } from 'node:tls'
+import { Agent, buildConnector } from 'undici'
 
 /** What the transport is created with. */
 export interface TransportOptions {
   readonly urls: readonly string[]
   readonly timeoutMs: number
   readonly credential?: string
-  readonly agent: Agent
+  /** Gives the TLS options for each new connection; may give renewed ones. */
+  readonly tls?: () => SecureContextOptions
 }
 
+/** Connections to each platform URL, the watches' included. */
+const CONNECTIONS_MAX = 16
+
 /** One call. */
 export interface TransportCall {
   readonly method: 'GET' | 'PUT' | 'DELETE'
@@ -32,13 +36,20 @@
   /** The request may have reached the platform; its answer is lost. */
   | { readonly kind: 'lost' }
 
+/** No connection was made or its TLS handshake failed, so nothing was sent. */
+class ConnectFailure extends Error {}
+
 /** Sends calls to the first URL that can be reached. */
 export class PlatformTransport {
   readonly #options: TransportOptions
+  /** Former agents whose calls have not ended yet. */
+  readonly #retired = new Set<Agent>()
+  #agent: Agent
   #index = 0
 
   private constructor (options: TransportOptions) {
     this.#options = options
+    this.#agent = buildAgent(options)
   }
 
   /**
@@ -71,17 +82,21 @@
 
   /** Closes the connections; calls in flight fail. */
   async close (): Promise<void> {
-    await this.#options.agent.destroy()
+    await Promise.all([this.#agent, ...this.#retired].map(async agent => { await agent.destroy() }))
   }
 
   async #sendOnce (call: TransportCall): Promise<TransportAnswer> {
+    const agent = this.#agent
     const controller = new AbortController()
     const abort = (): void => { controller.abort() }
-    const timer = setTimeout(abort, this.#options.timeoutMs + (call.heldMs ?? 0))
+    const timer = setTimeout(() => {
+      this.#removeAgent(agent)
+      abort()
+    }, this.#options.timeoutMs + (call.heldMs ?? 0))
     if (call.signal?.aborted === true) abort()
     call.signal?.addEventListener('abort', abort)
     try {
-      const answer = await this.#options.agent.request({
+      const answer = await agent.request({
         origin: this.#options.urls[this.#index]!,
         path: call.path,
         method: call.method,
@@ -92,13 +107,26 @@
       const text = await answer.body.text()
       return { kind: 'answered', status: answer.statusCode, body: parseJson(text) }
     } catch (error) {
-      return { kind: isUnsent(error) ? 'unsent' : 'lost' }
+      return { kind: error instanceof ConnectFailure ? 'unsent' : 'lost' }
     } finally {
       clearTimeout(timer)
       call.signal?.removeEventListener('abort', abort)
     }
   }
 
+  /**
+   * Takes new connections for later calls. After a call without an answer all
+   * open connections may be silent for good while new ones work, and each of
+   * them would cost one time limit.
+   */
+  #removeAgent (agent: Agent): void {
+    if (agent !== this.#agent) return
+    this.#agent = buildAgent(this.#options)
+    this.#retired.add(agent)
+    const forget = (): void => { this.#retired.delete(agent) }
+    agent.close().then(forget, forget)
+  }
+
   #buildHeaders (call: TransportCall): Record<string, string> {
     return {
       ...(call.body === undefined ? {} : { 'content-type': 'application/json' }),
@@ -108,6 +136,16 @@
   }
 }
 
+function buildAgent ({ timeoutMs, tls }: TransportOptions): Agent {
+  const connect: buildConnector.connector = (options, callback) => {
+    buildConnector({ timeout: timeoutMs, ...tls?.() })(options, (...[error, socket]) => {
+      if (error === null) callback(null, socket)
+      else callback(new ConnectFailure(error.message), null)
+    })
+  }
+  return new Agent({ connections: CONNECTIONS_MAX, connect })
+}
+
 /** An answer that is not JSON has no usable body. */
 function parseJson (text: string): unknown {
   try {
@@ -116,11 +154,3 @@
     return undefined
   }
 }
-
-const CONNECT_CODES: ReadonlySet<string> = new Set(['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'EADDRNOTAVAIL'])
-
-function isUnsent (error: unknown): boolean {
-  if (error instanceof errors.ConnectTimeoutError) return true
-  const code = (error as { readonly code?: unknown }).code
-  return typeof code === 'string' && CONNECT_CODES.has(code)
-}
--- a/standins/platform/faults.ts
+++ b/standins/platform/faults.ts
@@ -6,6 +6,10 @@
 export const platformFaultsSchema = z.strictObject({
   /** `status` answers 503, `break` breaks connections, `hang` never answers. */
   outage: z.enum(['none', 'status', 'break', 'hang']).optional(),
+  /** Connections are refused for this time from now, in ms. */
+  refuse_ms: z.number().min(0).optional(),
+  /** Connections that are open now fall silent for good; new ones work. */
+  silence: z.literal(true).optional(),
   /** Time added to each call in ms. */
   slow_ms: z.number().min(0).optional(),
   /** Next writes that take effect and whose answer is lost. */
@@ -22,7 +26,7 @@
 export type PlatformFaults = z.infer<typeof platformFaultsSchema>
 
 /** The faults in force. */
-export type PlatformFaultState = Required<{ [K in keyof PlatformFaults]: Exclude<PlatformFaults[K], undefined> }>
+export type PlatformFaultState = Required<{ [K in Exclude<keyof PlatformFaults, 'refuse_ms' | 'silence'>]: Exclude<PlatformFaults[K], undefined> }>
 
 /** State without any fault; the list of hosts still lags. */
 export const NO_PLATFORM_FAULTS: PlatformFaultState = {
--- a/standins/platform/platform.ts
+++ b/standins/platform/platform.ts
@@ -1,6 +1,7 @@
 /** Stand-in for the operators' object API. */
 
 import { performance } from 'node:perf_hooks'
+import type { SecureContextOptions } from 'node:tls'
 import { z } from 'zod'
 import { StandinServer, findHeader, sendJson, waitMs } from '../shared/server.js'
 import type { Call } from '../shared/server.js'
@@ -21,6 +22,8 @@
 export interface PlatformOptions {
   readonly port?: number
   readonly host?: string
+  /** Certificate and key; without them the stand-in takes plain HTTP. */
+  readonly tls?: SecureContextOptions
   /** Writes per second over all clients. */
   readonly writesPerS?: number
   /** Reads per second over all clients; each waiting watch counts as one. */
@@ -60,6 +63,7 @@
     platform.#server = await StandinServer.start({
       port: options.port ?? 0,
       ...(options.host === undefined ? {} : { host: options.host }),
+      ...(options.tls === undefined ? {} : { tls: options.tls }),
       handle: async call => { await platform.#handle(call) }
     })
     return platform
@@ -72,7 +76,10 @@
 
   /** @param faults - changes to the faults in force */
   applyFaults (faults: PlatformFaults): void {
-    this.#faults = { ...this.#faults, ...faults } as PlatformFaultState
+    const { refuse_ms: refuseMs, silence, ...lasting } = faults
+    this.#faults = { ...this.#faults, ...lasting } as PlatformFaultState
+    if (silence === true) this.#server.applySilence()
+    if (refuseMs !== undefined) this.#server.runCrash(refuseMs, () => {})
     if (this.#faults.outage !== 'none') this.#emitChange()
   }
 
@@ -90,8 +97,9 @@
   async #handle (call: Call): Promise<void> {
     const path = call.url.pathname
     if (path === '/faults' && call.method === 'POST') {
-      this.applyFaults(platformFaultsSchema.parse(JSON.parse(call.body)))
-      sendJson(call, 200, this.#faults)
+      const faults = platformFaultsSchema.parse(JSON.parse(call.body))
+      sendJson(call, 200, { ...this.#faults, ...faults })
+      setImmediate(() => { this.applyFaults(faults) })
     } else if (path === '/counters') {
       sendJson(call, 200, this.listCounters())
     } else if (path === '/hosts' && call.method === 'PUT') {
--- a/standins/shared/server.ts
+++ b/standins/shared/server.ts
@@ -1,8 +1,10 @@
 /** HTTP server of the stand-ins: JSON helpers, socket faults and crashes. */
 
 import { createServer } from 'node:http'
+import { createServer as createTlsServer } from 'node:https'
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { AddressInfo, Socket } from 'node:net'
+import type { SecureContextOptions } from 'node:tls'
 
 /** Address on which stand-ins listen unless told otherwise. */
 const DEFAULT_HOST = '127.0.0.1'
@@ -24,6 +26,8 @@
   /** Port; 0 picks a free one. */
   readonly port?: number
   readonly host?: string
+  /** Certificate and key; without them the server takes plain HTTP. */
+  readonly tls?: SecureContextOptions
   /** Answers one call; a rejection is answered with 400. */
   readonly handle: (call: Call) => void | Promise<void>
 }
@@ -32,6 +36,7 @@
 export class StandinServer {
   readonly #handle: ServerOptions['handle']
   readonly #host: string
+  readonly #tls: SecureContextOptions | undefined
   readonly #sockets = new Set<Socket>()
   readonly #silent = new WeakSet<Socket>()
   #server: Server
@@ -42,6 +47,7 @@
   private constructor (options: ServerOptions) {
     this.#handle = options.handle
     this.#host = options.host ?? DEFAULT_HOST
+    this.#tls = options.tls
     this.#port = options.port ?? 0
     this.#server = this.#build()
   }
@@ -64,7 +70,7 @@
 
   /** Base URL without a closing slash. */
   get url (): string {
-    return `http://${this.#host}:${this.#port}`
+    return `${this.#tls === undefined ? 'http' : 'https'}://${this.#host}:${this.#port}`
   }
 
   /** Destroys every open connection. */
@@ -126,13 +132,17 @@
   }
 
   #build (): Server {
-    const server = createServer((request, response) => { this.#dispatch(request, response) })
+    const handle = (request: IncomingMessage, response: ServerResponse): void => { this.#dispatch(request, response) }
+    const server = this.#tls === undefined ? createServer(handle) : createTlsServer(this.#tls, handle)
     server.keepAliveTimeout = 0
-    server.on('connection', socket => {
+    const add = (socket: Socket): void => {
       this.#sockets.add(socket)
       socket.on('error', () => { socket.destroy() })
       socket.on('close', () => { this.#sockets.delete(socket) })
-    })
+    }
+    server.on('connection', add)
+    // With TLS, calls name this socket and not the one under it.
+    if (this.#tls !== undefined) server.on('secureConnection', add)
     return server
   }
 
--- a/test/platform/client.test.ts
+++ b/test/platform/client.test.ts
@@ -1,3 +1,4 @@
+import { readFileSync } from 'node:fs'
 import test from 'ava'
 import type { ExecutionContext } from 'ava'
 import fc from 'fast-check'
@@ -6,6 +7,7 @@
 import type { PlatformFaults } from '../../standins/platform/faults.js'
 import { Platform } from '../../standins/platform/platform.js'
 import type { PlatformOptions } from '../../standins/platform/platform.js'
+import { waitFor } from '../standins/tools.js'
 
 const KEY = 'config/root'
 
@@ -75,6 +77,37 @@
   t.snapshot(session)
 })
 
+// Guards against one time limit for each open connection after all of them fell silent.
+test('silent connections are replaced together', async t => {
+  const { platform, client } = await startBoth(t)
+  const readAll = async (): Promise<readonly string[]> =>
+    (await Promise.all(Array.from({ length: 8 }, async () => await client.read(KEY)))).map(({ kind }) => kind)
+  t.deepEqual(new Set(await readAll()), new Set(['missing']))
+  platform.applyFaults({ silence: true })
+  t.deepEqual([await client.read(KEY), await client.read(KEY)], [{ kind: 'unavailable' }, { kind: 'missing' }])
+  t.deepEqual(new Set(await readAll()), new Set(['missing']))
+})
+
+// Guards against refused connections being taken for writes that may have taken effect.
+test('refused connections', async t => {
+  const { platform, client } = await startBoth(t)
+  platform.applyFaults({ refuse_ms: 300 })
+  t.deepEqual([await client.write(KEY, 'a', 0), await client.read(KEY)], [{ kind: 'unavailable' }, { kind: 'unavailable' }])
+  await waitFor(async () => (await client.write(KEY, 'a', 0)).kind === 'written')
+})
+
+// Guards against a platform that is not the operators' own being believed, and
+// against renewed certificate files being used only after a restart.
+test('TLS', async t => {
+  const load = (name: string): Buffer => readFileSync(`test/security/fixtures/${name}`)
+  let ca = load('second.crt')
+  const { client } = await startBoth(t, { tls: { cert: load('first.crt'), key: load('first.key') } }, { tls: () => ({ ca }) })
+  const session = [await client.write(KEY, 'a', 0)]
+  ca = load('first.crt')
+  session.push(await client.write(KEY, 'a', 0), await client.read(KEY))
+  t.snapshot(session)
+})
+
 // Guards against a client that stays with a dead URL, or repeats a write that may have taken effect.
 test('other URLs are tried', async t => {
   const dead = await Platform.start()
