--- a/src/edge/platform/client.ts
+++ b/src/edge/platform/client.ts
@@ -9,7 +9,7 @@
 import type { PlatformResult } from '../../kernel/events.js'
 import { Random } from '../../kernel/random.js'
 import { PlatformTransport } from './transport.js'
-import type { TransportAnswer } from './transport.js'
+import type { TransportAnswer, TransportCall } from './transport.js'
 import { listAnswerSchema, objectAnswerSchema, revisionAnswerSchema } from './schema.js'
 import type { ListAnswer } from './schema.js'
 import { Watch } from './watch.js'
@@ -32,6 +32,8 @@
   readonly credential?: string
   /** Gives the TLS options for each new connection; may give renewed ones. */
   readonly tls?: () => SecureContextOptions
+  /** Receives the result of each read, write and removal and its time in ms. */
+  readonly onResult?: (result: PlatformResult['kind'], elapsedMs: number) => void
   /** Time over which reconnects of watches are spread, in ms. */
   readonly reconnectSpreadMs?: number
   /** Seed of the jitter. */
@@ -56,11 +58,13 @@
 /** Client of the object API. */
 export class PlatformClient {
   readonly #transport: PlatformTransport
+  readonly #onResult: NonNullable<PlatformClientOptions['onResult']>
   readonly #watchOptions: WatchOptions
   readonly #watches = new Set<Watch>()
 
   private constructor (options: PlatformClientOptions) {
     this.#transport = PlatformTransport.create(options)
+    this.#onResult = options.onResult ?? (() => {})
     this.#watchOptions = {
       transport: this.#transport,
       random: Random.create(options.seed ?? randomInt(2 ** 31)),
@@ -81,12 +85,7 @@
    * @returns `found`, `missing` or `unavailable`
    */
   async read (key: string): Promise<PlatformResult> {
-    const answer = await this.#transport.send({ method: 'GET', path: formatObjectPath(key) })
-    if (answer.kind !== 'answered') return { kind: 'unavailable' }
-    if (answer.status === 404) return { kind: 'missing' }
-    const object = objectAnswerSchema.safeParse(answer.body)
-    if (answer.status !== 200 || !object.success) return { kind: 'unavailable' }
-    return { kind: 'found', value: object.data.value, revision: object.data.revision }
+    return await this.#send({ method: 'GET', path: formatObjectPath(key) }, convertRead)
   }
 
   /**
@@ -102,9 +101,7 @@
   async write (key: string, value: string, revision: number): Promise<PlatformResult> {
     const bytes = Buffer.byteLength(value)
     if (bytes > VALUE_BYTES_MAX) throw new RangeError(`value of ${key} has ${bytes} bytes, more than ${VALUE_BYTES_MAX}`)
-    return convertWrite(await this.#transport.send({
-      method: 'PUT', path: formatObjectPath(key), revision, body: JSON.stringify({ value })
-    }))
+    return await this.#send({ method: 'PUT', path: formatObjectPath(key), revision, body: JSON.stringify({ value }) }, convertWrite)
   }
 
   /**
@@ -115,7 +112,7 @@
    * @returns as `write`
    */
   async remove (key: string, revision: number): Promise<PlatformResult> {
-    return convertWrite(await this.#transport.send({ method: 'DELETE', path: formatObjectPath(key), revision }))
+    return await this.#send({ method: 'DELETE', path: formatObjectPath(key), revision }, convertWrite)
   }
 
   /**
@@ -205,12 +202,27 @@
     this.#watches.clear()
     await this.#transport.close()
   }
+
+  async #send (call: TransportCall, convert: (answer: TransportAnswer) => PlatformResult): Promise<PlatformResult> {
+    const startMs = performance.now()
+    const result = convert(await this.#transport.send(call))
+    this.#onResult(result.kind, performance.now() - startMs)
+    return result
+  }
 }
 
 function formatObjectPath (key: string): string {
   return `/v1/objects/${encodeURIComponent(key)}`
 }
 
+function convertRead (answer: TransportAnswer): PlatformResult {
+  if (answer.kind !== 'answered') return { kind: 'unavailable' }
+  if (answer.status === 404) return { kind: 'missing' }
+  const object = objectAnswerSchema.safeParse(answer.body)
+  if (answer.status !== 200 || !object.success) return { kind: 'unavailable' }
+  return { kind: 'found', value: object.data.value, revision: object.data.revision }
+}
+
 function convertWrite (answer: TransportAnswer): PlatformResult {
   switch (answer.kind) {
     case 'unsent': return { kind: 'unavailable' }
--- a/src/edge/platform/watch.ts
+++ b/src/edge/platform/watch.ts
@@ -58,7 +58,9 @@
    */
   static start (prefix: string, onChange: OnChange, onState: OnState, options: WatchOptions): Watch {
     const watch = new Watch(prefix, onChange, onState, options)
-    watch.#run().catch(() => { watch.stop() })
+    // Only a callback that throws gets here. The process must not go on without
+    // its watch, so the error is thrown where nobody catches it.
+    watch.#run().catch((error: unknown) => { setImmediate(() => { throw error }) })
     return watch
   }
 
@@ -105,7 +107,8 @@
     }
     const changes = answer.status === 200 ? watchAnswerSchema.safeParse(answer.body) : undefined
     if (changes?.success !== true) return false
-    for (const event of changes.data.events) this.#note(event.key, event.value, event.revision)
+    const events = changes.data.events.filter(event => event.revision > (this.#revision ?? 0))
+    for (const event of events) this.#note(event.key, event.value, event.revision)
     this.#revision = Math.max(this.#revision ?? 0, changes.data.revision)
     return true
   }
--- a/standins/engine/rank.ts
+++ b/standins/engine/rank.ts
@@ -89,6 +89,8 @@
         this.#loaded.add(order.version)
         return undefined
       case 'use-map':
+        // A repeat of an order that took effect is accepted again.
+        if (this.#history.some(used => used.version === order.version && used.step === order.step)) return undefined
         if (order.version !== this.mapVersion && !this.#loaded.has(order.version)) return 'map-not-loaded'
         if (order.step <= this.#step) return 'step-passed'
         this.#next = { step: order.step, version: order.version }
--- a/standins/platform/store.ts
+++ b/standins/platform/store.ts
@@ -30,13 +30,19 @@
   readonly #history = new Map<string, StoredObject[]>()
   #events: StoreEvent[] = []
   #firstKept = 1
+  readonly #onChange: () => void
   #revision = 0
 
-  private constructor () {}
+  private constructor (onChange: () => void) {
+    this.#onChange = onChange
+  }
 
-  /** @returns an empty store at revision 0 */
-  static create (): ObjectStore {
-    return new ObjectStore()
+  /**
+   * @param onChange - called after each change
+   * @returns an empty store at revision 0
+   */
+  static create (onChange: () => void): ObjectStore {
+    return new ObjectStore(onChange)
   }
 
   /** Global revision: that of the latest change. */
@@ -88,6 +94,7 @@
       this.#history.set(key, history)
     }
     this.#note({ key, revision, value })
+    this.#onChange()
     return { kind: 'done', revision }
   }
 
