Add the drill bench with a round robin baseline

Cause: service while a failure domain leaves and returns has to be measured. Change: drill over both deployments, callers that keep address answers, and a baseline in the same run; npm run bench prints a table, JSON or an SVG plot.

--- a/bench/fleet/endpoint.ts
+++ b/bench/fleet/endpoint.ts
@@ -37,6 +37,7 @@
   #up = true
   #crashes = 0
   #peakOverCap = 0
+  #lastStartMs = 0
 
   private constructor (clock: VirtualClock, options: FakeEndpointOptions, warm: boolean) {
     this.#clock = clock
@@ -59,6 +60,8 @@
   get startId (): string { return String(this.#start) }
   /** Largest excess of running requests over the cap. */
   get peakOverCap (): number { return this.#peakOverCap }
+  /** Virtual time of the last start of a run in ms. */
+  get lastStartMs (): number { return this.#lastStartMs }
   get runsByKey (): ReadonlyMap<string, number> { return this.#runsByKey }
 
   /** @returns 0 (cold) to 1 (warm) */
@@ -77,6 +80,7 @@
       return
     }
     this.#running.set(id, listener)
+    this.#lastStartMs = this.#clock.nowMs
     this.#runsByKey.set(key, (this.#runsByKey.get(key) ?? 0) + 1)
     const over = this.#running.size - this.#computeCap()
     this.#peakOverCap = Math.max(this.#peakOverCap, over)
--- /dev/null
+++ b/bench/fleet/round-robin.ts
@@ -0,0 +1,112 @@
+import { VirtualClock } from './clock.js'
+import type { Deployment } from './deployments.js'
+import { FakeEndpoint } from './endpoint.js'
+import type { Work, WorkResult, WorkSystem } from './work.js'
+
+interface Waiting {
+  readonly work: Work
+  readonly done: (result: WorkResult) => void
+}
+
+interface Target {
+  readonly id: string
+  readonly domain: string
+  readonly service: string
+  readonly cap: number
+  readonly fake: FakeEndpoint
+  running: number
+}
+
+/**
+ * The baseline: one balancer that knows every endpoint's in-flight count at once,
+ * takes the next endpoint below its warm cap, queues first in, first out, and
+ * neither ramps nor repeats.
+ */
+export class RoundRobinSystem implements WorkSystem {
+  readonly name = 'round robin'
+  readonly clock = VirtualClock.create()
+  readonly #deployment: Deployment
+  readonly #targets: readonly Target[]
+  readonly #queues = new Map<string, Waiting[]>()
+  readonly #out = new Set<string>()
+  #next = 0
+
+  private constructor (deployment: Deployment) {
+    this.#deployment = deployment
+    this.#targets = deployment.configuration.endpoints.map(({ id, domain, service, warmCap }) => ({
+      id, domain, service, cap: warmCap, running: 0, fake: FakeEndpoint.create(this.clock, deployment.endpointOptions(id), true)
+    }))
+  }
+
+  /**
+   * @param deployment - endpoints
+   * @returns the system at 0 ms
+   */
+  static create (deployment: Deployment): RoundRobinSystem {
+    return new RoundRobinSystem(deployment)
+  }
+
+  submit (work: Work, done: (result: WorkResult) => void): void {
+    const service = work.kind === 'stream' ? this.#deployment.model : this.#deployment.plain
+    const queue = this.#queues.get(service) ?? []
+    this.#queues.set(service, queue)
+    queue.push({ work, done })
+    this.#startWaiting(service)
+  }
+
+  changeDomain (domain: string, state: 'in' | 'out'): void {
+    if (state === 'out') this.#out.add(domain)
+    else this.#out.delete(domain)
+  }
+
+  setDomainUp (domain: string, up: boolean): void {
+    for (const { fake } of this.#targets.filter(target => target.domain === domain)) {
+      if (up) fake.start()
+      else fake.stop()
+    }
+  }
+
+  countRuns (work: Work): number {
+    return this.#targets.reduce((sum, { fake }) => sum + (fake.runsByKey.get(work.id) ?? 0), 0)
+  }
+
+  findLastStart (domain: string): number {
+    return Math.max(...this.#targets.filter(target => target.domain === domain).map(({ fake }) => fake.lastStartMs))
+  }
+
+  countCrashes (): number {
+    return this.#targets.reduce((sum, { fake }) => sum + fake.crashes, 0)
+  }
+
+  #startWaiting (service: string): void {
+    const queue = this.#queues.get(service) ?? []
+    for (let target = this.#pickTarget(service); target !== undefined && queue.length > 0; target = this.#pickTarget(service)) {
+      const next = queue.shift()
+      if (next !== undefined) this.#run(target, next)
+    }
+  }
+
+  #pickTarget (service: string): Target | undefined {
+    for (let tries = 0; tries < this.#targets.length; tries += 1) {
+      this.#next = (this.#next + 1) % this.#targets.length
+      const target = this.#targets[this.#next]
+      if (target !== undefined && target.service === service && target.fake.up && !this.#out.has(target.domain) && target.running < target.cap) return target
+    }
+    return undefined
+  }
+
+  #run (target: Target, { work, done }: Waiting): void {
+    target.running += 1
+    const finish = (ok: boolean): void => {
+      target.running -= 1
+      done({ work, ok, endMs: this.clock.nowMs })
+      this.clock.schedule(0, () => { this.#startWaiting(target.service) })
+    }
+    target.fake.run(work.id, work.id, {
+      handleHead: () => undefined,
+      handleChunk: () => undefined,
+      handleEnd: () => { finish(true) },
+      handleFailure: () => { finish(false) }
+    })
+  }
+}
--- /dev/null
+++ b/bench/main.ts
@@ -0,0 +1,30 @@
+/** `npm run bench -- NAME`: runs one bench and prints its figures. */
+
+import { writeFileSync } from 'node:fs'
+import { cac } from 'cac'
+import { formatTable } from './table.js'
+import { drawPlot } from './plot.js'
+import type { Bench } from './result.js'
+
+const LOADERS: Readonly<Record<string, () => Promise<{ readonly run: Bench }>>> = {
+  drill: async () => await import('./drill.js')
+}
+
+const cli = cac('bench')
+cli.command('<name>', `Run a bench: ${Object.keys(LOADERS).join(', ')}`)
+  .option('--seed <seed>', 'Seed of random numbers', { default: 1 })
+  .option('--json', 'Print JSON')
+  .option('--plot <file>', 'Write an SVG plot')
+  .action(async (name: string, options: { readonly seed: number, readonly json?: boolean, readonly plot?: string }) => {
+    const load = LOADERS[name]
+    if (load === undefined) {
+      console.error(`no bench ${name}; known: ${Object.keys(LOADERS).join(', ')}`)
+      process.exitCode = 2
+      return
+    }
+    const result = await (await load()).run({ seed: Number(options.seed) })
+    console.log(options.json === true ? JSON.stringify(result) : formatTable(result))
+    if (options.plot !== undefined) writeFileSync(options.plot, drawPlot(result))
+  })
+cli.help()
+cli.parse()
