Add fair admission, quarantine and proofs of the outcome decisions

Cause: admission was a plain queue without fairness, deadlines or cold starts, requests that crash endpoints were not tracked, and the outcome decisions had one test. Ruled out: a first generator that delivered messages singly did not find the missing freeze at a leave in 4,000 sessions; a step that delivers a batch does.

--- a/src/plugins/admission/plugin.ts
+++ b/src/plugins/admission/plugin.ts
@@ -1,59 +1,165 @@
 /** Admission at an endpoint process: what waits, what starts, what is refused. */
 
+import { Queue } from './queue.js'
+import type { Waiting } from './queue.js'
+import { Running } from './running.js'
+import { Warmth } from './warmth.js'
+import type { ErrorKind } from '../../kernel/errors.js'
 import type { KernelEvent } from '../../kernel/events.js'
 import { registerPlugin } from '../../kernel/plugin.js'
-import type { Context, Plugin, PluginOptions } from '../../kernel/plugin.js'
+import type { Context, Plugin } from '../../kernel/plugin.js'
 import type { AdmissionPort, Ports } from '../../kernel/ports.js'
 import type { Submit } from '../../protocol/messages.js'
 
-class Admission implements Plugin, AdmissionPort {
+/** Waiting work may still start for this time after the domain went out; the bound is 5 s. */
+const OUT_DRAIN_MS = 3_000
+
+const KINDS = [
+  'tick', 'configuration-changed', 'work-offered', 'endpoint-head', 'endpoint-chunk', 'endpoint-ended',
+  'endpoint-failed', 'endpoint-reported', 'endpoint-crashed'
+] as const satisfies readonly KernelEvent['kind'][]
+
+/** Bounded queue in front of an endpoint with a cap. */
+export class Admission implements Plugin, AdmissionPort {
   readonly name = 'admission'
-  readonly subscribesTo = ['work-offered', 'endpoint-ended', 'endpoint-failed', 'endpoint-reported', 'endpoint-crashed', 'tick'] as const
+  readonly subscribesTo = KINDS
   readonly ports: Partial<Ports> = { admission: this }
-  readonly #waiting = new Map<string, Submit>()
-  readonly #running = new Set<string>()
+  readonly #queue = Queue.create()
+  readonly #running = Running.create()
+  readonly #warmth = Warmth.create()
   #cap = 0
-  #healthy = true
+  #outSinceMs: number | undefined
+
+  private constructor () {}
 
-  static create (_options: PluginOptions): Admission {
+  /** @returns the plug-in with an empty queue */
+  static create (): Admission {
     return new Admission()
   }
 
   describeState (): ReturnType<AdmissionPort['describeState']> {
-    return { running: this.#running.size, queued: this.#waiting.size, cap: this.#cap, warmth: 1, healthy: this.#healthy }
+    return { running: this.#running.size, queued: this.#queue.size, cap: this.#cap, warmth: this.#warmth.value, healthy: this.#warmth.healthy }
   }
 
   removeWaiting (workId: string): boolean {
-    return this.#waiting.delete(workId)
+    return this.#queue.remove(workId)
   }
 
   handle (event: KernelEvent, context: Context): void {
-    this.#cap = context.port('configuration').findEndpoint(context.self.id)?.warmCap ?? 0
-    if (event.kind === 'work-offered') this.#handleOffer(event.work, context)
-    if (event.kind === 'endpoint-ended' || event.kind === 'endpoint-failed') this.#running.delete(event.workId)
-    if (event.kind === 'endpoint-reported') this.#healthy = event.report.healthy
-    if (event.kind === 'endpoint-crashed') this.#healthy = false
+    this.#updateCap(context)
+    switch (event.kind) {
+      case 'work-offered':
+        this.#handleOffer(event.work, context)
+        break
+      case 'endpoint-head':
+      case 'endpoint-chunk': return this.#noteFirstByte(event.workId, context)
+      case 'endpoint-ended':
+      case 'endpoint-failed':
+        if (event.kind === 'endpoint-ended') this.#noteFirstByte(event.workId, context)
+        this.#running.remove(event.workId, event.kind === 'endpoint-ended', context.nowMs)
+        break
+      case 'endpoint-reported':
+        if (this.#warmth.noteReport(event.report)) context.emit({ kind: 'log', event: 'endpoint-cold', fields: { reason: 'new-start' } })
+        break
+      case 'endpoint-crashed':
+        this.#warmth.noteCrash()
+        this.#refuseAll('endpoint-failed', context)
+        break
+      case 'tick':
+        this.#handleTick(context)
+    }
+    this.#updateCap(context)
     this.#startNext(context)
   }
 
+  #updateCap (context: Context): void {
+    const configuration = context.port('configuration')
+    const spec = configuration.findEndpoint(context.self.id)
+    this.#cap = spec === undefined ? 0 : this.#warmth.computeCap(spec)
+    const isOut = spec !== undefined && !configuration.isInService(spec)
+    this.#outSinceMs = isOut ? this.#outSinceMs ?? context.nowMs : undefined
+  }
+
+  #handleTick (context: Context): void {
+    this.#warmth.noteTick(context.nowMs)
+    if (this.#warmth.isSlow(this.#running.getSilenceMs(context.nowMs))) this.#noteSlow(context)
+    if (this.#outSinceMs !== undefined && context.nowMs - this.#outSinceMs >= OUT_DRAIN_MS) this.#refuseAll('domain-out', context)
+    for (const waiting of this.#queue.list()) this.#checkDeadline(waiting, context)
+  }
+
   #handleOffer (work: Submit, context: Context): void {
-    if (this.#waiting.size >= work.terms.queueMax) {
-      context.raise({ kind: 'work-refused', workId: work.workId, error: 'overloaded', outcome: 'not-run', retryAfterMs: 1000 })
-      return
+    if (context.port('quarantine').isRefused(work.fingerprint)) return this.#refuse(work, 'quarantined', context)
+    if (!this.#warmth.healthy) return this.#refuse(work, 'endpoint-failed', context)
+    const waitMs = this.#computeWaitMs(work)
+    if (waitMs > work.timeLeftMs) return this.#refuse(work, 'deadline-unreachable', context)
+    if (this.#queue.countProfile(work.terms.profile) >= work.terms.queueMax) {
+      const excess = this.#queue.findExcess(work)
+      if (excess === undefined) return this.#refuse(work, 'overloaded', context, waitMs)
+      this.#queue.remove(excess.work.workId)
+      this.#refuse(excess.work, 'overloaded', context, waitMs)
     }
-    this.#waiting.set(work.workId, work)
-    context.raise({ kind: 'work-queued', workId: work.workId, queued: this.#waiting.size - 1, waitMs: 0 })
+    this.#queue.add(work, context.nowMs)
+    context.raise({ kind: 'work-queued', workId: work.workId, queued: this.#queue.size - 1, waitMs })
+  }
+
+  /** Estimated wait in ms: work ahead that finds no free place, at the mean service time. */
+  #computeWaitMs (work: Submit): number {
+    const ahead = this.#queue.countAhead(work) + this.#running.size + 1 - this.#cap
+    return Math.max(0, Math.round(ahead * this.#running.serviceMs / Math.max(1, this.#cap)))
   }
 
   #startNext (context: Context): void {
-    for (const work of this.#waiting.values()) {
-      if (!this.#healthy || this.#running.size >= this.#cap) return
-      this.#waiting.delete(work.workId)
-      this.#running.add(work.workId)
-      context.emit({ kind: 'run', work })
-      context.raise({ kind: 'work-started', workId: work.workId })
+    while (this.#warmth.healthy && this.#running.size < this.#cap) {
+      const next = this.#queue.chooseNext(waiting => this.#isEligible(waiting, context))
+      if (next === undefined) return
+      if (this.#checkDeadline(next, context)) continue
+      this.#queue.removeStarted(next)
+      this.#running.add(next.work, context.nowMs)
+      context.emit({ kind: 'run', work: next.work })
+      context.raise({ kind: 'work-started', workId: next.work.workId })
     }
   }
+
+  /** Suspects run one at a time, and one team takes at most its share while others wait. */
+  #isEligible ({ work }: Waiting, context: Context): boolean {
+    const quarantine = context.port('quarantine')
+    if (quarantine.isSuspect(work.fingerprint) && this.#running.list().some(other => quarantine.isSuspect(other.fingerprint))) return false
+    const share = context.port('configuration').findProfile(work.terms.profile)?.teamShareMax ?? 1
+    if (this.#running.countTeam(work.team) < Math.max(1, Math.floor(share * this.#cap))) return true
+    return this.#queue.list().every(other => other.work.team === work.team)
+  }
+
+  /** @returns whether the work was refused because it must not start any more */
+  #checkDeadline ({ work, deadlineAtMs }: Waiting, context: Context): boolean {
+    const isRefused = context.port('quarantine').isRefused(work.fingerprint)
+    if (!isRefused && context.nowMs < deadlineAtMs) return false
+    this.#queue.remove(work.workId)
+    this.#refuse(work, isRefused ? 'quarantined' : 'deadline-exceeded', context)
+    return true
+  }
+
+  #noteFirstByte (workId: string, context: Context): void {
+    const elapsedMs = this.#running.noteFirstByte(workId, context.nowMs)
+    if (elapsedMs === undefined) return
+    if (this.#warmth.isSlow(elapsedMs)) this.#noteSlow(context)
+    this.#warmth.noteFirstByte(elapsedMs)
+  }
+
+  #noteSlow (context: Context): void {
+    if (this.#warmth.noteSlow()) context.emit({ kind: 'log', event: 'endpoint-cold', fields: { reason: 'first-byte' } })
+  }
+
+  #refuseAll (error: ErrorKind, context: Context): void {
+    for (const { work } of this.#queue.list()) {
+      this.#queue.remove(work.workId)
+      this.#refuse(work, error, context)
+    }
+  }
+
+  #refuse (work: Submit, error: ErrorKind, context: Context, retryAfterMs?: number): void {
+    const wait = retryAfterMs === undefined ? {} : { retryAfterMs }
+    context.raise({ kind: 'work-refused', workId: work.workId, error, outcome: 'not-run', ...wait })
+  }
 }
 
-registerPlugin({ name: 'admission', roles: ['endpoint'], create: options => Admission.create(options) })
+registerPlugin({ name: 'admission', roles: ['endpoint'], create: () => Admission.create() })
--- /dev/null
+++ b/src/plugins/admission/queue.ts
@@ -0,0 +1,143 @@
+/** Waiting work: classes, start-time fair queueing by team weight, bounds. */
+
+import type { PriorityClass, Submit } from '../../protocol/messages.js'
+
+/** Of this many starts, at least one goes to a lower class while one waits. */
+const LOWER_CLASS_EVERY = 8
+
+const CLASSES: readonly PriorityClass[] = ['urgent', 'normal', 'background']
+
+/** Work that waits. */
+export interface Waiting {
+  readonly work: Submit
+  readonly offeredAtMs: number
+  readonly deadlineAtMs: number
+  /** Virtual time at which the work's turn comes; lower starts first. */
+  readonly startTag: number
+}
+
+/** Virtual times of one class. */
+interface ClassState {
+  virtualTime: number
+  readonly finishByTeam: Map<string, number>
+}
+
+/** The waiting work of one endpoint. */
+export class Queue {
+  readonly #waiting = new Map<string, Waiting>()
+  readonly #classes: Readonly<Record<PriorityClass, ClassState>> = { urgent: createClass(), normal: createClass(), background: createClass() }
+  #startsSinceLower = 0
+
+  private constructor () {}
+
+  /** @returns an empty queue */
+  static create (): Queue {
+    return new Queue()
+  }
+
+  get size (): number { return this.#waiting.size }
+
+  list (): readonly Waiting[] { return [...this.#waiting.values()] }
+
+  /**
+   * @param work - joins the end of its team's share
+   * @param nowMs - monotonic time in ms
+   * @returns the work as it waits
+   */
+  add (work: Submit, nowMs: number): Waiting {
+    const state = this.#classes[work.terms.priority]
+    const startTag = this.#computeStartTag(work)
+    state.finishByTeam.set(work.team, startTag + 1 / work.teamWeight)
+    const waiting = { work, offeredAtMs: nowMs, deadlineAtMs: nowMs + work.timeLeftMs, startTag }
+    this.#waiting.set(work.workId, waiting)
+    return waiting
+  }
+
+  /** @returns whether the work was waiting */
+  remove (workId: string): boolean {
+    const waiting = this.#waiting.get(workId)
+    if (waiting === undefined) return false
+    this.#waiting.delete(workId)
+    const { team, teamWeight, terms } = waiting.work
+    const state = this.#classes[terms.priority]
+    // Work that leaves from the end of its team's share gives the share back.
+    if (state.finishByTeam.get(team) === waiting.startTag + 1 / teamWeight) state.finishByTeam.set(team, waiting.startTag)
+    return true
+  }
+
+  countProfile (profile: string): number {
+    return this.list().filter(({ work }) => work.terms.profile === profile).length
+  }
+
+  /**
+   * @param work - work that would be offered now
+   * @returns how much waiting work would start before it
+   */
+  countAhead (work: Submit): number {
+    const rank = CLASSES.indexOf(work.terms.priority)
+    const startTag = this.#computeStartTag(work)
+    return this.list().filter(other => {
+      const otherRank = CLASSES.indexOf(other.work.terms.priority)
+      return otherRank < rank || (otherRank === rank && other.startTag <= startTag)
+    }).length
+  }
+
+  /**
+   * Finds work to push out of a full queue: the newest of the team that holds
+   * most for its weight, when that is more than the offering team would hold.
+   * Without this one team could fill the queue and shut the others out.
+   *
+   * @param work - the offer
+   * @returns the work to refuse instead of the offer; undefined when the offer itself exceeds its share
+   */
+  findExcess (work: Submit): Waiting | undefined {
+    const shares = new Map<string, number>()
+    const mine = this.list().filter(other => other.work.terms.profile === work.terms.profile)
+    for (const { work: { team, teamWeight } } of mine) shares.set(team, (shares.get(team) ?? 0) + 1 / teamWeight)
+    const [team, share] = [...shares].reduce((most, next) => next[1] > most[1] ? next : most, ['', 0])
+    if (team === work.team || share <= (shares.get(work.team) ?? 0) + 1 / work.teamWeight) return undefined
+    return mine.findLast(other => other.work.team === team)
+  }
+
+  /**
+   * Chooses the next work to start.
+   *
+   * @param isEligible - whether the work may start now; work that may not is passed over
+   * @returns the choice; undefined when nothing may start
+   */
+  chooseNext (isEligible: (waiting: Waiting) => boolean): Waiting | undefined {
+    const eligible = this.list().filter(isEligible)
+    const top = CLASSES.find(name => eligible.some(({ work }) => work.terms.priority === name))
+    const lower = eligible.filter(({ work }) => work.terms.priority !== top)
+    if (lower.length > 0 && this.#startsSinceLower >= LOWER_CLASS_EVERY - 1) return pickLeast(lower, ({ offeredAtMs }) => offeredAtMs)
+    return pickLeast(eligible.filter(({ work }) => work.terms.priority === top), ({ startTag }) => startTag)
+  }
+
+  /** Takes work out that starts now, and moves the virtual time on. */
+  removeStarted (started: Waiting): void {
+    const rank = CLASSES.indexOf(started.work.terms.priority)
+    this.#waiting.delete(started.work.workId)
+    const waiting = this.list()
+    const hasHigher = waiting.some(({ work }) => CLASSES.indexOf(work.terms.priority) < rank)
+    const hasLower = waiting.some(({ work }) => CLASSES.indexOf(work.terms.priority) > rank)
+    this.#startsSinceLower = hasHigher || !hasLower ? 0 : this.#startsSinceLower + 1
+    const state = this.#classes[started.work.terms.priority]
+    state.virtualTime = Math.max(state.virtualTime, started.startTag)
+    for (const [team, finish] of state.finishByTeam) {
+      if (finish <= state.virtualTime) state.finishByTeam.delete(team)
+    }
+  }
+
+  #computeStartTag (work: Submit): number {
+    const state = this.#classes[work.terms.priority]
+    return Math.max(state.virtualTime, state.finishByTeam.get(work.team) ?? 0)
+  }
+}
+
+function createClass (): ClassState {
+  return { virtualTime: 0, finishByTeam: new Map() }
+}
+
+function pickLeast (list: readonly Waiting[], compute: (waiting: Waiting) => number): Waiting | undefined {
+  return list.reduce<Waiting | undefined>((least, next) => least === undefined || compute(next) < compute(least) ? next : least, undefined)
+}
--- /dev/null
+++ b/src/plugins/admission/running.ts
@@ -0,0 +1,61 @@
+/** Work that the endpoint has in hand. */
+
+import type { Submit } from '../../protocol/messages.js'
+
+/** Weight of a new observation in the moving average. */
+const AVERAGE_WEIGHT = 0.1
+
+interface Run {
+  readonly work: Submit
+  readonly startedAtMs: number
+  hasFirstByte: boolean
+}
+
+/** The running set; work leaves it only when the edge reports its end. */
+export class Running {
+  readonly #runs = new Map<string, Run>()
+  #serviceMs: number | undefined
+
+  private constructor () {}
+
+  static create (): Running {
+    return new Running()
+  }
+
+  get size (): number { return this.#runs.size }
+
+  /** Mean service time in ms; 0 before the first end. */
+  get serviceMs (): number { return this.#serviceMs ?? 0 }
+
+  list (): readonly Submit[] { return [...this.#runs.values()].map(run => run.work) }
+
+  countTeam (team: string): number {
+    return this.list().filter(work => work.team === team).length
+  }
+
+  add (work: Submit, nowMs: number): void {
+    this.#runs.set(work.workId, { work, startedAtMs: nowMs, hasFirstByte: false })
+  }
+
+  /** @returns the time to the first byte in ms; undefined for work that is not known or had it before */
+  noteFirstByte (workId: string, nowMs: number): number | undefined {
+    const run = this.#runs.get(workId)
+    if (run === undefined || run.hasFirstByte) return undefined
+    run.hasFirstByte = true
+    return nowMs - run.startedAtMs
+  }
+
+  /** @returns the longest present wait for a first byte in ms */
+  getSilenceMs (nowMs: number): number {
+    return Math.max(0, ...[...this.#runs.values()].filter(run => !run.hasFirstByte).map(run => nowMs - run.startedAtMs))
+  }
+
+  /** Takes out work that ended; only whole answers count for the service time. */
+  remove (workId: string, isWhole: boolean, nowMs: number): void {
+    const run = this.#runs.get(workId)
+    this.#runs.delete(workId)
+    if (run === undefined || !isWhole) return
+    const elapsedMs = nowMs - run.startedAtMs
+    this.#serviceMs = this.#serviceMs === undefined ? elapsedMs : this.#serviceMs + (elapsedMs - this.#serviceMs) * AVERAGE_WEIGHT
+  }
+}
--- a/test/endpoint/harness.ts
+++ b/test/endpoint/harness.ts
@@ -115,10 +115,10 @@
   }
 
   /** Completes work with a one-chunk answer. */
-  finish (workId: string, text = workId): void {
+  finish (workId: string, text = workId): readonly Effect[] {
     this.dispatch({ kind: 'endpoint-head', workId, status: 200, headers: [] })
     this.dispatch({ kind: 'endpoint-chunk', workId, data: Buffer.from(text) })
-    this.dispatch({ kind: 'endpoint-ended', workId })
+    return this.dispatch({ kind: 'endpoint-ended', workId })
   }
 }
 
--- /dev/null
+++ b/test/endpoint/properties.test.ts
@@ -0,0 +1,86 @@
+/** At most one run per key, true outcomes and unmixed answers in any order of events. */
+
+import test from 'ava'
+import fc from 'fast-check'
+import { Executions } from '../../src/plugins/outcomes/executions.js'
+import { Outcomes } from '../../src/plugins/outcomes/plugin.js'
+import { Records } from '../../src/plugins/outcomes/records.js'
+import { RecordTable } from '../../src/plugins/outcomes/table.js'
+import { Shuffler } from './shuffler.js'
+import type { Step } from './shuffler.js'
+
+const SEED = 20_261_204
+const SESSIONS = 4_000
+
+const pick = fc.nat(30)
+const STEPS: readonly (readonly [weight: number, arbitrary: fc.Arbitrary<Step>])[] = [
+  [6, fc.record({ kind: fc.constant('send' as const), entry: fc.nat(2), key: fc.nat(11), body: fc.constantFrom(0, 0, 0, 1), moved: fc.boolean() })],
+  [4, fc.record({ kind: fc.constant('resend' as const), entry: fc.nat(2), pick, moved: fc.boolean() })],
+  [8, fc.record({ kind: fc.constant('deliver' as const), pick })],
+  [3, fc.record({ kind: fc.constant('settle' as const), pick })],
+  [4, fc.record({ kind: fc.constantFrom('cancel' as const, 'query' as const, 'repeat' as const, 'lose' as const), pick })],
+  [3, fc.record({ kind: fc.constant('end' as const), pick, result: fc.constantFrom('whole' as const, 'whole' as const, 'broken' as const, 'unsent' as const) })],
+  [2, fc.record({ kind: fc.constant('wait' as const), ms: fc.constantFrom(500, 1_500, 2_500, 5_000, 30_000, 31 * 30_000) })],
+  [1, fc.record({ kind: fc.constant('pause' as const), ms: fc.constantFrom(2_500, 40_000) })],
+  [1, fc.record({ kind: fc.constant('kill' as const), id: fc.constantFrom('h1' as const, 'h1' as const, 'h2' as const) })],
+  [1, fc.constant({ kind: 'leave' as const })]
+]
+/** Steps that are rare enough in half of the sessions for a handover to complete. */
+const ROUGH: ReadonlySet<Step['kind']> = new Set(['lose', 'pause', 'kill', 'wait'])
+const sessions = fc.tuple(fc.boolean(), fc.array(fc.oneof(...STEPS.map(([weight, arbitrary]) => ({ weight, arbitrary }))), { minLength: 20, maxLength: 120 }))
+  .map(([isCalm, steps]) => isCalm ? steps.map(step => !ROUGH.has(step.kind) ? step : { kind: 'wait' as const, ms: 1_500 }) : steps)
+
+/** Runs sessions until one shows a fault of the pattern. */
+function checkSessions (pattern: RegExp): { readonly count: number, readonly fault: string, readonly counts: Record<string, number> } {
+  const counts: Record<string, number> = {}
+  const result = fc.check(fc.property(sessions, session => {
+    const shuffler = new Shuffler()
+    for (const step of session) shuffler.take(step)
+    shuffler.finish()
+    for (const [name, count] of Object.entries(shuffler.counts)) counts[name] = (counts[name] ?? 0) + count
+    const fault = shuffler.faults.find(text => pattern.test(text))
+    if (fault !== undefined) throw new Error(fault)
+  }), { seed: SEED, numRuns: SESSIONS, endOnFailure: true })
+  return { count: result.numRuns, fault: result.failed ? `${String(result.errorInstance)} in ${fc.stringify(result.counterexample)}` : '', counts }
+}
+
+// Guards against a second run of a key, an untrue "not run", and an answer given to the wrong attempt.
+test.serial('random interleavings of send, repeat, cancel, kill, pause, leave, lost and reordered messages', t => {
+  const { count, fault, counts } = checkSessions(/./)
+  t.log(`seed ${SEED}: ${count} sessions`, counts)
+  t.is(fault, '')
+})
+
+/** A safeguard, the faults that show its absence, and the product without it. */
+const removals: readonly (readonly [name: string, pattern: RegExp, owner: object, method: string, build: (original: (...args: never[]) => unknown) => (this: never, ...args: never[]) => unknown])[] = [
+  ['look-up of the record', /ran \d+ times/, RecordTable.prototype, 'find', () => () => undefined],
+  ['record of a refused key', /called not run and ran/, RecordTable.prototype, 'update', original => function (this: never, ...[scope, record]: never[]) {
+    if ((record as unknown as { state: { kind: string } }).state.kind !== 'closed') original.call(this, scope!, record!)
+    else (this as RecordTable).remove(scope!)
+  }],
+  ['start limit', /ran \d+ times/, RecordTable.prototype, 'getAge', () => () => 'startable'],
+  ['incarnation in the key', /ran \d+ times/, Records.prototype, 'findTable', () => function (this: never) { return (this as Records).own }],
+  ['pause check', /waited before a pause/, Outcomes.prototype, 'checkTime', original => function (this: never, ...[context]: never[]) {
+    const { nowMs } = context as unknown as { nowMs: number }
+    for (let at = (this as { at?: number }).at ?? 0; at < nowMs; at += 1_000) original.call(this, { ...(context as unknown as object), nowMs: at } as never)
+    original.call(this, context!)
+    Object.assign(this as object, { at: nowMs })
+  }],
+  ['truth of cancelled', /called not run and ran/, Executions.prototype, 'cancel', original => function (this: never, ...args: never[]) {
+    original.apply(this, args)
+    return 'not-run'
+  }],
+  ['freeze of the queue at a leave', /ran \d+ times/, Executions.prototype, 'listWaiting', () => () => []]
+]
+
+for (const [name, pattern, owner, method, build] of removals) {
+  // Guards against a property test that would pass without the safeguard.
+  test.serial(`the property fails without: ${name}`, t => {
+    const original = Reflect.get(owner, method) as (...args: never[]) => unknown
+    Reflect.set(owner, method, build(original))
+    const { count, fault } = checkSessions(pattern)
+    Reflect.set(owner, method, original)
+    t.log(`seed ${SEED}: found after ${count} sessions: ${fault.split(' in [')[0]}`)
+    t.not(fault, '')
+  })
+}
--- /dev/null
+++ b/test/endpoint/shuffler.ts
@@ -0,0 +1,190 @@
+/**
+ * Two endpoint processes, several entries and a network that reorders, repeats
+ * and loses messages. Notes every run and every answer, and the faults found.
+ */
+
+import type { Effect } from '../../src/kernel/effects.js'
+import type { Message, Submit } from '../../src/protocol/messages.js'
+import { Process, TERMS, World, buildKey, buildRef, buildSubmit } from './harness.js'
+
+const TICK_MS = 1_900
+const SETTLE_COUNT = 12
+const PROCESSES = ['h1', 'h2'] as const
+type Id = typeof PROCESSES[number]
+
+/** One step of a session; numbers choose among what is there, modulo its count. */
+export type Step =
+  | { readonly kind: 'send', readonly entry: number, readonly key: number, readonly body: number, readonly moved: boolean }
+  | { readonly kind: 'resend', readonly entry: number, readonly pick: number, readonly moved: boolean }
+  /** Delivers many messages, in an order given by the pick. */
+  | { readonly kind: 'settle', readonly pick: number }
+  | { readonly kind: 'cancel' | 'query' | 'deliver' | 'repeat' | 'lose', readonly pick: number }
+  | { readonly kind: 'end', readonly pick: number, readonly result: 'whole' | 'broken' | 'unsent' }
+  | { readonly kind: 'wait' | 'pause', readonly ms: number }
+  | { readonly kind: 'kill', readonly id: Id }
+  | { readonly kind: 'leave' }
+
+interface Flight { readonly from: string, readonly to: string, readonly incarnation: number, readonly message: Message }
+interface Attempt { readonly work: Submit, readonly to: Id, readonly chunks: Map<number, string> }
+
+export class Shuffler {
+  readonly faults: string[] = []
+  /** Runs, runs of handed-over keys at the successor, and keys or bodies called not run. */
+  readonly counts = { runs: 0, movedRuns: 0, notRun: 0 }
+  readonly #processes = new Map<Id, Process>(PROCESSES.map(id => [id, new Process(buildRef(id))]))
+  readonly #attempts: Attempt[] = []
+  readonly #running: { readonly id: Id, readonly process: Process, readonly work: Submit }[] = []
+  readonly #runsByKey = new Map<string, string[]>()
+  readonly #notRun = new Set<string>()
+  readonly #stale = new Set<string>()
+  #flights: Flight[] = []
+  #successor: Id | undefined
+
+  constructor () {
+    const { endpoints } = World.create({ peers: PROCESSES.map(id => buildRef(id)) })
+    // A cap of 1 makes most work wait.
+    World.create({ peers: PROCESSES.map(id => buildRef(id)), endpoints: endpoints.map(spec => ({ ...spec, warmCap: 1, coldCap: 1 })) })
+  }
+
+  take (step: Step): void {
+    switch (step.kind) {
+      case 'send': return this.#send(step)
+      case 'resend': return this.#withPick(this.#attempts, step.pick, ({ work }) => { this.#submit(work, step) })
+      case 'cancel': return this.#withPick(this.#attempts, step.pick, attempt => { this.#post('e', attempt.to, { kind: 'cancel', workId: attempt.work.workId }) })
+      case 'query': return this.#withPick(this.#attempts, step.pick, ({ work, to }) => {
+        this.#post('e', to, { kind: 'query', queryId: work.key!.text, team: work.team, service: work.service, key: work.key! })
+      })
+      case 'settle': {
+        for (let count = 0; count < SETTLE_COUNT; count++) this.take({ kind: 'deliver', pick: step.pick })
+        return
+      }
+      case 'deliver': return this.#withPick(this.#flights, step.pick, flight => {
+        this.#flights = this.#flights.filter(other => other !== flight)
+        this.#deliver(flight)
+      })
+      case 'repeat': return this.#withPick(this.#flights, step.pick, flight => { this.#deliver(flight) })
+      case 'lose': return this.#withPick(this.#flights, step.pick, flight => { this.#flights = this.#flights.filter(other => other !== flight) })
+      case 'end': return this.#withPick(this.#running, step.pick, run => { this.#end(run, step.result) })
+      case 'wait': return this.#wait(step.ms)
+      case 'pause': return this.#pause(step.ms)
+      case 'kill': return this.#kill(step.id)
+      case 'leave': return this.#apply('h1', this.#processes.get('h1')!.dispatch({ kind: 'leave-requested', deadlineMs: 600_000 }))
+    }
+  }
+
+  /** Delivers what is left and compares what was said with what ran. */
+  finish (): void {
+    while (this.#flights.length > 0) this.take({ kind: 'deliver', pick: 0 })
+    this.counts.notRun = this.#notRun.size
+    for (const [key, bodies] of this.#runsByKey) {
+      if (bodies.length > 1) this.faults.push(`${key} ran ${bodies.length} times`)
+      for (const body of bodies) if (this.#notRun.has(`${key} ${body}`) || this.#notRun.has(key)) this.faults.push(`${key} ${body} was called not run and ran`)
+    }
+  }
+
+  #send (step: Extract<Step, { kind: 'send' }>): void {
+    // Keys of both processes and of the second incarnation of the first.
+    const [home, incarnation] = step.key % 4 === 3 ? ['h2', 1] as const : ['h1', step.key % 4 === 2 ? 2 : 1] as const
+    this.#submit(buildSubmit('', { key: buildKey(`k${step.key}`, 0, home, incarnation), bodyHash: `b${step.body}`, terms: TERMS, timeLeftMs: 60_000 }), step)
+  }
+
+  #submit (first: Submit, { entry, moved }: { readonly entry: number, readonly moved: boolean }): void {
+    const home = first.key!.home as Id
+    const to = moved && home === 'h1' ? this.#successor ?? home : home
+    const work = { ...first, workId: `w${this.#attempts.length}` }
+    this.#attempts.push({ work, to, chunks: new Map() })
+    this.#post(`e${entry}`, to, work)
+  }
+
+  #withPick<T> (list: readonly T[], pick: number, act: (item: T) => void): void {
+    const item = list[pick % list.length]
+    if (item !== undefined) act(item)
+  }
+
+  #post (from: string, to: string, message: Message): void {
+    this.#flights.push({ from, to, incarnation: this.#processes.get(to as Id)?.self.incarnation ?? 0, message })
+  }
+
+  #deliver ({ from, to, incarnation, message }: Flight): void {
+    const process = this.#processes.get(to as Id)
+    if (process === undefined) return this.#noteAnswer(message)
+    // A connection ends with its process, so nothing reaches a later incarnation.
+    if (process.self.incarnation === incarnation) this.#apply(to as Id, process.receive(message, from))
+  }
+
+  #apply (id: Id, effects: readonly Effect[]): void {
+    const process = this.#processes.get(id)!
+    for (const effect of effects) {
+      if (effect.kind === 'send') this.#post(id, effect.peer, effect.message)
+      if (effect.kind === 'run') this.#noteRun(id, process, effect.work)
+    }
+    if (id === 'h1') this.#successor = process.kernel.port('outcomes').getMovedTo() as Id | undefined ?? this.#successor
+  }
+
+  #noteRun (id: Id, process: Process, work: Submit): void {
+    this.counts.runs += 1
+    if (work.key!.home !== id) this.counts.movedRuns += 1
+    this.#running.push({ id, process, work })
+    const bodies = this.#runsByKey.get(work.key!.text)
+    if (bodies === undefined) this.#runsByKey.set(work.key!.text, [work.bodyHash])
+    else bodies.push(work.bodyHash)
+    if (this.#stale.has(work.workId)) this.faults.push(`${work.workId} waited before a pause and ran after it`)
+  }
+
+  #end (run: { readonly id: Id, readonly process: Process, readonly work: Submit }, result: 'whole' | 'broken' | 'unsent'): void {
+    const { id, process, work } = run
+    this.#running.splice(this.#running.indexOf(run), 1)
+    if (process !== this.#processes.get(id)) return
+    if (result === 'unsent') this.#runsByKey.get(work.key!.text)!.splice(this.#runsByKey.get(work.key!.text)!.indexOf(work.bodyHash), 1)
+    if (result !== 'whole') return this.#apply(id, process.dispatch({ kind: 'endpoint-failed', workId: work.workId, sent: result !== 'unsent' }))
+    this.#apply(id, process.dispatch({ kind: 'endpoint-head', workId: work.workId, status: 200, headers: [] }))
+    for (const text of [work.key!.text, work.bodyHash]) this.#apply(id, process.dispatch({ kind: 'endpoint-chunk', workId: work.workId, data: Buffer.from(text) }))
+    this.#apply(id, process.dispatch({ kind: 'endpoint-ended', workId: work.workId }))
+  }
+
+  #wait (ms: number): void {
+    for (let left = ms; left > 0; left -= TICK_MS) {
+      for (const [id, process] of this.#processes) {
+        process.nowMs += Math.min(left, TICK_MS)
+        // Entries send heartbeats, so that no attempt is dropped as silent.
+        for (const entry of ['e0', 'e1', 'e2']) process.receive({ kind: 'heartbeat', incarnation: 1, configVersion: 1 }, entry)
+        this.#apply(id, process.dispatch({ kind: 'tick' }))
+      }
+    }
+  }
+
+  #pause (ms: number): void {
+    const running = new Set(this.#running.map(run => run.work.workId))
+    for (const { work } of this.#attempts) if (!running.has(work.workId) && this.#isHeld(work.workId)) this.#stale.add(work.workId)
+    for (const process of this.#processes.values()) process.nowMs += ms
+  }
+
+  /** Whether the attempt was delivered: what still travels is not waiting at the process. */
+  #isHeld (workId: string): boolean {
+    return !this.#flights.some(({ message }) => message.kind === 'submit' && message.workId === workId)
+  }
+
+  #kill (id: Id): void {
+    const { self, nowMs } = this.#processes.get(id)!
+    const process = new Process(buildRef(id, 'endpoint', 'a', self.incarnation + 1))
+    process.nowMs = nowMs
+    this.#processes.set(id, process)
+  }
+
+  #noteAnswer (message: Message): void {
+    if (message.kind === 'query-answer') return this.#noteOutcome(message.queryId, message.queryId, message.state)
+    if (!('workId' in message)) return
+    const attempt = this.#attempts.find(({ work }) => work.workId === message.workId)!
+    const { work, chunks } = attempt
+    if (message.kind === 'chunk') chunks.set(message.index, Buffer.from(message.data).toString())
+    if (message.kind === 'refused' || message.kind === 'cancelled') this.#noteOutcome(work.key!.text, `${work.key!.text} ${work.bodyHash}`, message.outcome)
+    const [key, body] = [chunks.get(0) ?? work.key!.text, chunks.get(1) ?? work.bodyHash]
+    if (key !== work.key!.text || body !== work.bodyHash || chunks.size > 2) this.faults.push(`${work.workId} got the answer of ${key} ${body}`)
+    if (message.kind === 'end' && message.chunks !== 2) this.faults.push(`${work.workId} ended with ${message.chunks} chunks`)
+  }
+
+  #noteOutcome (key: string, subject: string, outcome: string): void {
+    if (outcome === 'not-run') this.#notRun.add(subject)
+    if (outcome === 'run' && (this.#runsByKey.get(key) ?? []).length === 0) this.faults.push(`${key} was called run and did not run`)
+  }
+}
