--- a/src/kernel/events.ts
+++ b/src/kernel/events.ts
@@ -44,6 +44,8 @@
   readonly stepMs?: number
   /** Current decoding step; ranks of a group only. */
   readonly step?: number
+  /** Tokens per layer and expert slot since the last report; ranks of a group only. */
+  readonly expertCounts?: readonly (readonly number[])[]
 }
 
 export type KernelEvent =
@@ -71,10 +73,13 @@
   /* entry role */
   | RequestReceived
   | { readonly kind: 'caller-gone', readonly requestId: string }
+  | { readonly kind: 'address-asked', readonly askId: string, readonly services: readonly string[] }
   | { readonly kind: 'outcome-asked', readonly askId: string, readonly team: string, readonly keyText: string }
   /* endpoint role */
   | { readonly kind: 'work-offered', readonly work: Submit }
   | { readonly kind: 'work-refused', readonly workId: string, readonly error: ErrorKind, readonly outcome: Outcome, readonly retryAfterMs?: number }
+  /** Raised by admission for each offer that it takes, before any start. */
+  | { readonly kind: 'work-queued', readonly workId: string, readonly queued: number, readonly waitMs: number }
   | { readonly kind: 'work-started', readonly workId: string }
   | { readonly kind: 'endpoint-head', readonly workId: string, readonly status: number, readonly headers: HeaderList }
   | { readonly kind: 'endpoint-chunk', readonly workId: string, readonly data: Uint8Array }
--- a/src/kernel/kernel.ts
+++ b/src/kernel/kernel.ts
@@ -3,6 +3,7 @@
 import { listPlugins } from './plugin.js'
 import type { Context, Plugin, PluginOptions } from './plugin.js'
 import type { Ports } from './ports.js'
+import type { ProcessRef } from '../protocol/messages.js'
 import { Random } from './random.js'
 
 /** What a kernel is created with. */
@@ -52,7 +53,7 @@
    */
   dispatch (event: KernelEvent, nowMs: number): readonly Effect[] {
     const effects: Effect[] = []
-    const queue: KernelEvent[] = [event]
+    const queue: KernelEvent[] = []
     const context: Context = {
       nowMs,
       random: this.#random,
@@ -62,10 +63,17 @@
       port: name => this.port(name),
       findPort: name => this.#ports[name] as Ports[typeof name] | undefined
     }
+    for (const plugin of this.#plugins) plugin.checkTime?.(context)
+    this.#dispatchAll(queue, context)
+    queue.push(event)
+    this.#dispatchAll(queue, context)
+    return effects
+  }
+
+  #dispatchAll (queue: KernelEvent[], context: Context): void {
     for (let next = queue.shift(); next !== undefined; next = queue.shift()) {
       for (const plugin of this.#subscribers.get(next.kind) ?? []) plugin.handle(next, context)
     }
-    return effects
   }
 
   /**
@@ -81,6 +89,11 @@
     return port as Ports[N]
   }
 
+  /** The process that this kernel runs in. */
+  get self (): ProcessRef {
+    return this.#options.self
+  }
+
   /** @returns the names of the plug-ins in order */
   listPluginNames (): readonly string[] {
     return this.#plugins.map(plugin => plugin.name)
--- a/src/kernel/plugin.ts
+++ b/src/kernel/plugin.ts
@@ -46,6 +46,13 @@
   readonly subscribesTo: readonly EventKind[]
   /** Ports that this plug-in provides to others. */
   readonly ports?: Partial<Ports>
+  /**
+   * Called before any plug-in handles an event of the edge, whatever its kind.
+   * What it raises is handled before that event.
+   *
+   * @param context - time, random numbers and ways out
+   */
+  checkTime? (context: Context): void
   /**
    * Handles one event of a subscribed kind.
    *
@@ -69,9 +76,7 @@
   readonly clusterSecret: string
   /** Addresses of peers known at start, by process id. */
   readonly seeds: readonly { readonly id: string, readonly address: string }[]
-  /** Callers' URL of this entry. */
-  readonly callerUrl?: string
-  /** How long callers may keep an address answer, in ms; 30,000 when absent. */
+  /** Time for which callers may keep an address answer, in ms; entries only. */
   readonly addressHoldMs?: number
 }
 
