--- a/src/cli/commands/team-key.ts
+++ b/src/cli/commands/team-key.ts
@@ -1,5 +1,4 @@
-import { createKeyHash } from '../../edge/security/hash.js'
-import { createTeamKey, parseTeamName } from '../../edge/security/team-key.js'
+import { TEAM_PREFIX, createCredential, parseCredentialName } from '../../edge/security/credentials.js'
 import { EXIT, buildDone, buildFailure } from '../result.js'
 import type { CommandResult } from '../result.js'
 
@@ -10,12 +9,10 @@
  * @returns the key and the line for the configuration file
  */
 export function runTeamKey (team: string): CommandResult {
-  const key = createTeamKey(team)
-  if (parseTeamName(key) !== team) {
+  const { text: key, stored } = createCredential(TEAM_PREFIX, team)
+  if (parseCredentialName(TEAM_PREFIX, key) !== team) {
     return buildFailure(EXIT.badInput, `${JSON.stringify(team)} is not a team name: lower-case letters, digits and hyphens.`)
   }
-  const { salt, hash } = createKeyHash(key)
-  const stored = `${salt}:${hash}`
   const text = `Key for team ${team}, shown only once:\n${key}\n\nAdd this to keys of the team in the configuration file:\n"${stored}"\n`
   return buildDone(text, { team, key, stored })
 }
--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -83,8 +83,8 @@
     files => () => runCheck((files as readonly unknown[]).map(String)))
   add(cli.command('team-key <team>', 'Make an API key for a team; prints it once with its salted hash'),
     team => () => runTeamKey(String(team)))
-  add(cli.command('operator-key', 'Make an operator credential; prints it once with its salted hash'),
-    () => () => runOperatorKey())
+  add(cli.command('operator-key <name>', 'Make a credential for an operator; prints it once with its salted hash'),
+    name => () => runOperatorKey(String(name)))
 }
 
 function addChangeCommands (cli: CAC, add: Add, outside: Outside): void {
