Test the command line with sessions, races, lost answers and deaths

Nine tests in test/cli run the commands against an in-memory platform: golden sessions, two operators at once, lost and late writes, outages, death at each platform call of apply, and rolling audit pages under faults (fast-check, seed 7, 60 runs).

--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -66,6 +66,8 @@
   addChangeCommands(cli, add, outside)
   addReadCommands(cli, add, outside)
   try {
+    /* cac reads an empty value as the number 0, which is a version. */
+    if (args.some(arg => /^(--[a-z-]+=)?$/.test(arg))) throw new ArgumentError('an argument is empty')
     cli.parse(['node', 'heatherdoor', ...args], { run: false })
     if (cli.options['help'] === true) return EXIT.done
     if (cli.matchedCommand === undefined) result = describeUnknownCommand(cli)
--- /dev/null
+++ b/test/cli/fake.ts
@@ -0,0 +1,135 @@
+/** In-memory platform with faults and interruptions, and a recorder of command sessions. */
+
+import { mkdtempSync, writeFileSync } from 'node:fs'
+import { tmpdir } from 'node:os'
+import { join } from 'node:path'
+import type { AuditLimits } from '../../src/cli/audit.js'
+import type { OperationsResult, Outside } from '../../src/cli/context.js'
+import { runProgram } from '../../src/cli/program.js'
+import type { ObjectStore } from '../../src/cli/store.js'
+import type { PlatformResult } from '../../src/kernel/events.js'
+import { CONFIGURATION } from '../settings/texts.js'
+
+/** `lose`: takes effect, the answer is lost. `drop`: has no effect, the answer is lost. `die`: the command ends before the call. */
+type Fault = 'lose' | 'drop' | 'unavailable' | 'die' | 'late'
+
+interface Rule {
+  readonly call: string
+  readonly fault?: Fault
+  readonly before?: () => Promise<void>
+  times: number
+}
+
+class DeathError extends Error {}
+
+export class FakeStore implements ObjectStore {
+  readonly objects = new Map<string, { readonly value: string, readonly revision: number }>()
+  readonly calls: string[] = []
+  /* Index of the call at which the command dies. */
+  diesAt: number | undefined
+  #rules: Rule[] = []
+  #revision = 0
+  #late: (() => void) | undefined
+
+  /* The rule holds for calls that begin with the text, such as `write config/root`. */
+  addRule (call: string, rule: Omit<Rule, 'call' | 'times'>, times = 1): void {
+    this.#rules.push({ call, ...rule, times })
+  }
+
+  async read (key: string): Promise<PlatformResult> {
+    return await this.#run(`read ${key}`, () => {
+      const object = this.objects.get(key)
+      return object === undefined ? { kind: 'missing' } : { kind: 'found', ...object }
+    })
+  }
+
+  async write (key: string, value: string, revision: number): Promise<PlatformResult> {
+    return await this.#run(`write ${key}`, () => {
+      if ((this.objects.get(key)?.revision ?? 0) !== revision) return { kind: 'conflict' }
+      this.objects.set(key, { value, revision: ++this.#revision })
+      return { kind: 'written', revision: this.#revision }
+    })
+  }
+
+  async remove (key: string, revision: number): Promise<PlatformResult> {
+    return await this.#run(`remove ${key}`, () => {
+      if (this.objects.get(key)?.revision !== revision) return { kind: 'conflict' }
+      this.objects.delete(key)
+      return { kind: 'written', revision: ++this.#revision }
+    })
+  }
+
+  async #run (call: string, act: () => PlatformResult): Promise<PlatformResult> {
+    if (this.calls.push(call) - 1 === this.diesAt) throw new DeathError('the command died')
+    const rule = this.#rules.find(({ call: start, times }) => times > 0 && call.startsWith(start))
+    if (rule !== undefined) rule.times -= 1
+    if (rule?.before !== undefined) await rule.before()
+    switch (rule?.fault) {
+      case 'die': throw new DeathError('the command died')
+      case 'unavailable': return { kind: 'unavailable' }
+      case 'drop': return { kind: 'unknown' }
+      case 'late':
+        this.#late = () => { act() }
+        return { kind: 'unknown' }
+      case 'lose':
+        act()
+        return { kind: 'unknown' }
+      default: {
+        const late = this.#late
+        this.#late = undefined
+        late?.()
+        return act()
+      }
+    }
+  }
+}
+
+/** Runs commands against the fake and keeps what they print. */
+export class Session {
+  readonly store = new FakeStore()
+  readonly folder = mkdtempSync(join(tmpdir(), 'heatherdoor-'))
+  readonly lines: string[] = []
+  operations: (url: string) => OperationsResult = () => ({ kind: 'unreachable', reason: 'connection refused' })
+  auditLimits: AuditLimits = { pageMaxBytes: 100_000, pagesKept: 4 }
+  #ids = 0
+
+  static create (): Session {
+    const session = new Session()
+    session.writeFile('cli.toml', 'operations_urls = ["http://entry-1", "http://entry-2"]\n\n[platform]\nurls = ["http://platform"]\n')
+    session.writeFile('a.toml', CONFIGURATION)
+    session.writeFile('b.toml', CONFIGURATION.replace('weight = 4', 'weight = 8'))
+    return session
+  }
+
+  writeFile (name: string, text: string): void {
+    writeFileSync(join(this.folder, name), text)
+  }
+
+  /* File names stand in the session's folder; double quotes hold arguments together. */
+  async run (line: string): Promise<number> {
+    const args = [...line.matchAll(/"([^"]*)"|\S+/g)].map(match => match[1] ?? match[0])
+      .map(arg => arg.endsWith('.toml') ? join(this.folder, arg) : arg)
+    const printed: string[] = []
+    const print = (text: string): void => { printed.push(text.replaceAll(`${this.folder}/`, '').trimEnd()) }
+    const index = this.lines.push('') - 1
+    const code = await runProgram([...args, '--settings', join(this.folder, 'cli.toml')], this.#buildOutside(), { writeOut: print, writeError: print })
+    this.lines[index] = `$ heatherdoor ${line}\n${printed.join('\n')}\n[${code}]`
+    return code
+  }
+
+  print (): string {
+    return this.lines.join('\n\n')
+  }
+
+  #buildOutside (): Outside {
+    return {
+      openStore: () => this.store,
+      readOperations: async (_settings, url) => this.operations(url),
+      getTime: () => `2026-03-01T00:00:${String(this.#ids).padStart(2, '0')}.000Z`,
+      pickHex: length => String(++this.#ids).padStart(length, '0'),
+      wait: async () => {},
+      note: () => {},
+      auditLimits: this.auditLimits
+    }
+  }
+}
--- /dev/null
+++ b/test/cli/session.test.ts
@@ -0,0 +1,179 @@
+import test from 'ava'
+import fc from 'fast-check'
+import { AuditTrail } from '../../src/cli/audit.js'
+import type { AuditEntry } from '../../src/cli/audit.js'
+import { PatientStore } from '../../src/cli/store.js'
+import type { ConfigurationRoot } from '../../src/kernel/document.js'
+import { FakeStore, Session } from './fake.js'
+
+const BY = '--by eleni --reason drill'
+
+async function startSession (): Promise<Session> {
+  const session = Session.create()
+  await session.run(`apply a.toml --expect 0 ${BY}`)
+  return session
+}
+
+function getRoot (session: Session): ConfigurationRoot {
+  return JSON.parse(session.store.objects.get('config/root')?.value ?? '') as ConfigurationRoot
+}
+
+/* Versions in the trail, in order; each accepted change must be there once. */
+async function listVersions (session: Session): Promise<readonly number[]> {
+  const store = PatientStore.create(session.store, async () => {})
+  return (await AuditTrail.create(store).list(1000)).map(({ version }) => version)
+}
+
+// Guards against changed texts and exit codes, and against a repeat of a command changing anything.
+test('a day of an operator', async t => {
+  const session = Session.create()
+  for (const line of [
+    'check a.toml cli.toml', 'show', `apply a.toml --expect 0 ${BY}`, `apply a.toml --expect 0 ${BY}`, `apply b.toml --expect 1 ${BY}`,
+    'domain out a --by minh --reason "yearly drill"', 'domain out a --by minh --reason again', `domain out b ${BY}`, `domain out aa ${BY}`,
+    `domain off a ${BY}`, `domain in a ${BY}`, `drain host-4 ${BY}`, `drain host-4 ${BY}`, `drain host-9 ${BY}`, `drain host-4 --undo ${BY}`,
+    `apply a.toml --expect 3 ${BY}`, `apply a.toml --expect 99 ${BY}`, `apply a.toml --expect 6 ${BY}`, 'audit --last 3', 'audit --last 1 --json', 'show', 'profiles'
+  ]) await session.run(line)
+  t.snapshot(session.print())
+  t.deepEqual(await listVersions(session), [1, 2, 3, 4, 5, 6, 7])
+  for (const [key, { value }] of session.store.objects) {
+    if (key.startsWith('audit/') || key === 'config/root') t.false(value.includes('2'.repeat(64)), `${key} holds a key hash`)
+  }
+})
+
+// Guards against bad input being accepted, or reported with an exit code of another kind.
+test('bad input', async t => {
+  const session = await startSession()
+  session.writeFile('broken.toml', 'failure_domains = 3\nservice = []\n')
+  session.writeFile('strange.toml', 'colour = "blue"\n')
+  session.lines.length = 0
+  for (const line of [
+    '', 'aply', 'apply', `apply a.toml ${BY}`, 'apply a.toml --expect 1', 'apply a.toml --expect 1 --by eleni --reason ""',
+    `apply a.toml --expect -1 ${BY}`, `apply a.toml --expect one ${BY}`, `apply broken.toml --expect 1 ${BY}`,
+    'check broken.toml strange.toml missing.toml', 'audit --last 0', 'show --colour', 'team-key Big_Team', 'domain out'
+  ]) t.is(await session.run(line), 2, line)
+  t.snapshot(session.print())
+})
+
+// Guards against entries that are silent, refuse the credential or lag behind going unnoticed.
+test('status and explain', async t => {
+  const session = await startSession()
+  const status = (id: string, version: number) => ({
+    process: { id, domain: 'a' },
+    configuration: { version, in_force_for_ms: 61_000 },
+    in_flight: 3,
+    leaving: false,
+    peers: [{}, {}],
+    failure_domains: [{ name: 'a', state: 'in' }, { name: 'b', state: 'out' }],
+    draining_hosts: ['host-4']
+  })
+  const answer = (body: unknown, code = 200) => ({ kind: 'answered', status: code, body }) as const
+  session.lines.length = 0
+  await session.run('status')
+  session.operations = url => answer(url.includes('entry-1') ? status('entry-1', 7) : undefined, url.includes('entry-1') ? 200 : 401)
+  await session.run('status')
+  session.operations = url => answer(url.includes('entry-1') ? status('entry-1', 7) : status('entry-2', 6))
+  await session.run('status')
+  session.operations = url => answer(status(url.slice(7, 14), 7))
+  await session.run('status')
+  session.operations = url => url.includes('entry-1') ? answer(undefined, 404) : answer({ steps: [{ atMs: 10, step: 'received', detail: 'counter' }, { atMs: 62.4, step: 'ended', detail: '' }] })
+  await session.run('explain r-1')
+  session.operations = () => answer(undefined, 404)
+  await session.run('explain r-2')
+  t.snapshot(session.print())
+})
+
+// Guards against the slower of two operators undoing the faster one's change.
+test('two operators at the same time', async t => {
+  const session = await startSession()
+  session.store.addRule('write config/root', { before: async () => { await session.run('drain host-3 --by minh --reason "new fan"') } })
+  t.is(await session.run(`apply b.toml --expect 1 ${BY}`), 3)
+  session.store.addRule('write config/root', { before: async () => { await session.run('domain out b --by minh --reason drill') } })
+  t.is(await session.run(`drain host-4 ${BY}`), 0)
+  t.deepEqual(getRoot(session).drainingHosts, ['host-3', 'host-4'])
+  t.is(getRoot(session).domainStates['b'], 'out')
+  t.deepEqual(await listVersions(session), [1, 2, 3, 4])
+  t.snapshot(session.print())
+})
+
+// Guards against a change whose answer was lost being reported as failed, made twice, or left out of the trail.
+test('lost answers', async t => {
+  for (const [fault, key] of [['lose', 'config/root'], ['drop', 'config/root'], ['late', 'config/root'], ['lose', 'audit/'], ['drop', 'audit/'], ['lose', 'config/part'], ['late', 'config/part']] as const) {
+    const session = await startSession()
+    session.store.addRule(`write ${key}`, { fault })
+    t.is(await session.run(`apply b.toml --expect 1 ${BY}`), 0, `${fault} ${key}`)
+    t.is(getRoot(session).version, 2)
+    t.deepEqual(await listVersions(session), [1, 2], `${fault} ${key}`)
+  }
+})
+
+// Guards against a lost answer followed by another operator's change being taken for a lost race.
+test('a lost answer and another change before the read-back', async t => {
+  const session = await startSession()
+  session.store.addRule('write config/root', { fault: 'lose' })
+  session.store.addRule('write config/root', { before: async () => { await session.run('drain host-3 --by minh --reason fan') } })
+  t.is(await session.run(`apply b.toml --expect 1 ${BY}`), 0)
+  t.is(getRoot(session).version, 3)
+  t.deepEqual(await listVersions(session), [1, 2, 3])
+})
+
+// Guards against an outage being reported as success, or a known non-effect as unknown.
+test('outages', async t => {
+  const session = await startSession()
+  session.lines.length = 0
+  session.store.addRule('read config/root', { fault: 'unavailable' }, 5)
+  t.is(await session.run(`apply b.toml --expect 1 ${BY}`), 4)
+  session.store.addRule('write config/root', { fault: 'unavailable' }, 5)
+  t.is(await session.run(`apply b.toml --expect 1 ${BY}`), 4)
+  session.store.addRule('write config/root', { fault: 'lose' })
+  session.store.addRule('write config/root', { fault: 'unavailable' }, 4)
+  t.is(await session.run(`apply b.toml --expect 1 ${BY}`), 4)
+  t.is(await session.run(`apply b.toml --expect 1 ${BY}`), 0)
+  session.store.addRule('write audit/', { fault: 'unavailable' }, 5)
+  t.is(await session.run(`drain host-3 ${BY}`), 0)
+  t.deepEqual(await listVersions(session), [1, 2])
+  await session.run('audit --last 1')
+  t.deepEqual(await listVersions(session), [1, 2, 3])
+  t.snapshot(session.print())
+})
+
+// Guards against a change missing from the trail after its command died, at each call of the command.
+test('death at every call', async t => {
+  const reference = await startSession()
+  const start = reference.store.calls.length
+  await reference.run(`apply b.toml --expect 1 ${BY}`)
+  const count = reference.store.calls.length - start
+  for (let call = 0; call < count; call++) {
+    const session = await startSession()
+    session.store.diesAt = start + call
+    t.is(await session.run(`apply b.toml --expect 1 ${BY}`), 1, `died at call ${call}`)
+    const { version } = getRoot(session)
+    t.is(await session.run(`drain host-3 ${BY}`), 0)
+    t.is(getRoot(session).version, version + 1)
+    t.deepEqual(await listVersions(session), Array.from({ length: version + 1 }, (_value, index) => index + 1), `died at call ${call}`)
+  }
+  t.true(count > 8)
+})
+
+// Guards against entries being lost or repeated when a page is full, and against pages without end.
+test('pages roll and old ones are removed, with deaths and lost answers between', async t => {
+  const limits = { pageMaxBytes: 700, pagesKept: 3 }
+  const entry = (version: number): AuditEntry => ({
+    version, previousVersion: version - 1, when: '', who: 'eleni', command: 'apply', reason: 'x'.repeat(version % 90), differences: [], omitted: 0, changeId: String(version)
+  })
+  await fc.assert(fc.asyncProperty(fc.array(fc.record({ at: fc.nat(200), fault: fc.constantFrom('lose', 'drop', 'late', 'die') }), { maxLength: 8 }), async faults => {
+    const store = new FakeStore()
+    const trail = AuditTrail.create(PatientStore.create(store, async () => {}), limits)
+    for (let version = 1; version <= 40; version++) {
+      for (const { fault } of faults.filter(({ at }) => at % 40 === version)) store.addRule(faults.length % 2 === 0 ? 'write' : 'read audit', { fault: fault as 'lose' })
+      while (!await trail.add(entry(version)).then(() => true, () => false));
+    }
+    const pages = [...store.objects.keys()].filter(key => /^audit\/\d/.test(key))
+    const kept = (await trail.list(1000)).map(({ version }) => version)
+    const first = kept[0] ?? 0
+    t.deepEqual(kept, Array.from({ length: kept.length }, (_value, index) => first + index))
+    t.is(kept.at(-1), 40)
+    t.true(kept.length >= 6)
+    t.true(pages.length <= limits.pagesKept + 1, pages.join())
+    for (const key of pages) t.true(Buffer.byteLength(store.objects.get(key)?.value ?? '') <= limits.pageMaxBytes)
+  }), { seed: 7, numRuns: 60 })
+})
