--- a/src/cli/commands/check.ts
+++ b/src/cli/commands/check.ts
@@ -1,40 +1,74 @@
+import { Left } from 'purify-ts'
+import type { Either } from 'purify-ts'
+import { assertNever } from '../../kernel/errors.js'
+import { checkEndpointAgreement, checkEntryAgreement } from '../../settings/agreement.js'
 import { readTomlDocument } from '../../settings/load.js'
+import type { TomlDocument } from '../../settings/load.js'
 import { formatFaults, loadCliSettings, loadConfigurationFile, loadEndpointSettings, loadEntrySettings } from '../../settings/index.js'
-import type { SettingsFault } from '../../settings/index.js'
+import type { ConfigurationFile, SettingsFault } from '../../settings/index.js'
 import { EXIT, buildDone, buildFailure } from '../result.js'
 import type { CommandResult } from '../result.js'
 
-/** What a file turns out to be, by keys that only this kind has. */
-const KINDS = [
-  { name: 'configuration', keys: ['failure_domains', 'profiles', 'teams', 'endpoints', 'services'], load: loadConfigurationFile },
-  { name: 'endpoint settings', keys: ['endpoint', 'warm_cap', 'cold_cap', 'service'], load: loadEndpointSettings },
-  { name: 'entry settings', keys: ['process_id', 'caller_listener', 'limits', 'peer_listener'], load: loadEntrySettings },
-  { name: 'command line settings', keys: ['platform', 'operations_urls'], load: loadCliSettings }
-] as const
+/** What a file turns out to be. */
+type FileKind = 'configuration' | 'endpoint settings' | 'entry settings' | 'command line settings' | 'unknown'
+
+/** Keys that only one kind of file has. */
+const KINDS: readonly (readonly [kind: FileKind, keys: readonly string[]])[] = [
+  ['configuration', ['failure_domains', 'profiles', 'teams', 'endpoints', 'services']],
+  ['endpoint settings', ['endpoint', 'warm_cap', 'cold_cap', 'service']],
+  ['entry settings', ['process_id', 'caller_listener', 'limits', 'peer_listener']],
+  ['command line settings', ['platform', 'operations_urls']]
+]
+
+interface CheckedFile {
+  readonly file: string
+  readonly kind: FileKind
+  readonly faults: readonly SettingsFault[]
+}
 
 /**
- * Checks files of any kind without a call to the platform.
+ * Checks files of any kind without a call to the platform. When one of them is
+ * a configuration, settings of processes are also compared with it.
  *
  * @param files - paths
  * @returns every fault of every file
  */
 export function runCheck (files: readonly string[]): CommandResult {
-  const checked = files.map(file => ({ file, ...checkFile(file) }))
+  const documents = files.map(file => ({ file, document: readTomlDocument(file) }))
+  const configurations = documents.flatMap(({ file, document }) =>
+    document.map(findKind).orDefault('unknown') === 'configuration' ? loadConfigurationFile(file).caseOf({ Left: () => [], Right: value => [value] }) : [])
+  const configuration = configurations.length === 1 ? configurations[0] : undefined
+  const checked = documents.map(({ file, document }) => checkFile(file, document, configuration))
   const faults = checked.flatMap(({ faults }) => faults)
-  const json = { files: checked.map(({ file, kind, faults }) => ({ file, kind, faults })) }
-  if (faults.length > 0) return buildFailure(EXIT.badInput, `${formatFaults(faults)}${faults.length} faults.`, json)
-  return buildDone(checked.map(({ file, kind }) => `${file}: ${kind}, no fault\n`).join(''), json)
+  if (faults.length > 0) {
+    const count = faults.length === 1 ? '1 fault' : `${faults.length} faults`
+    return buildFailure(EXIT.badInput, `${formatFaults(faults)}${count}`, { files: checked })
+  }
+  return buildDone(checked.map(({ file, kind }) => `${file}: ${kind}, no fault\n`).join(''), { files: checked })
 }
 
-function checkFile (file: string): { readonly kind: string, readonly faults: readonly SettingsFault[] } {
-  return readTomlDocument(file).caseOf({
-    Left: faults => ({ kind: 'unknown', faults }),
-    Right: ({ root }) => {
-      const kind = KINDS.find(({ keys }) => keys.some(key => key in root))
-      if (kind === undefined) {
-        return { kind: 'unknown', faults: [{ file, keyPath: '', found: 'no known key', expected: `one of ${KINDS.map(({ name }) => name).join(', ')}` }] }
-      }
-      return { kind: kind.name, faults: kind.load(file).caseOf({ Left: faults => faults, Right: () => [] }) }
+function findKind (document: TomlDocument): FileKind {
+  return KINDS.find(([, keys]) => keys.some(key => key in document.root))?.[0] ?? 'unknown'
+}
+
+function checkFile (file: string, read: Either<readonly SettingsFault[], TomlDocument>, configuration: ConfigurationFile | undefined): CheckedFile {
+  return read.caseOf({
+    Left: faults => ({ file, kind: 'unknown', faults }),
+    Right: document => {
+      const kind = findKind(document)
+      return { file, kind, faults: checkDocumentOf(kind, document, configuration).caseOf({ Left: faults => faults, Right: faults => faults }) }
     }
   })
 }
+
+function checkDocumentOf (kind: FileKind, document: TomlDocument, configuration: ConfigurationFile | undefined): Either<readonly SettingsFault[], readonly SettingsFault[]> {
+  const { file } = document
+  switch (kind) {
+    case 'configuration': return loadConfigurationFile(file).map(() => [])
+    case 'command line settings': return loadCliSettings(file).map(() => [])
+    case 'entry settings': return loadEntrySettings(file).map(settings => configuration === undefined ? [] : checkEntryAgreement(document, settings, configuration))
+    case 'endpoint settings': return loadEndpointSettings(file).map(settings => configuration === undefined ? [] : checkEndpointAgreement(document, settings, configuration))
+    case 'unknown': return Left([{ file, keyPath: '', found: 'no known key', expected: 'a configuration, endpoint settings, entry settings or command line settings' }])
+    default: return assertNever(kind)
+  }
+}
--- /dev/null
+++ b/src/settings/agreement.ts
@@ -0,0 +1,77 @@
+/** Checks that a process's settings say the same as the configuration does about it. */
+
+import type { EndpointSpec, EntrySpec } from '../kernel/document.js'
+import type { ConfigurationFile } from './configuration.js'
+import { findLine } from './lines.js'
+import { describeFound } from './faults.js'
+import type { SettingsFault } from './faults.js'
+import type { TomlDocument } from './load.js'
+import type { EndpointSettings, EntrySettings, ListenerSettings } from './process.js'
+
+/** One value: key path in the settings, what it is there and in the configuration. */
+type Pair = readonly [keyPath: string, found: unknown, expected: unknown]
+
+/** Addresses that stand for every interface. */
+const ANY_ADDRESS: readonly string[] = ['0.0.0.0', '::']
+
+/**
+ * @param document - the settings file
+ * @param settings - checked settings of an entry
+ * @param configuration - checked configuration
+ * @returns values that differ
+ */
+export function checkEntryAgreement (document: TomlDocument, settings: EntrySettings, configuration: ConfigurationFile): readonly SettingsFault[] {
+  const spec = configuration.entries.find(({ id }) => id === settings.processId)
+  if (spec === undefined) return [buildMissing(document, settings.processId, 'entries')]
+  return comparePairs(document, [
+    ...buildProcessPairs(settings, spec),
+    ['caller_listener.public_url', settings.callerListener.publicUrl, spec.callerUrl]
+  ])
+}
+
+/**
+ * @param document - the settings file
+ * @param settings - checked settings of an endpoint process
+ * @param configuration - checked configuration
+ * @returns values that differ
+ */
+export function checkEndpointAgreement (document: TomlDocument, settings: EndpointSettings, configuration: ConfigurationFile): readonly SettingsFault[] {
+  const spec = configuration.endpoints.find(({ id }) => id === settings.processId)
+  if (spec === undefined) return [buildMissing(document, settings.processId, 'endpoints')]
+  return comparePairs(document, [
+    ...buildProcessPairs(settings, spec),
+    ['service', settings.service, spec.service],
+    ['endpoint.checks_fencing', settings.endpoint.checksFencing, spec.checksFencing],
+    ['warm_cap', settings.warmCap, spec.warmCap],
+    ['cold_cap', settings.coldCap, spec.coldCap],
+    ['group', settings.group, spec.group],
+    ['rank', settings.rank, spec.rank]
+  ])
+}
+
+function buildProcessPairs (settings: EntrySettings | EndpointSettings, spec: EntrySpec | EndpointSpec): readonly Pair[] {
+  const { peerListener } = settings
+  return [
+    ['host', settings.host, spec.host],
+    ['failure_domain', settings.failureDomain, spec.domain],
+    ...(ANY_ADDRESS.includes(peerListener.ip) ? [] : [['peer_listener.ip', formatAddress(peerListener), spec.peerAddress] as const])
+  ]
+}
+
+function formatAddress ({ ip, port }: ListenerSettings): string {
+  return ip.includes(':') ? `[${ip}]:${port}` : `${ip}:${port}`
+}
+
+function comparePairs (document: TomlDocument, pairs: readonly Pair[]): readonly SettingsFault[] {
+  return pairs.filter(([, found, expected]) => found !== expected).map(([keyPath, found, expected]) =>
+    buildDifference(document, keyPath, found, `${describeFound(expected, keyPath)}, as in the configuration`))
+}
+
+function buildMissing (document: TomlDocument, id: string, list: string): SettingsFault {
+  return buildDifference(document, 'process_id', id, `an id in ${list} of the configuration`)
+}
+
+function buildDifference (document: TomlDocument, keyPath: string, found: unknown, expected: string): SettingsFault {
+  const line = findLine(document.lines, keyPath)
+  return { file: document.file, keyPath, ...(line === undefined ? {} : { line }), found: describeFound(found, keyPath), expected }
+}
