Keep connections that the other end uses

Change: only entries close connections that they no longer want. Ruled out: admission and ramps, whose queues were short in a trace every 5 s.

--- a/bench/fleet/fleet.ts
+++ b/bench/fleet/fleet.ts
@@ -53,7 +53,9 @@
   readonly #nodes = new Map<string, Node>()
   readonly #random: Random
   readonly #cuts = new Set<string>()
-  #bytes = 0
+  readonly #arrivals = new Map<string, number>()
+  #messages = 0
+  #disconnects = 0
 
   private constructor (options: FleetOptions) {
     this.#options = options
@@ -74,7 +76,10 @@
   }
 
   /** Messages sent so far. */
-  get messages (): number { return this.#bytes }
+  get messages (): number { return this.#messages }
+
+  /** Connections that processes closed by themselves so far. */
+  get disconnects (): number { return this.#disconnects }
 
   /** @returns ids of live entries that are not leaving */
   listEntries (): readonly string[] {
@@ -191,9 +196,9 @@
 
   #send (node: Node, peer: string, message: Message): void {
     if (!node.links.has(peer)) return
-    this.#bytes += 1
+    this.#messages += 1
     const { ref } = node
-    this.clock.schedule(this.#computeLatency(), () => {
+    this.clock.schedule(this.#computeArrival(ref.id, peer), () => {
       const target = this.#nodes.get(peer)
       if (target === undefined || !target.links.has(ref.id) || this.#cuts.has(`${ref.id} ${peer}`)) return
       this.dispatch(peer, { kind: 'message-received', peer: ref, message })
@@ -215,13 +220,14 @@
     node.links.delete(peer)
     const target = this.#nodes.get(peer)
     if (target?.links.delete(node.ref.id) !== true) return
-    this.clock.schedule(this.#computeLatency(), () => { this.dispatch(peer, { kind: 'peer-disconnected', peer: node.ref }) })
+    this.#disconnects += 1
+    this.clock.schedule(this.#computeArrival(node.ref.id, peer), () => { this.dispatch(peer, { kind: 'peer-disconnected', peer: node.ref }) })
   }
 
   #breakLink (node: Node, other: Node): void {
     node.links.delete(other.ref.id)
     other.links.delete(node.ref.id)
-    this.clock.schedule(this.#computeLatency(), () => { this.dispatch(other.ref.id, { kind: 'peer-disconnected', peer: node.ref }) })
+    this.clock.schedule(this.#computeArrival(node.ref.id, other.ref.id), () => { this.dispatch(other.ref.id, { kind: 'peer-disconnected', peer: node.ref }) })
   }
 
   #run (node: Node, effect: Extract<Effect, { kind: 'run' }>): void {
@@ -265,6 +271,14 @@
     return Kernel.create({ self, seed: this.#random.pickInt(2 ** 31 - 1), settings: { clusterSecret: 'bench', seeds, addressHoldMs: 5_000 }, ...(service === undefined ? {} : { service }) })
   }
 
+  /** Delay of the next message; messages of one connection keep their order. */
+  #computeArrival (from: string, to: string): number {
+    const link = `${from} ${to}`
+    const arrivalMs = Math.max(this.clock.nowMs + this.#computeLatency(), this.#arrivals.get(link) ?? 0)
+    this.#arrivals.set(link, arrivalMs)
+    return arrivalMs - this.clock.nowMs
+  }
+
   #computeLatency (): number {
     return this.#options.latencyMs * (0.8 + 0.4 * this.#random.pickFloat())
   }
--- a/src/plugins/membership/plugin.ts
+++ b/src/plugins/membership/plugin.ts
@@ -59,7 +59,8 @@
     this.#options = options
     this.#connections = Connections.create({
       buildHeartbeat: context => this.#buildHeartbeat(context),
-      isInUse: (peer, context) => (context.findPort('requests')?.countAt(peer) ?? 0) > 0
+      // An endpoint process can't tell whether the entry at the other end still sends work over the connection.
+      isInUse: (peer, context) => !this.#isEntry() || (context.findPort('requests')?.countAt(peer) ?? 0) > 0
     })
     this.#members = Members.create(options.self)
     this.#prober = Prober.create(this.#members, this.#connections)
