Add the path bench on real processes

Cause: added latency and throughput of the path have to be known as a ratio to a bare pass-through in the same run.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -7,7 +7,8 @@
 import type { Bench } from './result.js'
 
 const LOADERS: Readonly<Record<string, () => Promise<{ readonly run: Bench }>>> = {
-  drill: async () => await import('./drill.js')
+  drill: async () => await import('./drill.js'),
+  path: async () => await import('./path.js')
 }
 
 const cli = cac('bench')
--- /dev/null
+++ b/bench/path/passthrough.ts
@@ -0,0 +1,24 @@
+/** Bare pass-through on node:http and undici, without any decision: the yardstick of the path bench. */
+
+import { createServer } from 'node:http'
+import { Agent, request as send } from 'undici'
+
+const [port, target] = process.argv.slice(2)
+const agent = new Agent({ connections: 256 })
+
+createServer((request, response) => {
+  const chunks: Buffer[] = []
+  request.on('data', (chunk: Buffer) => { chunks.push(chunk) })
+  request.on('end', () => {
+    send(`${target ?? ''}${request.url ?? '/'}`, {
+      dispatcher: agent,
+      method: request.method === 'POST' ? 'POST' : 'GET',
+      headers: { 'content-type': request.headers['content-type'] ?? 'text/plain' },
+      body: chunks.length === 0 ? null : Buffer.concat(chunks)
+    }).then(async answer => {
+      response.writeHead(answer.statusCode, { 'content-type': 'text/plain' })
+      for await (const chunk of answer.body) response.write(chunk)
+      response.end()
+    }, () => { response.writeHead(502).end() })
+  })
+}).listen(Number(port), '127.0.0.1')
--- /dev/null
+++ b/bench/path/target.ts
@@ -0,0 +1,13 @@
+/** Target of the path bench: answers each request with 2 KB at once. */
+
+import { createServer } from 'node:http'
+
+const ANSWER = Buffer.alloc(2048, 'x')
+
+createServer((request, response) => {
+  request.resume()
+  request.on('end', () => {
+    if (request.url === '/v1/load') response.writeHead(404).end()
+    else response.writeHead(200, { 'content-type': 'text/plain', 'content-length': ANSWER.length }).end(ANSWER)
+  })
+}).listen(Number(process.argv[2]), '127.0.0.1')
--- /dev/null
+++ b/bench/processes/ready.ts
@@ -0,0 +1,39 @@
+import { request } from 'undici'
+import type { Processes } from '../../demo/processes.js'
+import type { DeploymentFiles } from './deployment.js'
+
+const READY_TIMEOUT_MS = 20_000
+const POLL_MS = 100
+
+/**
+ * Applies a deployment's configuration and waits until its first entry serves.
+ *
+ * @param processes - runs the command line
+ * @param files - files of the deployment
+ * @throws Error when that takes too long
+ */
+export async function waitUntilReady (processes: Processes, files: DeploymentFiles): Promise<void> {
+  await waitUntil('the platform answers', async () => (await request(`${files.platformUrl}/counters`)).statusCode === 200)
+  const applied = await processes.run('src/bin/heatherdoor.js', ['apply', files.getPath('configuration.toml'), '--expect', '0', '--by', 'bench', '--reason', 'bench', '--settings', files.getPath('cli.toml')])
+  if (applied.code !== 0) throw new Error(`apply ended with ${applied.code}: ${applied.output}`)
+  const { callers } = files.findEntryPorts(0)
+  await waitUntil('homes are offered', async () => {
+    const answer = await request(`http://127.0.0.1:${callers}/v1/address`, { headers: { authorization: `Bearer ${files.teamKey}` } })
+    const body = await answer.body.json() as { readonly key_tokens?: readonly unknown[] }
+    return answer.statusCode === 200 && (body.key_tokens?.length ?? 0) > 0
+  })
+}
+
+/**
+ * @param what - named in the error
+ * @param check - tried until it gives true; an error counts as false
+ * @throws Error after 20 s
+ */
+export async function waitUntil (what: string, check: () => Promise<boolean>): Promise<void> {
+  const deadlineMs = performance.now() + READY_TIMEOUT_MS
+  while (performance.now() < deadlineMs) {
+    if (await check().catch(() => false)) return
+    await new Promise(resolve => setTimeout(resolve, POLL_MS))
+  }
+  throw new Error(`waited ${READY_TIMEOUT_MS} ms in vain until ${what}`)
+}
--- a/demo/steps.ts
+++ b/demo/steps.ts
@@ -2,17 +2,12 @@
 
 import { rmSync } from 'node:fs'
 import { request } from 'undici'
+import { waitUntil } from '../bench/processes/ready.js'
 import { writeDemoFiles } from './files.js'
 import type { DemoFiles } from './files.js'
 import { IP, PORTS } from './ports.js'
 import { Processes } from './processes.js'
 
-/** Time in which the deployment must become ready, in ms. */
-const READY_TIMEOUT_MS = 20_000
-
-/** Interval of readiness checks in ms. */
-const POLL_MS = 100
-
 type Print = (line: string) => void
 
 interface AddressAnswer {
@@ -169,12 +164,3 @@
   if (code !== 0) throw new Error(`heatherdoor ${args.join(' ')} ended with ${code}: ${output}`)
   return output
 }
-
-async function waitUntil (what: string, check: () => Promise<boolean>): Promise<void> {
-  const deadlineMs = performance.now() + READY_TIMEOUT_MS
-  while (performance.now() < deadlineMs) {
-    if (await check().catch(() => false)) return
-    await new Promise(resolve => setTimeout(resolve, POLL_MS))
-  }
-  throw new Error(`waited ${READY_TIMEOUT_MS} ms in vain until ${what}`)
-}
