--- /dev/null
+++ b/src/kernel/hash.ts
@@ -0,0 +1,26 @@
+/** Hashes for placement and content addresses. */
+
+import { createHash } from 'node:crypto'
+
+/**
+ * Scores a candidate for rendezvous hashing; the highest score wins. The hash
+ * is synchronous: a module that awaits while it loads would change the order
+ * in which plug-ins register.
+ *
+ * @param key - what is placed
+ * @param candidate - id of the candidate
+ * @returns an unsigned 32-bit integer
+ */
+export function hashRendezvous (key: string, candidate: string): number {
+  return createHash('sha1').update(`${key}\n${candidate}`).digest().readUInt32BE(0)
+}
+
+/**
+ * Hashes a configuration part.
+ *
+ * @param json - JSON text of the part
+ * @returns SHA-256 in hexadecimal digits
+ */
+export function hashPart (json: string): string {
+  return createHash('sha256').update(json, 'utf8').digest('hex')
+}
--- a/src/protocol/messages.ts
+++ b/src/protocol/messages.ts
@@ -58,7 +58,9 @@
   readonly protocol: number
   readonly process: ProcessRef
   readonly configVersion: number
-  /** HMAC over the connection's challenge by the cluster secret. */
+  /** Random text that the other side signs. */
+  readonly nonce: string
+  /** HMAC over the receiver's nonce and this process by the cluster secret; empty in the first hello. */
   readonly proof: string
 }
 
@@ -138,12 +140,12 @@
 export interface Chunk {
   readonly kind: 'chunk'
   readonly workId: string
-  /** Position from 0 in the whole answer, so a resumed stream starts at `resumeFrom`; a gap means that the stream broke. */
+  /** Position from 0 in this attempt; a gap means that the stream broke. */
   readonly index: number
   readonly data: Uint8Array
 }
 
-/** The answer is whole when `chunks` chunks were received, those before a resume included. */
+/** The answer is whole when `chunks` chunks of this attempt were received. */
 export interface End {
   readonly kind: 'end'
   readonly workId: string
@@ -295,6 +297,9 @@
   /** Experts by layer held by the receiving rank, and the rank's index. */
   readonly rank: number
   readonly layers: readonly (readonly number[])[]
+  /** Version of the map in force when the change began, and its first step. */
+  readonly base: number
+  readonly baseStep: number
 }
 
 export interface MapPrepared {
@@ -311,10 +316,13 @@
 export interface MapDecided {
   readonly kind: 'map-decided'
   readonly group: string
+  /** Latest decided version. */
   readonly version: number
-  readonly step: number
   readonly fence: number
   readonly decision: 'commit' | 'abort'
+  /** Map in force after that decision, and its first step. */
+  readonly mapVersion: number
+  readonly step: number
 }
 
 export interface MapQuery {
@@ -324,6 +332,19 @@
   readonly rank: number
 }
 
+/** Load of the experts that a rank holds, sent to the holder of the group's map. */
+export interface ExpertLoad {
+  readonly kind: 'expert-load'
+  readonly group: string
+  readonly rank: number
+  readonly step: number
+  /** Mean time of a step in ms; 0 when not known. */
+  readonly stepMs: number
+  readonly mapVersion: number
+  /** Tokens per layer and slot since the last report. */
+  readonly counts: readonly (readonly number[])[]
+}
+
 /** Any message between two processes of the system. */
 export type Message =
   | Hello | Heartbeat
@@ -331,7 +352,7 @@
   | Cancel | Cancelled | Query | QueryAnswer | Handover | HandoverAck
   | ConfigOffer | ConfigPull | ConfigParts
   | Probe | ProbeAck | ProbeRequest | Strikes
-  | MapPrepare | MapPrepared | MapDecided | MapQuery
+  | MapPrepare | MapPrepared | MapDecided | MapQuery | ExpertLoad
 
 /** Discriminator of a message. */
 export type MessageKind = Message['kind']
