--- /dev/null
+++ b/test/entry/invariants.test.ts
@@ -0,0 +1,178 @@
+import test from 'ava'
+import fc from 'fast-check'
+import type { Effect } from '../../src/kernel/effects.js'
+import type { RequestReceived } from '../../src/kernel/events.js'
+import { Network } from './network.js'
+import { DOMAINS, PROFILE, buildConfiguration, buildProcess, buildRequest } from './session.js'
+import { buildRead } from './texts.js'
+
+const ENTRIES = ['e1', 'e2']
+const HOMES = DOMAINS.map(domain => `book-${domain}`)
+const ANSWER = ['one', 'two', 'three']
+
+/** What callers were told about one request. */
+interface Told {
+  readonly received: RequestReceived
+  chunks: string[]
+  end: Effect | undefined
+}
+
+/** Entries and endpoint processes with all plug-ins, simulated endpoints behind them. */
+class World {
+  readonly network: Network
+  readonly told = new Map<string, Told>()
+  /** Request ids by work that an endpoint ran, and by key. */
+  readonly runs = new Map<string, number>()
+  #count = 0
+
+  private constructor (seed: number) {
+    // Messages of odd seeds overtake each other.
+    this.network = Network.create({ seed, stepMs: 100, delaySteps: seed % 2 === 0 ? 0 : 2 })
+    this.network.handleEffect = (id, effect) => { this.#handle(id, effect) }
+    const entries = ENTRIES.map((id, index) => buildProcess(id, 'entry', DOMAINS[index]))
+    const specs = entries.map(({ id, host, domain, address }) => ({ id, host, domain, callerUrl: id, peerAddress: address }))
+    const configuration = buildConfiguration(1, { entries: specs, profiles: [{ ...PROFILE, deadlineMs: 3_000, hedgeAfterMs: 800 }, { ...PROFILE, name: 'model' }] })
+    for (const entry of entries) this.network.add(entry, entries)
+    for (const [index, home] of HOMES.entries()) this.network.add({ ...buildProcess(home, 'endpoint', DOMAINS[index]), host: `host-${home}` }, entries, 'book')
+    for (const id of ENTRIES) this.network.dispatch(id, buildRead(configuration))
+    this.network.run(4_000)
+  }
+
+  static create (seed: number): World {
+    return new World(seed)
+  }
+
+  send (entry: string, method: string, keyText?: string): void {
+    const received = buildRequest(`${entry}-r${this.#count += 1}`, { method, bodyHash: 'same', ...(keyText === undefined ? {} : { keyText }) })
+    this.told.set(received.requestId, { received, chunks: [], end: undefined })
+    this.network.dispatch(entry, received)
+  }
+
+  formatKey (entry: string, own: string): string | undefined {
+    const { kernel, self } = this.network.get(entry)
+    const context = { nowMs: this.network.nowMs, random: { pickInt: () => 0, pickHex: () => own, pickFloat: () => 0 } as never, self, emit: () => {}, raise: () => {}, port: kernel.port.bind(kernel), findPort: () => undefined }
+    const [home] = kernel.port('routing').chooseHomes('book', context)
+    return home === undefined ? undefined : `${kernel.port('tokens').formatToken('book', home)}.${own}`
+  }
+
+  #handle (id: string, effect: Effect): void {
+    switch (effect.kind) {
+      case 'run': {
+        const { workId, requestId, key } = effect.work
+        const name = key?.text ?? requestId
+        this.runs.set(name, (this.runs.get(name) ?? 0) + 1)
+        const headAfter = 1 + (this.#count * 7) % 12
+        this.network.scheduleEvent(id, { kind: 'endpoint-head', workId, status: 200, headers: [] }, headAfter)
+        ANSWER.forEach((text, index) => { this.network.scheduleEvent(id, { kind: 'endpoint-chunk', workId, data: Buffer.from(text) }, headAfter + 1 + index) })
+        this.network.scheduleEvent(id, { kind: 'endpoint-ended', workId }, headAfter + 5)
+        break
+      }
+      case 'abort-run':
+        this.network.scheduleEvent(id, { kind: 'endpoint-failed', workId: effect.workId, sent: true }, 1)
+        break
+      case 'reply-chunk':
+        this.#get(effect.requestId).chunks.push(Buffer.from(effect.data).toString())
+        break
+      case 'reply-end':
+      case 'reply-error': {
+        const told = this.#get(effect.requestId)
+        if (told.end !== undefined) throw new Error(`${effect.requestId} ended twice`)
+        told.end = effect
+        break
+      }
+      default:
+    }
+  }
+
+  #get (requestId: string): Told {
+    const told = this.told.get(requestId)
+    if (told === undefined) throw new Error(`${requestId} is unknown`)
+    return told
+  }
+
+  /** Checks what callers were told against what ran. */
+  check (): void {
+    for (const [name, count] of this.runs) {
+      const told = this.told.get(name)
+      if (count > 1 && told?.received.method !== 'GET') throw new Error(`${name} ran ${count} times`)
+    }
+    for (const [id, { received, chunks, end }] of this.told) {
+      if (end === undefined) throw new Error(`${id} has no end`)
+      if (end.kind === 'reply-end' && chunks.join() !== ANSWER.join()) throw new Error(`${id} ended after ${chunks.join()}`)
+      const ran = [...this.runs].filter(([name]) => name === id || name === received.keyText).length
+      if (end.kind === 'reply-error' && end.outcome === 'not-run' && ran > 0) throw new Error(`${id} ran but "not run" was said`)
+    }
+  }
+}
+
+// Guards against a booking that runs twice, a "not run" that is untrue, a request without exactly one end, and a truncated answer that looks whole.
+test('invariants hold under lost connections, deaths, leaves, partitions and repeats', t => {
+  const entry = fc.constantFrom(...ENTRIES)
+  const home = fc.constantFrom(...HOMES)
+  const step = fc.oneof(
+    fc.record({ kind: fc.constant('book' as const), entry }),
+    fc.record({ kind: fc.constant('keyed' as const), entry, own: fc.integer({ min: 0, max: 3 }) }),
+    fc.record({ kind: fc.constant('read' as const), entry }),
+    fc.record({ kind: fc.constant('cut' as const), entry, home }),
+    fc.record({ kind: fc.constant('part' as const), entry, home, ms: fc.integer({ min: 1, max: 50 }) }),
+    fc.record({ kind: fc.constant('kill' as const), home }),
+    fc.record({ kind: fc.constant('leave' as const), home }),
+    fc.record({ kind: fc.constant('gone' as const), entry })
+  )
+  const counts = { 'reply-end': 0, run: 0, 'not-run': 0, unknown: 0 }
+  fc.assert(fc.property(fc.array(fc.tuple(step, fc.integer({ min: 0, max: 12 })), { minLength: 4, maxLength: 25 }), fc.integer({ min: 0, max: 9_999 }), (steps, seed) => {
+    const world = World.create(seed)
+    const { network } = world
+    const keys = new Map<number, string>()
+    for (const [action, waits] of steps) {
+      switch (action.kind) {
+        case 'book':
+          world.send(action.entry, 'POST')
+          break
+        case 'keyed': {
+          const text = keys.get(action.own) ?? world.formatKey(action.entry, `own${action.own}`)
+          if (text !== undefined) {
+            keys.set(action.own, text)
+            world.send(action.entry, 'POST', text)
+          }
+          break
+        }
+        case 'read':
+          world.send(action.entry, 'GET')
+          break
+        case 'cut':
+          network.cutLink(action.entry, action.home)
+          break
+        case 'part': {
+          const untilMs = network.nowMs + action.ms * 100
+          const before = network.isReachable
+          network.isReachable = (a, b) => before(a, b) && (network.nowMs >= untilMs || ![a, b].includes(action.entry) || ![a, b].includes(action.home))
+          break
+        }
+        case 'kill':
+          network.kill(action.home)
+          break
+        case 'leave':
+          network.dispatch(action.home, { kind: 'leave-requested', deadlineMs: 20_000 })
+          break
+        case 'gone': {
+          const [id, told] = [...world.told].reverse().find(([name, { end }]) => name.startsWith(action.entry) && end === undefined) ?? []
+          if (id !== undefined && told !== undefined) {
+            network.dispatch(action.entry, { kind: 'caller-gone', requestId: id })
+            told.end = { kind: 'leave-finished' }
+          }
+          break
+        }
+      }
+      network.run(waits * 100)
+    }
+    network.run(8_000)
+    world.check()
+    for (const { end } of world.told.values()) {
+      if (end?.kind === 'reply-end') counts['reply-end'] += 1
+      if (end?.kind === 'reply-error') counts[end.outcome] += 1
+    }
+  }), { numRuns: 300, seed: 16 })
+  t.log(`answers: ${JSON.stringify(counts)}`)
+  t.true(counts['reply-end'] > 0 && counts['not-run'] > 0 && counts.unknown > 0)
+})
--- a/test/entry/network.ts
+++ b/test/entry/network.ts
@@ -47,6 +47,8 @@
   readonly #due = new Map<number, Delivery[]>()
   /** Size in bytes of the updates of the largest probe or answer. */
   largestUpdates = 0
+  /** Told of effects that the network does not carry out. */
+  handleEffect: (id: string, effect: Effect) => void = () => {}
   /** Decides whether two processes reach each other. */
   isReachable: (a: string, b: string) => boolean = () => true
 
@@ -109,10 +111,21 @@
           this.#cut(node.self.id, effect.peer, false)
           break
         default:
+          this.handleEffect(node.self.id, effect)
       }
     }
   }
 
+  /** Gives an event to a process after a count of steps. */
+  scheduleEvent (id: string, event: KernelEvent, steps: number): void {
+    this.#schedule(steps, { to: id, link: undefined, event })
+  }
+
+  /** Breaks the connection of two processes, both of which notice. */
+  cutLink (a: string, b: string): void {
+    this.#cut(a, b, true)
+  }
+
   #send (from: Node, to: string, message: Message): void {
     if (this.#options.measureBytes === true) this.#measure(from, message)
     if (!this.#links.has(formatLink(from.self.id, to)) || !this.isReachable(from.self.id, to)) return
