Store endpoints in one part per failure domain

At the planned size (610 entries, 4,400 endpoints, 69 groups, 9 domains, names of about 10 characters) the topology part had 924,143 bytes, 8 % below the 1 MB that the platform takes; longer names pass it. Endpoints now have a part per failure domain: 93,364 bytes at most, topology 84,082. A change of one endpoint also moves a tenth of the bytes. assembleConfiguration still reads endpoints from the topology part.

--- a/src/cli/parts.ts
+++ b/src/cli/parts.ts
@@ -1,7 +1,7 @@
 /** Parts of a configuration: names, texts and hashes. */
 
 import { ROOT_KEY, TEAM_PARTS, assembleConfiguration, formatPartKey } from '../kernel/document.js'
-import type { Configuration, ConfigurationParts, ConfigurationRoot, DomainState, Team } from '../kernel/document.js'
+import type { Configuration, ConfigurationParts, ConfigurationRoot, DomainState } from '../kernel/document.js'
 import { hashPart } from '../kernel/hash.js'
 import type { ConfigurationFile } from '../settings/index.js'
 import type { PatientStore } from './store.js'
@@ -38,24 +38,21 @@
 
 /**
  * Splits a configuration into parts. Equal configurations give equal parts;
- * team parts without a team are left out.
+ * parts of endpoints and teams that would be empty are left out.
  *
  * @param file - the configuration
  * @returns parts in the order of their names
  */
 export function buildParts (file: ConfigurationFile): readonly Part[] {
   const topology: ConfigurationParts['topology'] = {
-    domains: file.domains, entries: file.entries, endpoints: file.endpoints, groups: file.groups
+    domains: file.domains, entries: file.entries, endpoints: [], groups: file.groups
   }
   const services: ConfigurationParts['services'] = { services: file.services, profiles: file.profiles }
-  const teams = new Map<string, Team[]>()
-  for (const team of [...file.teams].sort((a, b) => a.name < b.name ? -1 : 1)) {
-    const name = computeTeamPart(team.name)
-    teams.set(name, [...teams.get(name) ?? [], team])
-  }
+  const teams = [...file.teams].sort((a, b) => a.name < b.name ? -1 : 1)
   return [
+    ...buildGroupedParts(file.endpoints, ({ domain }) => `endpoints-${domain}`),
     buildPart('services', services),
-    ...[...teams].sort(([a], [b]) => a < b ? -1 : 1).map(([name, value]) => buildPart(name, value)),
+    ...buildGroupedParts(teams, ({ name }) => computeTeamPart(name)),
     buildPart('topology', topology)
   ]
 }
@@ -132,6 +129,16 @@
   return { name, json, hash: hashPart(json) }
 }
 
+function buildGroupedParts<T> (items: readonly T[], computeName: (item: T) => string): readonly Part[] {
+  const groups = new Map<string, T[]>()
+  for (const item of items) {
+    const group = groups.get(computeName(item))
+    if (group === undefined) groups.set(computeName(item), [item])
+    else group.push(item)
+  }
+  return [...groups].sort(([a], [b]) => a < b ? -1 : 1).map(([name, group]) => buildPart(name, group))
+}
+
 async function runBounded<T, R> (items: readonly T[], run: (item: T) => Promise<R>): Promise<readonly R[]> {
   const results: R[] = []
   for (let start = 0; start < items.length; start += CALLS_IN_FLIGHT) {
--- a/src/kernel/document.ts
+++ b/src/kernel/document.ts
@@ -144,9 +144,15 @@
 /** Count of parts over which team records are spread by name hash. */
 export const TEAM_PARTS = 64
 
-/** Content of the parts, by part name: `topology`, `services`, `teams-00` to `teams-63`. */
+/**
+ * Content of the parts, by part name: `topology`, `endpoints-<failure domain>`,
+ * `services`, `teams-00` to `teams-63`. Endpoints have a part for each failure
+ * domain because all of them in one come close to the platform's 1 MB at the
+ * planned size.
+ */
 export interface ConfigurationParts {
   readonly topology: Pick<Configuration, 'entries' | 'endpoints' | 'groups'> & { readonly domains: readonly Omit<FailureDomain, 'state'>[] }
+  readonly endpoints: readonly EndpointSpec[]
   readonly services: Pick<Configuration, 'services' | 'profiles'>
   readonly teams: readonly Team[]
 }
@@ -186,18 +192,18 @@
 export function assembleConfiguration (root: ConfigurationRoot, parts: ReadonlyMap<string, unknown>): Configuration {
   const topology = parts.get('topology') as ConfigurationParts['topology']
   const services = parts.get('services') as ConfigurationParts['services']
-  const teams = [...parts.entries()]
-    .filter(([name]) => name.startsWith('teams-'))
-    .flatMap(([, value]) => value as readonly Team[])
+  const list = (prefix: string): readonly unknown[] => [...parts.entries()]
+    .filter(([name]) => name.startsWith(prefix))
+    .flatMap(([, value]) => value as readonly unknown[])
   return {
     version: root.version,
     domains: topology.domains.map(domain => ({ ...domain, state: root.domainStates[domain.name] ?? 'in' })),
     drainingHosts: root.drainingHosts,
     entries: topology.entries,
-    endpoints: topology.endpoints,
+    endpoints: [...topology.endpoints, ...list('endpoints-') as readonly EndpointSpec[]],
     groups: topology.groups,
     services: services.services,
     profiles: services.profiles,
-    teams
+    teams: list('teams-') as readonly Team[]
   }
 }
