--- a/src/cli/change.ts
+++ b/src/cli/change.ts
@@ -15,6 +15,9 @@
 /** Count of tries against other operators, for commands without an expected version. */
 const RACES_MAX = 8
 
+/** Wait after a lost race in ms, times the count of races; a read just after a change may be stale. */
+const RACE_WAIT_MS = 100
+
 /** Differences that the root holds; each process holds the root in memory. */
 const ROOT_DIFFERENCES_MAX = 16
 
@@ -63,6 +66,7 @@
   let isSent = false
   try {
     for (let race = 0; race < RACES_MAX; race++) {
+      if (race > 0) await context.outside.wait(RACE_WAIT_MS * race)
       const snapshot = await readSnapshot(context.store, text => { context.outside.note(text) })
       const decision = request.decide(snapshot)
       if (decision.kind === 'refused') return decision.result
@@ -84,7 +88,7 @@
       if (hasWon) return await finishChange(trail, draft, differences)
       isSent = false
     }
-    return buildFailure(EXIT.lostRace, `Other operators made ${RACES_MAX} changes meanwhile; nothing was changed. Run the command again.`)
+    return buildFailure(EXIT.lostRace, `The configuration in force was not the one just read, ${RACES_MAX} times in a row: other operators make changes, or the platform's reads lag behind. Nothing was changed; run the command again.`)
   } catch (error) {
     if (error instanceof PlatformUnavailableError) return describeUnavailable(error, isSent)
     throw error
--- a/src/cli/store.ts
+++ b/src/cli/store.ts
@@ -108,7 +108,7 @@
       if (result.kind === 'written') return result
       if (result.kind === 'conflict') {
         if (!isSent) return { kind: 'conflict' }
-        const present = await this.#readAfterSend(key)
+        const present = await this.#readAfterConflict(key, revision)
         return present.value === value ? { kind: 'written', revision: present.revision } : { kind: 'conflict' }
       }
       if (result.kind === 'unknown') isSent = true
@@ -126,12 +126,15 @@
     if (revision !== 0) await this.#store.remove(key, revision)
   }
 
-  async #readAfterSend (key: string): Promise<ReadObject> {
-    try {
-      return await this.read(key)
-    } catch (error) {
-      if (error instanceof PlatformUnavailableError) throw new PlatformUnavailableError(error.message, true)
-      throw error
+  /* After a conflict the object has another revision; a read that still shows
+     an older one is stale and says nothing about the write. */
+  async #readAfterConflict (key: string, revision: number): Promise<ReadObject> {
+    for (let attempt = 0; attempt < TRIES_MAX; attempt++) {
+      if (attempt > 0) await this.#wait(BACKOFF_BASE_MS * 2 ** attempt)
+      const result = await this.#store.read(key)
+      if (result.kind === 'found' && result.revision > revision) return { value: result.value, revision: result.revision }
+      if (result.kind === 'missing' && revision !== 0) return { value: undefined, revision: 0 }
     }
+    throw new PlatformUnavailableError(`reading ${key} back`, true)
   }
 }
