--- a/test/cli/fake.ts
+++ b/test/cli/fake.ts
@@ -10,8 +10,8 @@
 import type { PlatformResult } from '../../src/kernel/events.js'
 import { CONFIGURATION } from '../settings/texts.js'
 
-/** `lose`: takes effect, the answer is lost. `drop`: has no effect, the answer is lost. `die`: the command ends before the call. */
-type Fault = 'lose' | 'drop' | 'unavailable' | 'die' | 'late'
+/** `lose`: takes effect, the answer is lost. `drop`: has no effect, the answer is lost. `die`: the command ends before the call. `late`: takes effect before the next call. `stale`: reads the value before the last write. */
+type Fault = 'lose' | 'drop' | 'unavailable' | 'die' | 'late' | 'stale'
 
 interface Rule {
   readonly call: string
@@ -27,6 +27,7 @@
   readonly calls: string[] = []
   /* Index of the call at which the command dies. */
   diesAt: number | undefined
+  readonly #previous = new Map<string, { readonly value: string, readonly revision: number }>()
   #rules: Rule[] = []
   #revision = 0
   #late: (() => void) | undefined
@@ -46,6 +47,8 @@
   async write (key: string, value: string, revision: number): Promise<PlatformResult> {
     return await this.#run(`write ${key}`, () => {
       if ((this.objects.get(key)?.revision ?? 0) !== revision) return { kind: 'conflict' }
+      const present = this.objects.get(key)
+      if (present !== undefined) this.#previous.set(key, present)
       this.objects.set(key, { value, revision: ++this.#revision })
       return { kind: 'written', revision: this.#revision }
     })
@@ -68,6 +71,10 @@
       case 'die': throw new DeathError('the command died')
       case 'unavailable': return { kind: 'unavailable' }
       case 'drop': return { kind: 'unknown' }
+      case 'stale': {
+        const previous = this.#previous.get(call.replace('read ', ''))
+        return previous === undefined ? { kind: 'missing' } : { kind: 'found', ...previous }
+      }
       case 'late':
         this.#late = () => { act() }
         return { kind: 'unknown' }
--- a/test/cli/session.test.ts
+++ b/test/cli/session.test.ts
@@ -116,6 +116,16 @@
   t.deepEqual(await listVersions(session), [1, 2, 3])
 })
 
+// Guards against a stale read-back making a change that took effect look like a lost race.
+test('a lost answer and a stale read-back', async t => {
+  const session = await startSession()
+  session.store.addRule('write config/root', { fault: 'lose' })
+  session.store.addRule('write config/root', { before: async () => { session.store.addRule('read config/root', { fault: 'stale' }, 2) } })
+  t.is(await session.run(`apply b.toml --expect 1 ${BY}`), 0)
+  t.regex(session.lines.at(-1) ?? '', /Version 2 is accepted/)
+  t.deepEqual(await listVersions(session), [1, 2])
+})
+
 // Guards against an outage being reported as success, or a known non-effect as unknown.
 test('outages', async t => {
   const session = await startSession()
