Move fixed ports below the ephemeral range

Cause: the demo failed once with "port 47110 is in use" though nothing listened: an outgoing connection of another program had that local port (32768 to 60999 are given out for those). Change: the demo and the benches use ports from 27100.

--- a/bench/path.ts
+++ b/bench/path.ts
@@ -8,9 +8,9 @@
 import { waitUntilReady } from './processes/ready.js'
 import type { BenchResult } from './result.js'
 
-const BASE_PORT = 47_300
-const TARGET_PORT = 47_350
-const PASSTHROUGH_PORT = 47_351
+const BASE_PORT = 27_300
+const TARGET_PORT = 27_350
+const PASSTHROUGH_PORT = 27_351
 const CONNECTIONS = 64
 const WARM_UP_MS = 2_000
 const DURATION_MS = 5_000
--- a/demo/ports.ts
+++ b/demo/ports.ts
@@ -1,29 +1,29 @@
-/** The demo's fixed ports on loopback. */
+/** The demo's fixed ports on loopback, below the range that systems use for outgoing connections. */
 
 import { createServer } from 'node:net'
 
 export const IP = '127.0.0.1'
 
 export const PORTS = {
-  platform: 47100,
-  engineNorth: 47110,
-  engineSouth: 47111,
-  counterNorth: 47112,
-  counterSouth: 47113,
-  entryNorthCallers: 47120,
-  entrySouthCallers: 47121,
-  entryNorthOperations: 47122,
-  entrySouthOperations: 47123,
-  entryNorthPeers: 47124,
-  entrySouthPeers: 47125,
-  guidanceNorthPeers: 47130,
-  guidanceSouthPeers: 47131,
-  counterNorthPeers: 47132,
-  counterSouthPeers: 47133,
-  guidanceNorthOperations: 47140,
-  guidanceSouthOperations: 47141,
-  counterNorthOperations: 47142,
-  counterSouthOperations: 47143
+  platform: 27100,
+  engineNorth: 27110,
+  engineSouth: 27111,
+  counterNorth: 27112,
+  counterSouth: 27113,
+  entryNorthCallers: 27120,
+  entrySouthCallers: 27121,
+  entryNorthOperations: 27122,
+  entrySouthOperations: 27123,
+  entryNorthPeers: 27124,
+  entrySouthPeers: 27125,
+  guidanceNorthPeers: 27130,
+  guidanceSouthPeers: 27131,
+  counterNorthPeers: 27132,
+  counterSouthPeers: 27133,
+  guidanceNorthOperations: 27140,
+  guidanceSouthOperations: 27141,
+  counterNorthOperations: 27142,
+  counterSouthOperations: 27143
 } as const
 
 /** @returns the ports that another program uses */
