--- a/src/protocol/messages.ts
+++ b/src/protocol/messages.ts
@@ -140,12 +140,12 @@
 export interface Chunk {
   readonly kind: 'chunk'
   readonly workId: string
-  /** Position from 0 in the whole answer, so a resumed stream starts at `resumeFrom`; a gap means that the stream broke. */
+  /** Position from 0 in this attempt; a gap means that the stream broke. */
   readonly index: number
   readonly data: Uint8Array
 }
 
-/** The answer is whole when `chunks` chunks were received, those before a resume included. */
+/** The answer is whole when `chunks` chunks of this attempt were received. */
 export interface End {
   readonly kind: 'end'
   readonly workId: string
@@ -236,10 +236,22 @@
   readonly kind: 'config-pull'
   /** Version that the sender has. */
   readonly have: number
-  /** Hashes of the parts that the sender has. */
+  /** First 16 digits of the hashes of the parts that the sender has. */
   readonly hashes: readonly string[]
 }
 
+/** A text as its difference from an older one, in UTF-16 units. */
+export interface TextDelta {
+  /** Hash of the older text, which the receiver has. */
+  readonly from: string
+  readonly hash: string
+  /** Length of the common start and of the common end. */
+  readonly start: number
+  readonly end: number
+  /** What stands between them in the newer text. */
+  readonly text: string
+}
+
 export interface ConfigParts {
   readonly kind: 'config-parts'
   readonly version: number
@@ -247,6 +259,8 @@
   readonly root: string
   /** Parts that the receiver lacks: JSON text by hash. */
   readonly parts: readonly (readonly [hash: string, json: string])[]
+  /** Parts of which the receiver has an older text. */
+  readonly deltas?: readonly TextDelta[]
 }
 
 /** What a member knows of another. */
