Count chunks of a resumed stream from the start of the answer

Cause: endpoint processes number the chunks of a resumed stream from resumeFrom, entries expected 0, so that each resume was given up as broken; found with the explain trace of a crash test on real processes. Seven tests kill, stop and cut real processes.

--- a/bench/processes/deployment.ts
+++ b/bench/processes/deployment.ts
@@ -35,6 +35,8 @@
   readonly profiles: readonly Readonly<Record<string, string | number>>[]
   readonly teams: number
   readonly addressHoldMs: number
+  /** Ports at which entries reach an endpoint process, where these differ from its own. */
+  readonly peerPorts?: Readonly<Record<string, number>>
 }
 
 /** Files of a deployment and the ports of its processes. */
@@ -116,7 +118,7 @@
         host: `${endpoint.id}-host`,
         failure_domain: endpoint.domain,
         service: endpoint.service,
-        peer_address: `${IP}:${this.findEndpointPorts(index).peers}`,
+        peer_address: `${IP}:${this.#options.peerPorts?.[endpoint.id] ?? this.findEndpointPorts(index).peers}`,
         checks_fencing: false,
         warm_cap: endpoint.warmCap,
         cold_cap: endpoint.coldCap
--- a/demo/processes.ts
+++ b/demo/processes.ts
@@ -75,6 +75,7 @@
 
 async function stopChild (child: ChildProcess): Promise<number | undefined> {
   if (child.exitCode !== null) return child.exitCode
+  if (child.signalCode !== null) return undefined
   return await new Promise(resolve => {
     const timer = setTimeout(() => { child.kill('SIGKILL') }, STOP_TIMEOUT_MS)
     child.on('exit', code => {
--- a/demo/steps.ts
+++ b/demo/steps.ts
@@ -62,10 +62,11 @@
   print('1. Started a platform, 2 model engines, 2 counter services, 2 entries and 4 endpoint processes.')
   await runCommand(processes, files, ['apply', files.configuration, '--expect', '0', '--by', 'demo', '--reason', 'first configuration'])
   await waitUntil('both entries are ready', isReady)
+  await waitUntil('guidance is served', async () => await streamGuidance(files, `http://${IP}:${PORTS.entryNorthCallers}`) !== '' && await streamGuidance(files, `http://${IP}:${PORTS.entrySouthCallers}`) !== '')
   print('2. Applied the configuration with `heatherdoor apply`; both entries have version 1 in force.')
   const address = await readAddress(files)
   print(`3. Asked for an entry: use ${address.addresses.map(({ url, failure_domain: domain }) => `${url} (${domain})`).join(' or ')} for ${address.hold_ms} ms.`)
-  print(`4. Guidance, streamed: ${await streamGuidance(files, address)}`)
+  print(`4. Guidance, streamed: ${await streamGuidance(files, address.addresses[0]?.url ?? '')}`)
   print(`5. ${await bookTwice(files, address)}`)
   await takeDomainOutAndIn(processes, files, print)
 }
@@ -90,8 +91,8 @@
   return address
 }
 
-async function streamGuidance (files: DemoFiles, address: AddressAnswer): Promise<string> {
-  const answer = await request(`${address.addresses[0]?.url ?? ''}/v1/chat/completions`, {
+async function streamGuidance (files: DemoFiles, url: string): Promise<string> {
+  const answer = await request(`${url}/v1/chat/completions`, {
     method: 'POST',
     headers: { ...buildHeaders(files), 'content-type': 'application/json' },
     body: JSON.stringify({ model: 'oil-guidance', stream: true, max_tokens: 12, messages: [{ role: 'user', content: 'Which oil blend for beech boards?' }] })
@@ -137,7 +138,7 @@
   await runCommand(processes, files, ['domain', 'out', 'north', '--by', 'demo', '--reason', 'drill'])
   await waitUntil('no address in the domain that is out is offered', async () => (await listOfferedDomains(files)).every(domain => domain === 'south'))
   print(`6. Took failure domain north out; after ${Math.round(performance.now() - startMs)} ms no entry or home there is offered.`)
-  print(`   Guidance meanwhile: ${await streamGuidance(files, await readAnyAddress(files))}`)
+  print(`   Guidance meanwhile: ${await streamGuidance(files, (await readAnyAddress(files)).addresses[0]?.url ?? '')}`)
   await runCommand(processes, files, ['domain', 'in', 'north', '--by', 'demo', '--reason', 'drill over'])
   await waitUntil('north is offered again', async () => (await listOfferedDomains(files)).includes('north'))
   print('7. Brought failure domain north back in; its entry and homes are offered again.')
--- a/src/plugins/requests/lifecycle.ts
+++ b/src/plugins/requests/lifecycle.ts
@@ -147,7 +147,7 @@
     active.attemptsMade += 1
     active.tried.add(endpoint)
     const workId = formatWorkId(active)
-    active.attempts.set(workId, { workId, endpoint, sentAtMs: context.nowMs, headAfterMs: undefined, chunks: 0 })
+    active.attempts.set(workId, { workId, endpoint, sentAtMs: context.nowMs, headAfterMs: undefined, chunks: active.relayed })
     this.#works.set(workId, active.received.requestId)
     context.port('routing').noteStart(endpoint, context)
     context.emit({ kind: 'send', peer: endpoint, message: buildSubmit(active, workId, context) })
--- a/src/plugins/requests/types.ts
+++ b/src/plugins/requests/types.ts
@@ -12,7 +12,7 @@
   readonly sentAtMs: number
   /** Time to the first byte of the answer in ms. */
   headAfterMs: number | undefined
-  /** Count of chunks received from this attempt. */
+  /** Count of chunks of the whole answer that the caller has; a resume starts with those of earlier attempts. */
   chunks: number
 }
 
--- /dev/null
+++ b/test/processes/failures.test.ts
@@ -0,0 +1,167 @@
+import test from 'ava'
+import { waitUntil } from '../../bench/processes/ready.js'
+import { Live } from './live.js'
+import { Relay } from './relay.js'
+
+const wait = async (ms: number): Promise<void> => { await new Promise(resolve => setTimeout(resolve, ms)) }
+
+// Guards against a second run of a booking after its home was killed and replaced by an empty process.
+test.serial('a booking whose home is killed is unknown and never runs again', async t => {
+  const live = await Live.start({ basePort: 27_400, serviceMs: 1_500 })
+  try {
+    const key = await live.createKey('counter-0', 'k')
+    const first = live.book(0, key)
+    await waitUntil('the booking runs', async () => await live.countRuns(key) === 1)
+    live.signal('counter-0', 'SIGKILL')
+    t.is((await first).outcome, 'unknown')
+    live.startProcess('counter-0')
+    await waitUntil('the new home is offered', async () => (await live.listTokens(1)).some(({ home }) => home === 'counter-0'))
+    for (const entry of [0, 1]) {
+      const { status, outcome, kind } = await live.book(entry, key)
+      t.deepEqual({ status, outcome, kind }, { status: 409, outcome: 'unknown', kind: 'home-lost' })
+    }
+    t.is(await live.countRuns(key), 1)
+    const fresh = await live.createKey('counter-0', 'k')
+    t.is((await live.book(0, fresh)).status, 201)
+    t.is(await live.countRuns(fresh), 1)
+  } finally {
+    await live.kill()
+  }
+})
+
+// Guards against a lost or doubled booking when the entry dies that forwarded it.
+test.serial('a booking whose entry is killed is joined through another entry', async t => {
+  const live = await Live.start({ basePort: 27_500, serviceMs: 1_500 })
+  try {
+    const key = await live.createKey('counter-1', 'k')
+    const first = live.book(0, key).then(() => 'answered', () => 'broken')
+    await waitUntil('the booking runs', async () => await live.countRuns(key) === 1)
+    live.signal('entry-0', 'SIGKILL')
+    t.is(await first, 'broken')
+    t.is((await live.book(1, key)).status, 201)
+    t.is((await live.book(1, key)).status, 201)
+    t.is(await live.countRuns(key), 1)
+  } finally {
+    await live.kill()
+  }
+})
+
+// Guards against late runs: entries answer for a home that is stopped by a signal, and it wakes with a queue.
+test.serial('a stopped home does not run its queue when it wakes', async t => {
+  const live = await Live.start({ basePort: 27_600, serviceMs: 1_000, warmCap: 1 })
+  try {
+    const running = await live.createKey('counter-0', 'running')
+    const waiting = await live.createKey('counter-0', 'waiting')
+    const answers = [live.book(0, running)]
+    await waitUntil('the first booking runs', async () => await live.countRuns(running) === 1)
+    answers.push(live.book(0, waiting))
+    await wait(200)
+    live.signal('counter-0', 'SIGSTOP')
+    t.deepEqual((await Promise.all(answers)).map(({ outcome }) => outcome), ['unknown', 'unknown'])
+    live.signal('counter-0', 'SIGCONT')
+    await waitUntil('the home knows what became of the waiting booking', async () => await live.ask(1, waiting) === 'not-run')
+    await wait(2_000)
+    t.is(await live.countRuns(running), 1)
+    t.is(await live.countRuns(waiting), 0)
+    t.is((await live.book(1, waiting)).outcome, 'not-run')
+    t.is(await live.countRuns(waiting), 0)
+  } finally {
+    await live.kill()
+  }
+})
+
+// Guards against requests cut off by a planned stop of the process beside an endpoint.
+test.serial('a planned stop of a home cuts off no booking', async t => {
+  const live = await Live.start({ basePort: 27_700, serviceMs: 100 })
+  try {
+    const results: string[] = []
+    let stopping = false
+    const callers = Array.from({ length: 6 }, async (_, caller) => {
+      for (let index = 0; index < 25; index += 1) {
+        const tokens = await live.listTokens(caller % 2)
+        const token = tokens[index % Math.max(1, tokens.length)]
+        await wait(100)
+        const key = `${token?.token ?? ''}.c${caller}-${index}`
+        const { status, kind } = await live.book(caller % 2, key)
+        results.push(`${status} ${kind} ${await live.countRuns(key)}`)
+        if (results.length > 30 && !stopping) {
+          stopping = true
+          live.signal('counter-0', 'SIGTERM')
+        }
+      }
+    })
+    await Promise.all(callers)
+    t.deepEqual([...new Set(results)], ['201  1'])
+    t.is(results.length, 150)
+    t.is(await live.waitForExit('counter-0'), 0)
+  } finally {
+    await live.kill()
+  }
+})
+
+// Guards against bookings that need the platform, and against a process that cannot start without it.
+test.serial('bookings and a new entry work while the platform is down', async t => {
+  const live = await Live.start({ basePort: 27_800 })
+  try {
+    live.signal('platform', 'SIGKILL')
+    live.signal('entry-0', 'SIGKILL')
+    live.startProcess('entry-0')
+    await waitUntil('the new entry offers homes', async () => (await live.listTokens(0)).length === 2)
+    for (const entry of [0, 1]) {
+      const key = await live.createKey(`counter-${entry}`, `k${entry}`)
+      t.is((await live.book(entry, key)).status, 201)
+      t.is(await live.countRuns(key), 1)
+    }
+  } finally {
+    await live.kill()
+  }
+})
+
+// Guards against requests that hang on a connection that went silent for good.
+test.serial('a silent connection is replaced and the outcome asked for', async t => {
+  const live = await Live.start({ basePort: 27_900, serviceMs: 1_000, relayPort: 27_990, ...await startRelay(27_990, 27_907) })
+  try {
+    const key = await live.createKey('counter-0', 'k')
+    const startMs = performance.now()
+    const first = live.book(0, key)
+    await waitUntil('the booking runs', async () => await live.countRuns(key) === 1)
+    relays.get(27_990)?.silence()
+    const { outcome } = await first
+    t.true(['run', 'unknown'].includes(outcome), outcome)
+    t.true(performance.now() - startMs < 8_000)
+    await waitUntil('the answer is there again', async () => (await live.book(0, key)).status === 201)
+    t.is(await live.countRuns(key), 1)
+  } finally {
+    await live.kill()
+    relays.get(27_990)?.stop()
+  }
+})
+
+// Guards against a gap, a repeat or a missing end when an engine fails in mid-stream.
+test.serial('a stream goes on with another engine after a crash', async t => {
+  const live = await Live.start({ basePort: 28_000 })
+  try {
+    const whole = (await live.stream(0, 'blend')).body
+    const broken = live.stream(1, 'blend')
+    let running = -1
+    await waitUntil('an engine runs the request', async () => {
+      for (const index of [0, 1]) {
+        if ((await live.readCounters('guidance', index)).running > 0) running = index
+      }
+      return running >= 0
+    })
+    await wait(300)
+    await live.applyFault('guidance', running, { crash: true })
+    t.is((await broken).body, whole)
+  } finally {
+    const ended = await live.stop()
+    t.deepEqual(ended.filter(({ code }) => code !== 0), [])
+  }
+})
+
+const relays = new Map<number, Relay>()
+
+async function startRelay (port: number, targetPort: number): Promise<object> {
+  relays.set(port, await Relay.start(port, targetPort))
+  return {}
+}
--- /dev/null
+++ b/test/processes/live.ts
@@ -0,0 +1,184 @@
+/** A small deployment of real processes for tests that kill and stop them. */
+
+import type { ChildProcess } from 'node:child_process'
+import { request } from 'undici'
+import { DeploymentFiles } from '../../bench/processes/deployment.js'
+import type { DeployedEndpoint } from '../../bench/processes/deployment.js'
+import { waitUntil, waitUntilReady } from '../../bench/processes/ready.js'
+import { Processes } from '../../demo/processes.js'
+
+/** Offset of the ports of endpoints and relays from the base port. */
+const TARGET_OFFSET = 60
+
+const IP = '127.0.0.1'
+
+export interface Token {
+  readonly token: string
+  readonly home: string
+}
+
+export interface Answer {
+  readonly status: number
+  readonly outcome: string
+  readonly send: string
+  readonly kind: string
+  readonly body: string
+}
+
+export interface LiveOptions {
+  readonly basePort: number
+  /** Time of one booking in ms. */
+  readonly serviceMs?: number
+  readonly warmCap?: number
+  /** Path of the peer connections of `counter-0` through a relay at this port. */
+  readonly relayPort?: number
+}
+
+export class Live {
+  readonly files: DeploymentFiles
+  readonly #processes: Processes
+  readonly #children = new Map<string, ChildProcess>()
+  readonly #options: LiveOptions
+
+  private constructor (options: LiveOptions) {
+    this.#options = options
+    const cap = options.warmCap ?? 8
+    const endpoint = (service: string, index: number): DeployedEndpoint => ({
+      id: `${service}-${index}`,
+      service,
+      domain: index === 0 ? 'north' : 'south',
+      targetPort: this.findTargetPort(service, index),
+      warmCap: cap,
+      coldCap: Math.min(cap, 2)
+    })
+    this.files = DeploymentFiles.create({
+      basePort: options.basePort,
+      domains: ['north', 'south'],
+      entries: ['north', 'south'],
+      endpoints: [endpoint('counter', 0), endpoint('counter', 1), endpoint('guidance', 0), endpoint('guidance', 1)],
+      services: [
+        { name: 'counter', kind: 'plain', profile: 'desk' },
+        { name: 'guidance', kind: 'model', profile: 'text', model: 'oil' }
+      ],
+      profiles: [
+        { name: 'desk', priority: 'urgent', idempotency: 'safe-methods', deadline_ms: 10_000, queue_max: 64, team_share_max: 1, attempts_max: 3, backoff_base_ms: 20 },
+        { name: 'text', priority: 'normal', idempotency: 'always', deadline_ms: 20_000, queue_max: 64, team_share_max: 1, attempts_max: 3, backoff_base_ms: 50 }
+      ],
+      teams: 1,
+      addressHoldMs: 1_000,
+      ...(options.relayPort === undefined ? {} : { peerPorts: { 'counter-0': options.relayPort } })
+    })
+    this.#processes = Processes.create(this.files.folder)
+  }
+
+  static async start (options: LiveOptions): Promise<Live> {
+    const live = new Live(options)
+    live.startProcess('platform')
+    for (const index of [0, 1]) {
+      for (const name of [`service-${index}`, `engine-${index}`, `entry-${index}`, `counter-${index}`, `guidance-${index}`]) live.startProcess(name)
+    }
+    await waitUntilReady(live.#processes, live.files)
+    await waitUntil('both homes are offered by both entries', async () => (await live.listTokens(0)).length === 2 && (await live.listTokens(1)).length === 2)
+    await waitUntil('both engines are offered', async () => (await live.stream(0, 'ready')).status === 200)
+    return live
+  }
+
+  findTargetPort (service: string, index: number): number {
+    return this.#options.basePort + TARGET_OFFSET + index + (service === 'counter' ? 0 : 2)
+  }
+
+  startProcess (name: string): void {
+    const [kind = '', index = '0'] = name.split('-')
+    const target = (service: string): string[] => ['--port', String(this.findTargetPort(service, Number(index))), '--warm']
+    const { serviceMs = 50 } = this.#options
+    const start = (script: string, args: readonly string[]): void => { this.#children.set(name, this.#processes.start(name, script, args)) }
+    switch (kind) {
+      case 'platform': return start('standins/platform/main.js', ['--port', String(this.files.platformPort)])
+      case 'service': return start('standins/service/main.js', [...target('counter'), '--service-ms', String(serviceMs)])
+      case 'engine': return start('standins/engine/main.js', [...target('guidance'), '--step-ms', '40'])
+      case 'entry': return start('src/bin/entry.js', [this.files.getPath(`${name}.toml`)])
+      default: return start('src/bin/endpoint.js', [this.files.getPath(`${name}.toml`)])
+    }
+  }
+
+  signal (name: string, signal: NodeJS.Signals): void {
+    this.#children.get(name)?.kill(signal)
+  }
+
+  async waitForExit (name: string): Promise<number | null> {
+    const child = this.#children.get(name)
+    if (child === undefined || child.exitCode !== null || child.signalCode !== null) return child?.exitCode ?? null
+    return await new Promise(resolve => { child.once('exit', code => { resolve(code) }) })
+  }
+
+  async listTokens (entry: number): Promise<readonly Token[]> {
+    const answer = await this.#request(entry, 'GET', '/v1/address?service=counter')
+    const { key_tokens: tokens = [] } = JSON.parse(answer.body) as { readonly key_tokens?: readonly { readonly token: string }[] }
+    return tokens.map(({ token }) => ({ token, home: token.split('.')[2] ?? '' }))
+  }
+
+  /** Makes a key that the given endpoint process may run. */
+  async createKey (home: string, name: string): Promise<string> {
+    const token = (await this.listTokens(1)).find(known => known.home === home)
+    if (token === undefined) throw new Error(`${home} is not offered`)
+    return `${token.token}.${name}`
+  }
+
+  async book (entry: number, key?: string): Promise<Answer> {
+    return await this.#request(entry, 'POST', '/services/counter/bookings', JSON.stringify({ board: 'b', slot: '1' }), key)
+  }
+
+  async stream (entry: number, content: string): Promise<Answer> {
+    return await this.#request(entry, 'POST', '/v1/chat/completions', JSON.stringify({ model: 'oil', stream: true, max_tokens: 40, messages: [{ role: 'user', content }] }))
+  }
+
+  async ask (entry: number, key: string): Promise<string> {
+    const answer = await this.#request(entry, 'GET', `/v1/outcome?key=${encodeURIComponent(key)}`)
+    return (JSON.parse(answer.body) as { readonly state: string }).state
+  }
+
+  async countRuns (key: string): Promise<number> {
+    let runs = 0
+    for (const index of [0, 1]) runs += (await this.readCounters('counter', index)).by_key[key] ?? 0
+    return runs
+  }
+
+  async readCounters (service: string, index: number): Promise<{ readonly by_key: Readonly<Record<string, number>>, readonly running: number }> {
+    const answer = await request(`http://${IP}:${this.findTargetPort(service, index)}/counters`)
+    return await answer.body.json() as { readonly by_key: Readonly<Record<string, number>>, readonly running: number }
+  }
+
+  async applyFault (service: string, index: number, fault: Readonly<Record<string, unknown>>): Promise<void> {
+    const answer = await request(`http://${IP}:${this.findTargetPort(service, index)}/faults`, { method: 'POST', body: JSON.stringify(fault) })
+    await answer.body.dump()
+  }
+
+  /** Kills every process, for tests that say nothing about planned stops. */
+  async kill (): Promise<void> {
+    for (const child of this.#children.values()) child.kill('SIGKILL')
+    await this.stop()
+  }
+
+  /** Stops every process; continues stopped ones first. */
+  async stop (): Promise<readonly { readonly name: string, readonly code: number | undefined }[]> {
+    for (const child of this.#children.values()) child.kill('SIGCONT')
+    const ended = await this.#processes.stop()
+    this.files.remove()
+    return ended
+  }
+
+  async #request (entry: number, method: 'GET' | 'POST', path: string, body?: string, key?: string): Promise<Answer> {
+    const answer = await request(`http://${IP}:${this.files.findEntryPorts(entry).callers}${path}`, {
+      method,
+      headers: { authorization: `Bearer ${this.files.teamKey}`, ...(key === undefined ? {} : { 'idempotency-key': key }) },
+      body: body ?? null
+    })
+    const text = await answer.body.text()
+    const header = (name: string): string => String(answer.headers[name] ?? '')
+    return { status: answer.statusCode, outcome: header('heatherdoor-outcome'), send: header('heatherdoor-send'), kind: findKind(text), body: text }
+  }
+}
+
+function findKind (text: string): string {
+  return /"kind":"([a-z-]+)"/.exec(text)?.[1] ?? ''
+}
