Use TLS files for the platform and the endpoint

platform.tls and endpoint.tls were accepted by the settings and not used: connections to the platform and to the endpoint checked servers against the built-in authorities only. Each connection is now opened with the files in use at that time, so renewed ones need no restart. A test connects with a wrong authority, which fails, and again after the file is replaced.

--- a/src/cli/outside.ts
+++ b/src/cli/outside.ts
@@ -5,7 +5,7 @@
 import { setTimeout as waitMs } from 'node:timers/promises'
 import { Agent, request } from 'undici'
 import { PlatformClient } from '../edge/platform/client.js'
-import { loadTlsOptions } from '../edge/security/tls.js'
+import { TlsSource, buildTlsConnector, loadTlsOptions } from '../edge/security/tls.js'
 import type { CliSettings } from '../settings/index.js'
 import type { OperationsResult, Outside } from './context.js'
 import type { Progress } from './progress.js'
@@ -22,6 +22,7 @@
     openStore: ({ platform }) => PlatformClient.create({
       urls: platform.urls,
       timeoutMs: platform.timeoutMs,
+      ...(platform.tls === undefined ? {} : { connector: buildTlsConnector(TlsSource.create({ files: platform.tls }), platform.timeoutMs) }),
       ...(platform.credentialFile === undefined ? {} : { credential: readCredential(platform.credentialFile) })
     }),
     readOperations,
--- a/src/edge/endpoint/orders.ts
+++ b/src/edge/endpoint/orders.ts
@@ -3,6 +3,7 @@
 import { Agent, request } from 'undici'
 import type { EndpointOrder } from '../../kernel/effects.js'
 import type { KernelEvent } from '../../kernel/events.js'
+import type { Connector } from '../security/tls.js'
 
 /** Time for one order in ms; loading weights is answered when accepted. */
 const ORDER_TIMEOUT_MS = 30_000
@@ -14,15 +15,18 @@
 export interface OrdersOptions {
   readonly url: string
   readonly dispatch: (event: KernelEvent) => void
+  /** Opens connections with TLS files. */
+  readonly connector?: Connector
 }
 
 /** Carries out the `order` effects of an endpoint process. */
 export class Orders {
   readonly #options: OrdersOptions
-  readonly #agent = new Agent({ connections: 1 })
+  readonly #agent: Agent
 
   private constructor (options: OrdersOptions) {
     this.#options = options
+    this.#agent = new Agent({ connections: 1, ...(options.connector === undefined ? {} : { connect: options.connector }) })
   }
 
   /**
--- a/src/edge/endpoint/process.ts
+++ b/src/edge/endpoint/process.ts
@@ -10,6 +10,9 @@
 import { Reporter } from './reporter.js'
 import { Runner } from './runner.js'
 
+/** Time limit of opening a connection to the endpoint in ms. */
+const ENDPOINT_CONNECT_TIMEOUT_MS = 5_000
+
 /** One endpoint process. */
 export class EndpointProcess {
   readonly #edge: ProcessEdge
@@ -35,9 +38,11 @@
       // A broken connection may be the first sign of a crash; do not wait for the next report.
       if (event.kind === 'endpoint-failed') this.#reporter.check()
     }
-    this.#runner = Runner.create({ url, fence: this.#edge.kernel.self.incarnation, dispatch })
-    this.#reporter = Reporter.create({ url, dispatch })
-    this.#orders = Orders.create({ url, dispatch })
+    const connector = this.#edge.tls.loadConnector(settings.endpoint.tls, ENDPOINT_CONNECT_TIMEOUT_MS)
+    const target = { url, dispatch, ...(connector === undefined ? {} : { connector }) }
+    this.#runner = Runner.create({ ...target, fence: this.#edge.kernel.self.incarnation })
+    this.#reporter = Reporter.create(target)
+    this.#orders = Orders.create(target)
     this.#server = createOperationsServer(Operations.create({
       kernel: this.#edge.kernel,
       metrics: this.#edge.metrics,
--- a/src/edge/endpoint/reporter.ts
+++ b/src/edge/endpoint/reporter.ts
@@ -5,6 +5,7 @@
 import { Agent, request } from 'undici'
 import { z } from 'zod'
 import type { EndpointReport, KernelEvent } from '../../kernel/events.js'
+import type { Connector } from '../security/tls.js'
 
 /** Interval of reports in ms. */
 const REPORT_INTERVAL_MS = 500
@@ -32,12 +33,14 @@
 export interface ReporterOptions {
   readonly url: string
   readonly dispatch: (event: KernelEvent) => void
+  /** Opens connections with TLS files. */
+  readonly connector?: Connector
 }
 
 /** Asks the endpoint for its load and health at regular times. */
 export class Reporter {
   readonly #options: ReporterOptions
-  readonly #agent = new Agent({ connections: 1 })
+  readonly #agent: Agent
   #timer: NodeJS.Timeout | undefined
   #failures = 0
   #startId = ''
@@ -45,6 +48,7 @@
 
   private constructor (options: ReporterOptions) {
     this.#options = options
+    this.#agent = new Agent({ connections: 1, ...(options.connector === undefined ? {} : { connect: options.connector }) })
   }
 
   /**
--- a/src/edge/endpoint/runner.ts
+++ b/src/edge/endpoint/runner.ts
@@ -7,6 +7,7 @@
 import type { KernelEvent } from '../../kernel/events.js'
 import type { HeaderList, Submit } from '../../protocol/messages.js'
 import { splitServerEvents } from './server-events.js'
+import type { Connector } from '../security/tls.js'
 
 /** Connections to the endpoint; above any cap, which admission enforces. */
 const CONNECTIONS_MAX = 512
@@ -24,6 +25,8 @@
   /** Fencing number sent with each request. */
   readonly fence: number
   readonly dispatch: (event: KernelEvent) => void
+  /** Opens connections with TLS files. */
+  readonly connector?: Connector
 }
 
 /** Runs requests on one endpoint. */
@@ -34,7 +37,7 @@
 
   private constructor (options: RunnerOptions) {
     this.#options = options
-    this.#agent = new Agent({ connections: CONNECTIONS_MAX, pipelining: 1, headersTimeout: 0, bodyTimeout: 0 })
+    this.#agent = new Agent({ connections: CONNECTIONS_MAX, pipelining: 1, headersTimeout: 0, bodyTimeout: 0, ...(options.connector === undefined ? {} : { connect: options.connector }) })
   }
 
   /**
--- a/src/edge/platform/client.ts
+++ b/src/edge/platform/client.ts
@@ -6,6 +6,7 @@
 
 import { randomInt } from 'node:crypto'
 import { Agent } from 'undici'
+import type { Connector } from '../security/tls.js'
 import type { PlatformResult } from '../../kernel/events.js'
 import { Random } from '../../kernel/random.js'
 import { PlatformTransport } from './transport.js'
@@ -32,6 +33,8 @@
   readonly timeoutMs: number
   /** Sent as a bearer credential. */
   readonly credential?: string
+  /** Opens connections; without it they have no TLS files of their own. */
+  readonly connector?: Connector
   /** Time over which reconnects of watches are spread, in ms. */
   readonly reconnectSpreadMs?: number
   /** Seed of the jitter. */
@@ -60,7 +63,7 @@
   readonly #watches = new Set<Watch>()
 
   private constructor (options: PlatformClientOptions) {
-    const agent = new Agent({ connections: CONNECTIONS_MAX, connect: { timeout: options.timeoutMs } })
+    const agent = new Agent({ connections: CONNECTIONS_MAX, connect: options.connector ?? { timeout: options.timeoutMs } })
     this.#transport = PlatformTransport.create({ ...options, agent })
     this.#watchOptions = {
       transport: this.#transport,
--- a/src/edge/process.ts
+++ b/src/edge/process.ts
@@ -51,9 +51,12 @@
     this.#settings = settings
     this.logger = Logger.create({ processId: self.id })
     this.metrics = Metrics.create({ role })
+    this.tls = TlsFiles.create(this.logger)
+    const connector = this.tls.loadConnector(settings.platform.tls, settings.platform.timeoutMs)
     this.platform = PlatformClient.create({
       urls: settings.platform.urls,
       timeoutMs: settings.platform.timeoutMs,
+      ...(connector === undefined ? {} : { connector }),
       ...(settings.platform.credentialFile === undefined ? {} : { credential: loadSecret(settings.platform.credentialFile, 1) })
     })
     this.kernel = Kernel.create({
@@ -66,7 +69,6 @@
         ...(options.addressHoldMs === undefined ? {} : { addressHoldMs: options.addressHoldMs })
       }
     })
-    this.tls = TlsFiles.create(this.logger)
     this.operators = OperatorKeys.create(loadOperatorKeys(settings))
     this.hub = this.#createHub(self, clusterSecret)
     this.runtime = Runtime.create({ ...this.#parts(), handleRoleEffect: options.handleRoleEffect, handleLeaveFinished: options.handleLeaveFinished })
--- a/src/edge/security/files.ts
+++ b/src/edge/security/files.ts
@@ -1,10 +1,10 @@
 /** TLS sources of one process; renewed files are logged. */
 
-import type { ListenerSettings, ProcessSettings } from '../../settings/process.js'
+import type { DiallerTlsFiles, ListenerSettings, ProcessSettings } from '../../settings/process.js'
 import type { Logger } from '../log/logger.js'
 import type { PeerTls } from '../peer/hub.js'
-import { TlsSource } from './tls.js'
-import type { TlsSourceOptions } from './tls.js'
+import { TlsSource, buildTlsConnector } from './tls.js'
+import type { Connector, TlsSourceOptions } from './tls.js'
 
 /** Loads and stops the TLS sources of a process. */
 export class TlsFiles {
@@ -43,6 +43,16 @@
     return { ...(listener === undefined ? {} : { listener }), ...(dialler === undefined ? {} : { dialler }) }
   }
 
+  /**
+   * @param files - settings of outbound connections
+   * @param timeoutMs - time limit of opening a connection in ms
+   * @returns opens the connections of an HTTP client; undefined when the settings have no files
+   * @throws Error when a file cannot be used
+   */
+  loadConnector (files: DiallerTlsFiles | undefined, timeoutMs: number): Connector | undefined {
+    return files === undefined ? undefined : buildTlsConnector(this.#load(files), timeoutMs)
+  }
+
   /** Ends the checks for renewed files. */
   stop (): void {
     for (const source of this.#sources) source.stop()
--- a/src/edge/security/tls.ts
+++ b/src/edge/security/tls.ts
@@ -4,6 +4,7 @@
 import { readFileSync, statSync } from 'node:fs'
 import { createSecureContext } from 'node:tls'
 import type { SecureContextOptions } from 'node:tls'
+import { buildConnector } from 'undici'
 import type { DiallerTlsFiles } from '../../settings/process.js'
 
 /** Interval at which files are looked at, in ms. */
@@ -99,6 +100,27 @@
   }
 }
 
+/** Opens the connections of an HTTP client. */
+export type Connector = buildConnector.connector
+
+/**
+ * @param source - TLS files of the connections
+ * @param timeoutMs - time limit of opening a connection in ms
+ * @returns opens connections, each with the files that are in use at that time
+ */
+export function buildTlsConnector (source: TlsSource, timeoutMs: number): Connector {
+  let used = source.getOptions()
+  let connect = buildConnector({ ...used, timeout: timeoutMs })
+  return (options, callback) => {
+    const current = source.getOptions()
+    if (current !== used) {
+      used = current
+      connect = buildConnector({ ...used, timeout: timeoutMs })
+    }
+    connect(options, callback)
+  }
+}
+
 /**
  * @param files - paths of the files
  * @returns options made of their content
--- a/test/security/tls.test.ts
+++ b/test/security/tls.test.ts
@@ -1,11 +1,13 @@
 import test from 'ava'
 import { once } from 'node:events'
+import { createServer as createHttpsServer } from 'node:https'
 import { copyFileSync, mkdtempSync, rmSync, utimesSync } from 'node:fs'
 import type { AddressInfo } from 'node:net'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { connect, createServer } from 'node:tls'
-import { TlsSource } from '../../src/edge/security/tls.js'
+import { Agent, request } from 'undici'
+import { TlsSource, buildTlsConnector, loadTlsOptions } from '../../src/edge/security/tls.js'
 
 const FIXTURES = 'test/security/fixtures'
 
@@ -54,6 +56,29 @@
   rmSync(folder, { recursive: true })
 })
 
+// Guards against outbound connections that accept any server, or that keep a replaced authority.
+test('outbound connections use renewed authorities', async t => {
+  const folder = mkdtempSync(join(tmpdir(), 'heatherdoor-'))
+  const caFile = join(folder, 'ca.crt')
+  copyFileSync(join(FIXTURES, 'second.crt'), caFile)
+  utimesSync(caFile, 1, 1)
+  const files = { certFile: join(FIXTURES, 'first.crt'), keyFile: join(FIXTURES, 'first.key') }
+  const server = createHttpsServer(loadTlsOptions(files), (_request, response) => { response.end('ok') }).listen(0, '127.0.0.1')
+  await once(server, 'listening')
+  const url = `https://127.0.0.1:${(server.address() as AddressInfo).port}`
+  const source = TlsSource.create({ files: { caFile } })
+  const agent = new Agent({ connect: buildTlsConnector(source, 1000) })
+  await t.throwsAsync(request(url, { dispatcher: agent }), { message: /self-signed|self signed|unable to verify/ })
+  copyFileSync(join(FIXTURES, 'first.crt'), caFile)
+  utimesSync(caFile, 2, 2)
+  source.checkFiles()
+  t.is(await (await request(url, { dispatcher: agent })).body.text(), 'ok')
+  await agent.destroy()
+  source.stop()
+  server.close()
+  rmSync(folder, { recursive: true })
+})
+
 // Guards against a listener that starts with a wrong pair of files.
 test('wrong files at the start', t => {
   t.throws(() => TlsSource.create({ files: { certFile: `${FIXTURES}/first.crt`, keyFile: `${FIXTURES}/second.key` } }), { message: /is not the key of/ })
