Remove parts that went out of use

Audit entries now name the replaced parts, and a command removes those replaced 100 or more versions ago and not in use since. Parts written by commands that lost a race or died are not removed.

--- a/src/cli/audit.ts
+++ b/src/cli/audit.ts
@@ -10,11 +10,14 @@
 import type { ConfigurationDifference, ConfigurationRoot } from '../kernel/document.js'
 import type { PatientStore } from './store.js'
 
-/** Largest size of a page in bytes; the platform takes 1 MB. */
-export const PAGE_MAX_BYTES = 900_000
+/** Largest size of a page in bytes. The platform takes 1 MB; each append writes the whole page again. */
+const PAGE_MAX_BYTES = 250_000
 
 /** Count of pages kept. */
-export const PAGES_KEPT = 16
+const PAGES_KEPT = 64
+
+/** Count of versions for which a part that is no longer in use is kept. */
+const PART_VERSIONS_KEPT = 100
 
 const HEAD_KEY = 'audit/head'
 
@@ -35,14 +38,20 @@
   readonly omitted: number
   /** Identifies the change; see `ConfigurationChange`. */
   readonly changeId: string
+  /** Platform keys of parts that the change took out of use. */
+  readonly replacedParts: readonly string[]
 }
 
-/** Sizes of the trail; tests use small ones. */
+/** Bounds on what is kept; tests use small ones. */
 export interface AuditLimits {
   readonly pageMaxBytes: number
   readonly pagesKept: number
+  readonly partVersionsKept: number
 }
 
+/** Bounds in use. */
+export const AUDIT_LIMITS: AuditLimits = { pageMaxBytes: PAGE_MAX_BYTES, pagesKept: PAGES_KEPT, partVersionsKept: PART_VERSIONS_KEPT }
+
 interface Page {
   readonly number: number
   readonly entries: readonly AuditEntry[]
@@ -52,11 +61,11 @@
 /** Reads and extends the audit trail. */
 export class AuditTrail {
   readonly #store: PatientStore
-  readonly #limits: AuditLimits
+  readonly limits: AuditLimits
 
   private constructor (store: PatientStore, limits: AuditLimits) {
     this.#store = store
-    this.#limits = limits
+    this.limits = limits
   }
 
   /**
@@ -64,7 +73,7 @@
    * @param limits - sizes
    * @returns the trail
    */
-  static create (store: PatientStore, limits: AuditLimits = { pageMaxBytes: PAGE_MAX_BYTES, pagesKept: PAGES_KEPT }): AuditTrail {
+  static create (store: PatientStore, limits: AuditLimits = AUDIT_LIMITS): AuditTrail {
     return new AuditTrail(store, limits)
   }
 
@@ -80,7 +89,7 @@
       const page = await this.#readLastPage()
       if ((page.entries.at(-1)?.version ?? 0) >= entry.version) return false
       const text = JSON.stringify([...page.entries, entry])
-      const fits = page.entries.length === 0 || Buffer.byteLength(text) <= this.#limits.pageMaxBytes
+      const fits = page.entries.length === 0 || Buffer.byteLength(text) <= this.limits.pageMaxBytes
       const written = fits
         ? await this.#store.write(formatPageKey(page.number), text, page.revision)
         : await this.#store.write(formatPageKey(page.number + 1), JSON.stringify([entry]), 0)
@@ -139,10 +148,10 @@
     if (head.value === undefined || parseHead(head.value) < number) {
       await this.#store.write(HEAD_KEY, JSON.stringify({ page: number }), head.revision)
     }
-    for (let old = number - this.#limits.pagesKept; old >= 1; old--) {
+    for (let old = number - this.limits.pagesKept; old >= 1; old--) {
       const { revision } = await this.#store.read(formatPageKey(old))
       if (revision === 0) break
-      await this.#store.remove(formatPageKey(old))
+      await this.#store.remove(formatPageKey(old), revision)
     }
   }
 }
@@ -162,7 +171,8 @@
     reason: root.reason,
     differences: root.change.differences,
     omitted: root.change.omitted,
-    changeId: root.change.id
+    changeId: root.change.id,
+    replacedParts: root.change.replacedParts
   }
 }
 
--- a/src/cli/change.ts
+++ b/src/cli/change.ts
@@ -10,6 +10,7 @@
 import type { Part, Snapshot } from './parts.js'
 import { EXIT, buildDone, buildFailure } from './result.js'
 import type { CommandResult } from './result.js'
+import { listReplacedParts, refreshParts, removeOldParts } from './retired.js'
 import { PlatformUnavailableError } from './store.js'
 
 /** Count of tries against other operators, for commands without an expected version. */
@@ -21,6 +22,9 @@
 /** Differences that the root holds; each process holds the root in memory. */
 const ROOT_DIFFERENCES_MAX = 16
 
+/** Replaced parts that the root holds. */
+const ROOT_REPLACED_MAX = 16
+
 /** Differences that an audit entry holds. */
 const ENTRY_DIFFERENCES_MAX = 500
 
@@ -81,11 +85,11 @@
       const large = decision.target.parts?.find(part => Buffer.byteLength(part.json) > PART_MAX_BYTES)
       if (large !== undefined) return buildFailure(EXIT.badInput, `Part ${large.name} has ${Buffer.byteLength(large.json)} bytes; the platform takes ${PART_MAX_BYTES}.`)
       const draft = buildDraft(context, request, snapshot, decision.target, differences)
-      await writeParts(context.store, decision.target.parts ?? [], snapshot.root, text => { context.outside.note(text) })
+      const present = await writeParts(context.store, decision.target.parts ?? [], snapshot.root, text => { context.outside.note(text) })
       context.outside.note('updating the root')
       isSent = true
       const hasWon = await writeRoot(context, trail, draft, snapshot.revision)
-      if (hasWon) return await finishChange(trail, draft, differences)
+      if (hasWon) return await finishChange(context, trail, { draft, differences, present })
       isSent = false
     }
     return buildFailure(EXIT.lostRace, `The configuration in force was not the one just read, ${RACES_MAX} times in a row: other operators make changes, or the platform's reads lag behind. Nothing was changed; run the command again.`)
@@ -139,29 +143,42 @@
   }
 }
 
-async function finishChange (trail: AuditTrail, draft: Draft, differences: readonly ConfigurationDifference[]): Promise<CommandResult> {
+/** A change that is in force. */
+interface AcceptedChange {
+  readonly draft: Draft
+  readonly differences: readonly ConfigurationDifference[]
+  /** Parts that were there before the change. */
+  readonly present: readonly Part[]
+}
+
+async function finishChange (context: CommandContext, trail: AuditTrail, { draft, differences, present }: AcceptedChange): Promise<CommandResult> {
   const { version } = draft.root
   let audit = ''
   try {
+    await refreshParts(context.store, present)
     await trail.add(draft.entry)
+    await removeOldParts(context.store, trail, draft.root.version)
   } catch (error) {
     if (!(error instanceof PlatformUnavailableError)) throw error
-    audit = 'The audit trail could not be written now; the root holds the entry and the next command adds it.\n'
+    audit = 'The platform stopped answering after that. The root holds the audit entry; the next command adds it to the trail.\n'
   }
   const lines = differences.map(difference => `  ${formatDifference(difference)}\n`).join('')
   return buildDone(`Version ${version} is accepted; it is in force everywhere within seconds.\n${lines}${audit}`, { changed: true, version, differences })
 }
 
 function buildDraft (context: CommandContext, request: ChangeRequest, snapshot: Snapshot, target: Target, differences: readonly ConfigurationDifference[]): Draft {
+  const hashes = computeHashes(snapshot, target)
+  const replacedParts = listReplacedParts(snapshot.root?.parts ?? {}, hashes)
   const change: ConfigurationChange = {
     id: context.outside.pickHex(16),
     command: request.command,
     differences: differences.slice(0, ROOT_DIFFERENCES_MAX),
-    omitted: Math.max(0, differences.length - ROOT_DIFFERENCES_MAX)
+    omitted: Math.max(0, differences.length - ROOT_DIFFERENCES_MAX),
+    replacedParts: replacedParts.slice(0, ROOT_REPLACED_MAX)
   }
   const root: ConfigurationRoot = {
     version: snapshot.configuration.version + 1,
-    parts: computeHashes(snapshot, target),
+    parts: hashes,
     domainStates: target.domainStates,
     drainingHosts: target.drainingHosts,
     changedBy: request.by,
@@ -173,7 +190,12 @@
   if (entry === undefined) throw new Error('a root without a change')
   return {
     root,
-    entry: { ...entry, differences: differences.slice(0, ENTRY_DIFFERENCES_MAX), omitted: Math.max(0, differences.length - ENTRY_DIFFERENCES_MAX) }
+    entry: {
+      ...entry,
+      differences: differences.slice(0, ENTRY_DIFFERENCES_MAX),
+      omitted: Math.max(0, differences.length - ENTRY_DIFFERENCES_MAX),
+      replacedParts
+    }
   }
 }
 
--- a/src/cli/parts.ts
+++ b/src/cli/parts.ts
@@ -105,14 +105,17 @@
  * @param parts - parts of the new configuration
  * @param root - root in force
  * @param note - told what is done, for the progress line
+ * @returns parts that were there already
  */
-export async function writeParts (store: PatientStore, parts: readonly Part[], root: ConfigurationRoot | undefined, note: (text: string) => void): Promise<void> {
+export async function writeParts (store: PatientStore, parts: readonly Part[], root: ConfigurationRoot | undefined, note: (text: string) => void): Promise<readonly Part[]> {
   const missing = parts.filter(part => root?.parts[part.name] !== part.hash)
   let written = 0
-  await runBounded(missing, async part => {
-    await store.write(formatPartKey(part.name, part.hash), part.json, 0)
+  const results = await runBounded(missing, async part => {
+    const { kind } = await store.write(formatPartKey(part.name, part.hash), part.json, 0)
     note(`wrote ${++written} of ${missing.length} parts`)
+    return kind === 'written' ? [] : [part]
   })
+  return results.flat()
 }
 
 const EMPTY_ROOT: ConfigurationRoot = {
@@ -139,7 +142,14 @@
   return [...groups].sort(([a], [b]) => a < b ? -1 : 1).map(([name, group]) => buildPart(name, group))
 }
 
-async function runBounded<T, R> (items: readonly T[], run: (item: T) => Promise<R>): Promise<readonly R[]> {
+/**
+ * Runs calls with a bounded count in flight.
+ *
+ * @param items - what to run for
+ * @param run - one call
+ * @returns results in the order of the items
+ */
+export async function runBounded<T, R> (items: readonly T[], run: (item: T) => Promise<R>): Promise<readonly R[]> {
   const results: R[] = []
   for (let start = 0; start < items.length; start += CALLS_IN_FLIGHT) {
     results.push(...await Promise.all(items.slice(start, start + CALLS_IN_FLIGHT).map(run)))
--- /dev/null
+++ b/src/cli/retired.ts
@@ -0,0 +1,69 @@
+/**
+ * Removal of parts that are no longer in use. Each audit entry lists the parts
+ * that its change replaced; they are kept for a count of versions, so that a
+ * reader of an older root still finds them.
+ */
+
+import { ROOT_KEY, formatPartKey } from '../kernel/document.js'
+import type { ConfigurationRoot } from '../kernel/document.js'
+import type { AuditTrail } from './audit.js'
+import { runBounded } from './parts.js'
+import type { Part } from './parts.js'
+import type { PatientStore } from './store.js'
+
+/** Count of versions whose parts one command removes; more than 1 makes up for commands that died. */
+const VERSIONS_PER_COMMAND = 10
+
+/** Count of tries to refresh one part. */
+const REFRESHES_MAX = 5
+
+/**
+ * @param before - hashes by part name
+ * @param after - hashes that replace them
+ * @returns platform keys of the parts that are no longer in use
+ */
+export function listReplacedParts (before: Readonly<Record<string, string>>, after: Readonly<Record<string, string>>): readonly string[] {
+  return Object.entries(before).filter(([name, hash]) => after[name] !== hash).map(([name, hash]) => formatPartKey(name, hash))
+}
+
+/**
+ * Gives parts that were there before the change a new revision, or writes them
+ * again. A command that removes old parts at the same time may have seen them
+ * before they came into use again; its removal then finds another revision.
+ *
+ * @param store - the platform
+ * @param parts - parts of the root in force
+ */
+export async function refreshParts (store: PatientStore, parts: readonly Part[]): Promise<void> {
+  await runBounded(parts, async part => {
+    const key = formatPartKey(part.name, part.hash)
+    for (let attempt = 0; attempt < REFRESHES_MAX; attempt++) {
+      const { revision } = await store.read(key)
+      const { kind } = await store.write(key, part.json, revision)
+      if (kind === 'written') return
+    }
+  })
+}
+
+/**
+ * Removes parts that went out of use a count of versions ago.
+ *
+ * @param store - the platform
+ * @param trail - the audit trail
+ * @param version - version in force
+ */
+export async function removeOldParts (store: PatientStore, trail: AuditTrail, version: number): Promise<void> {
+  const kept = trail.limits.partVersionsKept
+  const entries = await trail.list(kept + VERSIONS_PER_COMMAND, version - kept - VERSIONS_PER_COMMAND)
+  const recent = new Set(entries.filter(entry => entry.version > version - kept).flatMap(entry => entry.replacedParts))
+  const old = entries.filter(entry => entry.version <= version - kept).flatMap(entry => entry.replacedParts).filter(key => !recent.has(key))
+  if (old.length === 0) return
+  const found = await runBounded([...new Set(old)], async key => ({ key, revision: (await store.read(key)).revision }))
+  /* The root is read after the revisions: a part that comes into use later has another revision. */
+  const { value } = await store.read(ROOT_KEY)
+  const root = JSON.parse(value ?? '{}') as Partial<ConfigurationRoot>
+  const used = new Set(Object.entries(root.parts ?? {}).map(([name, hash]) => formatPartKey(name, hash)))
+  await runBounded(found.filter(({ key, revision }) => revision !== 0 && !used.has(key)), async ({ key, revision }) => {
+    await store.remove(key, revision)
+  })
+}
--- a/src/cli/store.ts
+++ b/src/cli/store.ts
@@ -117,13 +117,13 @@
   }
 
   /**
-   * Removes an object; one that is gone or was changed meanwhile is left alone.
+   * Removes an object once; one that was changed meanwhile is left alone.
    *
    * @param key - object key
+   * @param revision - revision that was read
    */
-  async remove (key: string): Promise<void> {
-    const { revision } = await this.read(key)
-    if (revision !== 0) await this.#store.remove(key, revision)
+  async remove (key: string, revision: number): Promise<void> {
+    await this.#store.remove(key, revision)
   }
 
   /* After a conflict the object has another revision; a read that still shows
--- a/src/kernel/document.ts
+++ b/src/kernel/document.ts
@@ -125,6 +125,8 @@
   /** Bounded; `omitted` counts the differences left out. */
   readonly differences: readonly ConfigurationDifference[]
   readonly omitted: number
+  /** Platform keys of parts that this change took out of use; bounded. */
+  readonly replacedParts: readonly string[]
 }
 
 /** Value of `config/root` in the platform. */
--- a/test/cli/fake.ts
+++ b/test/cli/fake.ts
@@ -97,7 +97,7 @@
   readonly folder = mkdtempSync(join(tmpdir(), 'heatherdoor-'))
   readonly lines: string[] = []
   operations: (url: string) => OperationsResult = () => ({ kind: 'unreachable', reason: 'connection refused' })
-  auditLimits: AuditLimits = { pageMaxBytes: 100_000, pagesKept: 4 }
+  auditLimits: AuditLimits = { pageMaxBytes: 100_000, pagesKept: 4, partVersionsKept: 3 }
   #ids = 0
 
   static create (): Session {
--- a/test/cli/session.test.ts
+++ b/test/cli/session.test.ts
@@ -4,6 +4,7 @@
 import type { AuditEntry } from '../../src/cli/audit.js'
 import { PatientStore } from '../../src/cli/store.js'
 import type { ConfigurationRoot } from '../../src/kernel/document.js'
+import { CONFIGURATION } from '../settings/texts.js'
 import { FakeStore, Session } from './fake.js'
 
 const BY = '--by eleni --reason drill'
@@ -164,11 +165,32 @@
   t.true(count > 8)
 })
 
+// Guards against parts piling up in the platform, and against a part being removed that came into use again.
+test('old parts are removed, parts in use stay', async t => {
+  const session = Session.create()
+  const apply = async (weight: number, expect: number): Promise<number> => {
+    session.writeFile('c.toml', CONFIGURATION.replace('weight = 4', `weight = ${weight}`))
+    return await session.run(`apply c.toml --expect ${expect} ${BY}`)
+  }
+  const listParts = (): readonly string[] => [...session.store.objects.keys()].filter(key => key.startsWith('config/part/'))
+  for (let version = 0; version < 30; version++) t.is(await apply(version % 20 + 1, version), 0)
+  const inUse = Object.entries(getRoot(session).parts).map(([name, hash]) => `config/part/${name}/${hash}`)
+  t.is(listParts().length, inUse.length + 3)
+  t.true(inUse.every(key => session.store.objects.has(key)))
+
+  /* The part of weight 10 is about to be removed when another operator puts it in force again. */
+  let raced = false
+  session.store.addRule('remove config/part', { before: async () => { raced = true; await apply(7, 31) } })
+  t.is(await apply(11, 30), 0)
+  t.true(raced)
+  t.is(await session.run('show'), 0, 'every part of the root is there')
+})
+
 // Guards against entries being lost or repeated when a page is full, and against pages without end.
 test('pages roll and old ones are removed, with deaths and lost answers between', async t => {
-  const limits = { pageMaxBytes: 700, pagesKept: 3 }
+  const limits = { pageMaxBytes: 700, pagesKept: 3, partVersionsKept: 3 }
   const entry = (version: number): AuditEntry => ({
-    version, previousVersion: version - 1, when: '', who: 'eleni', command: 'apply', reason: 'x'.repeat(version % 90), differences: [], omitted: 0, changeId: String(version)
+    version, previousVersion: version - 1, when: '', who: 'eleni', command: 'apply', reason: 'x'.repeat(version % 90), differences: [], omitted: 0, changeId: String(version), replacedParts: []
   })
   await fc.assert(fc.asyncProperty(fc.array(fc.record({ at: fc.nat(200), fault: fc.constantFrom('lose', 'drop', 'late', 'die') }), { maxLength: 8 }), async faults => {
     const store = new FakeStore()
