--- a/src/cli/outside.ts
+++ b/src/cli/outside.ts
@@ -5,7 +5,7 @@
 import { setTimeout as waitMs } from 'node:timers/promises'
 import { Agent, request } from 'undici'
 import { PlatformClient } from '../edge/platform/client.js'
-import { TlsSource, buildTlsConnector, loadTlsOptions } from '../edge/security/tls.js'
+import { loadTlsOptions } from '../edge/security/tls.js'
 import type { CliSettings } from '../settings/index.js'
 import type { OperationsResult, Outside } from './context.js'
 import type { Progress } from './progress.js'
@@ -19,12 +19,15 @@
  */
 export function buildOutside (progress: Progress): Outside {
   return {
-    openStore: ({ platform }) => PlatformClient.create({
-      urls: platform.urls,
-      timeoutMs: platform.timeoutMs,
-      ...(platform.tls === undefined ? {} : { connector: buildTlsConnector(TlsSource.create({ files: platform.tls }), platform.timeoutMs) }),
-      ...(platform.credentialFile === undefined ? {} : { credential: readCredential(platform.credentialFile) })
-    }),
+    openStore: ({ platform }) => {
+      const tls = platform.tls === undefined ? undefined : loadTlsOptions(platform.tls)
+      return PlatformClient.create({
+        urls: platform.urls,
+        timeoutMs: platform.timeoutMs,
+        ...(tls === undefined ? {} : { tls: () => tls }),
+        ...(platform.credentialFile === undefined ? {} : { credential: readCredential(platform.credentialFile) })
+      })
+    },
     readOperations,
     getTime: () => new Date().toISOString(),
     pickHex: length => randomBytes(Math.ceil(length / 2)).toString('hex').slice(0, length),
--- a/src/edge/process.ts
+++ b/src/edge/process.ts
@@ -52,11 +52,11 @@
     this.logger = Logger.create({ processId: self.id })
     this.metrics = Metrics.create({ role })
     this.tls = TlsFiles.create(this.logger)
-    const connector = this.tls.loadConnector(settings.platform.tls, settings.platform.timeoutMs)
+    const platformTls = this.tls.loadDialler(settings.platform.tls)
     this.platform = PlatformClient.create({
       urls: settings.platform.urls,
       timeoutMs: settings.platform.timeoutMs,
-      ...(connector === undefined ? {} : { connector }),
+      ...(platformTls === undefined ? {} : { tls: () => platformTls.getOptions() }),
       ...(settings.platform.credentialFile === undefined ? {} : { credential: loadSecret(settings.platform.credentialFile, 1) })
     })
     this.kernel = Kernel.create({
--- a/src/edge/security/files.ts
+++ b/src/edge/security/files.ts
@@ -43,6 +43,15 @@
     return { ...(listener === undefined ? {} : { listener }), ...(dialler === undefined ? {} : { dialler }) }
   }
 
+  /**
+   * @param files - settings of outbound connections
+   * @returns their TLS source; undefined when the settings have no files
+   * @throws Error when a file cannot be used
+   */
+  loadDialler (files: DiallerTlsFiles | undefined): TlsSource | undefined {
+    return files === undefined ? undefined : this.#load(files)
+  }
+
   /**
    * @param files - settings of outbound connections
    * @param timeoutMs - time limit of opening a connection in ms
