Test concurrent operators under faults

A property (fast-check, seed 11, 300 runs) mixes 2 to 5 commands and up to 5 faults: every accepted change is in the trail once, and each command's text agrees with the trail.

--- a/test/cli/fake.ts
+++ b/test/cli/fake.ts
@@ -31,6 +31,8 @@
   #rules: Rule[] = []
   #revision = 0
   #late: (() => void) | undefined
+  /* Count of turns of the event loop that the next call waits; mixes concurrent commands. */
+  pickTurns: () => number = () => 0
 
   /* The rule holds for calls that begin with the text, such as `write config/root`. */
   addRule (call: string, rule: Omit<Rule, 'call' | 'times'>, times = 1): void {
@@ -67,6 +69,7 @@
     const rule = this.#rules.find(({ call: start, times }) => times > 0 && call.startsWith(start))
     if (rule !== undefined) rule.times -= 1
     if (rule?.before !== undefined) await rule.before()
+    for (let turns = this.pickTurns(); turns > 0; turns--) await new Promise(resolve => { setImmediate(resolve) })
     switch (rule?.fault) {
       case 'die': throw new DeathError('the command died')
       case 'unavailable': return { kind: 'unavailable' }
--- a/test/cli/session.test.ts
+++ b/test/cli/session.test.ts
@@ -165,6 +165,30 @@
   t.true(count > 8)
 })
 
+// Guards against a result that is not true, or a change that is lost or not in the trail, however commands and faults mix.
+test('concurrent operators under faults', async t => {
+  const fault = fc.record({ call: fc.constantFrom('write config/root', 'write audit', 'write config/part', 'read config/root'), fault: fc.constantFrom('lose', 'drop', 'late', 'unavailable') })
+  const command = fc.constantFrom('drain host-3', 'drain host-4', 'drain host-3 --undo', 'domain out a', 'domain in a', 'apply b.toml --expect 1', 'apply a.toml --expect 2')
+  await fc.assert(fc.asyncProperty(fc.array(command, { minLength: 2, maxLength: 5 }), fc.array(fault, { maxLength: 5 }), fc.infiniteStream(fc.nat(3)), async (commands, faults, turns) => {
+    const session = await startSession()
+    session.store.pickTurns = () => turns.next().value as number
+    for (const { call, fault } of faults) session.store.addRule(call, { fault: call.startsWith('read') ? 'unavailable' : fault as 'lose' })
+    await Promise.all(commands.map(async (line, index) => await session.run(`${line} --by op-${index} --reason x`)))
+    session.store.pickTurns = () => 0
+    await session.run('audit')
+    const entries = await AuditTrail.create(PatientStore.create(session.store, async () => {})).list(100)
+    t.deepEqual(entries.map(({ version }) => version), Array.from({ length: getRoot(session).version }, (_value, index) => index + 1))
+    commands.forEach((_line, index) => {
+      const text = session.lines[index + 1] ?? ''
+      const changed = entries.filter(({ who }) => who === `op-${index}`).map(({ version }) => version)
+      const told = /Version (\d+) is accepted/.exec(text)?.[1]
+      if (told !== undefined) t.deepEqual(changed, [Number(told)], text)
+      else if (!text.includes('It is not known')) t.deepEqual(changed, [], text)
+    })
+    t.is(await session.run('show'), 0)
+  }), { seed: 11, numRuns: 300 })
+})
+
 // Guards against parts piling up in the platform, and against a part being removed that came into use again.
 test('old parts are removed, parts in use stay', async t => {
   const session = Session.create()
--- a/test/settings/faults.test.ts
+++ b/test/settings/faults.test.ts
@@ -98,6 +98,14 @@
   })
 })
 
+// Guards against a fault of the command line's settings going unreported.
+test('faults of command line settings', t => {
+  checkCases(t, loadCliSettings, 'operations_urls = ["http://10.0.0.1:9090"]\n\n[platform]\nurls = ["http://10.9.0.1:80"]\n', {
+    'no platform': [['[platform]\nurls = ["http://10.9.0.1:80"]\n', '']],
+    'unknown key and bad URL': [['operations_urls', 'operation_urls'], ['http://10.9', 'ftp://10.9']]
+  })
+})
+
 // Guards against a missing file being reported as an internal error.
 test('a file that does not exist', t => {
   t.is(loadCliSettings('missing.toml').caseOf({ Left: formatFaults, Right: () => '' }),
