--- a/src/cli/change.ts
+++ b/src/cli/change.ts
@@ -10,7 +10,7 @@
 import type { Part, Snapshot } from './parts.js'
 import { EXIT, buildDone, buildFailure } from './result.js'
 import type { CommandResult } from './result.js'
-import { listReplacedParts, refreshParts, removeOldParts } from './retired.js'
+import { listReplacedParts, updateParts, removeOldParts } from './retired.js'
 import { PlatformUnavailableError } from './store.js'
 
 /** Count of tries against other operators, for commands without an expected version. */
@@ -89,7 +89,7 @@
       context.outside.note('updating the root')
       isSent = true
       const hasWon = await writeRoot(context, trail, draft, snapshot.revision)
-      if (hasWon) return await finishChange(context, trail, { draft, differences, present })
+      if (hasWon) return await runClosingSteps(context, trail, { draft, differences, present })
       isSent = false
     }
     return buildFailure(EXIT.lostRace, `The configuration in force was not the one just read, ${RACES_MAX} times in a row: other operators make changes, or the platform's reads lag behind. Nothing was changed; run the command again.`)
@@ -151,11 +151,11 @@
   readonly present: readonly Part[]
 }
 
-async function finishChange (context: CommandContext, trail: AuditTrail, { draft, differences, present }: AcceptedChange): Promise<CommandResult> {
+async function runClosingSteps (context: CommandContext, trail: AuditTrail, { draft, differences, present }: AcceptedChange): Promise<CommandResult> {
   const { version } = draft.root
   let audit = ''
   try {
-    await refreshParts(context.store, present)
+    await updateParts(context.store, present)
     await trail.add(draft.entry)
     await removeOldParts(context.store, trail, draft.root.version)
   } catch (error) {
--- a/src/cli/retired.ts
+++ b/src/cli/retired.ts
@@ -14,8 +14,8 @@
 /** Count of versions whose parts one command removes; more than 1 makes up for commands that died. */
 const VERSIONS_PER_COMMAND = 10
 
-/** Count of tries to refresh one part. */
-const REFRESHES_MAX = 5
+/** Count of tries to update one part. */
+const UPDATES_MAX = 5
 
 /**
  * @param before - hashes by part name
@@ -34,10 +34,10 @@
  * @param store - the platform
  * @param parts - parts of the root in force
  */
-export async function refreshParts (store: PatientStore, parts: readonly Part[]): Promise<void> {
+export async function updateParts (store: PatientStore, parts: readonly Part[]): Promise<void> {
   await runBounded(parts, async part => {
     const key = formatPartKey(part.name, part.hash)
-    for (let attempt = 0; attempt < REFRESHES_MAX; attempt++) {
+    for (let attempt = 0; attempt < UPDATES_MAX; attempt++) {
       const { revision } = await store.read(key)
       const { kind } = await store.write(key, part.json, revision)
       if (kind === 'written') return
--- a/test/cli/session.test.ts
+++ b/test/cli/session.test.ts
@@ -58,7 +58,7 @@
 // Guards against entries that are silent, refuse the credential or lag behind going unnoticed.
 test('status and explain', async t => {
   const session = await startSession()
-  const status = (id: string, version: number) => ({
+  const buildStatus = (id: string, version: number) => ({
     process: { id, domain: 'a' },
     configuration: { version, in_force_for_ms: 61_000 },
     in_flight: 3,
@@ -67,18 +67,18 @@
     failure_domains: [{ name: 'a', state: 'in' }, { name: 'b', state: 'out' }],
     draining_hosts: ['host-4']
   })
-  const answer = (body: unknown, code = 200) => ({ kind: 'answered', status: code, body }) as const
+  const buildAnswer = (body: unknown, code = 200) => ({ kind: 'answered', status: code, body }) as const
   session.lines.length = 0
   await session.run('status')
-  session.operations = url => answer(url.includes('entry-1') ? status('entry-1', 7) : undefined, url.includes('entry-1') ? 200 : 401)
+  session.operations = url => buildAnswer(url.includes('entry-1') ? buildStatus('entry-1', 7) : undefined, url.includes('entry-1') ? 200 : 401)
   await session.run('status')
-  session.operations = url => answer(url.includes('entry-1') ? status('entry-1', 7) : status('entry-2', 6))
+  session.operations = url => buildAnswer(url.includes('entry-1') ? buildStatus('entry-1', 7) : buildStatus('entry-2', 6))
   await session.run('status')
-  session.operations = url => answer(status(url.slice(7, 14), 7))
+  session.operations = url => buildAnswer(buildStatus(url.slice(7, 14), 7))
   await session.run('status')
-  session.operations = url => url.includes('entry-1') ? answer(undefined, 404) : answer({ steps: [{ atMs: 10, step: 'received', detail: 'counter' }, { atMs: 62.4, step: 'ended', detail: '' }] })
+  session.operations = url => url.includes('entry-1') ? buildAnswer(undefined, 404) : buildAnswer({ steps: [{ atMs: 10, step: 'received', detail: 'counter' }, { atMs: 62.4, step: 'ended', detail: '' }] })
   await session.run('explain r-1')
-  session.operations = () => answer(undefined, 404)
+  session.operations = () => buildAnswer(undefined, 404)
   await session.run('explain r-2')
   t.snapshot(session.print())
 })
--- a/test/security/tls.test.ts
+++ b/test/security/tls.test.ts
@@ -17,12 +17,12 @@
   const files = { certFile: join(folder, 'tls.crt'), keyFile: join(folder, 'tls.key') }
   const events: string[] = []
   let stamp = 1
-  const renew = (name: string, file: string): void => {
+  const writeRenewed = (name: string, file: string): void => {
     copyFileSync(join(FIXTURES, name), file)
     utimesSync(file, stamp, stamp++)
   }
-  renew('first.crt', files.certFile)
-  renew('first.key', files.keyFile)
+  writeRenewed('first.crt', files.certFile)
+  writeRenewed('first.key', files.keyFile)
   const source = TlsSource.create({ files, onReload: () => events.push('reload'), onFault: reason => events.push(reason.replaceAll(`${folder}/`, '')) })
   const server = createServer(source.getOptions(), socket => { socket.pipe(socket) })
   source.addServer(server)
@@ -37,11 +37,11 @@
   const standing = await open()
   t.is(standing.subject, 'first')
   source.checkFiles()
-  renew('second.crt', files.certFile)
+  writeRenewed('second.crt', files.certFile)
   source.checkFiles()
   const between = await open()
   t.is(between.subject, 'first')
-  renew('second.key', files.keyFile)
+  writeRenewed('second.key', files.keyFile)
   source.checkFiles()
   const renewed = await open()
   t.is(renewed.subject, 'second')
