--- a/test/cli/session.test.ts
+++ b/test/cli/session.test.ts
@@ -4,6 +4,7 @@
 import type { AuditEntry } from '../../src/cli/audit.js'
 import { PatientStore } from '../../src/cli/store.js'
 import type { ConfigurationRoot } from '../../src/kernel/document.js'
+import { CONFIGURATION } from '../settings/texts.js'
 import { FakeStore, Session } from './fake.js'
 
 const BY = '--by eleni --reason drill'
@@ -57,7 +58,7 @@
 // Guards against entries that are silent, refuse the credential or lag behind going unnoticed.
 test('status and explain', async t => {
   const session = await startSession()
-  const status = (id: string, version: number) => ({
+  const buildStatus = (id: string, version: number) => ({
     process: { id, domain: 'a' },
     configuration: { version, in_force_for_ms: 61_000 },
     in_flight: 3,
@@ -66,18 +67,18 @@
     failure_domains: [{ name: 'a', state: 'in' }, { name: 'b', state: 'out' }],
     draining_hosts: ['host-4']
   })
-  const answer = (body: unknown, code = 200) => ({ kind: 'answered', status: code, body }) as const
+  const buildAnswer = (body: unknown, code = 200) => ({ kind: 'answered', status: code, body }) as const
   session.lines.length = 0
   await session.run('status')
-  session.operations = url => answer(url.includes('entry-1') ? status('entry-1', 7) : undefined, url.includes('entry-1') ? 200 : 401)
+  session.operations = url => buildAnswer(url.includes('entry-1') ? buildStatus('entry-1', 7) : undefined, url.includes('entry-1') ? 200 : 401)
   await session.run('status')
-  session.operations = url => answer(url.includes('entry-1') ? status('entry-1', 7) : status('entry-2', 6))
+  session.operations = url => buildAnswer(url.includes('entry-1') ? buildStatus('entry-1', 7) : buildStatus('entry-2', 6))
   await session.run('status')
-  session.operations = url => answer(status(url.slice(7, 14), 7))
+  session.operations = url => buildAnswer(buildStatus(url.slice(7, 14), 7))
   await session.run('status')
-  session.operations = url => url.includes('entry-1') ? answer(undefined, 404) : answer({ steps: [{ atMs: 10, step: 'received', detail: 'counter' }, { atMs: 62.4, step: 'ended', detail: '' }] })
+  session.operations = url => url.includes('entry-1') ? buildAnswer(undefined, 404) : buildAnswer({ steps: [{ atMs: 10, step: 'received', detail: 'counter' }, { atMs: 62.4, step: 'ended', detail: '' }] })
   await session.run('explain r-1')
-  session.operations = () => answer(undefined, 404)
+  session.operations = () => buildAnswer(undefined, 404)
   await session.run('explain r-2')
   t.snapshot(session.print())
 })
@@ -164,11 +165,56 @@
   t.true(count > 8)
 })
 
+// Guards against a result that is not true, or a change that is lost or not in the trail, however commands and faults mix.
+test('concurrent operators under faults', async t => {
+  const fault = fc.record({ call: fc.constantFrom('write config/root', 'write audit', 'write config/part', 'read config/root'), fault: fc.constantFrom('lose', 'drop', 'late', 'unavailable') })
+  const command = fc.constantFrom('drain host-3', 'drain host-4', 'drain host-3 --undo', 'domain out a', 'domain in a', 'apply b.toml --expect 1', 'apply a.toml --expect 2')
+  await fc.assert(fc.asyncProperty(fc.array(command, { minLength: 2, maxLength: 5 }), fc.array(fault, { maxLength: 5 }), fc.infiniteStream(fc.nat(3)), async (commands, faults, turns) => {
+    const session = await startSession()
+    session.store.pickTurns = () => turns.next().value as number
+    for (const { call, fault } of faults) session.store.addRule(call, { fault: call.startsWith('read') ? 'unavailable' : fault as 'lose' })
+    await Promise.all(commands.map(async (line, index) => await session.run(`${line} --by op-${index} --reason x`)))
+    session.store.pickTurns = () => 0
+    await session.run('audit')
+    const entries = await AuditTrail.create(PatientStore.create(session.store, async () => {})).list(100)
+    t.deepEqual(entries.map(({ version }) => version), Array.from({ length: getRoot(session).version }, (_value, index) => index + 1))
+    commands.forEach((_line, index) => {
+      const text = session.lines[index + 1] ?? ''
+      const changed = entries.filter(({ who }) => who === `op-${index}`).map(({ version }) => version)
+      const told = /Version (\d+) is accepted/.exec(text)?.[1]
+      if (told !== undefined) t.deepEqual(changed, [Number(told)], text)
+      else if (!text.includes('It is not known')) t.deepEqual(changed, [], text)
+    })
+    t.is(await session.run('show'), 0)
+  }), { seed: 11, numRuns: 300 })
+})
+
+// Guards against parts piling up in the platform, and against a part being removed that came into use again.
+test('old parts are removed, parts in use stay', async t => {
+  const session = Session.create()
+  const apply = async (weight: number, expect: number): Promise<number> => {
+    session.writeFile('c.toml', CONFIGURATION.replace('weight = 4', `weight = ${weight}`))
+    return await session.run(`apply c.toml --expect ${expect} ${BY}`)
+  }
+  const listParts = (): readonly string[] => [...session.store.objects.keys()].filter(key => key.startsWith('config/part/'))
+  for (let version = 0; version < 30; version++) t.is(await apply(version % 20 + 1, version), 0)
+  const inUse = Object.entries(getRoot(session).parts).map(([name, hash]) => `config/part/${name}/${hash}`)
+  t.is(listParts().length, inUse.length + 3)
+  t.true(inUse.every(key => session.store.objects.has(key)))
+
+  /* The part of weight 10 is about to be removed when another operator puts it in force again. */
+  let raced = false
+  session.store.addRule('remove config/part', { before: async () => { raced = true; await apply(7, 31) } })
+  t.is(await apply(11, 30), 0)
+  t.true(raced)
+  t.is(await session.run('show'), 0, 'every part of the root is there')
+})
+
 // Guards against entries being lost or repeated when a page is full, and against pages without end.
 test('pages roll and old ones are removed, with deaths and lost answers between', async t => {
-  const limits = { pageMaxBytes: 700, pagesKept: 3 }
+  const limits = { pageMaxBytes: 700, pagesKept: 3, partVersionsKept: 3 }
   const entry = (version: number): AuditEntry => ({
-    version, previousVersion: version - 1, when: '', who: 'eleni', command: 'apply', reason: 'x'.repeat(version % 90), differences: [], omitted: 0, changeId: String(version)
+    version, previousVersion: version - 1, when: '', who: 'eleni', command: 'apply', reason: 'x'.repeat(version % 90), differences: [], omitted: 0, changeId: String(version), replacedParts: []
   })
   await fc.assert(fc.asyncProperty(fc.array(fc.record({ at: fc.nat(200), fault: fc.constantFrom('lose', 'drop', 'late', 'die') }), { maxLength: 8 }), async faults => {
     const store = new FakeStore()
--- a/test/security/tls.test.ts
+++ b/test/security/tls.test.ts
@@ -1,11 +1,13 @@
 import test from 'ava'
 import { once } from 'node:events'
+import { createServer as createHttpsServer } from 'node:https'
 import { copyFileSync, mkdtempSync, rmSync, utimesSync } from 'node:fs'
 import type { AddressInfo } from 'node:net'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
 import { connect, createServer } from 'node:tls'
-import { TlsSource } from '../../src/edge/security/tls.js'
+import { Agent, request } from 'undici'
+import { TlsSource, buildTlsConnector, loadTlsOptions } from '../../src/edge/security/tls.js'
 
 const FIXTURES = 'test/security/fixtures'
 
@@ -15,12 +17,12 @@
   const files = { certFile: join(folder, 'tls.crt'), keyFile: join(folder, 'tls.key') }
   const events: string[] = []
   let stamp = 1
-  const renew = (name: string, file: string): void => {
+  const writeRenewed = (name: string, file: string): void => {
     copyFileSync(join(FIXTURES, name), file)
     utimesSync(file, stamp, stamp++)
   }
-  renew('first.crt', files.certFile)
-  renew('first.key', files.keyFile)
+  writeRenewed('first.crt', files.certFile)
+  writeRenewed('first.key', files.keyFile)
   const source = TlsSource.create({ files, onReload: () => events.push('reload'), onFault: reason => events.push(reason.replaceAll(`${folder}/`, '')) })
   const server = createServer(source.getOptions(), socket => { socket.pipe(socket) })
   source.addServer(server)
@@ -35,11 +37,11 @@
   const standing = await open()
   t.is(standing.subject, 'first')
   source.checkFiles()
-  renew('second.crt', files.certFile)
+  writeRenewed('second.crt', files.certFile)
   source.checkFiles()
   const between = await open()
   t.is(between.subject, 'first')
-  renew('second.key', files.keyFile)
+  writeRenewed('second.key', files.keyFile)
   source.checkFiles()
   const renewed = await open()
   t.is(renewed.subject, 'second')
@@ -54,6 +56,29 @@
   rmSync(folder, { recursive: true })
 })
 
+// Guards against outbound connections that accept any server, or that keep a replaced authority.
+test('outbound connections use renewed authorities', async t => {
+  const folder = mkdtempSync(join(tmpdir(), 'heatherdoor-'))
+  const caFile = join(folder, 'ca.crt')
+  copyFileSync(join(FIXTURES, 'second.crt'), caFile)
+  utimesSync(caFile, 1, 1)
+  const files = { certFile: join(FIXTURES, 'first.crt'), keyFile: join(FIXTURES, 'first.key') }
+  const server = createHttpsServer(loadTlsOptions(files), (_request, response) => { response.end('ok') }).listen(0, '127.0.0.1')
+  await once(server, 'listening')
+  const url = `https://127.0.0.1:${(server.address() as AddressInfo).port}`
+  const source = TlsSource.create({ files: { caFile } })
+  const agent = new Agent({ connect: buildTlsConnector(source, 1000) })
+  await t.throwsAsync(request(url, { dispatcher: agent }), { message: /self-signed|self signed|unable to verify/ })
+  copyFileSync(join(FIXTURES, 'first.crt'), caFile)
+  utimesSync(caFile, 2, 2)
+  source.checkFiles()
+  t.is(await (await request(url, { dispatcher: agent })).body.text(), 'ok')
+  await agent.destroy()
+  source.stop()
+  server.close()
+  rmSync(folder, { recursive: true })
+})
+
 // Guards against a listener that starts with a wrong pair of files.
 test('wrong files at the start', t => {
   t.throws(() => TlsSource.create({ files: { certFile: `${FIXTURES}/first.crt`, keyFile: `${FIXTURES}/second.key` } }), { message: /is not the key of/ })
