Reach successors through the membership plug-in; count each crash once

Cause: the membership plug-in closes connections that it does not want, so a direct connect effect could lose the successor; endpoints that report no start id give every crash the same id, which would hide a second strike. Change: a leaving home raises peer-wanted; crash ids gain incarnation and time; movedTo stays after the leave is finished; method names follow docs/verbs.md.

--- a/src/plugins/outcomes/executions.ts
+++ b/src/plugins/outcomes/executions.ts
@@ -79,7 +79,7 @@
   }
 
   /** @returns the finished execution */
-  finish (runId: string, context: Context): Execution | undefined {
+  noteEnded (runId: string, context: Context): Execution | undefined {
     const execution = this.#byRun.get(runId)
     if (execution === undefined) return undefined
     const answer = execution.findAnswer()
@@ -122,13 +122,13 @@
    * @param context - ways out
    * @returns `not-run` only when the work never started and never will
    */
-  cancel (workId: string, context: Context): Outcome {
+  handleCancel (workId: string, context: Context): Outcome {
     const execution = this.#byAttempt.get(workId)
     if (execution === undefined) return 'unknown'
     this.#removeAttempt(execution, workId)
     if (execution.attachments.size > 0) return 'unknown'
     if (execution.state !== 'waiting') {
-      this.#abort(execution, context)
+      this.#stopExecution(execution, context)
       return 'unknown'
     }
     if (!context.port('admission').removeWaiting(execution.work.workId)) return 'unknown'
@@ -150,7 +150,7 @@
         if (to.peer === peer) this.#removeAttempt(execution, to.workId)
       }
       if (execution.attachments.size > 0 || !execution.work.terms.idempotent) continue
-      if (execution.state !== 'waiting') this.#abort(execution, context)
+      if (execution.state !== 'waiting') this.#stopExecution(execution, context)
       else if (context.port('admission').removeWaiting(execution.work.workId)) this.removeUnstarted(execution)
     }
   }
@@ -177,7 +177,7 @@
     this.#byAttempt.delete(workId)
   }
 
-  #abort (execution: Execution, context: Context): void {
+  #stopExecution (execution: Execution, context: Context): void {
     if (!execution.work.terms.idempotent || execution.state === 'aborted') return
     execution.state = 'aborted'
     context.emit({ kind: 'abort-run', workId: execution.work.workId })
--- a/src/plugins/outcomes/leave.ts
+++ b/src/plugins/outcomes/leave.ts
@@ -24,7 +24,7 @@
   | { readonly kind: 'none' }
   | { readonly kind: 'draining', readonly sinceMs: number }
   | { readonly kind: 'searching', readonly sinceMs: number }
-  | { readonly kind: 'moved', readonly successor: string, readonly sinceMs: number }
+  | { readonly kind: 'moved', readonly sinceMs: number }
   /** No successor was reached, and none has the records. */
   | { readonly kind: 'alone' }
   | { readonly kind: 'finished' }
@@ -57,6 +57,7 @@
   #tried = new Set<string>()
   #outgoing: Outgoing[] = []
   #batch = 0
+  #movedTo: string | undefined
 
   private constructor (records: Records, executions: Executions, service: string) {
     this.#records = records
@@ -75,7 +76,7 @@
 
   /** @returns the process that serves the keys of this home now */
   getMovedTo (): string | undefined {
-    return this.#stage.kind === 'moved' ? this.#stage.successor : undefined
+    return this.#movedTo
   }
 
   /** @returns how work without a record is treated */
@@ -107,10 +108,10 @@
   check (context: Context): void {
     const stage = this.#stage
     if (stage.kind === 'none' || stage.kind === 'finished') return
-    if (context.nowMs >= this.#deadlineAtMs) return this.#cut(context)
+    if (context.nowMs >= this.#deadlineAtMs) return this.#stopWork(context)
     if (stage.kind === 'draining') {
-      if (context.nowMs - stage.sinceMs >= DRAIN_MS || this.#executions.listWaiting().length === 0) this.#freeze(context)
-    } else if (stage.kind === 'searching') this.#search(stage.sinceMs, context)
+      if (context.nowMs - stage.sinceMs >= DRAIN_MS || this.#executions.listWaiting().length === 0) this.#stopStarts(context)
+    } else if (stage.kind === 'searching') this.#chooseSuccessor(stage.sinceMs, context)
     else if (stage.kind === 'moved' && context.nowMs - stage.sinceMs >= ANNOUNCE_MS) this.#refuseParked(context)
     this.#sendOutgoing(context)
     this.#checkFinished(context)
@@ -134,13 +135,14 @@
       this.#successor = undefined
       this.#outgoing = []
     } else if (!this.#outgoing.some(({ batch }) => batch === 0)) {
-      this.#stage = { kind: 'moved', successor: peer, sinceMs: context.nowMs }
+      this.#stage = { kind: 'moved', sinceMs: context.nowMs }
+      this.#movedTo = peer
       context.emit({ kind: 'log', event: 'handover-finished', fields: { successor: peer } })
     }
   }
 
   /** Stops every start, so that open keys may start at the successor. */
-  #freeze (context: Context): void {
+  #stopStarts (context: Context): void {
     const admission = context.port('admission')
     for (const execution of this.#executions.listWaiting()) {
       if (!admission.removeWaiting(execution.work.workId)) continue
@@ -150,10 +152,10 @@
     }
     this.#stage = { kind: 'searching', sinceMs: context.nowMs }
     context.emit({ kind: 'log', event: 'handover-started', fields: { records: this.#records.countRecords() } })
-    this.#search(context.nowMs, context)
+    this.#chooseSuccessor(context.nowMs, context)
   }
 
-  #search (sinceMs: number, context: Context): void {
+  #chooseSuccessor (sinceMs: number, context: Context): void {
     const current = this.#successor
     // Only one process may ever hold the records: after they were sent, no other is tried.
     if (current?.hasRecords === true) return
@@ -165,23 +167,23 @@
       }
       return
     }
-    if (context.nowMs - sinceMs >= SEARCH_MS) return this.#giveUp(context)
+    if (context.nowMs - sinceMs >= SEARCH_MS) return this.#stopSearch(context)
     if (current !== undefined && context.nowMs - current.sinceMs < RETRY_MS) return
     this.#connectNext(context)
   }
 
   #connectNext (context: Context): void {
     const candidates = this.#listCandidates(context)
-    if (candidates.length === 0) return this.#giveUp(context)
+    if (candidates.length === 0) return this.#stopSearch(context)
     const next = candidates.find(candidate => !this.#tried.has(candidate.id)) ?? candidates[0]!
     if (this.#tried.has(next.id)) this.#tried.clear()
     this.#tried.add(next.id)
     this.#successor = { id: next.id, sinceMs: context.nowMs, hasRecords: false }
-    if (context.port('membership').findPeer(next.id) === undefined) context.emit({ kind: 'connect', peer: next.id, address: next.peerAddress })
+    context.raise({ kind: 'peer-wanted', peer: next.id })
   }
 
   /** Endpoint processes of the service in domains that are in, beginning after this one's id so that leavers spread. */
-  #listCandidates (context: Context): readonly { readonly id: string, readonly peerAddress: string }[] {
+  #listCandidates (context: Context): readonly { readonly id: string }[] {
     const configuration = context.port('configuration')
     const membership = context.port('membership')
     const ids = configuration.listEndpoints(this.#service)
@@ -190,7 +192,7 @@
     return [...ids.filter(spec => spec.id > context.self.id), ...ids.filter(spec => spec.id < context.self.id)]
   }
 
-  #giveUp (context: Context): void {
+  #stopSearch (context: Context): void {
     this.#successor = undefined
     this.#stage = { kind: 'alone' }
     for (const { to, work, place } of this.#parked) {
@@ -216,12 +218,9 @@
     for (const outgoing of this.#outgoing) {
       if (context.nowMs - outgoing.sentAtMs < RETRY_MS) continue
       outgoing.sentAtMs = context.nowMs
-      if (context.port('membership').findPeer(peer) === undefined) {
-        const address = context.port('configuration').findEndpoint(peer)?.peerAddress
-        if (address !== undefined) context.emit({ kind: 'connect', peer, address })
-      } else {
-        for (const message of outgoing.parts) context.emit({ kind: 'send', peer, message })
-      }
+      context.raise({ kind: 'peer-wanted', peer })
+      if (context.port('membership').findPeer(peer) === undefined) continue
+      for (const message of outgoing.parts) context.emit({ kind: 'send', peer, message })
     }
   }
 
@@ -229,16 +228,16 @@
     const stage = this.#stage
     const isMoved = stage.kind === 'moved' && context.nowMs - stage.sinceMs >= STAY_MS
     if (!isMoved && stage.kind !== 'alone') return
-    if (this.#executions.size === 0 && this.#outgoing.length === 0 && this.#parked.length === 0) this.#finish(context)
+    if (this.#executions.size === 0 && this.#outgoing.length === 0 && this.#parked.length === 0) this.#emitFinished(context)
   }
 
-  #cut (context: Context): void {
+  #stopWork (context: Context): void {
     this.#refuseParked(context)
     context.emit({ kind: 'log', event: 'work-cut', fields: { count: this.#executions.size } })
-    this.#finish(context)
+    this.#emitFinished(context)
   }
 
-  #finish (context: Context): void {
+  #emitFinished (context: Context): void {
     this.#stage = { kind: 'finished' }
     context.emit({ kind: 'leave-finished' })
   }
--- a/src/plugins/outcomes/plugin.ts
+++ b/src/plugins/outcomes/plugin.ts
@@ -92,7 +92,7 @@
 
   #handleEnd (event: Extract<KernelEvent, { kind: 'work-refused' | 'endpoint-ended' | 'endpoint-failed' }>, context: Context): void {
     const ended = event.kind === 'endpoint-ended'
-      ? this.#executions.finish(event.workId, context)
+      ? this.#executions.noteEnded(event.workId, context)
       : this.#executions.refuse(event.workId, event.kind === 'work-refused'
         ? event
         : { error: 'endpoint-failed', outcome: event.sent ? 'unknown' : 'not-run' }, context)
@@ -115,7 +115,7 @@
       case 'cancel': {
         const { workId } = message
         if (!this.#executions.hasAttempt(workId)) this.#peers.noteCancelled(workId)
-        return context.emit({ kind: 'send', peer, message: { kind: 'cancelled', workId, outcome: this.#executions.cancel(workId, context) } })
+        return context.emit({ kind: 'send', peer, message: { kind: 'cancelled', workId, outcome: this.#executions.handleCancel(workId, context) } })
       }
       case 'query':
         return context.emit({ kind: 'send', peer, message: { kind: 'query-answer', queryId: message.queryId, state: this.#intake.findState(message, context.nowMs) } })
--- a/src/plugins/quarantine/plugin.ts
+++ b/src/plugins/quarantine/plugin.ts
@@ -80,7 +80,9 @@
     const suspects = crashed.filter(fingerprint => this.isSuspect(fingerprint))
     const struck = suspects.length > 1 ? crashed.filter(fingerprint => !this.isSuspect(fingerprint)) : crashed
     context.emit({ kind: 'log', event: 'endpoint-crashed', fields: { crash: crashId, inFlight: crashed.length, suspects: suspects.length } })
-    this.#addOwn(struck.map(fingerprint => ({ fingerprint, crashes: [crashId], cleared: false })), context)
+    // An endpoint that names no start gives the same id to each of its crashes.
+    const crash = `${crashId}@${context.self.incarnation}.${Math.round(context.nowMs)}`
+    this.#addOwn(struck.map(fingerprint => ({ fingerprint, crashes: [crash], cleared: false })), context)
   }
 
   #addOwn (strikes: StrikeList, context: Context): void {
--- a/test/endpoint/admission.test.ts
+++ b/test/endpoint/admission.test.ts
@@ -13,16 +13,16 @@
   return new Process()
 }
 
-function offer (home: Process, team: string, count: number, priority: PriorityClass = 'normal', change: Partial<Submit> = {}): void {
+function addOffers (home: Process, team: string, count: number, priority: PriorityClass = 'normal', change: Partial<Submit> = {}): void {
   for (let index = 0; index < count; index++) {
-    home.receive(buildSubmit(`${team}${index}`, { team, terms: { ...TERMS, priority, profile: priority, queueMax: 20 }, ...change }))
+    home.handle(buildSubmit(`${team}${index}`, { team, terms: { ...TERMS, priority, profile: priority, queueMax: 20 }, ...change }))
   }
 }
 
 /** Ends whatever runs until nothing waits; gives the order of starts. */
 function listStarts (home: Process): readonly string[] {
   const started = (): string[] => home.lines.flatMap(line => line.split(' < run ')[1] ?? [])
-  for (let index = 0; index < started().length; index++) home.finish(started()[index]!)
+  for (let index = 0; index < started().length; index++) home.runToEnd(started()[index]!)
   return started()
 }
 
@@ -31,26 +31,26 @@
 // Guards against urgent work that waits, and against lower classes that starve.
 test.serial('classes: urgent first, one of eight starts for the oldest lower class', t => {
   const home = createHome(1)
-  offer(home, 'background', 3, 'background')
-  offer(home, 'normal', 3)
-  offer(home, 'urgent', 18, 'urgent')
+  addOffers(home, 'background', 3, 'background')
+  addOffers(home, 'normal', 3)
+  addOffers(home, 'urgent', 18, 'urgent')
   t.snapshot(listStarts(home).join(' '))
 })
 
 // Guards against a large team that takes more than its weight.
 test.serial('teams: shares by weight, whoever came first', t => {
   const home = createHome(1)
-  offer(home, 'large', 12, 'normal', { teamWeight: 2 })
-  offer(home, 'small', 6)
+  addOffers(home, 'large', 12, 'normal', { teamWeight: 2 })
+  addOffers(home, 'small', 6)
   t.snapshot(listStarts(home).join(' '))
 })
 
 // Guards against one team that fills the queue and the endpoint.
 test.serial('a full queue pushes out the newest work of the largest share; a team keeps to its share of the cap', t => {
   const home = createHome(4, 4, 0.5)
-  offer(home, 'large', 30)
+  addOffers(home, 'large', 30)
   t.is(isRefused(home, 'overloaded'), 6)
-  offer(home, 'small', 3)
+  addOffers(home, 'small', 3)
   t.is(home.lines.filter(line => /refused workId=small/.test(line)).length, 0)
   t.is(isRefused(home, 'overloaded'), 9)
   t.snapshot(listStarts(home).slice(0, 12).join(' '))
@@ -68,15 +68,15 @@
   note('half warm')
   report('s1', 1)
   note('warm')
-  offer(home, 'quick', 12)
+  addOffers(home, 'quick', 12)
   for (let index = 0; index < 12; index++) {
     home.nowMs += 100
-    home.finish(`quick${index}`)
+    home.runToEnd(`quick${index}`)
   }
-  offer(home, 'slow', 1)
+  addOffers(home, 'slow', 1)
   home.wait(4_500)
   note('no first byte for 4.5 s')
-  home.finish('slow0')
+  home.runToEnd('slow0')
   home.wait(70_000)
   note('70 s later')
   report('s2', 1)
@@ -99,7 +99,7 @@
     steps.forEach((next, index) => {
       home.nowMs += 300
       const effects = next.kind === 'offer'
-        ? home.receive(buildSubmit(`w${index}`, { team: next.team, terms: { ...TERMS, priority: next.priority, idempotent: true } }))
+        ? home.handle(buildSubmit(`w${index}`, { team: next.team, terms: { ...TERMS, priority: next.priority, idempotent: true } }))
         : next.kind === 'end'
           ? running.splice(next.at % (running.length + 1), 1).flatMap(workId => home.dispatch(next.whole ? { kind: 'endpoint-ended', workId } : { kind: 'endpoint-failed', workId, sent: true }))
           : home.dispatch(next.kind === 'report' ? { kind: 'endpoint-reported', report: next } : next.kind === 'crash' ? { kind: 'endpoint-crashed', crashId: `c${index}` } : { kind: 'tick' })
--- a/test/endpoint/harness.ts
+++ b/test/endpoint/harness.ts
@@ -113,12 +113,12 @@
     return effects
   }
 
-  receive (message: Message, from = 'e1'): readonly Effect[] {
+  handle (message: Message, from = 'e1'): readonly Effect[] {
     return this.dispatch({ kind: 'message-received', peer: buildRef(from, from.startsWith('h') ? 'endpoint' : 'entry'), message })
   }
 
   /** Completes work with a one-chunk answer. */
-  finish (workId: string, text = workId): readonly Effect[] {
+  runToEnd (workId: string, text = workId): readonly Effect[] {
     this.dispatch({ kind: 'endpoint-head', workId, status: 200, headers: [] })
     this.dispatch({ kind: 'endpoint-chunk', workId, data: Buffer.from(text) })
     return this.dispatch({ kind: 'endpoint-ended', workId })
--- a/test/endpoint/properties.test.ts
+++ b/test/endpoint/properties.test.ts
@@ -35,8 +35,8 @@
   const counts: Record<string, number> = {}
   const result = fc.check(fc.property(sessions, session => {
     const shuffler = new Shuffler()
-    for (const step of session) shuffler.take(step)
-    shuffler.finish()
+    for (const step of session) shuffler.apply(step)
+    shuffler.check()
     for (const [name, count] of Object.entries(shuffler.counts)) counts[name] = (counts[name] ?? 0) + count
     const fault = shuffler.faults.find(text => pattern.test(text))
     if (fault !== undefined) throw new Error(fault)
@@ -66,7 +66,7 @@
     original.call(this, context!)
     Object.assign(this as object, { at: nowMs })
   }],
-  ['truth of cancelled', /called not run and ran/, Executions.prototype, 'cancel', original => function (this: never, ...args: never[]) {
+  ['truth of cancelled', /called not run and ran/, Executions.prototype, 'handleCancel', original => function (this: never, ...args: never[]) {
     original.apply(this, args)
     return 'not-run'
   }],
--- a/test/endpoint/quarantine.test.ts
+++ b/test/endpoint/quarantine.test.ts
@@ -19,12 +19,12 @@
       if (effect.kind === 'log') lines.push(`${from} ${effect.event} ${Object.values(effect.fields).join(' ')}`)
       if (effect.kind !== 'send') continue
       if (effect.message.kind === 'refused') lines.push(`${from} refuses ${effect.message.workId}: ${effect.message.error} ${effect.message.outcome}`)
-      if (effect.message.kind === 'strikes' && effect.peer !== from) spread(effect.peer, processes.get(effect.peer)!.receive(effect.message, from))
+      if (effect.message.kind === 'strikes' && effect.peer !== from) spread(effect.peer, processes.get(effect.peer)!.handle(effect.message, from))
     }
   }
   const submit = (to: string, attempt: number, ...fingerprints: readonly string[]): void => {
     for (const fingerprint of fingerprints) {
-      spread(to, processes.get(to)!.receive(buildSubmit(`${fingerprint}${attempt}`, { fingerprint, terms: { ...TERMS, idempotent: true } }), `e${attempt}`))
+      spread(to, processes.get(to)!.handle(buildSubmit(`${fingerprint}${attempt}`, { fingerprint, terms: { ...TERMS, idempotent: true } }), `e${attempt}`))
     }
   }
   const crash = (id: string, ...workIds: readonly string[]): void => {
@@ -36,7 +36,7 @@
   submit('h2', 2, 'poison', 'a', 'b', 'c')
   crash('h2', 'poison2', 'c2')
   submit('h3', 3, 'poison', 'a', 'b', 'c', 'd')
-  for (const id of ['a3', 'b3', 'c3', 'd3']) spread('h3', processes.get('h3')!.finish(id))
+  for (const id of ['a3', 'b3', 'c3', 'd3']) spread('h3', processes.get('h3')!.runToEnd(id))
   submit('h3', 4, 'poison', 'a', 'b', 'c')
   t.snapshot(lines.filter(line => !/^(e2|e3|h1|h2) (request|suspect)/.test(line)))
   for (const process of processes.values()) {
--- a/test/endpoint/sessions.test.ts
+++ b/test/endpoint/sessions.test.ts
@@ -11,7 +11,7 @@
 /** Starts w1 and w2, which fill the cap, and leaves q1 waiting. */
 function createBusy (): Process {
   const home = new Process()
-  for (const id of ['w1', 'w2', 'q1']) home.receive(buildSubmit(id, { key: buildKey(id) }))
+  for (const id of ['w1', 'w2', 'q1']) home.handle(buildSubmit(id, { key: buildKey(id) }))
   return home
 }
 
@@ -20,70 +20,70 @@
 // Guards against a second run, or a second answer, for a repeat of a key.
 test.serial('repeat while running, after the finish, and with another body', t => {
   const home = new Process()
-  home.receive(buildSubmit('w1', { key }))
-  home.receive(buildSubmit('w2', { key }), 'e2')
-  home.finish('w1')
-  home.receive(buildSubmit('w3', { key }))
-  home.receive(buildSubmit('w4', { key, bodyHash: 'other' }))
+  home.handle(buildSubmit('w1', { key }))
+  home.handle(buildSubmit('w2', { key }), 'e2')
+  home.runToEnd('w1')
+  home.handle(buildSubmit('w3', { key }))
+  home.handle(buildSubmit('w4', { key, bodyHash: 'other' }))
   t.snapshot(home.lines)
 })
 
 // Guards against part of a large answer being given as the whole to a late repeat.
 test.serial('answer above 64 KiB reaches the first attempt only', t => {
   const home = new Process()
-  home.receive(buildSubmit('w1', { key }))
+  home.handle(buildSubmit('w1', { key }))
   home.dispatch({ kind: 'endpoint-head', workId: 'w1', status: 200, headers: [] })
   for (const size of [40_000, 40_000]) home.dispatch({ kind: 'endpoint-chunk', workId: 'w1', data: new Uint8Array(size) })
-  home.receive(buildSubmit('w2', { key }))
+  home.handle(buildSubmit('w2', { key }))
   home.dispatch({ kind: 'endpoint-ended', workId: 'w1' })
-  home.receive(buildSubmit('w3', { key }))
+  home.handle(buildSubmit('w3', { key }))
   t.snapshot(home.lines)
 })
 
 // Guards against a new process running a key that its predecessor may have run.
 test.serial('home process replaced: the key is not run', t => {
   const home = new Process(buildRef('h1', 'endpoint', 'a', 2))
-  home.receive(buildSubmit('w1', { key }))
-  home.receive(query(key))
+  home.handle(buildSubmit('w1', { key }))
+  home.handle(query(key))
   t.snapshot(home.lines)
 })
 
 // Guards against a key that ran before a crash of the endpoint being called not run, or run again.
 test.serial('endpoint crashes: running keys unknown, queued ones not run, records answer on', t => {
   const home = createBusy()
-  home.finish('w1')
+  home.runToEnd('w1')
   home.dispatch({ kind: 'endpoint-failed', workId: 'w2', sent: true })
   home.dispatch({ kind: 'endpoint-failed', workId: 'q1', sent: false })
-  home.receive(buildSubmit('w3', { key: buildKey('w3') }))
-  home.receive(buildSubmit('w4', { key: buildKey('w4') }))
-  home.receive(buildSubmit('q2', { key: buildKey('q2') }))
+  home.handle(buildSubmit('w3', { key: buildKey('w3') }))
+  home.handle(buildSubmit('w4', { key: buildKey('w4') }))
+  home.handle(buildSubmit('q2', { key: buildKey('q2') }))
   home.dispatch({ kind: 'endpoint-crashed', crashId: 'c1' })
   home.dispatch({ kind: 'endpoint-reported', report: { healthy: true, startId: 's2', warmth: 0 } })
-  for (const id of ['w1', 'w2', 'q1', 'q2']) home.receive(buildSubmit(`again-${id}`, { key: buildKey(id) }))
+  for (const id of ['w1', 'w2', 'q1', 'q2']) home.handle(buildSubmit(`again-${id}`, { key: buildKey(id) }))
   t.snapshot(home.lines)
 })
 
 // Guards against work of a dead entry occupying the endpoint, and against aborting a booking.
 test.serial('entry dies: idempotent work stops, a booking goes on and keeps its answer', t => {
   const home = new Process()
-  home.receive(buildSubmit('stream', { terms: { ...TERMS, idempotent: true } }))
-  home.receive(buildSubmit('booking', { key }))
-  home.receive(buildSubmit('queued', { terms: { ...TERMS, idempotent: true } }))
+  home.handle(buildSubmit('stream', { terms: { ...TERMS, idempotent: true } }))
+  home.handle(buildSubmit('booking', { key }))
+  home.handle(buildSubmit('queued', { terms: { ...TERMS, idempotent: true } }))
   home.wait(3_500)
   home.dispatch({ kind: 'endpoint-failed', workId: 'stream', sent: true })
-  home.finish('booking')
-  home.receive(buildSubmit('again', { key }), 'e2')
+  home.runToEnd('booking')
+  home.handle(buildSubmit('again', { key }), 'e2')
   t.snapshot(home.lines)
 })
 
 // Guards against a cancel that stops another caller's work or calls started work not run.
 test.serial('cancel in the queue, when started, and of a joined repeat', t => {
   const home = createBusy()
-  home.receive(buildSubmit('q2', { key: buildKey('q1') }), 'e2')
-  for (const workId of ['q1', 'w1', 'q2', 'never-seen']) home.receive({ kind: 'cancel', workId })
-  home.receive(query(buildKey('q1')))
-  home.receive(buildSubmit('again', { key: buildKey('q1') }))
-  home.receive(buildSubmit('never-seen', { key }))
+  home.handle(buildSubmit('q2', { key: buildKey('q1') }), 'e2')
+  for (const workId of ['q1', 'w1', 'q2', 'never-seen']) home.handle({ kind: 'cancel', workId })
+  home.handle(query(buildKey('q1')))
+  home.handle(buildSubmit('again', { key: buildKey('q1') }))
+  home.handle(buildSubmit('never-seen', { key }))
   t.snapshot(home.lines)
 })
 
@@ -91,34 +91,34 @@
 test.serial('paused and woken with a queue', t => {
   const home = createBusy()
   home.nowMs += 2_500
-  home.finish('w1')
-  home.receive(buildSubmit('again', { key: buildKey('q1') }))
+  home.runToEnd('w1')
+  home.handle(buildSubmit('again', { key: buildKey('q1') }))
   t.snapshot(home.lines)
 })
 
 // Guards against work that starts although its deadline passed or cannot be met.
 test.serial('deadline passes in the queue', t => {
   const home = createBusy()
-  home.receive(buildSubmit('q2', { key, timeLeftMs: 900 }))
+  home.handle(buildSubmit('q2', { key, timeLeftMs: 900 }))
   home.wait(1_000)
-  home.finish('w1')
-  home.finish('w2')
-  for (const id of ['w5', 'w6', 'w7']) home.receive(buildSubmit(id))
-  home.receive(buildSubmit('hurried', { timeLeftMs: 100 }))
+  home.runToEnd('w1')
+  home.runToEnd('w2')
+  for (const id of ['w5', 'w6', 'w7']) home.handle(buildSubmit(id))
+  home.handle(buildSubmit('hurried', { timeLeftMs: 100 }))
   t.snapshot(home.lines)
 })
 
 // Guards against a late key being run, and against "not run" for a key that is too old to tell.
 test.serial('expired windows', t => {
   const home = new Process()
-  home.receive(buildSubmit('w1', { key }))
-  home.finish('w1')
+  home.handle(buildSubmit('w1', { key }))
+  home.runToEnd('w1')
   for (const windows of [3, 1, 26, 1]) {
     home.waitWindows(windows)
-    home.receive(buildSubmit(`old-${windows}-${home.nowMs}`, { key: buildKey(`late-${windows}`) }))
-    home.receive(buildSubmit(`repeat-${windows}-${home.nowMs}`, { key }))
-    home.receive(query(buildKey(`none-${windows}`)))
-    if (windows === 3) home.finish(`old-3-${home.nowMs}`)
+    home.handle(buildSubmit(`old-${windows}-${home.nowMs}`, { key: buildKey(`late-${windows}`) }))
+    home.handle(buildSubmit(`repeat-${windows}-${home.nowMs}`, { key }))
+    home.handle(query(buildKey(`none-${windows}`)))
+    if (windows === 3) home.runToEnd(`old-3-${home.nowMs}`)
   }
   t.snapshot(home.lines)
 })
@@ -128,38 +128,38 @@
   const home = createBusy()
   World.create({ version: 2, out: new Set(['a']) })
   home.dispatch({ kind: 'configuration-changed', version: 2 })
-  home.receive(buildSubmit('w3', { key }))
+  home.handle(buildSubmit('w3', { key }))
   home.wait(3_500)
   World.create({ version: 3, endpoints: [] })
-  home.receive(buildSubmit('w4', { key: buildKey('k4') }))
+  home.handle(buildSubmit('w4', { key: buildKey('k4') }))
   t.snapshot(home.lines)
 })
 
 // Guards against keys lost or run twice in a planned leave, and against a leaver that exits early.
 test.serial('planned leave with handover', t => {
   const [leaver, successor] = [createBusy(), new Process(buildRef('h2'))]
-  leaver.finish('w1')
-  leaver.receive(buildSubmit('q2', { key }))
+  leaver.runToEnd('w1')
+  leaver.handle(buildSubmit('q2', { key }))
   leaver.dispatch({ kind: 'leave-requested', deadlineMs: 60_000 })
-  leaver.receive(buildSubmit('keyless', { terms: { ...TERMS, idempotent: true } }))
+  leaver.handle(buildSubmit('keyless', { terms: { ...TERMS, idempotent: true } }))
   leaver.wait(3_000)
   World.current.peers = [buildRef('h2')]
   const exchange = (offered: readonly Effect[]): void => {
     for (const effect of offered.filter(effect => effect.kind === 'send' && effect.peer === 'h2')) {
       if (effect.kind !== 'send') continue
-      for (const answer of successor.receive(effect.message, 'h1')) {
-        if (answer.kind === 'send') leaver.receive(answer.message, 'h2')
+      for (const answer of successor.handle(effect.message, 'h1')) {
+        if (answer.kind === 'send') leaver.handle(answer.message, 'h2')
       }
     }
   }
   exchange(leaver.dispatch({ kind: 'peer-connected', peer: buildRef('h2') }))
-  leaver.receive(buildSubmit('late', { key: buildKey('late') }))
+  leaver.handle(buildSubmit('late', { key: buildKey('late') }))
   leaver.wait(1_500)
-  successor.receive(buildSubmit('moved', { key }))
-  successor.receive(buildSubmit('repeat', { key: buildKey('w1') }))
-  successor.receive(buildSubmit('running', { key: buildKey('w2') }))
-  for (const id of ['q1', 'w2']) exchange(leaver.finish(id))
-  successor.receive(buildSubmit('result', { key: buildKey('w2') }))
+  successor.handle(buildSubmit('moved', { key }))
+  successor.handle(buildSubmit('repeat', { key: buildKey('w1') }))
+  successor.handle(buildSubmit('running', { key: buildKey('w2') }))
+  for (const id of ['q1', 'w2']) exchange(leaver.runToEnd(id))
+  successor.handle(buildSubmit('result', { key: buildKey('w2') }))
   leaver.wait(2_000)
   t.snapshot({ leaver: leaver.lines, successor: successor.lines })
 })
@@ -170,8 +170,8 @@
   const home = createBusy()
   home.dispatch({ kind: 'leave-requested', deadlineMs: 60_000 })
   home.wait(3_000)
-  home.receive(buildSubmit('w3', { key }))
-  for (const id of ['w1', 'w2']) home.finish(id)
+  home.handle(buildSubmit('w3', { key }))
+  for (const id of ['w1', 'w2']) home.runToEnd(id)
   home.wait(500)
   t.snapshot(home.lines)
 })
--- a/test/endpoint/shuffler.ts
+++ b/test/endpoint/shuffler.ts
@@ -46,35 +46,35 @@
     World.create({ peers: PROCESSES.map(id => buildRef(id)), endpoints: endpoints.map(spec => ({ ...spec, warmCap: 1, coldCap: 1 })) })
   }
 
-  take (step: Step): void {
+  apply (step: Step): void {
     switch (step.kind) {
-      case 'send': return this.#send(step)
-      case 'resend': return this.#withPick(this.#attempts, step.pick, ({ work }) => { this.#submit(work, step) })
-      case 'cancel': return this.#withPick(this.#attempts, step.pick, attempt => { this.#post('e', attempt.to, { kind: 'cancel', workId: attempt.work.workId }) })
-      case 'query': return this.#withPick(this.#attempts, step.pick, ({ work, to }) => {
-        this.#post('e', to, { kind: 'query', queryId: work.key!.text, team: work.team, service: work.service, key: work.key! })
+      case 'send': return this.#sendNew(step)
+      case 'resend': return this.#handlePick(this.#attempts, step.pick, ({ work }) => { this.#sendSubmit(work, step) })
+      case 'cancel': return this.#handlePick(this.#attempts, step.pick, attempt => { this.#addFlight('e', attempt.to, { kind: 'cancel', workId: attempt.work.workId }) })
+      case 'query': return this.#handlePick(this.#attempts, step.pick, ({ work, to }) => {
+        this.#addFlight('e', to, { kind: 'query', queryId: work.key!.text, team: work.team, service: work.service, key: work.key! })
       })
       case 'settle': {
-        for (let count = 0; count < SETTLE_COUNT; count++) this.take({ kind: 'deliver', pick: step.pick })
+        for (let count = 0; count < SETTLE_COUNT; count++) this.apply({ kind: 'deliver', pick: step.pick })
         return
       }
-      case 'deliver': return this.#withPick(this.#flights, step.pick, flight => {
+      case 'deliver': return this.#handlePick(this.#flights, step.pick, flight => {
         this.#flights = this.#flights.filter(other => other !== flight)
-        this.#deliver(flight)
+        this.#dispatch(flight)
       })
-      case 'repeat': return this.#withPick(this.#flights, step.pick, flight => { this.#deliver(flight) })
-      case 'lose': return this.#withPick(this.#flights, step.pick, flight => { this.#flights = this.#flights.filter(other => other !== flight) })
-      case 'end': return this.#withPick(this.#running, step.pick, run => { this.#end(run, step.result) })
+      case 'repeat': return this.#handlePick(this.#flights, step.pick, flight => { this.#dispatch(flight) })
+      case 'lose': return this.#handlePick(this.#flights, step.pick, flight => { this.#flights = this.#flights.filter(other => other !== flight) })
+      case 'end': return this.#handlePick(this.#running, step.pick, run => { this.#stopRun(run, step.result) })
       case 'wait': return this.#wait(step.ms)
-      case 'pause': return this.#pause(step.ms)
-      case 'kill': return this.#kill(step.id)
-      case 'leave': return this.#apply('h1', this.#processes.get('h1')!.dispatch({ kind: 'leave-requested', deadlineMs: 600_000 }))
+      case 'pause': return this.#stopClocks(step.ms)
+      case 'kill': return this.#stopProcess(step.id)
+      case 'leave': return this.#applyEffects('h1', this.#processes.get('h1')!.dispatch({ kind: 'leave-requested', deadlineMs: 600_000 }))
     }
   }
 
   /** Delivers what is left and compares what was said with what ran. */
-  finish (): void {
-    while (this.#flights.length > 0) this.take({ kind: 'deliver', pick: 0 })
+  check (): void {
+    while (this.#flights.length > 0) this.apply({ kind: 'deliver', pick: 0 })
     this.counts.notRun = this.#notRun.size
     for (const [key, bodies] of this.#runsByKey) {
       if (bodies.length > 1) this.faults.push(`${key} ran ${bodies.length} times`)
@@ -82,40 +82,40 @@
     }
   }
 
-  #send (step: Extract<Step, { kind: 'send' }>): void {
+  #sendNew (step: Extract<Step, { kind: 'send' }>): void {
     // Keys of both processes and of the second incarnation of the first.
     const [home, incarnation] = step.key % 4 === 3 ? ['h2', 1] as const : ['h1', step.key % 4 === 2 ? 2 : 1] as const
-    this.#submit(buildSubmit('', { key: buildKey(`k${step.key}`, 0, home, incarnation), bodyHash: `b${step.body}`, terms: TERMS, timeLeftMs: 60_000 }), step)
+    this.#sendSubmit(buildSubmit('', { key: buildKey(`k${step.key}`, 0, home, incarnation), bodyHash: `b${step.body}`, terms: TERMS, timeLeftMs: 60_000 }), step)
   }
 
-  #submit (first: Submit, { entry, moved }: { readonly entry: number, readonly moved: boolean }): void {
+  #sendSubmit (first: Submit, { entry, moved }: { readonly entry: number, readonly moved: boolean }): void {
     const home = first.key!.home as Id
     const to = moved && home === 'h1' ? this.#successor ?? home : home
     const work = { ...first, workId: `w${this.#attempts.length}` }
     this.#attempts.push({ work, to, chunks: new Map() })
-    this.#post(`e${entry}`, to, work)
+    this.#addFlight(`e${entry}`, to, work)
   }
 
-  #withPick<T> (list: readonly T[], pick: number, act: (item: T) => void): void {
+  #handlePick<T> (list: readonly T[], pick: number, act: (item: T) => void): void {
     const item = list[pick % list.length]
     if (item !== undefined) act(item)
   }
 
-  #post (from: string, to: string, message: Message): void {
+  #addFlight (from: string, to: string, message: Message): void {
     this.#flights.push({ from, to, incarnation: this.#processes.get(to as Id)?.self.incarnation ?? 0, message })
   }
 
-  #deliver ({ from, to, incarnation, message }: Flight): void {
+  #dispatch ({ from, to, incarnation, message }: Flight): void {
     const process = this.#processes.get(to as Id)
     if (process === undefined) return this.#noteAnswer(message)
     // A connection ends with its process, so nothing reaches a later incarnation.
-    if (process.self.incarnation === incarnation) this.#apply(to as Id, process.receive(message, from))
+    if (process.self.incarnation === incarnation) this.#applyEffects(to as Id, process.handle(message, from))
   }
 
-  #apply (id: Id, effects: readonly Effect[]): void {
+  #applyEffects (id: Id, effects: readonly Effect[]): void {
     const process = this.#processes.get(id)!
     for (const effect of effects) {
-      if (effect.kind === 'send') this.#post(id, effect.peer, effect.message)
+      if (effect.kind === 'send') this.#addFlight(id, effect.peer, effect.message)
       if (effect.kind === 'run') this.#noteRun(id, process, effect.work)
     }
     if (id === 'h1') this.#successor = process.kernel.port('outcomes').getMovedTo() as Id | undefined ?? this.#successor
@@ -131,15 +131,15 @@
     if (this.#stale.has(work.workId)) this.faults.push(`${work.workId} waited before a pause and ran after it`)
   }
 
-  #end (run: { readonly id: Id, readonly process: Process, readonly work: Submit }, result: 'whole' | 'broken' | 'unsent'): void {
+  #stopRun (run: { readonly id: Id, readonly process: Process, readonly work: Submit }, result: 'whole' | 'broken' | 'unsent'): void {
     const { id, process, work } = run
     this.#running.splice(this.#running.indexOf(run), 1)
     if (process !== this.#processes.get(id)) return
     if (result === 'unsent') this.#runsByKey.get(work.key!.text)!.splice(this.#runsByKey.get(work.key!.text)!.indexOf(work.bodyHash), 1)
-    if (result !== 'whole') return this.#apply(id, process.dispatch({ kind: 'endpoint-failed', workId: work.workId, sent: result !== 'unsent' }))
-    this.#apply(id, process.dispatch({ kind: 'endpoint-head', workId: work.workId, status: 200, headers: [] }))
-    for (const text of [work.key!.text, work.bodyHash]) this.#apply(id, process.dispatch({ kind: 'endpoint-chunk', workId: work.workId, data: Buffer.from(text) }))
-    this.#apply(id, process.dispatch({ kind: 'endpoint-ended', workId: work.workId }))
+    if (result !== 'whole') return this.#applyEffects(id, process.dispatch({ kind: 'endpoint-failed', workId: work.workId, sent: result !== 'unsent' }))
+    this.#applyEffects(id, process.dispatch({ kind: 'endpoint-head', workId: work.workId, status: 200, headers: [] }))
+    for (const text of [work.key!.text, work.bodyHash]) this.#applyEffects(id, process.dispatch({ kind: 'endpoint-chunk', workId: work.workId, data: Buffer.from(text) }))
+    this.#applyEffects(id, process.dispatch({ kind: 'endpoint-ended', workId: work.workId }))
   }
 
   #wait (ms: number): void {
@@ -147,13 +147,13 @@
       for (const [id, process] of this.#processes) {
         process.nowMs += Math.min(left, TICK_MS)
         // Entries send heartbeats, so that no attempt is dropped as silent.
-        for (const entry of ['e0', 'e1', 'e2']) process.receive({ kind: 'heartbeat', incarnation: 1, configVersion: 1 }, entry)
-        this.#apply(id, process.dispatch({ kind: 'tick' }))
+        for (const entry of ['e0', 'e1', 'e2']) process.handle({ kind: 'heartbeat', incarnation: 1, configVersion: 1 }, entry)
+        this.#applyEffects(id, process.dispatch({ kind: 'tick' }))
       }
     }
   }
 
-  #pause (ms: number): void {
+  #stopClocks (ms: number): void {
     const running = new Set(this.#running.map(run => run.work.workId))
     for (const { work } of this.#attempts) if (!running.has(work.workId) && this.#isHeld(work.workId)) this.#stale.add(work.workId)
     for (const process of this.#processes.values()) process.nowMs += ms
@@ -164,7 +164,7 @@
     return !this.#flights.some(({ message }) => message.kind === 'submit' && message.workId === workId)
   }
 
-  #kill (id: Id): void {
+  #stopProcess (id: Id): void {
     const { self, nowMs } = this.#processes.get(id)!
     const process = new Process(buildRef(id, 'endpoint', 'a', self.incarnation + 1))
     process.nowMs = nowMs
