--- /dev/null
+++ b/bench/admission-model.ts
@@ -0,0 +1,153 @@
+/** Admission alone in kernel time, and the plain queue that it is compared with. */
+
+import type { EndpointSpec } from '../src/kernel/document.js'
+import { EMPTY_CONFIGURATION } from '../src/kernel/document.js'
+import type { Effect } from '../src/kernel/effects.js'
+import type { KernelEvent } from '../src/kernel/events.js'
+import type { Context } from '../src/kernel/plugin.js'
+import type { Ports } from '../src/kernel/ports.js'
+import { Random } from '../src/kernel/random.js'
+import { Admission } from '../src/plugins/admission/plugin.js'
+import type { PriorityClass, ProcessRef, Submit } from '../src/protocol/messages.js'
+
+/** What a policy decides on: starts and refusals of offered work. */
+export interface Decisions {
+  readonly start: (work: Submit) => void
+  readonly refuse: (workId: string) => void
+}
+
+/** Admission of one endpoint. */
+export interface Policy {
+  readonly name: string
+  dispatch (event: KernelEvent, nowMs: number): void
+}
+
+/** Limits of one endpoint and its queue. */
+export interface Limits {
+  readonly warmCap: number
+  readonly coldCap: number
+  readonly queueMax: number
+  readonly teamShareMax: number
+}
+
+const SELF: ProcessRef = { id: 'h', role: 'endpoint', domain: 'a', host: 'h', address: '', incarnation: 1 }
+
+/**
+ * @param limits - limits of the endpoint
+ * @param decisions - called for each start and refusal
+ * @returns the product's admission plug-in
+ */
+export function createAdmission (limits: Limits, decisions: Decisions): Policy {
+  const admission = Admission.create()
+  const spec: EndpointSpec = { ...SELF, service: 's', peerAddress: '', checksFencing: false, warmCap: limits.warmCap, coldCap: limits.coldCap }
+  const profile = { name: 'p', priority: 'normal' as const, idempotency: 'always' as const, deadlineMs: 0, attemptsMax: 1, backoffBaseMs: 1, ...limits }
+  const ports: Partial<Ports> = {
+    quarantine: { isRefused: () => false, isSuspect: () => false, isSuspectInFlight: () => false },
+    configuration: {
+      getCurrent: () => EMPTY_CONFIGURATION,
+      getInForceSinceMs: () => 0,
+      findService: () => undefined,
+      findServiceByModel: () => undefined,
+      findProfile: () => profile,
+      findTeam: () => undefined,
+      findEndpoint: () => spec,
+      listEndpoints: () => [spec],
+      isInService: () => true,
+      listPartHashes: () => []
+    }
+  }
+  const context = {
+    random: Random.create(1),
+    self: SELF,
+    emit: (effect: Effect) => { if (effect.kind === 'run') decisions.start(effect.work) },
+    raise: (event: KernelEvent) => { if (event.kind === 'work-refused') decisions.refuse(event.workId) },
+    port: <N extends keyof Ports>(name: N): Ports[N] => ports[name] as Ports[N],
+    findPort: <N extends keyof Ports>(name: N): Ports[N] | undefined => ports[name]
+  } satisfies Omit<Context, 'nowMs'>
+  return { name: 'admission', dispatch: (event, nowMs) => { admission.handle(event, { ...context, nowMs }) } }
+}
+
+/**
+ * @param limits - warm cap and bound of the queue
+ * @param decisions - called for each start and refusal
+ * @returns a bounded first-in-first-out queue with the warm cap
+ */
+export function createPlainQueue (limits: Limits, decisions: Decisions): Policy {
+  const waiting: Submit[] = []
+  let running = 0
+  return {
+    name: 'plain queue',
+    dispatch: event => {
+      if (event.kind === 'work-offered' && waiting.length >= limits.queueMax) decisions.refuse(event.work.workId)
+      else if (event.kind === 'work-offered') waiting.push(event.work)
+      if (event.kind === 'endpoint-ended') running -= 1
+      while (running < limits.warmCap && waiting.length > 0) {
+        running += 1
+        decisions.start(waiting.shift()!)
+      }
+    }
+  }
+}
+
+/**
+ * @param workId - id of the work
+ * @param team - team name
+ * @param priority - class; names the profile too
+ * @param timeLeftMs - deadline in ms from the offer
+ * @param queueMax - bound of the profile's queue
+ * @returns work for an offer
+ */
+export function buildWork (workId: string, team: string, priority: PriorityClass, timeLeftMs: number, queueMax: number): Submit {
+  return {
+    kind: 'submit',
+    workId,
+    requestId: workId,
+    team,
+    teamWeight: 1,
+    service: 's',
+    terms: { profile: priority, priority, idempotent: true, queueMax },
+    bodyHash: '',
+    fingerprint: workId,
+    method: 'POST',
+    path: '/',
+    headers: [],
+    body: new Uint8Array(),
+    timeLeftMs,
+    configVersion: 1
+  }
+}
+
+/** Timed actions in order of time; equal times in order of addition. */
+export class Agenda {
+  #actions: { readonly atMs: number, readonly order: number, readonly act: () => void }[] = []
+  #order = 0
+  nowMs = 0
+
+  private constructor () {}
+
+  /** @returns an agenda that starts at 0 */
+  static create (): Agenda {
+    return new Agenda()
+  }
+
+  add (atMs: number, act: () => void): void {
+    const action = { atMs, order: this.#order++, act }
+    let low = 0
+    let high = this.#actions.length
+    while (low < high) {
+      const middle = (low + high) >> 1
+      if (this.#actions[middle]!.atMs > atMs) low = middle + 1
+      else high = middle
+    }
+    this.#actions.splice(low, 0, action)
+  }
+
+  /** Runs every action up to a time, later ones that they add included. */
+  run (untilMs: number): void {
+    for (let next = this.#actions.at(-1); next !== undefined && next.atMs <= untilMs; next = this.#actions.at(-1)) {
+      this.#actions.pop()
+      this.nowMs = next.atMs
+      next.act()
+    }
+  }
+}
--- /dev/null
+++ b/bench/cold.ts
@@ -0,0 +1,119 @@
+/**
+ * Peak work at an endpoint that becomes cold without warning under load from 1,
+ * 8 and 610 entries: admission at the endpoint process, a plain queue there, and
+ * a limit at each entry.
+ */
+
+import { Agenda, buildWork, createAdmission, createPlainQueue } from './admission-model.js'
+import type { Decisions, Limits, Policy } from './admission-model.js'
+import type { BenchOptions, BenchResult } from './result.js'
+import { Random } from '../src/kernel/random.js'
+
+const LIMITS: Limits = { warmCap: 32, coldCap: 4, queueMax: 200, teamShareMax: 1 }
+const SERVICE_MS = 400
+const FIRST_BYTE_MS = 100
+/** A cold endpoint answers this many times slower. */
+const COLD_SLOWDOWN = 6
+/** The endpoint becomes cold at this time. */
+const COLD_AT_MS = 30_000
+/** Reports reach the process this late. */
+const REPORT_LAG_MS = 500
+const WARM_UP_MS = 30_000
+const DURATION_MS = 75_000
+const TICK_MS = 100
+/** Requests per second of all entries: above what the warm endpoint can take. */
+const RATE = 100
+const DEADLINE_MS = 60_000
+
+/** How the endpoint becomes cold: with a crash that loses its work, or without a sign but slow answers. */
+type Cause = 'restart' | 'silent'
+
+/** True warmth of the endpoint, from 0 to 1. */
+function getWarmth (nowMs: number): number {
+  return nowMs < COLD_AT_MS ? 1 : Math.min(1, (nowMs - COLD_AT_MS) / WARM_UP_MS)
+}
+
+function getTrueCap (nowMs: number): number {
+  return LIMITS.coldCap + Math.floor((LIMITS.warmCap - LIMITS.coldCap) * getWarmth(nowMs))
+}
+
+/** Each entry keeps its own share of the warm cap, but at least one request. */
+function createEntryLimits (entries: number): (limits: Limits, decisions: Decisions) => Policy {
+  return (limits, decisions) => {
+    const share = Math.max(1, Math.floor(limits.warmCap / entries))
+    const queues = Array.from({ length: entries }, () => createPlainQueue({ ...limits, warmCap: share }, decisions))
+    return {
+      name: 'limit at each entry',
+      dispatch: (event, nowMs) => {
+        const workId = event.kind === 'work-offered' ? event.work.workId : 'workId' in event ? event.workId : undefined
+        if (workId !== undefined) queues[Number(workId) % entries]!.dispatch(event, nowMs)
+      }
+    }
+  }
+}
+
+/**
+ * @param options - seed
+ * @returns peaks of work in hand against the endpoint's true cap
+ */
+export function run (options: BenchOptions): BenchResult {
+  const rows = (['restart', 'silent'] as const).flatMap(cause => [1, 8, 610].flatMap(entries =>
+    [createAdmission, createPlainQueue, createEntryLimits(entries)].map(create => [cause, entries, ...computeRow(create, entries, cause, options.seed)])))
+  return {
+    name: 'cold start under load',
+    columns: ['cause', 'entries', 'policy', 'peak warm', 'largest excess over the true cap', 'ms over the true cap', 'starts over the true cap', 'finished (excess without penalty)'],
+    rows
+  }
+}
+
+function computeRow (create: (limits: Limits, decisions: Decisions) => Policy, entries: number, cause: Cause, seed: number): readonly (string | number)[] {
+  const random = Random.create(seed)
+  const agenda = Agenda.create()
+  const running = new Set<string>()
+  let [peakWarm, excess, overMs, startsOver, finished] = [0, 0, 0, 0, 0]
+  const notePeaks = (): void => {
+    if (agenda.nowMs < COLD_AT_MS) peakWarm = Math.max(peakWarm, running.size)
+    excess = Math.max(excess, running.size - getTrueCap(agenda.nowMs))
+    if (running.size > getTrueCap(agenda.nowMs)) startsOver += 1
+  }
+  const policy = create(LIMITS, {
+    start: ({ workId }) => {
+      running.add(workId)
+      notePeaks()
+      const slowdown = getWarmth(agenda.nowMs) < 0.5 ? COLD_SLOWDOWN : 1
+      agenda.add(agenda.nowMs + FIRST_BYTE_MS * slowdown, () => { if (running.has(workId)) policy.dispatch({ kind: 'endpoint-head', workId, status: 200, headers: [] }, agenda.nowMs) })
+      agenda.add(agenda.nowMs + SERVICE_MS * slowdown, () => {
+        if (!running.delete(workId)) return
+        finished += 1
+        policy.dispatch({ kind: 'endpoint-ended', workId }, agenda.nowMs)
+      })
+    },
+    refuse: () => {}
+  })
+  const offer = (index: number): void => {
+    // Each entry sends in turn, so all of them take part.
+    const workId = String(index)
+    policy.dispatch({ kind: 'work-offered', work: buildWork(workId, `t${index % entries}`, 'normal', DEADLINE_MS, LIMITS.queueMax) }, agenda.nowMs)
+    agenda.add(agenda.nowMs - 1_000 / RATE * Math.log(1 - random.pickFloat()), () => { offer(index + 1) })
+  }
+  const tick = (): void => {
+    const { nowMs } = agenda
+    if (running.size > getTrueCap(nowMs)) overMs += TICK_MS
+    const seenAtMs = nowMs - REPORT_LAG_MS
+    policy.dispatch({ kind: 'endpoint-reported', report: { healthy: true, startId: cause === 'silent' || seenAtMs < COLD_AT_MS ? 's1' : 's2', warmth: cause === 'silent' ? 1 : getWarmth(seenAtMs) } }, nowMs)
+    policy.dispatch({ kind: 'tick' }, nowMs)
+    agenda.add(nowMs + TICK_MS, tick)
+  }
+  agenda.add(0, tick)
+  agenda.add(0, () => { offer(0) })
+  if (cause === 'restart') {
+    agenda.add(COLD_AT_MS, () => {
+      const lost = [...running]
+      running.clear()
+      policy.dispatch({ kind: 'endpoint-crashed', crashId: 'c' }, agenda.nowMs)
+      for (const workId of lost) policy.dispatch({ kind: policy.name === 'admission' ? 'endpoint-failed' : 'endpoint-ended', workId, sent: true }, agenda.nowMs)
+    })
+  }
+  agenda.run(DURATION_MS)
+  return [policy.name, peakWarm, excess, overMs, startsOver, finished]
+}
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -7,6 +7,8 @@
 import type { Bench } from './result.js'
 
 const LOADERS: Readonly<Record<string, () => Promise<{ readonly run: Bench }>>> = {
+  cold: async () => await import('./cold.js'),
+  overload: async () => await import('./overload.js'),
   drill: async () => await import('./drill.js')
 }
 
--- a/src/plugins/admission/plugin.ts
+++ b/src/plugins/admission/plugin.ts
@@ -59,10 +59,10 @@
         this.#running.remove(event.workId, event.kind === 'endpoint-ended', context.nowMs)
         break
       case 'endpoint-reported':
-        if (this.#warmth.noteReport(event.report)) context.emit({ kind: 'log', event: 'endpoint-cold', fields: { reason: 'new-start' } })
+        if (this.#warmth.noteReport(event.report, context.nowMs)) writeCold('new-start', context)
         break
       case 'endpoint-crashed':
-        this.#warmth.noteCrash()
+        this.#warmth.noteCrash(context.nowMs)
         this.#refuseAll('endpoint-failed', context)
         break
       case 'tick':
@@ -82,7 +82,7 @@
 
   #handleTick (context: Context): void {
     this.#warmth.noteTick(context.nowMs)
-    if (this.#warmth.isSlow(this.#running.getSilenceMs(context.nowMs))) this.#noteSlow(context)
+    if (this.#warmth.noteSilence(this.#running.listSilenceMs(context.nowMs))) writeCold('first-byte', context)
     if (this.#outSinceMs !== undefined && context.nowMs - this.#outSinceMs >= OUT_DRAIN_MS) this.#refuseAll('domain-out', context)
     for (const waiting of this.#queue.list()) this.#checkDeadline(waiting, context)
   }
@@ -142,12 +142,7 @@
   #noteFirstByte (workId: string, context: Context): void {
     const elapsedMs = this.#running.noteFirstByte(workId, context.nowMs)
     if (elapsedMs === undefined) return
-    if (this.#warmth.isSlow(elapsedMs)) this.#noteSlow(context)
-    this.#warmth.noteFirstByte(elapsedMs)
-  }
-
-  #noteSlow (context: Context): void {
-    if (this.#warmth.noteSlow()) context.emit({ kind: 'log', event: 'endpoint-cold', fields: { reason: 'first-byte' } })
+    if (this.#warmth.noteFirstByte(elapsedMs)) writeCold('first-byte', context)
   }
 
   #refuseAll (error: ErrorKind, context: Context): void {
@@ -163,4 +158,8 @@
   }
 }
 
+function writeCold (reason: string, context: Context): void {
+  context.emit({ kind: 'log', event: 'endpoint-cold', fields: { reason } })
+}
+
 registerPlugin({ name: 'admission', roles: ['endpoint'], create: () => Admission.create() })
--- a/src/plugins/admission/running.ts
+++ b/src/plugins/admission/running.ts
@@ -45,9 +45,9 @@
     return nowMs - run.startedAtMs
   }
 
-  /** @returns the longest present wait for a first byte in ms */
-  getSilenceMs (nowMs: number): number {
-    return Math.max(0, ...[...this.#runs.values()].filter(run => !run.hasFirstByte).map(run => nowMs - run.startedAtMs))
+  /** @returns the present waits for a first byte in ms */
+  listSilenceMs (nowMs: number): readonly number[] {
+    return [...this.#runs.values()].filter(run => !run.hasFirstByte).map(run => nowMs - run.startedAtMs)
   }
 
   /** Takes out work that ended; only whole answers count for the service time. */
--- a/src/plugins/admission/warmth.ts
+++ b/src/plugins/admission/warmth.ts
@@ -4,16 +4,23 @@
 
 /** Weight of a new observation in the moving averages. */
 const AVERAGE_WEIGHT = 0.1
+/**
+ * Weight of a first-byte time that shows a cold start. Small, so that a cold
+ * start does not become the new average; not 0, so that a lasting change does.
+ */
+const SLOW_WEIGHT = 0.002
 /** First-byte time above this multiple of its average shows a cold endpoint. */
 const COLD_FACTOR = 4
 /** Shorter first-byte times are not taken as a sign of a cold start. */
 const COLD_FLOOR_MS = 200
 /** Observations before the average counts. */
 const OBSERVATIONS_MIN = 10
-/** Time in ms from cold to warm without traffic. */
-const RAMP_MS = 60_000
-/** Warmth gained by each first byte in normal time. */
-const RAMP_STEP = 0.1
+/** Slow first bytes in a row that show a cold start; single slow requests are common. */
+const SLOW_RUN = 3
+/** Time in ms from cold to warm without a slow first byte. */
+const RAMP_MS = 30_000
+/** Time in ms after a crash for which a report of the crashed start is taken as late. */
+const LATE_REPORT_MS = 2_000
 
 /** Warmth of one endpoint: the lower of its report and of what was observed here. */
 export class Warmth {
@@ -23,7 +30,9 @@
   #healthy = true
   #firstByteMs = 0
   #observations = 0
+  #slowRun = 0
   #tickMs: number | undefined
+  #crashedAtMs = -Infinity
 
   private constructor () {}
 
@@ -44,7 +53,9 @@
   }
 
   /** @returns whether the endpoint was started anew since the last report */
-  noteReport (report: EndpointReport): boolean {
+  noteReport (report: EndpointReport, nowMs: number): boolean {
+    // A late report of the crashed start would call the endpoint healthy and warm again.
+    if (report.startId === this.#startId && nowMs - this.#crashedAtMs < LATE_REPORT_MS) return false
     const isNewStart = this.#startId !== undefined && this.#startId !== report.startId
     // Reports lag: a warm report right after a new start may describe the old one.
     if (isNewStart) this.#observed = 0
@@ -54,7 +65,8 @@
     return isNewStart
   }
 
-  noteCrash (): void {
+  noteCrash (nowMs: number): void {
+    this.#crashedAtMs = nowMs
     this.#healthy = false
     this.#observed = 0
   }
@@ -70,19 +82,32 @@
     return this.#observations >= OBSERVATIONS_MIN && elapsedMs > Math.max(COLD_FLOOR_MS, COLD_FACTOR * this.#firstByteMs)
   }
 
-  /** @returns whether the endpoint was taken for warmer before */
-  noteSlow (): boolean {
+  /**
+   * @param elapsedMs - time to the first byte
+   * @returns whether it shows a cold start of an endpoint that was taken for warmer
+   */
+  noteFirstByte (elapsedMs: number): boolean {
+    const isSlow = this.isSlow(elapsedMs)
+    this.#slowRun = isSlow ? this.#slowRun + 1 : 0
+    this.#firstByteMs += (elapsedMs - this.#firstByteMs) * (this.#observations === 0 ? 1 : isSlow ? SLOW_WEIGHT : AVERAGE_WEIGHT)
+    this.#observations += 1
+    return this.#checkSlow(this.#slowRun)
+  }
+
+  /**
+   * @param elapsedMs - present waits for a first byte
+   * @returns whether they show a cold start of an endpoint that was taken for warmer
+   */
+  noteSilence (elapsedMs: readonly number[]): boolean {
+    const slow = elapsedMs.filter(elapsed => this.isSlow(elapsed)).length
+    return slow > 0 && this.#checkSlow(this.#slowRun + slow)
+  }
+
+  #checkSlow (slow: number): boolean {
+    if (slow < SLOW_RUN) return false
+    this.#slowRun = 0
     const wasWarm = this.#observed > 0
     this.#observed = 0
     return wasWarm
   }
-
-  noteFirstByte (elapsedMs: number): void {
-    if (this.isSlow(elapsedMs)) this.noteSlow()
-    else this.#observed = Math.min(1, this.#observed + RAMP_STEP)
-    // Bounded, so that one cold start does not raise the average enough to hide the next.
-    const bounded = this.#observations >= OBSERVATIONS_MIN ? Math.min(elapsedMs, Math.max(COLD_FLOOR_MS, COLD_FACTOR * this.#firstByteMs)) : elapsedMs
-    this.#firstByteMs += (bounded - this.#firstByteMs) * (this.#observations === 0 ? 1 : AVERAGE_WEIGHT)
-    this.#observations += 1
-  }
 }
