Share the record table among teams; keep results that overtake their table

Cause: keys refused under overload are recorded as closed, so one team could fill the 20,000 records for 15 minutes and every key of the others would be refused; a handed-over result that arrived before its table was dropped. Change: a team may hold as many records as are free; such a result is sent again; kept answers are bounded to 8 MiB, because the process has 64 MB in all.

--- a/src/plugins/outcomes/intake.ts
+++ b/src/plugins/outcomes/intake.ts
@@ -76,7 +76,7 @@
     const stale = place === undefined ? undefined : findAgeRefusal(work, place.table, context)
     if (stale !== undefined) return sendRefused(to, stale, context)
     // Without a record the key cannot be closed, so nothing permanent can be said.
-    if (place !== undefined && records.isFull()) return sendRefused(to, { error: 'records-full', outcome: 'unknown' }, context)
+    if (place !== undefined && records.isFull(work.team)) return sendRefused(to, { error: 'records-full', outcome: 'unknown' }, context)
     const error = peers.isCancelled(work.workId) ? 'cancelled' : gate === 'refused' ? 'leaving' : this.#findError(work, context)
     if (error === undefined) return executions.add(work, place, to, context)
     records.update(place, work, { kind: 'closed' })
--- a/src/plugins/outcomes/leave.ts
+++ b/src/plugins/outcomes/leave.ts
@@ -128,6 +128,8 @@
 
   handleAck (peer: string, ack: HandoverAck, context: Context): void {
     if (peer !== this.#successor?.id) return
+    // A result that overtook the table is sent again after it.
+    if (ack.batch > 0 && !ack.accepted && this.#outgoing.some(({ batch }) => batch === 0)) return
     this.#outgoing = this.#outgoing.filter(({ table, batch }) => !(batch === ack.batch && table.home === ack.home && table.incarnation === ack.incarnation))
     if (this.#stage.kind !== 'searching') return
     if (ack.batch === 0 && !ack.accepted) {
--- a/src/plugins/outcomes/records.ts
+++ b/src/plugins/outcomes/records.ts
@@ -8,7 +8,7 @@
 /** Largest count of records of one process. */
 export const RECORDS_MAX = 20_000
 /** Largest size of all kept answers of one process. */
-const ANSWERS_MAX_BYTES = 16 * 1024 * 1024
+const ANSWERS_MAX_BYTES = 8 * 1024 * 1024
 
 interface TakenTable {
   readonly table: RecordTable
@@ -46,8 +46,16 @@
     return this.listTables().reduce((sum, table) => sum + table.size, 0)
   }
 
-  isFull (): boolean {
-    return this.countRecords() >= RECORDS_MAX
+  /**
+   * A team may hold as many records as are free, so that a team whose keys are
+   * all refused under overload cannot fill the table for the others.
+   *
+   * @param team - team of a new key
+   * @returns whether the key cannot be recorded
+   */
+  isFull (team: string): boolean {
+    const held = this.listTables().reduce((sum, table) => sum + table.countTeam(team), 0)
+    return held >= RECORDS_MAX - this.countRecords()
   }
 
   addTaken (table: RecordTable, nowMs: number): void {
--- a/src/plugins/outcomes/table.ts
+++ b/src/plugins/outcomes/table.ts
@@ -11,6 +11,9 @@
 /** Larger answers are not kept. */
 export const ANSWER_MAX_BYTES = 64 * 1024
 
+/** Separates the parts of a scope; no team, service or key contains it. */
+const SCOPE_SEPARATOR = '\n'
+
 /** A complete answer. */
 export interface Answer {
   readonly status: number
@@ -44,6 +47,7 @@
   readonly #firstWindow: number
   readonly #records = new Map<string, KeyRecord>()
   readonly #scopesByWindow = new Map<number, Set<string>>()
+  readonly #countByTeam = new Map<string, number>()
   #answerBytes = 0
 
   private constructor (home: string, incarnation: number, startMs: number, firstWindow: number) {
@@ -88,12 +92,18 @@
     return age > START_LIMIT_WINDOWS ? 'past-start' : 'startable'
   }
 
+  countTeam (team: string): number {
+    return this.#countByTeam.get(team) ?? 0
+  }
+
   find (scope: string): KeyRecord | undefined {
     return this.#records.get(scope)
   }
 
   update (scope: string, record: KeyRecord): void {
-    this.#answerBytes += countBytes(record) - countBytes(this.#records.get(scope))
+    const before = this.#records.get(scope)
+    this.#answerBytes += countBytes(record) - countBytes(before)
+    if (before === undefined) this.#updateCount(scope, 1)
     this.#records.set(scope, record)
     const scopes = this.#scopesByWindow.get(record.window)
     if (scopes === undefined) this.#scopesByWindow.set(record.window, new Set([scope]))
@@ -104,6 +114,7 @@
     const record = this.#records.get(scope)
     if (record === undefined) return
     this.#answerBytes -= countBytes(record)
+    this.#updateCount(scope, -1)
     this.#records.delete(scope)
     this.#scopesByWindow.get(record.window)?.delete(scope)
   }
@@ -141,6 +152,13 @@
   list (): readonly (readonly [scope: string, record: KeyRecord])[] {
     return [...this.#records]
   }
+
+  #updateCount (scope: string, change: number): void {
+    const team = scope.slice(0, scope.indexOf(SCOPE_SEPARATOR))
+    const count = this.countTeam(team) + change
+    if (count === 0) this.#countByTeam.delete(team)
+    else this.#countByTeam.set(team, count)
+  }
 }
 
 function countBytes (record: KeyRecord | undefined): number {
@@ -155,5 +173,5 @@
  * @returns the text under which the key is recorded
  */
 export function formatScope (team: string, service: string, key: RequestKey): string {
-  return `${team}\n${service}\n${key.text}`
+  return [team, service, key.text].join(SCOPE_SEPARATOR)
 }
