--- a/bench/main.ts
+++ b/bench/main.ts
@@ -8,8 +8,9 @@
 
 const LOADERS: Readonly<Record<string, () => Promise<{ readonly run: Bench }>>> = {
   cold: async () => await import('./cold.js'),
+  drill: async () => await import('./drill.js'),
   overload: async () => await import('./overload.js'),
-  drill: async () => await import('./drill.js')
+  path: async () => await import('./path.js')
 }
 
 const cli = cac('bench')
