--- a/src/plugins/outcomes/leave.ts
+++ b/src/plugins/outcomes/leave.ts
@@ -100,7 +100,6 @@
     if (this.isLeaving()) return
     this.#stage = { kind: 'draining', sinceMs: context.nowMs }
     this.#deadlineAtMs = context.nowMs + deadlineMs
-    context.emit({ kind: 'log', event: 'process-leaving', fields: { running: this.#executions.size } })
     this.check(context)
   }
 
