--- a/src/plugins/outcomes/records.ts
+++ b/src/plugins/outcomes/records.ts
@@ -10,6 +10,9 @@
 /** Largest size of all kept answers of one process. */
 const ANSWERS_MAX_BYTES = 8 * 1024 * 1024
 
+/** Handed-over tables whose names are remembered after they were dropped. */
+const TAKEN_NAMES_MAX = 10_000
+
 interface TakenTable {
   readonly table: RecordTable
   /** Window of the table when it was taken over. */
@@ -20,6 +23,7 @@
 export class Records {
   readonly own: RecordTable
   readonly #taken: TakenTable[] = []
+  readonly #takenNames = new Set<string>()
 
   private constructor (own: RecordTable) {
     this.own = own
@@ -60,6 +64,16 @@
 
   addTaken (table: RecordTable, nowMs: number): void {
     this.#taken.push({ table, fromWindow: table.getWindow(nowMs) })
+    this.#takenNames.add(formatName(table))
+    for (const oldest of this.#takenNames) {
+      if (this.#takenNames.size <= TAKEN_NAMES_MAX) return
+      this.#takenNames.delete(oldest)
+    }
+  }
+
+  /** @returns whether the home's table was taken over before; taking it again would reopen its keys */
+  hasTaken (home: Pick<RequestKey, 'home' | 'incarnation'>): boolean {
+    return this.#takenNames.has(formatName(home))
   }
 
   /** Records the state of a key; work without a key has no record. */
@@ -78,3 +92,7 @@
     this.#taken.splice(0, this.#taken.length, ...kept)
   }
 }
+
+function formatName ({ home, incarnation }: Pick<RequestKey, 'home' | 'incarnation'>): string {
+  return `${incarnation} ${home}`
+}
--- a/src/plugins/outcomes/takeover.ts
+++ b/src/plugins/outcomes/takeover.ts
@@ -35,7 +35,7 @@
     const table = this.#records.findTable(message)
     if (message.batch > 0) return this.#handleResults(peer, message, table, context)
     if (table !== undefined) return sendAck(peer, message, table !== this.#records.own, context)
-    if (isLeaving) return sendAck(peer, message, false, context)
+    if (isLeaving || this.#records.hasTaken(message)) return sendAck(peer, message, false, context)
     const id = `${message.home} ${message.incarnation}`
     const parts = this.#pending.get(id) ?? new Map<number, Handover>()
     if (parts.size === 0 && this.#pending.size >= PENDING_MAX) return sendAck(peer, message, false, context)
--- a/test/endpoint/sessions.test.ts
+++ b/test/endpoint/sessions.test.ts
@@ -3,7 +3,7 @@
 import test from 'ava'
 import { Process, TERMS, World, buildKey, buildRef, buildSubmit } from './harness.js'
 import type { Effect } from '../../src/kernel/effects.js'
-import type { RequestKey } from '../../src/protocol/messages.js'
+import type { Handover, RequestKey } from '../../src/protocol/messages.js'
 
 const key = buildKey('k')
 const query = (of: RequestKey) => ({ kind: 'query' as const, queryId: `q-${of.text}`, team: 't', service: 'counter', key: of })
@@ -164,6 +164,17 @@
   t.snapshot({ leaver: leaver.lines, successor: successor.lines })
 })
 
+// Guards against a repeated handover that reopens keys after their records were dropped; found by seed 2 of the property.
+test.serial('handover repeated after the record time', t => {
+  const home = new Process(buildRef('h2'))
+  const handover: Handover = { kind: 'handover', home: 'h1', incarnation: 1, service: 'counter', window: 0, batch: 0, part: 0, parts: 1, records: [] }
+  home.handle(handover, 'h1')
+  home.waitWindows(35)
+  home.handle(handover, 'h1')
+  home.handle(buildSubmit('w1', { key }))
+  t.snapshot(home.lines)
+})
+
 // Guards against an untrue "not run" or a stuck exit when nobody can take the records.
 test.serial('planned leave without a successor', t => {
   World.current.endpoints = World.current.endpoints.slice(0, 1)
