--- a/test/entry/membership.test.ts
+++ b/test/entry/membership.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava'
 import fc from 'fast-check'
+import type { Configuration } from '../../src/kernel/document.js'
 import type { ProcessRef } from '../../src/protocol/messages.js'
 import { Network } from './network.js'
 import { Session, buildConfiguration, buildProcess } from './session.js'
@@ -9,11 +10,15 @@
   return Array.from({ length: count }, (_, index) => buildProcess(`entry-${String(index).padStart(3, '0')}`, 'entry', `d${index % 9}`, 1_760_000_000_000 + index))
 }
 
+const DOMAINS = Array.from({ length: 9 }, (_, index) => ({ name: `d${index}`, region: `r${index % 3}`, state: 'in' as const }))
+
+function buildSpecs (entries: readonly ProcessRef[]): Configuration['entries'] {
+  return entries.map(({ id, host, domain, address }) => ({ id, host, domain, callerUrl: `http://${id}`, peerAddress: address }))
+}
+
 function start (entries: readonly ProcessRef[], options: { seed: number, stepMs: number, measureBytes?: boolean }): Network {
   const network = Network.create(options)
-  const specs = entries.map(({ id, host, domain, address }) => ({ id, host, domain, callerUrl: `http://${id}`, peerAddress: address }))
-  const domains = Array.from({ length: 9 }, (_, index) => ({ name: `d${index}`, region: `r${index % 3}`, state: 'in' as const }))
-  const read = buildRead(buildConfiguration(1, { entries: specs, domains, endpoints: [] }))
+  const read = buildRead(buildConfiguration(1, { entries: buildSpecs(entries), domains: DOMAINS, endpoints: [] }))
   for (const entry of entries) network.add(entry, entries.slice(0, 3))
   for (const entry of entries) network.dispatch(entry.id, read)
   return network
@@ -73,7 +78,7 @@
   t.pass()
 })
 
-// Guards against control traffic that grows with the size of the system beyond 3 KB/s a node.
+// Guards against control traffic that grows with the size of the system beyond 3 KB/s a node, and against a configuration that takes over 15 s.
 test('610 members stay within 3 KB/s a node', t => {
   const entries = buildEntries(610)
   const network = start(entries, { seed: 1, stepMs: 200, measureBytes: true })
@@ -84,12 +89,21 @@
     return Math.max(...[...network.nodes.values()].map(({ sentBytes }) => sentBytes * 1000 / ms))
   }
   const quiet = measure(10_000)
+  const second = buildRead(buildConfiguration(2, { entries: buildSpecs(entries), domains: DOMAINS, endpoints: [] }))
+  network.dispatch('entry-300', second)
+  const startMs = network.nowMs
+  const hasAll = (): boolean => [...network.nodes.values()].every(({ kernel }) => kernel.port('configuration').getCurrent().version === 2)
+  while (!hasAll() && network.nowMs < startMs + 15_000) network.run(200)
+  t.log(`configuration from one entry to all ${entries.length}: ${network.nowMs - startMs} ms`)
+  t.true(hasAll())
   for (let index = 0; index < 6; index += 1) network.kill(`entry-${String(100 + index * 50)}`)
   const busy = measure(10_000)
   network.run(10_000)
   const counts = listViews(network).map(view => view.split(',').length)
 
   t.log(`sent per node, largest: quiet ${Math.round(quiet)} B/s, after 6 deaths ${Math.round(busy)} B/s; largest updates ${network.largestUpdates} B`)
+  const watchers = [...network.nodes.values()].filter(({ up, kernel }) => up && kernel.port('membership').isWatcher())
+  t.is(watchers.length, 6)
   t.true(counts.every(count => count === 604))
   t.true(quiet <= 3_000 && busy <= 3_000)
   t.true(network.largestUpdates <= 600)
