Spread moves of homes between entries

An entry outside the subset that is connected to a leaving home never learned its successor and answered "home lost" for its keys after the leaver had gone. Probes carry up to 3 moves learned in the last 30 s, within the same 600 bytes.

--- a/src/kernel/ports.ts
+++ b/src/kernel/ports.ts
@@ -2,7 +2,7 @@
 
 import type { Configuration, EndpointSpec, Profile, Service, Team } from './document.js'
 import type { Context } from './plugin.js'
-import type { EndpointState, ProcessRef, RequestKey } from '../protocol/messages.js'
+import type { EndpointState, HomeMove, ProcessRef, RequestKey } from '../protocol/messages.js'
 
 /** The configuration in force. */
 export interface ConfigurationPort {
@@ -87,6 +87,8 @@
 /** Requests in flight at an entry. */
 export interface RequestsPort {
   countInFlight (): number
+  /** Moves of homes that were learned of a short time ago and are to be spread. */
+  listMoves (nowMs: number): readonly HomeMove[]
   /** Requests in flight at one endpoint process; its connection is kept while there are any. */
   countAt (endpoint: string): number
   /** Steps of a recent request; undefined when it is not remembered. */
--- a/src/plugins/membership/members.ts
+++ b/src/plugins/membership/members.ts
@@ -3,9 +3,6 @@
 import type { Context } from '../../kernel/plugin.js'
 import type { MemberUpdate, ProcessRef } from '../../protocol/messages.js'
 
-/** Largest size in bytes of the updates in one message. */
-export const UPDATES_MAX_BYTES = 600
-
 /** Bytes of one encoded update apart from its texts: field names, numbers, length marks. */
 const UPDATE_FIXED_BYTES = 100
 
@@ -122,9 +119,10 @@
    *
    * @param receiver - id of the receiver
    * @param configVersion - version in force here
-   * @returns updates within `UPDATES_MAX_BYTES`
+   * @param maxBytes - largest encoded size of all updates
+   * @returns updates within the size
    */
-  pickUpdates (receiver: string, configVersion: number): readonly MemberUpdate[] {
+  pickUpdates (receiver: string, configVersion: number, maxBytes: number): readonly MemberUpdate[] {
     const ids = [...this.#pending].sort((a, b) => b[1] - a[1]).map(([id]) => id)
     const about = this.#members.get(receiver)
     if (about !== undefined && about.state !== 'alive') ids.unshift(receiver)
@@ -136,7 +134,7 @@
       const update = this.#build(id, configVersion)
       if (update === undefined) continue
       const size = computeUpdateBytes(update)
-      if (bytes + size > UPDATES_MAX_BYTES) break
+      if (bytes + size > maxBytes) break
       bytes += size
       updates.push(update)
       this.#noteSent(id)
--- a/src/plugins/membership/prober.ts
+++ b/src/plugins/membership/prober.ts
@@ -20,6 +20,12 @@
 /** Count of members asked to probe in place of this entry. */
 const INDIRECT_PROBES = 3
 
+/** Largest size in bytes of the updates and moves in one message. */
+const NEWS_MAX_BYTES = 600
+
+/** Bytes of one encoded move apart from its texts. */
+const MOVE_FIXED_BYTES = 40
+
 /** Time in ms for which an indirect probe is worth sending. */
 const RELAY_MS = 3_000
 
@@ -101,7 +107,7 @@
   /** Sends a probe with updates when the member is connected. */
   sendProbe (target: string, sequence: number, context: Context): void {
     if (this.#connections.findView(target) === undefined) return
-    context.emit({ kind: 'send', peer: target, message: { kind: 'probe', sequence, updates: this.#pickUpdates(target, context) } })
+    context.emit({ kind: 'send', peer: target, message: { kind: 'probe', sequence, ...this.#buildNews(target, context) } })
   }
 
   /** Handles the messages of probes. */
@@ -109,7 +115,7 @@
     switch (message.kind) {
       case 'probe': {
         this.#members.applyUpdates(message.updates, context)
-        const answer: Message = { kind: 'probe-ack', sequence: message.sequence, updates: this.#pickUpdates(peer, context) }
+        const answer: Message = { kind: 'probe-ack', sequence: message.sequence, ...this.#buildNews(peer, context) }
         context.emit({ kind: 'send', peer, message: answer })
         break
       }
@@ -124,8 +130,13 @@
     }
   }
 
-  #pickUpdates (receiver: string, context: Context): ReturnType<Members['pickUpdates']> {
-    return this.#members.pickUpdates(receiver, context.port('configuration').getCurrent().version)
+  /** Builds what one message tells: moves of homes first, then updates as far as they fit. */
+  #buildNews (receiver: string, context: Context): Pick<Probe, 'updates' | 'moves'> {
+    const moves = context.findPort('requests')?.listMoves(context.nowMs) ?? []
+    const movesBytes = moves.reduce((sum, { home, to }) => sum + MOVE_FIXED_BYTES + home.length + to.length, 0)
+    const version = context.port('configuration').getCurrent().version
+    const updates = this.#members.pickUpdates(receiver, version, NEWS_MAX_BYTES - movesBytes)
+    return { updates, ...(moves.length === 0 ? {} : { moves }) }
   }
 
   #pickLost (neighbours: readonly string[], context: Context): string | undefined {
@@ -180,7 +191,7 @@
   #answerRelays (peer: string, sequence: number, context: Context): void {
     for (const relay of this.#relays) {
       if (relay.target !== peer || relay.sentSequence !== sequence) continue
-      context.emit({ kind: 'send', peer: relay.requester, message: { kind: 'probe-ack', sequence: relay.sequence, updates: this.#pickUpdates(relay.requester, context) } })
+      context.emit({ kind: 'send', peer: relay.requester, message: { kind: 'probe-ack', sequence: relay.sequence, ...this.#buildNews(relay.requester, context) } })
     }
     this.#relays = this.#relays.filter(relay => relay.sentSequence !== sequence)
   }
--- a/src/plugins/requests/homes.ts
+++ b/src/plugins/requests/homes.ts
@@ -1,9 +1,13 @@
 import type { Context } from '../../kernel/plugin.js'
-import type { ProcessRef, RequestKey } from '../../protocol/messages.js'
+import type { HomeMove, RequestKey } from '../../protocol/messages.js'
 
 /** Time in ms for which a move is remembered: the retention of records and one window. */
 const MOVE_KEPT_MS = 930_000
 
+/** Time in ms for which a move is told to other entries, and the count in one message. */
+const MOVE_SPREAD_MS = 30_000
+const MOVES_PER_MESSAGE = 3
+
 /** Successors followed in a row. */
 const HOPS_MAX = 4
 
@@ -15,9 +19,8 @@
   /** Another incarnation runs in its place. */
   | { readonly kind: 'replaced', readonly id: string }
 
-interface Move {
-  readonly to: string
-  readonly atMs: number
+interface Move extends HomeMove {
+  readonly learnedAtMs: number
 }
 
 /** Homes that handed their keys to a successor. */
@@ -31,17 +34,28 @@
     return new Homes()
   }
 
-  /** Notes the successor that a leaving home reports. */
-  noteMove (process: ProcessRef, to: string, nowMs: number): void {
-    const name = formatHome(process.id, process.incarnation)
+  /** Notes a successor that a leaving home or another entry names. */
+  noteMove (move: HomeMove, nowMs: number): void {
+    const name = formatHome(move.home, move.incarnation)
+    if (this.#moves.get(name)?.to === move.to) return
     this.#moves.delete(name)
-    this.#moves.set(name, { to, atMs: nowMs })
-    for (const [old, move] of this.#moves) {
-      if (nowMs - move.atMs <= MOVE_KEPT_MS) break
+    this.#moves.set(name, { ...move, learnedAtMs: nowMs })
+    for (const [old, { learnedAtMs }] of this.#moves) {
+      if (nowMs - learnedAtMs <= MOVE_KEPT_MS) break
       this.#moves.delete(old)
     }
   }
 
+  /** @returns the latest moves, so that entries without a connection to a leaver learn of it */
+  listFreshMoves (nowMs: number): readonly HomeMove[] {
+    const fresh: HomeMove[] = []
+    for (const { home, incarnation, to, learnedAtMs } of [...this.#moves.values()].reverse()) {
+      if (nowMs - learnedAtMs > MOVE_SPREAD_MS || fresh.length >= MOVES_PER_MESSAGE) break
+      fresh.push({ home, incarnation, to })
+    }
+    return fresh
+  }
+
   /**
    * Finds the process that serves a key, following planned moves.
    *
--- a/src/plugins/requests/plugin.ts
+++ b/src/plugins/requests/plugin.ts
@@ -4,7 +4,7 @@
 import { registerPlugin } from '../../kernel/plugin.js'
 import type { Context, Plugin, PluginOptions } from '../../kernel/plugin.js'
 import type { RequestsPort } from '../../kernel/ports.js'
-import type { Message, ProcessRef } from '../../protocol/messages.js'
+import type { HomeMove, Message, ProcessRef } from '../../protocol/messages.js'
 import { checkRequest } from './admit.js'
 import { handleAnswer, handleQueryAnswer } from './answers.js'
 import { Asks } from './asks.js'
@@ -38,6 +38,7 @@
     this.ports = {
       requests: {
         countInFlight: () => this.#lifecycle.countActive(),
+        listMoves: nowMs => this.#homes.listFreshMoves(nowMs),
         countAt: endpoint => this.#lifecycle.listActive().filter(active => listTargets(active).includes(endpoint)).length,
         explain: requestId => this.#trace.find(requestId)
       }
@@ -96,7 +97,11 @@
   #handleMessage (peer: ProcessRef, message: Message, context: Context): void {
     switch (message.kind) {
       case 'heartbeat':
-        if (message.endpoint?.movedTo !== undefined) this.#noteMove(peer, message.endpoint.movedTo, context)
+        if (message.endpoint?.movedTo !== undefined) this.#noteMove({ home: peer.id, incarnation: peer.incarnation, to: message.endpoint.movedTo }, context)
+        break
+      case 'probe':
+      case 'probe-ack':
+        for (const move of message.moves ?? []) this.#noteMove(move, context)
         break
       case 'accepted':
       case 'started': {
@@ -121,9 +126,9 @@
     }
   }
 
-  #noteMove (peer: ProcessRef, to: string, context: Context): void {
-    this.#homes.noteMove(peer, to, context.nowMs)
-    this.#placeWaiting(peer.id, context)
+  #noteMove (move: HomeMove, context: Context): void {
+    this.#homes.noteMove(move, context.nowMs)
+    this.#placeWaiting(move.home, context)
   }
 
   /** Sends the keys that waited for a process. */
--- a/src/protocol/messages.ts
+++ b/src/protocol/messages.ts
@@ -270,16 +270,25 @@
   readonly configVersion: number
 }
 
+/** The successor that serves the keys of a home after its planned leave. */
+export interface HomeMove {
+  readonly home: string
+  readonly incarnation: number
+  readonly to: string
+}
+
 export interface Probe {
   readonly kind: 'probe'
   readonly sequence: number
   readonly updates: readonly MemberUpdate[]
+  readonly moves?: readonly HomeMove[]
 }
 
 export interface ProbeAck {
   readonly kind: 'probe-ack'
   readonly sequence: number
   readonly updates: readonly MemberUpdate[]
+  readonly moves?: readonly HomeMove[]
 }
 
 /** Asks a third member to probe the target. */
--- a/test/entry/membership.test.ts
+++ b/test/entry/membership.test.ts
@@ -1,9 +1,9 @@
 import test from 'ava'
 import fc from 'fast-check'
 import type { Configuration } from '../../src/kernel/document.js'
-import type { ProcessRef } from '../../src/protocol/messages.js'
+import type { Message, ProcessRef } from '../../src/protocol/messages.js'
 import { Network } from './network.js'
-import { Session, buildConfiguration, buildProcess } from './session.js'
+import { Session, buildConfiguration, buildProcess, buildState } from './session.js'
 import { buildRead } from './texts.js'
 
 function buildEntries (count: number): readonly ProcessRef[] {
@@ -96,6 +96,9 @@
   while (!hasAll() && network.nowMs < startMs + 15_000) network.run(200)
   t.log(`configuration from one entry to all ${entries.length}: ${network.nowMs - startMs} ms`)
   t.true(hasAll())
+  const mover = buildProcess('worker-0123', 'endpoint', 'd0', 1_760_000_000_000)
+  const heartbeat: Message = { kind: 'heartbeat', incarnation: mover.incarnation, configVersion: 2, endpoint: buildState('book', { leaving: true, movedTo: 'worker-4321' }) }
+  for (const entry of ['entry-007', 'entry-008']) network.dispatch(entry, { kind: 'message-received', peer: mover, message: heartbeat })
   for (let index = 0; index < 6; index += 1) network.kill(`entry-${String(100 + index * 50)}`)
   const busy = measure(10_000)
   network.run(10_000)
@@ -104,6 +107,8 @@
   t.log(`sent per node, largest: quiet ${Math.round(quiet)} B/s, after 6 deaths ${Math.round(busy)} B/s; largest updates ${network.largestUpdates} B`)
   const watchers = [...network.nodes.values()].filter(({ up, kernel }) => up && kernel.port('membership').isWatcher())
   t.is(watchers.length, 6)
+  const knowing = [...network.nodes.values()].filter(({ up, kernel }) => up && kernel.port('requests').listMoves(network.nowMs).length === 1)
+  t.is(knowing.length, 604)
   t.true(counts.every(count => count === 604))
   t.true(quiet <= 3_000 && busy <= 3_000)
   t.true(network.largestUpdates <= 600)
--- a/test/entry/network.ts
+++ b/test/entry/network.ts
@@ -151,7 +151,7 @@
   #measure (from: Node, message: Message): void {
     from.sentBytes += this.#packr.pack(message).length + FRAME_BYTES
     if (message.kind === 'probe' || message.kind === 'probe-ack') {
-      this.largestUpdates = Math.max(this.largestUpdates, this.#packr.pack(message.updates).length)
+      this.largestUpdates = Math.max(this.largestUpdates, this.#packr.pack([message.updates, message.moves ?? []]).length)
     }
   }
 
