Parse only the changed parts of a configuration

Each change parsed every part again and ranked all endpoints anew for the subset. Parsed parts are kept by hash and the subset by identity of its inputs.

--- a/src/plugins/configuration/store.ts
+++ b/src/plugins/configuration/store.ts
@@ -40,6 +40,8 @@
   #inForceSinceMs = 0
   #root: string | undefined
   #parts: ReadonlyMap<string, string> = new Map()
+  /** Content by hash, so that a change parses only the parts that it replaces. */
+  #parsed: ReadonlyMap<string, unknown> = new Map()
   /** Part names by hash. */
   #names: ReadonlyMap<string, string> = new Map()
   #replaced: readonly ReplacedPart[] = []
@@ -115,13 +117,14 @@
         if (json === undefined) return { kind: 'rejected', reason: `part ${name} is missing` }
         names.set(hash, name)
         held.set(hash, json)
-        parsed.set(name, JSON.parse(json))
+        parsed.set(name, this.#parsed.get(hash) ?? JSON.parse(json))
       }
       this.#apply(assembleConfiguration(root, parsed), nowMs)
     } catch {
       return { kind: 'rejected', reason: 'a part is malformed' }
     }
     this.#keepReplaced(held)
+    this.#parsed = new Map([...names].map(([hash, name]) => [hash, parsed.get(name)]))
     this.#root = texts.root
     this.#parts = held
     this.#names = names
--- a/src/plugins/membership/plugin.ts
+++ b/src/plugins/membership/plugin.ts
@@ -1,5 +1,6 @@
 /** Connections, heartbeats and members; the endpoint role has no members. */
 
+import type { Configuration } from '../../kernel/document.js'
 import type { KernelEvent } from '../../kernel/events.js'
 import { hashRendezvous } from '../../kernel/hash.js'
 import { registerPlugin } from '../../kernel/plugin.js'
@@ -44,6 +45,7 @@
   readonly #prober: Prober
   readonly #wantedUntilMs = new Map<string, number>()
   #subset = new Map<string, string>()
+  #subsetOf: Pick<Configuration, 'endpoints' | 'services'> | undefined
   #neighbours: readonly string[] = []
   #neighboursRevision = -1
   readonly #scores = new Map<string, number>()
@@ -163,7 +165,13 @@
     this.#regions = new Map(configuration.domains.map(domain => [domain.name, domain.region]))
     this.#members.addConfigured(configuration.entries.map(({ id, domain, host, peerAddress }) =>
       ({ id, role: 'entry', domain, host, address: peerAddress, incarnation: 0 })), context.nowMs)
-    const services = configuration.services
+    this.#updateSubset(configuration, context)
+  }
+
+  /** Unchanged parts of a configuration keep their identity, so most changes leave the subset as it is. */
+  #updateSubset ({ endpoints, services }: Configuration, context: Context): void {
+    if (this.#subsetOf?.endpoints === endpoints && this.#subsetOf.services === services) return
+    this.#subsetOf = { endpoints, services }
     this.#subset = new Map(services.flatMap(service =>
       chooseSubset(context.self, context.port('configuration').listEndpoints(service.name), services.length)
         .map(endpoint => [endpoint.id, endpoint.peerAddress] as const)))
