--- a/test/entry/invariants.test.ts
+++ b/test/entry/invariants.test.ts
@@ -25,6 +25,8 @@
   readonly told = new Map<string, Told>()
   /** Request ids by work that an endpoint ran, and by key. */
   readonly runs = new Map<string, number>()
+  /** Time of the latest start by endpoint process. */
+  readonly lastRunMs = new Map<string, number>()
   #count = 0
   readonly #entries: Configuration['entries']
   readonly #profiles: readonly Profile[]
@@ -78,6 +80,7 @@
         const { workId, requestId, key, resumeFrom } = effect.work
         const name = key?.text ?? requestId
         this.runs.set(name, (this.runs.get(name) ?? 0) + 1)
+        this.lastRunMs.set(id, this.network.nowMs)
         const headAfter = 1 + (this.#count * 7) % 12
         this.network.scheduleEvent(id, { kind: 'endpoint-head', workId, status: 200, headers: [] }, headAfter)
         ANSWER.slice(resumeFrom ?? 0).forEach((text, index) => { this.network.scheduleEvent(id, { kind: 'endpoint-chunk', workId, data: Buffer.from(text) }, headAfter + 1 + index) })
@@ -231,3 +234,23 @@
   }), { numRuns: 60, seed: 17, includeErrorInReport: true })
   t.pass()
 })
+
+// Guards against work that still starts in a failure domain, or at a leaving home, more than 5 s after it was taken out.
+test('a domain taken out and a leaving home get no new work after 5 s', t => {
+  const world = World.create(2, 3_000)
+  const outMs = world.network.nowMs
+  world.applyState('e1', 'b', 'out')
+  world.network.dispatch('book-a', { kind: 'leave-requested', deadlineMs: 60_000 })
+  for (let count = 0; count < 100; count += 1) {
+    world.send(ENTRIES[count % 2]!, count % 3 === 0 ? 'GET' : 'POST')
+    world.network.run(200)
+  }
+  world.network.run(8_000)
+  world.check()
+  const after = (home: string): number => (world.lastRunMs.get(home) ?? outMs) - outMs
+  t.log(`last start after the change: domain out ${after('book-b')} ms, leaving ${after('book-a')} ms`)
+  t.true(after('book-b') <= 5_000 && after('book-a') <= 5_000)
+  t.true(after('book-c') > 15_000)
+  const ends = [...world.told.values()].filter(({ end }) => end?.kind === 'reply-end').length
+  t.is(ends, 100)
+})
