--- /dev/null
+++ b/bench/experts.ts
@@ -0,0 +1,153 @@
+import { performance } from 'node:perf_hooks'
+import { computeSkewBound } from '../src/plugins/experts/placement/bound.js'
+import { buildGreedyLayer } from '../src/plugins/experts/placement/greedy.js'
+import { Layer } from '../src/plugins/experts/placement/layer.js'
+import { PLAN_POLICY, PlanJob } from '../src/plugins/experts/placement/plan.js'
+import type { PlanPolicy } from '../src/plugins/experts/placement/plan.js'
+import { POPULARITY_WEIGHT, Popularity } from '../src/plugins/experts/placement/popularity.js'
+import { CHECK_MS, MOVES_PER_TICK } from '../src/plugins/experts/placement/rebalancer.js'
+import { assembleLayers, countMoves, getLayer } from '../src/plugins/experts/placement/shape.js'
+import type { GroupShape, Placement } from '../src/plugins/experts/placement/shape.js'
+import { buildStaticPlacement } from '../src/plugins/experts/placement/static.js'
+import { INTERVAL_MS, PopularityModel, SWAP_EVERY } from './experts/popularity.js'
+import type { BenchResult } from './result.js'
+
+/** Intervals simulated: one hour after the warm-up. */
+const INTERVALS = 390
+/** Intervals between a measurement and its use. */
+const LATE_INTERVALS = 2
+/** Intervals at the start that are left out of the figures. */
+const WARM_UP = 30
+/** Intervals after a sudden swap that do not count as settled. */
+const SETTLED_INTERVALS = 6
+const STEP_MS = 50
+
+/** Values that tuning runs vary. */
+export interface Tuning {
+  readonly policy: PlanPolicy
+  /** Weight of the latest window in the popularity estimate; 0 to 1. */
+  readonly weight: number
+  /** Intervals between two decisions. */
+  readonly checkIntervals: number
+  readonly rows: readonly string[]
+}
+
+const TUNING: Tuning = { policy: PLAN_POLICY, weight: POPULARITY_WEIGHT, checkIntervals: CHECK_MS / INTERVAL_MS, rows: ['static', 'from scratch', 'incremental'] }
+
+type Choose = (placement: Placement, shares: readonly Float64Array[], interval: number) => Placement | undefined
+
+interface Trace {
+  readonly skews: number[]
+  readonly bounds: number[]
+  /** Skew over bound while no sudden swap lies in the last minute. */
+  readonly settled: number[]
+  weights: number
+  changes: number
+  readonly decisionMs: number[]
+  readonly sliceMs: number[]
+}
+
+/**
+ * @param options - seed of the popularity
+ * @param tuning - values that tuning runs vary
+ * @returns skew, weights moved and decision time by group size and policy
+ */
+export function run (options: { readonly seed: number }, tuning: Tuning = TUNING): BenchResult {
+  const rows: (string | number)[][] = []
+  for (const shape of [buildShape(16, 12), buildShape(64, 3)]) rows.push(...runShape(shape, options.seed, tuning))
+  return {
+    name: 'experts',
+    columns: ['ranks', 'slots', 'policy', 'mean skew', 'p95 skew', 'worst skew', 'bound', 'over bound %', 'settled over bound %', 'weights/h', 'weights per point', 'changes', 'time in change %', 'decision ms p95', 'longest slice ms'],
+    rows
+  }
+}
+
+function runShape (shape: GroupShape, seed: number, tuning: Tuning): (string | number)[][] {
+  const { policy } = tuning
+  let job: Trace | undefined
+  const incremental: Choose = (placement, shares) => {
+    const started = performance.now()
+    const plan = PlanJob.create(shape, placement, shares, STEP_MS, policy)
+    let found
+    while (found === undefined) {
+      const sliceStart = performance.now()
+      found = plan.run(MOVES_PER_TICK)
+      job!.sliceMs.push(performance.now() - sliceStart)
+    }
+    job!.decisionMs.push(performance.now() - started)
+    return found.placement
+  }
+  const greedy: Choose = (_, shares) => assembleLayers(shares.map(layer => buildGreedyLayer(shape, layer)), shape.hosts.length)
+  const runs: readonly (readonly [string, Choose])[] = [['static', () => undefined], ['from scratch', greedy], ['incremental', incremental]]
+  let staticSkew = 0
+  return runs.filter(([name]) => tuning.rows.includes(name)).map(([name, choose]) => {
+    const trace: Trace = { skews: [], bounds: [], settled: [], weights: 0, changes: 0, decisionMs: [], sliceMs: [] }
+    job = trace
+    simulate(shape, seed, tuning, choose, trace)
+    const mean = average(trace.skews)
+    const bound = average(trace.bounds)
+    if (name === 'static') staticSkew = mean
+    const hours = (INTERVALS - WARM_UP) * INTERVAL_MS / 3_600_000
+    const perHour = trace.weights / hours
+    const changeMs = trace.weights * policy.weightMs + trace.changes * policy.changeMs
+    return [
+      shape.hosts.length, shape.slots, name, round(mean), round(pick(trace.skews, 0.95)), round(pick(trace.skews, 1)), round(bound),
+      round((mean / bound - 1) * 100), round((average(trace.settled) - 1) * 100), Math.round(perHour), staticSkew - mean > 0.001 ? Math.round(perHour / ((staticSkew - mean) * 100)) : '',
+      trace.changes, round(changeMs / ((INTERVALS - WARM_UP) * INTERVAL_MS) * 100),
+      trace.decisionMs.length === 0 ? '' : round(pick(trace.decisionMs, 0.95)), trace.sliceMs.length === 0 ? '' : round(pick(trace.sliceMs, 1))
+    ]
+  })
+}
+
+function simulate (shape: GroupShape, seed: number, tuning: Tuning, choose: Choose, trace: Trace): void {
+  const model = PopularityModel.create(seed, shape.layers, shape.experts)
+  const estimate = Popularity.create(shape, tuning.weight)
+  const late: (readonly Float64Array[])[] = []
+  const everything: Placement = shape.hosts.map((_, rank) => Array.from({ length: shape.layers }, () => rank === 0 ? Array.from({ length: shape.experts }, (_, expert) => expert) : []))
+  let placement = buildStaticPlacement(shape)
+  for (let interval = 0; interval < INTERVALS; interval += 1) {
+    late.push(model.listCounts())
+    if (late.length > LATE_INTERVALS) {
+      const counts = late.shift()!
+      shape.hosts.forEach((_, rank) => { estimate.noteCounts(rank, everything, rank === 0 ? counts.map(layer => [...layer]) : []) })
+    }
+    if (interval % tuning.checkIntervals === 0 && interval > LATE_INTERVALS) {
+      estimate.updateShares()
+      const wanted = choose(placement, estimate.getShares(), interval)
+      if (wanted !== undefined) {
+        const moves = countMoves(placement, wanted)
+        if (interval >= WARM_UP) {
+          trace.weights += moves
+          trace.changes += moves > 0 ? 1 : 0
+        }
+        placement = wanted
+      }
+    }
+    if (interval >= WARM_UP) noteSkew(shape, model, interval, placement, trace)
+    model.update()
+  }
+}
+
+function noteSkew (shape: GroupShape, model: PopularityModel, interval: number, placement: Placement, trace: Trace): void {
+  const shares = model.getShares()
+  trace.skews.push(average(shares.map((layer, index) => Layer.create(shape, layer, getLayer(placement, index)).computeSkew())))
+  trace.bounds.push(average(shares.map(layer => computeSkewBound(shape, layer))))
+  if (interval % SWAP_EVERY >= SETTLED_INTERVALS) trace.settled.push(trace.skews.at(-1)! / trace.bounds.at(-1)!)
+}
+
+function buildShape (ranks: number, slots: number): GroupShape {
+  return { layers: 60, experts: 128, slots, hosts: Array.from({ length: ranks }, (_, rank) => `h${Math.floor(rank / 8)}`) }
+}
+
+function average (values: readonly number[]): number {
+  return values.reduce((sum, value) => sum + value, 0) / values.length
+}
+
+function pick (values: readonly number[], part: number): number {
+  const sorted = [...values].sort((a, b) => a - b)
+  return sorted[Math.min(sorted.length - 1, Math.floor(sorted.length * part))]!
+}
+
+function round (value: number): number {
+  return Math.round(value * 1000) / 1000
+}
--- a/src/plugins/experts/holder-plugin.ts
+++ b/src/plugins/experts/holder-plugin.ts
@@ -8,6 +8,7 @@
 import type { ExpertLoad, Message, ProcessRef } from '../../protocol/messages.js'
 import { Change, INITIAL_CHANGE } from './change.js'
 import { INITIAL_LEASE, Lease } from './lease.js'
+import { Rebalancer } from './placement/rebalancer.js'
 import { buildStaticPlacement } from './placement/static.js'
 import type { GroupShape, Placement } from './placement/shape.js'
 import type { MapContent } from './record.js'
@@ -188,6 +189,4 @@
   return createHash('sha256').update(`${group}/${entry}`).digest('hex')
 }
 
-const KEEP_MAP: MapPlanner = { noteLoad: () => {}, noteChange: () => {}, choosePlacement: () => undefined }
-
-registerPlugin({ name: 'map-holder', roles: ['entry'], create: () => MapHolderPlugin.create(() => KEEP_MAP) })
+registerPlugin({ name: 'map-holder', roles: ['entry'], create: () => MapHolderPlugin.create((group, shape) => Rebalancer.create(group, shape)) })
--- /dev/null
+++ b/src/plugins/experts/placement/greedy.ts
@@ -0,0 +1,39 @@
+import { countReplicas } from './bound.js'
+import type { GroupShape, LayerPlacement } from './shape.js'
+
+/**
+ * Packs one layer from scratch: replicas by popularity, then the heaviest replica
+ * first onto the rank with the least load. Ignores the placement in force.
+ *
+ * @param shape - sizes of the group
+ * @param popularity - share of the tokens by expert
+ * @returns experts by rank
+ */
+export function buildGreedyLayer (shape: GroupShape, popularity: Float64Array): LayerPlacement {
+  const counts = countReplicas(shape, popularity)
+  const replicas = counts
+    .flatMap((count, expert) => Array.from({ length: count }, () => ({ expert, load: popularity[expert]! / count })))
+    .sort((a, b) => b.load - a.load || a.expert - b.expert)
+  const ranks: number[][] = shape.hosts.map(() => [])
+  const loads = new Float64Array(ranks.length)
+  for (const { expert, load } of replicas) {
+    const rank = pickLightestRank(shape, ranks, loads, expert)
+    if (rank === undefined) continue
+    ranks[rank]!.push(expert)
+    loads[rank]! += load
+  }
+  return ranks
+}
+
+/** Prefers a host without the expert; an expert that fits nowhere takes no second slot of a rank. */
+function pickLightestRank (shape: GroupShape, ranks: readonly (readonly number[])[], loads: Float64Array, expert: number): number | undefined {
+  const hosts = new Set(shape.hosts.filter((_, rank) => ranks[rank]!.includes(expert)))
+  let best: number | undefined
+  let spread: number | undefined
+  ranks.forEach((experts, rank) => {
+    if (experts.length >= shape.slots || experts.includes(expert)) return
+    if (best === undefined || loads[rank]! < loads[best]!) best = rank
+    if (!hosts.has(shape.hosts[rank]!) && (spread === undefined || loads[rank]! < loads[spread]!)) spread = rank
+  })
+  return spread ?? best
+}
--- /dev/null
+++ b/src/plugins/experts/placement/moves.ts
@@ -0,0 +1,129 @@
+import type { Layer } from './layer.js'
+
+/** Change of a layer that loads `weights` expert weights. */
+export type Move =
+  | { readonly kind: 'replace', readonly rank: number, readonly slot: number, readonly expert: number, readonly weights: 1 }
+  | { readonly kind: 'swap', readonly rank: number, readonly slot: number, readonly otherRank: number, readonly otherSlot: number, readonly weights: 2 }
+
+/** A move and the fall of the layer's excess that it brings per weight loaded. */
+export interface RatedMove {
+  readonly move: Move
+  readonly gain: number
+}
+
+/**
+ * Sum of squared loads above the target. Unlike the largest load alone it falls
+ * with each rank that is relieved, so ties between slow ranks do not stop a search.
+ *
+ * @param loads - load by rank
+ * @param target - load that a rank may have
+ * @returns the excess
+ */
+export function computeExcess (loads: Float64Array, target: number): number {
+  let sum = 0
+  for (const load of loads) sum += rateLoad(load, target)
+  return sum
+}
+
+/**
+ * Finds the move that relieves the slowest rank most per weight loaded.
+ *
+ * @param layer - the layer
+ * @param target - load that a rank may have
+ * @returns the best move; undefined when none lowers the excess
+ */
+export function findBestMove (layer: Layer, target: number): RatedMove | undefined {
+  const loads = layer.getLoads()
+  let hot = 0
+  for (let rank = 1; rank < loads.length; rank += 1) if (loads[rank]! > loads[hot]!) hot = rank
+  let best: RatedMove | undefined
+  const note = (move: Move, fall: number): void => {
+    const gain = fall / move.weights
+    if (gain > 0 && (best === undefined || gain > best.gain)) best = { move, gain }
+  }
+  for (let rank = 0; rank < loads.length; rank += 1) {
+    if (loads[rank]! >= target) continue
+    rateSwaps(layer, target, hot, rank, note)
+    rateReplicas(layer, target, hot, rank, note)
+  }
+  rateDrops(layer, target, hot, note)
+  return best
+}
+
+/**
+ * @param layer - layer to change
+ * @param move - the move
+ */
+export function applyMove (layer: Layer, move: Move): void {
+  if (move.kind === 'replace') layer.updateSlot(move.rank, move.slot, move.expert)
+  else layer.updatePair(move.rank, move.slot, move.otherRank, move.otherSlot)
+}
+
+type NoteMove = (move: Move, fall: number) => void
+
+/** Exchanges one expert of the slow rank with one of another rank. */
+function rateSwaps (layer: Layer, target: number, hot: number, rank: number, note: NoteMove): void {
+  const loads = layer.getLoads()
+  const before = rateLoad(loads[hot]!, target) + rateLoad(loads[rank]!, target)
+  layer.getSlots(hot).forEach((a, slot) => {
+    if (layer.getHolders(a).has(rank) || layer.isCrowded(rank, a)) return
+    layer.getSlots(rank).forEach((b, otherSlot) => {
+      const change = layer.getShare(a) - layer.getShare(b)
+      if (change <= 0 || layer.getHolders(b).has(hot) || layer.isCrowded(hot, b)) return
+      const after = rateLoad(loads[hot]! - change, target) + rateLoad(loads[rank]! + change, target)
+      note({ kind: 'swap', rank: hot, slot, otherRank: rank, otherSlot, weights: 2 }, before - after)
+    })
+  })
+}
+
+/** Gives an expert of the slow rank one more replica, in a slot of an expert that has several. */
+function rateReplicas (layer: Layer, target: number, hot: number, rank: number, note: NoteMove): void {
+  for (const expert of layer.getSlots(hot)) {
+    if (layer.getHolders(expert).has(rank) || layer.isCrowded(rank, expert)) continue
+    layer.getSlots(rank).forEach((old, slot) => {
+      if (layer.getHolders(old).size < 2) return
+      note({ kind: 'replace', rank, slot, expert, weights: 1 }, rateReplacement(layer, target, rank, old, expert))
+    })
+  }
+}
+
+/** Takes an expert with several replicas off the slow rank and puts a lighter one there. */
+function rateDrops (layer: Layer, target: number, hot: number, note: NoteMove): void {
+  const loads = layer.getLoads()
+  const lighter = new Set<number>()
+  loads.forEach((load, rank) => { if (load > target) for (const expert of layer.getSlots(rank)) lighter.add(expert) })
+  layer.getSlots(hot).forEach((old, slot) => {
+    if (layer.getHolders(old).size < 2) return
+    for (const expert of lighter) {
+      if (layer.getHolders(expert).has(hot) || layer.getShare(expert) > layer.getShare(old) || layer.isCrowded(hot, expert)) continue
+      note({ kind: 'replace', rank: hot, slot, expert, weights: 1 }, rateReplacement(layer, target, hot, old, expert))
+    }
+  })
+}
+
+/** Computes by how much the excess falls when a slot of the rank changes from one expert to another. */
+function rateReplacement (layer: Layer, target: number, rank: number, old: number, expert: number): number {
+  const loads = layer.getLoads()
+  const oldHolders = layer.getHolders(old)
+  const newHolders = layer.getHolders(expert)
+  const oldShare = layer.getShare(old)
+  const newShare = layer.getShare(expert)
+  const rise = oldShare * oldHolders.size / (oldHolders.size - 1) - oldShare
+  const share = newShare * newHolders.size / (newHolders.size + 1)
+  const fall = newShare - share
+  let change = rateLoad(loads[rank]!, target) - rateLoad(loads[rank]! - oldShare + share, target)
+  for (const holder of oldHolders) {
+    if (holder === rank) continue
+    const after = loads[holder]! + rise - (newHolders.has(holder) ? fall : 0)
+    change += rateLoad(loads[holder]!, target) - rateLoad(after, target)
+  }
+  for (const holder of newHolders) {
+    if (oldHolders.has(holder)) continue
+    change += rateLoad(loads[holder]!, target) - rateLoad(loads[holder]! - fall, target)
+  }
+  return change
+}
+
+function rateLoad (load: number, target: number): number {
+  return load > target ? (load - target) ** 2 : 0
+}
--- /dev/null
+++ b/src/plugins/experts/placement/plan.ts
@@ -0,0 +1,218 @@
+import { computeSkewBound } from './bound.js'
+import { Layer } from './layer.js'
+import { applyMove, findBestMove } from './moves.js'
+import type { Move } from './moves.js'
+import { assembleLayers, getLayer } from './shape.js'
+import type { GroupShape, LayerPlacement, Placement } from './shape.js'
+
+/** Costs and limits that a change of placement is weighed by. */
+export interface PlanPolicy {
+  /** Time over which a better placement is expected to pay, in ms. */
+  readonly horizonMs: number
+  /** Part of a balanced step that experts take and that grows with skew; 0 to 1. */
+  readonly expertShare: number
+  /** Time to load one expert's weights of one layer through the rate-limited store, in ms. */
+  readonly weightMs: number
+  /** Growth of the step time while weights load; 0.05 is 5 %. */
+  readonly loadSlowdown: number
+  /** Step time lost by one change apart from the weights, in ms. */
+  readonly changeMs: number
+  /** Saved time must be this many times the cost: popularity may move back. */
+  readonly hysteresis: number
+  /** A layer is left alone below this skew over its lower bound. */
+  readonly startSkew: number
+  /** A layer's search ends at this skew over its lower bound. */
+  readonly targetSkew: number
+  /** Most weights loaded in one change. */
+  readonly weightsMax: number
+}
+
+/** Policy in force. */
+export const PLAN_POLICY: PlanPolicy = {
+  horizonMs: 600_000,
+  expertShare: 0.5,
+  weightMs: 20,
+  loadSlowdown: 0.05,
+  changeMs: 100,
+  hysteresis: 1.5,
+  startSkew: 1.03,
+  targetSkew: 1.01,
+  weightsMax: 2_000
+}
+
+/** Why a change was made or declined; times are ms of step time over the horizon. */
+export interface PlanExplanation {
+  readonly decision: 'change' | 'declined'
+  readonly reason: 'worth' | 'balanced' | 'gain-below-cost'
+  /** Slowest rank over the mean, mean of all layers. */
+  readonly skewBefore: number
+  readonly skewAfter: number
+  readonly skewBound: number
+  readonly layers: number
+  readonly weights: number
+  readonly savedMs: number
+  readonly costMs: number
+}
+
+/** A decision: the placement to propose, when it is worth it. */
+export interface Plan {
+  readonly placement?: Placement
+  readonly explanation: PlanExplanation
+}
+
+interface LayerPlan {
+  readonly layer: number
+  readonly before: number
+  readonly after: number
+  readonly weights: number
+  readonly savedMs: number
+  readonly placement: LayerPlacement
+}
+
+interface Search {
+  readonly index: number
+  readonly layer: Layer
+  readonly before: number
+  /** Load that a rank may have. */
+  readonly target: number
+  readonly moves: Move[]
+  best: { readonly count: number, readonly after: number, readonly value: number }
+}
+
+/** Most moves tried in one layer. */
+const LAYER_MOVES_MAX = 64
+
+/** One decision, computed move by move so that the event loop is never held for long. */
+export class PlanJob {
+  readonly #plans: LayerPlan[] = []
+  #next = 0
+  #search: Search | undefined
+  #skewSum = 0
+  #boundSum = 0
+
+  private constructor (
+    readonly shape: GroupShape,
+    readonly placement: Placement,
+    readonly popularity: readonly Float64Array[],
+    readonly stepMs: number,
+    readonly policy: PlanPolicy
+  ) {}
+
+  /**
+   * @param shape - sizes of the group
+   * @param placement - experts by rank and layer in force
+   * @param popularity - share of the tokens by layer and expert; each layer's sum is 1
+   * @param stepMs - mean step time in ms
+   * @param policy - costs and limits
+   * @returns a job at its first layer
+   */
+  static create (shape: GroupShape, placement: Placement, popularity: readonly Float64Array[], stepMs: number, policy: PlanPolicy = PLAN_POLICY): PlanJob {
+    return new PlanJob(shape, placement, popularity, stepMs, policy)
+  }
+
+  /**
+   * Works on.
+   *
+   * @param moves - count of moves to search for now
+   * @returns the decision; undefined while work is left
+   */
+  run (moves: number): Plan | undefined {
+    for (let count = 0; count < moves; count += 1) {
+      if (this.#search === undefined) {
+        if (this.#next >= this.shape.layers) return this.#choosePlan()
+        this.#startLayer(this.#next)
+        this.#next += 1
+      } else if (!this.#findMove(this.#search)) {
+        this.#addPlan(this.#search)
+        this.#search = undefined
+      }
+    }
+    return undefined
+  }
+
+  #startLayer (index: number): void {
+    const { shape, policy } = this
+    const popularity = this.popularity[index]!
+    const layer = Layer.create(shape, popularity, getLayer(this.placement, index))
+    const bound = computeSkewBound(shape, popularity)
+    const before = layer.computeSkew()
+    this.#skewSum += before
+    this.#boundSum += bound
+    if (before <= bound * policy.startSkew) return
+    const target = bound * policy.targetSkew / shape.hosts.length
+    this.#search = { index, layer, before, target, moves: [], best: { count: 0, after: before, value: 0 } }
+  }
+
+  /** Searches on to the target; the point where the most is saved is kept. */
+  #findMove (search: Search): boolean {
+    const { layer, moves, target, before } = search
+    if (moves.length >= LAYER_MOVES_MAX || layer.computeLargest() <= target) return false
+    const found = findBestMove(layer, target)
+    if (found === undefined) return false
+    applyMove(layer, found.move)
+    moves.push(found.move)
+    const after = layer.computeSkew()
+    const value = this.#computeSavedMs(before - after) - this.policy.hysteresis * this.#computeWeightsMs(countWeights(moves))
+    if (value > search.best.value) search.best = { count: moves.length, after, value }
+    return true
+  }
+
+  #addPlan ({ index, before, moves, best }: Search): void {
+    if (best.count === 0) return
+    const kept = moves.slice(0, best.count)
+    const changed = Layer.create(this.shape, this.popularity[index]!, getLayer(this.placement, index))
+    for (const move of kept) applyMove(changed, move)
+    this.#plans.push({ layer: index, before, after: best.after, weights: countWeights(kept), savedMs: this.#computeSavedMs(before - best.after), placement: changed.getPlacement() })
+  }
+
+  #choosePlan (): Plan {
+    const { shape, policy } = this
+    const worth = this.#plans
+      .map(plan => ({ plan, rate: plan.savedMs / plan.weights }))
+      .sort((a, b) => b.rate - a.rate || a.plan.layer - b.plan.layer)
+    const chosen = new Map<number, LayerPlan>()
+    let weights = 0
+    for (const { plan } of worth) {
+      if (weights + plan.weights > policy.weightsMax) continue
+      weights += plan.weights
+      chosen.set(plan.layer, plan)
+    }
+    const plans = [...chosen.values()]
+    const savedMs = plans.reduce((sum, plan) => sum + plan.savedMs, 0)
+    const costMs = plans.length === 0 ? 0 : this.#computeWeightsMs(weights) + policy.changeMs
+    const skewBefore = this.#skewSum / shape.layers
+    const fall = plans.reduce((sum, plan) => sum + plan.before - plan.after, 0) / shape.layers
+    const isWorth = plans.length > 0 && savedMs > costMs * policy.hysteresis
+    const explanation: PlanExplanation = {
+      decision: isWorth ? 'change' : 'declined',
+      reason: isWorth ? 'worth' : plans.length === 0 ? 'balanced' : 'gain-below-cost',
+      skewBefore,
+      skewAfter: skewBefore - fall,
+      skewBound: this.#boundSum / shape.layers,
+      layers: plans.length,
+      weights,
+      savedMs,
+      costMs
+    }
+    return isWorth ? { placement: this.#assemblePlacement(chosen), explanation } : { explanation }
+  }
+
+  #assemblePlacement (chosen: ReadonlyMap<number, LayerPlan>): Placement {
+    const layers = Array.from({ length: this.shape.layers }, (_, layer) => chosen.get(layer)?.placement ?? getLayer(this.placement, layer))
+    return assembleLayers(layers, this.shape.hosts.length)
+  }
+
+  /** Step time saved over the horizon when one layer's skew falls. */
+  #computeSavedMs (fall: number): number {
+    return this.policy.horizonMs * this.policy.expertShare * fall / this.shape.layers
+  }
+
+  /** Step time lost while the weights load: each weight takes its time at the store, and steps are slower meanwhile. */
+  #computeWeightsMs (weights: number): number {
+    return weights * this.policy.weightMs * this.policy.loadSlowdown
+  }
+}
+
+function countWeights (moves: readonly Move[]): number {
+  return moves.reduce((sum, move) => sum + move.weights, 0)
+}
--- a/test/experts/world.ts
+++ b/test/experts/world.ts
@@ -9,8 +9,8 @@
 import { ExpertsPlugin } from '../../src/plugins/experts/endpoint-plugin.js'
 import { MapHolderPlugin } from '../../src/plugins/experts/holder-plugin.js'
 import type { RankRules } from '../../src/plugins/experts/rank-state.js'
-import { FRESH_ENGINE, applyOrder, buildRestarted, findUsedVersion } from './engine.js'
-import type { EngineState } from './engine.js'
+import { FRESH_ENGINE, applyOrder, buildRestarted, findUsedVersion } from '../../bench/experts/engine.js'
+import type { EngineState } from '../../bench/experts/engine.js'
 
 export const TICK_MS = 100
 const STEP_MS = 50
