Give each test deployment a free block of ports

Cause: two test runs on one machine met at fixed ports; one of them found the other's platform ("version 1 is in force, not 0"). Change: a deployment takes a random free block below the ephemeral range.

--- a/test/processes/failures.test.ts
+++ b/test/processes/failures.test.ts
@@ -1,13 +1,12 @@
 import test from 'ava'
 import { waitUntil } from '../../bench/processes/ready.js'
 import { Live } from './live.js'
-import { Relay } from './relay.js'
 
 const wait = async (ms: number): Promise<void> => { await new Promise(resolve => setTimeout(resolve, ms)) }
 
 // Guards against a second run of a booking after its home was killed and replaced by an empty process.
 test.serial('a booking whose home is killed is unknown and never runs again', async t => {
-  const live = await Live.start({ basePort: 27_400, serviceMs: 1_500 })
+  const live = await Live.start({ serviceMs: 1_500 })
   try {
     const key = await live.createKey('counter-0', 'k')
     const first = live.book(0, key)
@@ -31,7 +30,7 @@
 
 // Guards against a lost or doubled booking when the entry dies that forwarded it.
 test.serial('a booking whose entry is killed is joined through another entry', async t => {
-  const live = await Live.start({ basePort: 27_500, serviceMs: 1_500 })
+  const live = await Live.start({ serviceMs: 1_500 })
   try {
     const key = await live.createKey('counter-1', 'k')
     const first = live.book(0, key).then(() => 'answered', () => 'broken')
@@ -48,7 +47,7 @@
 
 // Guards against late runs: entries answer for a home that is stopped by a signal, and it wakes with a queue.
 test.serial('a stopped home does not run its queue when it wakes', async t => {
-  const live = await Live.start({ basePort: 27_600, serviceMs: 1_000, warmCap: 1 })
+  const live = await Live.start({ serviceMs: 1_000, warmCap: 1 })
   try {
     const running = await live.createKey('counter-0', 'running')
     const waiting = await live.createKey('counter-0', 'waiting')
@@ -72,7 +71,7 @@
 
 // Guards against requests cut off by a planned stop of the process beside an endpoint.
 test.serial('a planned stop of a home cuts off no booking', async t => {
-  const live = await Live.start({ basePort: 27_700, serviceMs: 100 })
+  const live = await Live.start({ serviceMs: 100 })
   try {
     const results: string[] = []
     let stopping = false
@@ -101,7 +100,7 @@
 
 // Guards against bookings that need the platform, and against a process that cannot start without it.
 test.serial('bookings and a new entry work while the platform is down', async t => {
-  const live = await Live.start({ basePort: 27_800 })
+  const live = await Live.start()
   try {
     live.signal('platform', 'SIGKILL')
     live.signal('entry-0', 'SIGKILL')
@@ -119,13 +118,13 @@
 
 // Guards against requests that hang on a connection that went silent for good.
 test.serial('a silent connection is replaced and the outcome asked for', async t => {
-  const live = await Live.start({ basePort: 27_900, serviceMs: 1_000, relayPort: 27_990, ...await startRelay(27_990, 27_907) })
+  const live = await Live.start({ serviceMs: 1_000, relayed: true })
   try {
     const key = await live.createKey('counter-0', 'k')
     const startMs = performance.now()
     const first = live.book(0, key)
     await waitUntil('the booking runs', async () => await live.countRuns(key) === 1)
-    relays.get(27_990)?.silence()
+    live.silence()
     const { outcome } = await first
     t.true(['run', 'unknown'].includes(outcome), outcome)
     t.true(performance.now() - startMs < 8_000)
@@ -133,13 +132,12 @@
     t.is(await live.countRuns(key), 1)
   } finally {
     await live.kill()
-    relays.get(27_990)?.stop()
   }
 })
 
 // Guards against a gap, a repeat or a missing end when an engine fails in mid-stream.
 test.serial('a stream goes on with another engine after a crash', async t => {
-  const live = await Live.start({ basePort: 28_000 })
+  const live = await Live.start()
   try {
     const whole = (await live.stream(0, 'blend')).body
     const broken = live.stream(1, 'blend')
@@ -158,10 +156,3 @@
     t.deepEqual(ended.filter(({ code }) => code !== 0), [])
   }
 })
-
-const relays = new Map<number, Relay>()
-
-async function startRelay (port: number, targetPort: number): Promise<object> {
-  relays.set(port, await Relay.start(port, targetPort))
-  return {}
-}
--- a/test/processes/live.ts
+++ b/test/processes/live.ts
@@ -1,14 +1,22 @@
 /** A small deployment of real processes for tests that kill and stop them. */
 
 import type { ChildProcess } from 'node:child_process'
+import { createServer } from 'node:net'
 import { request } from 'undici'
 import { DeploymentFiles } from '../../bench/processes/deployment.js'
 import type { DeployedEndpoint } from '../../bench/processes/deployment.js'
 import { waitUntil, waitUntilReady } from '../../bench/processes/ready.js'
 import { Processes } from '../../demo/processes.js'
+import { Relay } from './relay.js'
 
 /** Offset of the ports of endpoints and relays from the base port. */
 const TARGET_OFFSET = 60
+const RELAY_OFFSET = 90
+
+/** Ports of all deployments: below the range that systems use for outgoing connections. */
+const FIRST_PORT = 20_000
+const PORT_BLOCKS = 70
+const PORTS_PER_BLOCK = 100
 
 const IP = '127.0.0.1'
 
@@ -26,12 +34,11 @@
 }
 
 export interface LiveOptions {
-  readonly basePort: number
   /** Time of one booking in ms. */
   readonly serviceMs?: number
   readonly warmCap?: number
-  /** Path of the peer connections of `counter-0` through a relay at this port. */
-  readonly relayPort?: number
+  /** Whether entries reach `counter-0` through a relay. */
+  readonly relayed?: boolean
 }
 
 export class Live {
@@ -39,9 +46,12 @@
   readonly #processes: Processes
   readonly #children = new Map<string, ChildProcess>()
   readonly #options: LiveOptions
+  readonly #basePort: number
+  #relay: Relay | undefined
 
-  private constructor (options: LiveOptions) {
+  private constructor (options: LiveOptions, basePort: number) {
     this.#options = options
+    this.#basePort = basePort
     const cap = options.warmCap ?? 8
     const endpoint = (service: string, index: number): DeployedEndpoint => ({
       id: `${service}-${index}`,
@@ -52,7 +62,7 @@
       coldCap: Math.min(cap, 2)
     })
     this.files = DeploymentFiles.create({
-      basePort: options.basePort,
+      basePort,
       domains: ['north', 'south'],
       entries: ['north', 'south'],
       endpoints: [endpoint('counter', 0), endpoint('counter', 1), endpoint('guidance', 0), endpoint('guidance', 1)],
@@ -66,13 +76,14 @@
       ],
       teams: 1,
       addressHoldMs: 1_000,
-      ...(options.relayPort === undefined ? {} : { peerPorts: { 'counter-0': options.relayPort } })
+      ...(options.relayed === true ? { peerPorts: { 'counter-0': basePort + RELAY_OFFSET } } : {})
     })
     this.#processes = Processes.create(this.files.folder)
   }
 
-  static async start (options: LiveOptions): Promise<Live> {
-    const live = new Live(options)
+  static async start (options: LiveOptions = {}): Promise<Live> {
+    const live = new Live(options, await findBasePort())
+    if (options.relayed === true) live.#relay = await Relay.start(live.#basePort + RELAY_OFFSET, live.files.findEndpointPorts(0).peers)
     live.startProcess('platform')
     for (const index of [0, 1]) {
       for (const name of [`service-${index}`, `engine-${index}`, `entry-${index}`, `counter-${index}`, `guidance-${index}`]) live.startProcess(name)
@@ -84,7 +95,7 @@
   }
 
   findTargetPort (service: string, index: number): number {
-    return this.#options.basePort + TARGET_OFFSET + index + (service === 'counter' ? 0 : 2)
+    return this.#basePort + TARGET_OFFSET + index + (service === 'counter' ? 0 : 2)
   }
 
   startProcess (name: string): void {
@@ -153,6 +164,11 @@
     await answer.body.dump()
   }
 
+  /** Connections between entries and `counter-0` pass nothing more; new ones work. */
+  silence (): void {
+    this.#relay?.silence()
+  }
+
   /** Kills every process, for tests that say nothing about planned stops. */
   async kill (): Promise<void> {
     for (const child of this.#children.values()) child.kill('SIGKILL')
@@ -163,6 +179,7 @@
   async stop (): Promise<readonly { readonly name: string, readonly code: number | undefined }[]> {
     for (const child of this.#children.values()) child.kill('SIGCONT')
     const ended = await this.#processes.stop()
+    this.#relay?.stop()
     this.files.remove()
     return ended
   }
@@ -179,6 +196,24 @@
   }
 }
 
+/** Finds a block of ports whose first one is free, so that test runs side by side do not meet. */
+async function findBasePort (): Promise<number> {
+  const start = Math.floor(Math.random() * PORT_BLOCKS)
+  for (let tries = 0; tries < PORT_BLOCKS; tries += 1) {
+    const port = FIRST_PORT + (start + tries) % PORT_BLOCKS * PORTS_PER_BLOCK
+    if (await isFree(port)) return port
+  }
+  throw new Error('no block of ports is free')
+}
+
+async function isFree (port: number): Promise<boolean> {
+  return await new Promise(resolve => {
+    const server = createServer()
+    server.once('error', () => { resolve(false) })
+    server.listen(port, IP, () => { server.close(() => { resolve(true) }) })
+  })
+}
+
 function findKind (text: string): string {
   return /"kind":"([a-z-]+)"/.exec(text)?.[1] ?? ''
 }
