Emit the metrics of endpoint processes

Change: admission, outcomes and quarantine emit them; gauges once a second; the test harness builds its endpoints from two caps.

--- a/src/plugins/admission/plugin.ts
+++ b/src/plugins/admission/plugin.ts
@@ -11,6 +11,8 @@
 import type { AdmissionPort, Ports } from '../../kernel/ports.js'
 import type { Submit } from '../../protocol/messages.js'
 
+/** Interval in ms at which gauges are written. */
+const GAUGES_MS = 1_000
 /** Waiting work may still start for this time after the domain went out; the bound is 5 s. */
 const OUT_DRAIN_MS = 3_000
 
@@ -29,6 +31,7 @@
   readonly #warmth = Warmth.create()
   #cap = 0
   #outSinceMs: number | undefined
+  #gaugesAtMs = 0
 
   private constructor () {}
 
@@ -55,8 +58,7 @@
       case 'endpoint-chunk': return this.#noteFirstByte(event.workId, context)
       case 'endpoint-ended':
       case 'endpoint-failed':
-        if (event.kind === 'endpoint-ended') this.#noteFirstByte(event.workId, context)
-        this.#running.remove(event.workId, event.kind === 'endpoint-ended', context.nowMs)
+        this.#handleEnd(event.workId, event.kind === 'endpoint-ended', context)
         break
       case 'endpoint-reported':
         if (this.#warmth.noteReport(event.report, context.nowMs)) writeCold('new-start', context)
@@ -80,7 +82,23 @@
     this.#outSinceMs = isOut ? this.#outSinceMs ?? context.nowMs : undefined
   }
 
+  #handleEnd (workId: string, isWhole: boolean, context: Context): void {
+    if (isWhole) this.#noteFirstByte(workId, context)
+    const ended = this.#running.remove(workId, isWhole, context.nowMs)
+    if (ended === undefined || !isWhole) return
+    context.emit({ kind: 'count', metric: 'work_finished', label: ended.work.terms.priority })
+    context.emit({ kind: 'observe', metric: 'run_ms', value: context.nowMs - ended.startedAtMs, label: ended.work.terms.priority })
+  }
+
+  #writeGauges (context: Context): void {
+    if (context.nowMs < this.#gaugesAtMs) return
+    this.#gaugesAtMs = context.nowMs + GAUGES_MS
+    const gauges = { work_running: this.#running.size, work_queued: this.#queue.size, cap: this.#cap, warmth: this.#warmth.value }
+    for (const [metric, value] of Object.entries(gauges)) context.emit({ kind: 'observe', metric, value })
+  }
+
   #handleTick (context: Context): void {
+    this.#writeGauges(context)
     this.#warmth.noteTick(context.nowMs)
     if (this.#warmth.noteSilence(this.#running.listSilenceMs(context.nowMs))) writeCold('first-byte', context)
     if (this.#outSinceMs !== undefined && context.nowMs - this.#outSinceMs >= OUT_DRAIN_MS) this.#refuseAll('domain-out', context)
@@ -99,6 +117,7 @@
       this.#refuse(excess.work, 'overloaded', context, waitMs)
     }
     this.#queue.add(work, context.nowMs)
+    context.emit({ kind: 'count', metric: 'work_accepted', label: work.terms.priority })
     context.raise({ kind: 'work-queued', workId: work.workId, queued: this.#queue.size - 1, waitMs })
   }
 
@@ -116,6 +135,8 @@
       this.#queue.removeStarted(next)
       this.#running.add(next.work, context.nowMs)
       context.emit({ kind: 'run', work: next.work })
+      context.emit({ kind: 'count', metric: 'work_started', label: next.work.terms.priority })
+      context.emit({ kind: 'observe', metric: 'queue_wait_ms', value: context.nowMs - next.offeredAtMs, label: next.work.terms.priority })
       context.raise({ kind: 'work-started', workId: next.work.workId })
     }
   }
@@ -153,6 +174,7 @@
   }
 
   #refuse (work: Submit, error: ErrorKind, context: Context, retryAfterMs?: number): void {
+    if (error === 'quarantined') context.emit({ kind: 'count', metric: 'quarantined' })
     const wait = retryAfterMs === undefined ? {} : { retryAfterMs }
     context.raise({ kind: 'work-refused', workId: work.workId, error, outcome: 'not-run', ...wait })
   }
--- a/src/plugins/admission/running.ts
+++ b/src/plugins/admission/running.ts
@@ -5,7 +5,8 @@
 /** Weight of a new observation in the moving average. */
 const AVERAGE_WEIGHT = 0.1
 
-interface Run {
+/** Work in hand. */
+export interface Run {
   readonly work: Submit
   readonly startedAtMs: number
   hasFirstByte: boolean
@@ -51,11 +52,12 @@
   }
 
   /** Takes out work that ended; only whole answers count for the service time. */
-  remove (workId: string, isWhole: boolean, nowMs: number): void {
+  remove (workId: string, isWhole: boolean, nowMs: number): Run | undefined {
     const run = this.#runs.get(workId)
     this.#runs.delete(workId)
-    if (run === undefined || !isWhole) return
+    if (run === undefined || !isWhole) return run
     const elapsedMs = nowMs - run.startedAtMs
     this.#serviceMs = this.#serviceMs === undefined ? elapsedMs : this.#serviceMs + (elapsedMs - this.#serviceMs) * AVERAGE_WEIGHT
+    return run
   }
 }
--- a/src/plugins/outcomes/leave.ts
+++ b/src/plugins/outcomes/leave.ts
@@ -138,6 +138,7 @@
     } else if (!this.#outgoing.some(({ batch }) => batch === 0)) {
       this.#stage = { kind: 'moved', sinceMs: context.nowMs }
       this.#movedTo = peer
+      context.emit({ kind: 'count', metric: 'handovers', label: 'sent' })
       context.emit({ kind: 'log', event: 'handover-finished', fields: { successor: peer } })
     }
   }
--- a/src/plugins/outcomes/plugin.ts
+++ b/src/plugins/outcomes/plugin.ts
@@ -20,6 +20,9 @@
  */
 const PAUSE_MS = 2_000
 
+/** Interval in ms at which the count of records is written. */
+const GAUGE_MS = 1_000
+
 /** Event kinds that the plug-in handles. */
 const KINDS = [
   'tick', 'leave-requested', 'peer-connected', 'message-received', 'work-queued', 'work-started', 'work-refused',
@@ -38,6 +41,7 @@
   readonly #intake: Intake
   readonly #peers = Peers.create()
   #nowMs: number | undefined
+  #gaugeAtMs = 0
 
   private constructor (options: PluginOptions) {
     const service = options.service ?? ''
@@ -67,6 +71,7 @@
     if (gapMs <= PAUSE_MS) return
     this.#peers.notePause(context.nowMs)
     const closed = this.#executions.refuseWaiting({ error: 'process-paused', outcome: 'not-run' }, context)
+    context.emit({ kind: 'count', metric: 'pauses' })
     context.emit({ kind: 'log', event: 'pause-detected', fields: { gapMs, closed } })
   }
 
@@ -102,6 +107,10 @@
   #handleTick (context: Context): void {
     for (const peer of this.#peers.removeVanished(context.nowMs)) this.#executions.removePeer(peer, context)
     this.#records.removeExpired(context.nowMs)
+    if (context.nowMs >= this.#gaugeAtMs) {
+      this.#gaugeAtMs = context.nowMs + GAUGE_MS
+      context.emit({ kind: 'observe', metric: 'records', value: this.countRecords() })
+    }
     this.#leave.check(context)
   }
 
--- a/src/plugins/outcomes/takeover.ts
+++ b/src/plugins/outcomes/takeover.ts
@@ -52,6 +52,7 @@
     const table = RecordTable.create(message.home, message.incarnation, context.nowMs, message.window)
     for (const entry of entries) table.update(entry.scope, buildRecord(entry))
     this.#records.addTaken(table, context.nowMs)
+    context.emit({ kind: 'count', metric: 'handovers', label: 'received' })
     context.emit({ kind: 'log', event: 'handover-received', fields: { home: message.home, records: table.size } })
   }
 
--- a/src/plugins/quarantine/plugin.ts
+++ b/src/plugins/quarantine/plugin.ts
@@ -79,6 +79,8 @@
     const crashed = this.#flights.listCrashed(context.nowMs)
     const suspects = crashed.filter(fingerprint => this.isSuspect(fingerprint))
     const struck = suspects.length > 1 ? crashed.filter(fingerprint => !this.isSuspect(fingerprint)) : crashed
+    context.emit({ kind: 'count', metric: 'crashes' })
+    struck.forEach(() => { context.emit({ kind: 'count', metric: 'strikes' }) })
     context.emit({ kind: 'log', event: 'endpoint-crashed', fields: { crash: crashId, inFlight: crashed.length, suspects: suspects.length } })
     // An endpoint that names no start gives the same id to each of its crashes.
     const crash = `${crashId}@${context.self.incarnation}.${Math.round(context.nowMs)}`
--- a/test/endpoint/admission.test.ts
+++ b/test/endpoint/admission.test.ts
@@ -8,8 +8,7 @@
 const SEED = 7
 
 function createHome (warmCap: number, coldCap = warmCap, teamShareMax = 1): Process {
-  const { endpoints } = World.create({ teamShareMax })
-  World.create({ teamShareMax, endpoints: endpoints.map(spec => ({ ...spec, warmCap, coldCap })) })
+  World.create({ teamShareMax, warmCap, coldCap })
   return new Process()
 }
 
--- a/test/endpoint/harness.ts
+++ b/test/endpoint/harness.ts
@@ -18,14 +18,14 @@
   return { id, role, domain, host: `host-${id}`, address: `127.0.0.1:${id}`, incarnation }
 }
 
-export const ENDPOINT: Omit<EndpointSpec, 'id' | 'host' | 'domain' | 'peerAddress'> = { service: 'counter', checksFencing: false, warmCap: 2, coldCap: 2 }
-
 /** Mutable world that the fake ports of every kernel show. */
 export class World {
   static current: World
   version = 1
   out = new Set<string>()
-  endpoints: EndpointSpec[] = ['h1', 'h2'].map(id => ({ ...ENDPOINT, ...buildRef(id), peerAddress: `127.0.0.1:${id}` }))
+  ids: readonly string[] = ['h1', 'h2']
+  warmCap = 2
+  coldCap = 2
   peers: ProcessRef[] = []
   teamShareMax = 1
 
@@ -33,6 +33,11 @@
     World.current = Object.assign(new World(), change)
     return World.current
   }
+
+  get endpoints (): readonly EndpointSpec[] {
+    const { warmCap, coldCap } = this
+    return this.ids.map(id => ({ ...buildRef(id), service: 'counter', peerAddress: id, checksFencing: false, warmCap, coldCap }))
+  }
 }
 
 const configuration: ConfigurationPort = {
--- a/test/endpoint/quarantine.test.ts
+++ b/test/endpoint/quarantine.test.ts
@@ -9,8 +9,7 @@
 // Guards against a third crash, against innocents refused with the poison request, and against a suspect that blocks the queue.
 test('poison request through several entries: two crashes, then refused; innocents complete', t => {
   const refs = IDS.map(id => buildRef(id, id.startsWith('h') ? 'endpoint' : 'entry'))
-  const { endpoints } = World.create({ peers: refs })
-  World.create({ peers: refs, endpoints: refs.map(ref => ({ ...endpoints[0]!, ...ref, warmCap: 4, coldCap: 4 })) })
+  World.create({ peers: refs, ids: IDS, warmCap: 4, coldCap: 4 })
   const processes = new Map(refs.map(ref => [ref.id, new Process(ref)]))
   const lines: string[] = []
   const spread = (from: string, effects: readonly Effect[]): void => {
--- a/test/endpoint/sessions.test.ts
+++ b/test/endpoint/sessions.test.ts
@@ -130,7 +130,7 @@
   home.dispatch({ kind: 'configuration-changed', version: 2 })
   home.handle(buildSubmit('w3', { key }))
   home.wait(3_500)
-  World.create({ version: 3, endpoints: [] })
+  World.create({ version: 3, ids: [] })
   home.handle(buildSubmit('w4', { key: buildKey('k4') }))
   t.snapshot(home.lines)
 })
@@ -177,7 +177,7 @@
 
 // Guards against an untrue "not run" or a stuck exit when nobody can take the records.
 test.serial('planned leave without a successor', t => {
-  World.current.endpoints = World.current.endpoints.slice(0, 1)
+  World.create({ ids: ['h1'] })
   const home = createBusy()
   home.dispatch({ kind: 'leave-requested', deadlineMs: 60_000 })
   home.wait(3_000)
--- a/test/endpoint/shuffler.ts
+++ b/test/endpoint/shuffler.ts
@@ -41,9 +41,8 @@
   #successor: Id | undefined
 
   constructor () {
-    const { endpoints } = World.create({ peers: PROCESSES.map(id => buildRef(id)) })
     // A cap of 1 makes most work wait.
-    World.create({ peers: PROCESSES.map(id => buildRef(id)), endpoints: endpoints.map(spec => ({ ...spec, warmCap: 1, coldCap: 1 })) })
+    World.create({ peers: PROCESSES.map(id => buildRef(id)), warmCap: 1, coldCap: 1 })
   }
 
   apply (step: Step): void {
