Add the loss of a failure domain without notice to the drill

Cause: the drill covered only planned leaves. Change: a second case kills every process and endpoint of the domain; callers whose entry died send again with the same key.

--- a/bench/drill.ts
+++ b/bench/drill.ts
@@ -1,4 +1,8 @@
-/** A failure domain leaves and returns under load, beside a plain baseline. */
+/**
+ * A failure domain leaves and returns under load, beside a plain baseline: by an
+ * operator's order, and lost without notice. The platform is down throughout; the
+ * order reaches one entry, and all others hear of it from their peers.
+ */
 
 import { build } from 'hdr-histogram-js'
 import { Random } from '../src/kernel/random.js'
@@ -19,6 +23,17 @@
 const KINDS: readonly WorkKind[] = ['write', 'read', 'stream']
 const SECOND_MS = 1_000
 
+/** How the failure domain leaves. */
+const CASES = ['taken out', 'lost'] as const
+
+interface DrillOptions {
+  readonly system: WorkSystem
+  readonly clock: VirtualClock
+  readonly deployment: Deployment
+  readonly leave: typeof CASES[number]
+  readonly seed: number
+}
+
 /**
  * @param options - seed
  * @returns one row for each deployment, system and kind of work
@@ -26,31 +41,39 @@
 export function run (options: BenchOptions): BenchResult {
   return {
     name: 'drill',
-    columns: ['deployment', 'system', 'work', 'requests', 'in time %', 'worst second %', 'p50 ms', 'p95 ms', 'p99 ms', 'lost', 'doubled', 'no new work after s', 'crashes'],
-    rows: createDeployments().flatMap(deployment => {
+    columns: ['deployment', 'domain', 'system', 'work', 'requests', 'in time %', 'worst second %', 'p50 ms', 'p95 ms', 'p99 ms', 'not done', 'doubled', 'no new work after s', 'crashes'],
+    rows: createDeployments().flatMap(deployment => CASES.flatMap(leave => {
       const fleet = FleetSystem.create(deployment, options.seed)
       const baseline = RoundRobinSystem.create(deployment)
-      return [...runDrill(fleet, fleet.fleet.clock, deployment, options.seed), ...runDrill(baseline, baseline.clock, deployment, options.seed)]
-    })
+      return [
+        ...runDrill({ system: fleet, clock: fleet.fleet.clock, deployment, leave, seed: options.seed }),
+        ...runDrill({ system: baseline, clock: baseline.clock, deployment, leave, seed: options.seed })
+      ]
+    }))
   }
 }
 
-function runDrill (system: WorkSystem, clock: VirtualClock, deployment: Deployment, seed: number): BenchResult['rows'] {
+function runDrill ({ system, clock, deployment, leave, seed }: DrillOptions): BenchResult['rows'] {
   const domain = deployment.configuration.domains[0]?.name ?? ''
   const results: WorkResult[] = []
   for (const kind of KINDS) scheduleLoad(system, clock, kind, deployment, seed, result => { results.push(result) })
   let lastStartMs = 0
-  clock.schedule(TIMES.out, () => { system.changeDomain(domain, 'out') })
-  clock.schedule(TIMES.down, () => {
-    lastStartMs = system.findLastStart(domain)
-    system.setDomainUp(domain, false)
-  })
-  clock.schedule(TIMES.up, () => { system.setDomainUp(domain, true) })
-  clock.schedule(TIMES.in, () => { system.changeDomain(domain, 'in') })
+  if (leave === 'taken out') {
+    clock.schedule(TIMES.out, () => { system.changeDomain(domain, 'out') })
+    clock.schedule(TIMES.down, () => {
+      lastStartMs = system.findLastStart(domain)
+      system.setDomainUp(domain, false)
+    })
+    clock.schedule(TIMES.up, () => { system.setDomainUp(domain, true) })
+    clock.schedule(TIMES.in, () => { system.changeDomain(domain, 'in') })
+  } else {
+    clock.schedule(TIMES.out, () => { system.loseDomain(domain) })
+    clock.schedule(TIMES.up, () => { system.restoreDomain(domain) })
+  }
   clock.run(TIMES.drained)
   const afterS = Math.max(0, lastStartMs - TIMES.out) / SECOND_MS
   return KINDS.map(kind => [
-    deployment.name, system.name, kind,
+    deployment.name, leave, system.name, kind,
     ...describeKind(system, kind, results.filter(result => result.work.kind === kind)),
     Number(afterS.toFixed(2)), system.countCrashes()
   ])
--- a/bench/fleet/callers.ts
+++ b/bench/fleet/callers.ts
@@ -19,6 +19,7 @@
   readonly done: (result: WorkResult) => void
   key: string | undefined
   sends: number
+  entry: string
 }
 
 /** heatherdoor as a system under the drill. */
@@ -57,7 +58,7 @@
   }
 
   submit (work: Work, done: (result: WorkResult) => void): void {
-    this.#send({ work, done, key: undefined, sends: 0 })
+    this.#send({ work, done, key: undefined, sends: 0, entry: '' })
   }
 
   changeDomain (domain: string, state: 'in' | 'out'): void {
@@ -72,6 +73,23 @@
     }
   }
 
+  loseDomain (domain: string): void {
+    const ids = this.#listProcesses(domain)
+    this.setDomainUp(domain, false)
+    for (const id of ids) this.fleet.kill(id)
+    this.#answerUntilMs = Math.min(this.#answerUntilMs, this.fleet.clock.nowMs + REPEAT_PAUSE_MS)
+    for (const [requestId, attempt] of this.#attempts) {
+      if (!ids.includes(attempt.entry)) continue
+      this.#attempts.delete(requestId)
+      this.#sendLater(attempt)
+    }
+  }
+
+  restoreDomain (domain: string): void {
+    this.setDomainUp(domain, true)
+    for (const id of this.#listProcesses(domain)) this.fleet.restart(id)
+  }
+
   countRuns (work: Work): number {
     const names = this.#keys.get(work.id) ?? []
     return this.#sum(id => names.reduce((sum, key) => sum + (this.fleet.getFake(id).runsByKey.get(key) ?? 0), 0))
@@ -89,6 +107,10 @@
     return this.#configuration.endpoints.reduce((sum, { id }) => sum + count(id), 0)
   }
 
+  #listProcesses (domain: string): readonly string[] {
+    return [...this.#configuration.entries, ...this.#configuration.endpoints].filter(process => process.domain === domain).map(({ id }) => id)
+  }
+
   #listEndpoints (domain: string): readonly { readonly id: string }[] {
     return this.#configuration.endpoints.filter(endpoint => endpoint.domain === domain)
   }
@@ -117,7 +139,11 @@
     this.#attempts.set(requestId, attempt)
     if (work.kind !== 'write') this.#noteKey(work, requestId)
     const entry = address.url.slice('http://'.length)
-    this.fleet.clock.schedule(0, () => { this.fleet.request(entry, this.#buildRequest(attempt, requestId)) })
+    attempt.entry = entry
+    this.fleet.clock.schedule(0, () => {
+      if (this.fleet.listEntries().includes(entry)) this.fleet.request(entry, this.#buildRequest(attempt, requestId))
+      else if (this.#attempts.delete(requestId)) this.#sendLater(attempt)
+    })
     this.fleet.clock.schedule(PATIENCE_MS - (nowMs - work.startMs), () => { this.#finish(requestId, false) })
   }
 
--- a/bench/fleet/round-robin.ts
+++ b/bench/fleet/round-robin.ts
@@ -66,6 +66,14 @@
     }
   }
 
+  loseDomain (domain: string): void {
+    this.setDomainUp(domain, false)
+  }
+
+  restoreDomain (domain: string): void {
+    this.setDomainUp(domain, true)
+  }
+
   countRuns (work: Work): number {
     return this.#targets.reduce((sum, { fake }) => sum + (fake.runsByKey.get(work.id) ?? 0), 0)
   }
--- a/bench/fleet/work.ts
+++ b/bench/fleet/work.ts
@@ -28,6 +28,10 @@
   submit (work: Work, done: (result: WorkResult) => void): void
   /** Takes a failure domain out by an operator's order, or brings it back. */
   changeDomain (domain: string, state: 'in' | 'out'): void
+  /** Every process and endpoint of a failure domain dies without notice. */
+  loseDomain (domain: string): void
+  /** Starts empty processes and cold endpoints in a lost failure domain. */
+  restoreDomain (domain: string): void
   /** Stops or starts the endpoints of a failure domain. */
   setDomainUp (domain: string, up: boolean): void
   /** Runs of a piece of work at all endpoints. */
