--- a/bench/fleet/callers.ts
+++ b/bench/fleet/callers.ts
@@ -33,6 +33,8 @@
   #configuration
   #answer: AddressAnswer | undefined
   #answerUntilMs = 0
+  /** Tokens whose home is gone; callers use the other one until the next answer. */
+  readonly #lostHomes = new Set<string>()
   #sends = 0
 
   private constructor (deployment: Deployment, seed: number) {
@@ -130,7 +132,7 @@
     const answer = this.#getAnswer()
     const addresses = answer?.addresses ?? []
     const address = addresses[this.#random.pickInt(Math.max(1, addresses.length))]
-    const tokens = answer?.tokens ?? []
+    const tokens = (answer?.tokens ?? []).filter(({ token }) => !this.#lostHomes.has(token))
     if (work.kind === 'write') attempt.key ??= this.#buildKey(work, tokens[this.#random.pickInt(Math.max(1, tokens.length))]?.token)
     if (address === undefined || (work.kind === 'write' && attempt.key === undefined)) return this.#sendLater(attempt)
     this.#sends += 1
@@ -179,24 +181,27 @@
   #handleReply (effect: Effect): void {
     switch (effect.kind) {
       case 'address-told':
+        if (effect.answer.addresses.length === 0) break
         this.#answer = effect.answer
         this.#answerUntilMs = this.fleet.clock.nowMs + effect.answer.holdMs
+        this.#lostHomes.clear()
         break
       case 'reply-end':
         this.#finish(effect.requestId, true)
         break
       case 'reply-error':
-        this.#handleError(effect.requestId, effect.outcome, effect.forwarded)
+        this.#handleError(effect)
         break
       default:
     }
   }
 
   /** A caller takes a new key only when the old one cannot have run. */
-  #handleError (requestId: string, outcome: string, forwarded: boolean): void {
+  #handleError ({ requestId, error, outcome, forwarded }: Extract<Effect, { kind: 'reply-error' }>): void {
     const attempt = this.#attempts.get(requestId)
     if (attempt === undefined) return
     this.#attempts.delete(requestId)
+    if (error === 'home-lost' && attempt.key !== undefined) this.#lostHomes.add(attempt.key.slice(0, attempt.key.lastIndexOf('.')))
     if (outcome === 'not-run' || (attempt.sends === 1 && !forwarded)) {
       attempt.key = undefined
       attempt.sends = 0
