--- a/src/plugins/routing/plugin.ts
+++ b/src/plugins/routing/plugin.ts
@@ -152,7 +152,9 @@
   }
 
   #chooseHomes (service: string, context: Context): readonly Home[] {
-    const candidates = this.#listCandidates(service, context)
+    const configuration = context.port('configuration')
+    const allowed = configuration.findProfile(configuration.findService(service)?.profile ?? '')?.domains
+    const candidates = this.#listCandidates(service, context).filter(({ domain }) => allowed === undefined || allowed.includes(domain))
     const own = candidates.filter(({ domain }) => domain === context.self.domain)
     const first = pickOfTwo(own.length > 0 ? own : candidates, context.random.pickHex(8), context.random)
     const others = candidates.filter(({ domain }) => domain !== first?.domain)
--- a/test/entry/routing.test.ts
+++ b/test/entry/routing.test.ts
@@ -7,7 +7,7 @@
 import type { Candidate, ChoiceInput } from '../../src/plugins/routing/choice.js'
 import { Ejector } from '../../src/plugins/routing/ejection.js'
 import { computeLoad, computeRamp } from '../../src/plugins/routing/load.js'
-import { DOMAINS, PROFILE, Session, buildProcess, buildRequest, buildState } from './session.js'
+import { DOMAINS, PROFILE, Session, buildConfiguration, buildProcess, buildRequest, buildState } from './session.js'
 
 const spec = (index: number, domain: string): EndpointSpec => ({
   id: `s-${index}`, host: `h${index}`, domain, service: 's', peerAddress: `127.0.0.1:${index}`, checksFencing: true, warmCap: 8, coldCap: 1
@@ -76,6 +76,9 @@
   const list = () => session.kernel.port('routing').chooseHomes('book', context).map(({ domain }) => domain)
   t.is(list()[0], 'a')
   t.is(new Set(list()).size, 2)
+  session.dispatch({ kind: 'configuration-offered', configuration: buildConfiguration(2, { profiles: [{ ...PROFILE, domains: ['c'] }] }), source: 'test' })
+  t.deepEqual(list(), ['c'])
+  session.dispatch({ kind: 'configuration-offered', configuration: buildConfiguration(3), source: 'test' })
   session.receive('book-a', { kind: 'heartbeat', incarnation: 1, configVersion: 1, endpoint: buildState('book', { leaving: true }) })
   t.deepEqual([...list()].sort(), ['b', 'c'])
   session.dispatch({ kind: 'hosts-listed', live: [], leaving: ['host-book-b'] })
