--- a/bench/main.ts
+++ b/bench/main.ts
@@ -7,7 +7,9 @@
 import type { Bench } from './result.js'
 
 const LOADERS: Readonly<Record<string, () => Promise<{ readonly run: Bench }>>> = {
+  cold: async () => await import('./cold.js'),
   drill: async () => await import('./drill.js'),
+  overload: async () => await import('./overload.js'),
   path: async () => await import('./path.js')
 }
 
--- a/src/cli/outside.ts
+++ b/src/cli/outside.ts
@@ -19,11 +19,15 @@
  */
 export function buildOutside (progress: Progress): Outside {
   return {
-    openStore: ({ platform }) => PlatformClient.create({
-      urls: platform.urls,
-      timeoutMs: platform.timeoutMs,
-      ...(platform.credentialFile === undefined ? {} : { credential: readCredential(platform.credentialFile) })
-    }),
+    openStore: ({ platform }) => {
+      const tls = platform.tls === undefined ? undefined : loadTlsOptions(platform.tls)
+      return PlatformClient.create({
+        urls: platform.urls,
+        timeoutMs: platform.timeoutMs,
+        ...(tls === undefined ? {} : { tls: () => tls }),
+        ...(platform.credentialFile === undefined ? {} : { credential: readCredential(platform.credentialFile) })
+      })
+    },
     readOperations,
     getTime: () => new Date().toISOString(),
     pickHex: length => randomBytes(Math.ceil(length / 2)).toString('hex').slice(0, length),
--- a/src/plugins/outcomes/records.ts
+++ b/src/plugins/outcomes/records.ts
@@ -8,7 +8,10 @@
 /** Largest count of records of one process. */
 export const RECORDS_MAX = 20_000
 /** Largest size of all kept answers of one process. */
-const ANSWERS_MAX_BYTES = 16 * 1024 * 1024
+const ANSWERS_MAX_BYTES = 8 * 1024 * 1024
+
+/** Handed-over tables whose names are remembered after they were dropped. */
+const TAKEN_NAMES_MAX = 10_000
 
 interface TakenTable {
   readonly table: RecordTable
@@ -20,6 +23,7 @@
 export class Records {
   readonly own: RecordTable
   readonly #taken: TakenTable[] = []
+  readonly #takenNames = new Set<string>()
 
   private constructor (own: RecordTable) {
     this.own = own
@@ -46,12 +50,30 @@
     return this.listTables().reduce((sum, table) => sum + table.size, 0)
   }
 
-  isFull (): boolean {
-    return this.countRecords() >= RECORDS_MAX
+  /**
+   * A team may hold as many records as are free, so that a team whose keys are
+   * all refused under overload cannot fill the table for the others.
+   *
+   * @param team - team of a new key
+   * @returns whether the key cannot be recorded
+   */
+  isFull (team: string): boolean {
+    const held = this.listTables().reduce((sum, table) => sum + table.countTeam(team), 0)
+    return held >= RECORDS_MAX - this.countRecords()
   }
 
   addTaken (table: RecordTable, nowMs: number): void {
     this.#taken.push({ table, fromWindow: table.getWindow(nowMs) })
+    this.#takenNames.add(formatName(table))
+    for (const oldest of this.#takenNames) {
+      if (this.#takenNames.size <= TAKEN_NAMES_MAX) return
+      this.#takenNames.delete(oldest)
+    }
+  }
+
+  /** @returns whether the home's table was taken over before; taking it again would reopen its keys */
+  hasTaken (home: Pick<RequestKey, 'home' | 'incarnation'>): boolean {
+    return this.#takenNames.has(formatName(home))
   }
 
   /** Records the state of a key; work without a key has no record. */
@@ -70,3 +92,7 @@
     this.#taken.splice(0, this.#taken.length, ...kept)
   }
 }
+
+function formatName ({ home, incarnation }: Pick<RequestKey, 'home' | 'incarnation'>): string {
+  return `${incarnation} ${home}`
+}
