Report a change of load before the next heartbeat

Cause: streams waited although other workers were free: entries choose by loads that are up to 1 s old, and 8 entries choose at the same time. Change: an endpoint process sends its heartbeat early when running plus waiting requests changed by a quarter of its cap; checked at each tick (100 ms).

--- a/src/plugins/membership/connections.ts
+++ b/src/plugins/membership/connections.ts
@@ -41,6 +41,8 @@
 export interface ConnectionsOptions {
   /** Builds the heartbeat of this process. */
   readonly buildHeartbeat: (context: Context) => Heartbeat
+  /** Whether the state changed so much that peers should hear of it before the next heartbeat. */
+  readonly isReportDue: (context: Context) => boolean
   /** Whether a connection must stay open although it is no longer wanted. */
   readonly isInUse: (peer: string, context: Context) => boolean
 }
@@ -140,8 +142,7 @@
     for (const [id, address] of this.#wanted) {
       if (!this.#peers.has(id) && id !== context.self.id) this.#dial(id, address, context)
     }
-    if (context.nowMs < this.#nextHeartbeatMs) return
-    this.sendHeartbeats(context)
+    if (context.nowMs >= this.#nextHeartbeatMs || this.#options.isReportDue(context)) this.sendHeartbeats(context)
   }
 
   /** Sends a heartbeat over each connection. */
--- a/src/plugins/membership/plugin.ts
+++ b/src/plugins/membership/plugin.ts
@@ -20,6 +20,9 @@
 /** Count of entries per region that watch the platform. */
 const WATCHERS_PER_REGION = 2
 
+/** Change of load, as a share of the cap, after which a heartbeat is sent early. */
+const REPORT_CHANGE_SHARE = 0.25
+
 /** Time in ms for which a connection that was asked for is kept. */
 const WANTED_MS = 60_000
 
@@ -54,6 +57,8 @@
   #hostsLeaving: ReadonlySet<string> = new Set()
   #regions: ReadonlyMap<string, string> = new Map()
   #leaving = false
+  /** Running and waiting requests in the last heartbeat. */
+  #reportedLoad = 0
   #aloneSinceMs: number | undefined
   #nextDeadRetryMs = 0
 
@@ -61,6 +66,7 @@
     this.#options = options
     this.#connections = Connections.create({
       buildHeartbeat: context => this.#buildHeartbeat(context),
+      isReportDue: context => this.#isReportDue(context),
       // An endpoint process can't tell whether the entry at the other end still sends work over the connection.
       isInUse: (peer, context) => !this.#isEntry() || (context.findPort('requests')?.countAt(peer) ?? 0) > 0
     })
@@ -151,6 +157,7 @@
 
   #buildHeartbeat (context: Context): Heartbeat {
     const endpoint = this.#isEntry() ? undefined : buildEndpointState(this.#options, this.#leaving, context)
+    this.#reportedLoad = endpoint === undefined ? 0 : endpoint.running + endpoint.queued
     return {
       kind: 'heartbeat',
       incarnation: context.self.incarnation,
@@ -159,6 +166,13 @@
     }
   }
 
+  /** Entries choose by reported load; between heartbeats they miss a change of a quarter of the cap. */
+  #isReportDue (context: Context): boolean {
+    const state = context.findPort('admission')?.describeState()
+    if (state === undefined) return false
+    return Math.abs(state.running + state.queued - this.#reportedLoad) >= Math.max(1, state.cap * REPORT_CHANGE_SHARE)
+  }
+
   #applyConfiguration (context: Context): void {
     if (!this.#isEntry()) return
     const configuration = context.port('configuration').getCurrent()
