Read the platform's list of hosts at entries

Cause: the kernel could use the list, but no edge read it, so a host that the platform takes away got new work until its process said so itself.

--- a/src/edge/platform/client.ts
+++ b/src/edge/platform/client.ts
@@ -10,7 +10,7 @@
 import { Random } from '../../kernel/random.js'
 import { PlatformTransport } from './transport.js'
 import type { TransportAnswer, TransportCall } from './transport.js'
-import { listAnswerSchema, objectAnswerSchema, revisionAnswerSchema } from './schema.js'
+import { hostsAnswerSchema, listAnswerSchema, objectAnswerSchema, revisionAnswerSchema } from './schema.js'
 import type { ListAnswer } from './schema.js'
 import { Watch } from './watch.js'
 import type { WatchOptions } from './watch.js'
@@ -45,6 +45,12 @@
   | { readonly kind: 'listed', readonly revision: number, readonly objects: ListAnswer['objects'] }
   | { readonly kind: 'unavailable' }
 
+/** Names of hosts as the platform lists them. */
+export interface PlatformHosts {
+  readonly live: readonly string[]
+  readonly leaving: readonly string[]
+}
+
 /** What is known of a write whose answer was lost. */
 export type WriteCheck =
   /** It took effect and nobody wrote after it. */
@@ -126,6 +132,23 @@
     return list.success ? { kind: 'listed', ...list.data } : { kind: 'unavailable' }
   }
 
+  /**
+   * Reads the platform's list of hosts, which lags.
+   *
+   * @returns names of live and of leaving hosts; undefined when it can't be read
+   */
+  async listHosts (): Promise<PlatformHosts | undefined> {
+    const answer = await this.#transport.send({ method: 'GET', path: '/v1/hosts' })
+    if (answer.kind !== 'answered' || answer.status !== 200) return undefined
+    const parsed = hostsAnswerSchema.safeParse(answer.body)
+    if (!parsed.success) return undefined
+    const { hosts } = parsed.data
+    return {
+      live: hosts.filter(({ state }) => state === 'live').map(({ name }) => name),
+      leaving: hosts.filter(({ state }) => state === 'leaving').map(({ name }) => name)
+    }
+  }
+
   /**
    * Reads back after a `write` with the result `unknown`.
    *
--- a/src/edge/platform/schema.ts
+++ b/src/edge/platform/schema.ts
@@ -22,3 +22,8 @@
 })
 
 export type WatchAnswer = z.infer<typeof watchAnswerSchema>
+
+/** Answer to a question for the list of hosts. */
+export const hostsAnswerSchema = z.object({
+  hosts: z.array(z.object({ name: z.string(), state: z.enum(['live', 'leaving']) }))
+})
--- a/src/edge/process.ts
+++ b/src/edge/process.ts
@@ -11,6 +11,7 @@
 import { Metrics } from './metrics/metrics.js'
 import { PeerHub } from './peer/hub.js'
 import { PlatformClient } from './platform/client.js'
+import { HostListReader } from './platform/hosts.js'
 import { ConfigurationReader } from './platform/reader.js'
 import { Runtime } from './runtime.js'
 import { OperatorKeys } from './security/credentials.js'
@@ -42,6 +43,7 @@
   readonly tls: TlsFiles
   readonly operators: OperatorKeys
   readonly #reader: ConfigurationReader
+  readonly #hosts: HostListReader
   readonly #settings: ProcessSettings
 
   private constructor (options: ProcessOptions) {
@@ -72,6 +74,7 @@
     this.operators = OperatorKeys.create(loadOperatorKeys(settings))
     this.hub = this.#createHub(self, clusterSecret)
     this.runtime = Runtime.create({ ...this.#parts(), handleRoleEffect: options.handleRoleEffect, handleLeaveFinished: options.handleLeaveFinished })
+    this.#hosts = HostListReader.create({ platform: this.platform, dispatch: event => { this.runtime.dispatch(event) } })
     this.#reader = ConfigurationReader.create({
       platform: this.platform,
       configuration: this.kernel.port('configuration'),
@@ -95,7 +98,10 @@
     await this.hub.start(ip, port)
     this.runtime.start()
     // Endpoint processes outnumber entries and get the configuration from them.
-    if (this.kernel.self.role === 'entry') this.#reader.start()
+    if (this.kernel.self.role === 'entry') {
+      this.#reader.start()
+      this.#hosts.start()
+    }
     const { id, role, incarnation } = this.kernel.self
     this.logger.write('process-started', { role, id, incarnation })
   }
@@ -110,6 +116,7 @@
   /** Closes every socket and timer. */
   async stop (): Promise<void> {
     this.#reader.stop()
+    this.#hosts.stop()
     this.runtime.stop()
     await this.hub.stop()
     await this.platform.close()
--- a/test/processes/failures.test.ts
+++ b/test/processes/failures.test.ts
@@ -156,3 +156,20 @@
     t.deepEqual(ended.filter(({ code }) => code !== 0), [])
   }
 })
+
+// Guards against new work for a host that the platform lists as leaving while its processes say nothing.
+test.serial('a host that the platform lists as leaving gets no new work', async t => {
+  const live = await Live.start()
+  try {
+    await live.listHosts([{ name: 'counter-0-host', state: 'leaving' }])
+    await waitUntil('no entry offers its home', async () => {
+      const offered = [...await live.listTokens(0), ...await live.listTokens(1)].map(({ home }) => home)
+      return offered.length > 0 && !offered.includes('counter-0')
+    })
+    const before = await live.readCounters('counter', 0)
+    for (const entry of [0, 1, 0, 1]) t.is((await live.book(entry)).status, 201)
+    t.deepEqual(await live.readCounters('counter', 0), before)
+  } finally {
+    await live.kill()
+  }
+})
--- a/test/processes/live.ts
+++ b/test/processes/live.ts
@@ -164,6 +164,14 @@
     await answer.body.dump()
   }
 
+  /** Sets the platform's list of hosts: all of the deployment, some of them leaving. */
+  async listHosts (leaving: readonly { readonly name: string, readonly state: string }[]): Promise<void> {
+    const live = ['entry-host-0', 'entry-host-1', 'counter-1-host', 'guidance-0-host', 'guidance-1-host'].map(name => ({ name, state: 'live' }))
+    const hosts = [...live, ...leaving].map(host => ({ ...host, domain: 'any' }))
+    const answer = await request(`${this.files.platformUrl}/hosts`, { method: 'PUT', body: JSON.stringify(hosts) })
+    await answer.body.dump()
+  }
+
   /** Connections between entries and `counter-0` pass nothing more; new ones work. */
   silence (): void {
     this.#relay?.silence()
