Keep the map before a change for ranks replaced ahead of its step

The record and the rank now keep the previous map, use the later map before the earlier one, and a rank refuses a proposal until it has reached the first step of the map in force, so two maps are always enough.

--- a/bench/experts/walk.ts
+++ b/bench/experts/walk.ts
@@ -2,8 +2,8 @@
  * Walks all interleavings of the real rank and holder code at small size: every
  * order of messages, platform calls, orders, steps and timers, with bounded
  * losses, restarts and take-overs. Two kinds of event are carried out at once,
- * because an order or a write in flight already covers what may happen meanwhile:
- * loading a map, and reading the record. A state is visited once; ranks are
+ * because the hold, the release or the write next to them covers what may happen
+ * meanwhile: loading and using a map, and reading the record. A state is visited once; ranks are
  * interchangeable, so states that differ only in their numbering count as one.
  */
 
@@ -84,8 +84,10 @@
 }
 /** Longer than every limit of the protocol, in ms. */
 const LIMIT_MS = 100_000
-/** Steps that each rank executes at most. */
+/** Ranks start at the step from which maps are proposed, and stop after it. */
 const STEPS = 2
+/** Orders that the engine answers at once. */
+const ORDERS_AT_ONCE: ReadonlySet<string> = new Set(['load-map', 'use-map'])
 /** First step of each proposed change. */
 const PROPOSED_STEP = 1
 
@@ -146,7 +148,7 @@
   buildFirst (): State {
     const record: MapRecord = { version: 1, decision: 'commit', fence: 1, map: { version: 1, step: 0, fence: 1, ranks: [] } }
     const rank: RankState = { ...INITIAL_RANK, joined: true, fence: 1, decided: 1, base: { version: 1, step: 0, layers: [] }, synced: true, startId: '1', gate: { ...EMPTY_GATE, fence: 1 } }
-    const engine: EngineState = { ...FRESH_ENGINE, loaded: [1], uses: [[1, 0]], fence: 1 }
+    const engine: EngineState = { ...FRESH_ENGINE, step: PROPOSED_STEP, loaded: [1], uses: [[1, 0]], fence: 1 }
     return {
       ranks: this.#peers.map(() => ({ rank, engine, calls: [] })),
       holders: [
@@ -229,7 +231,7 @@
     const needed = !joined ? call === undefined : !synced && isIdle(state.ranks[index]!.rank.gate)
     if (needed || (pending?.promised === true && state.left.repeats > 0)) {
       const next = needed ? state : spend(state, 'repeats')
-      yield [`r${index} tick`, this.#runRank(next, index, (machine, context) => { machine.handleTick(peers, context) }, 'next')]
+      yield [`r${index} tick`, this.#runRank(next, index, (machine, context) => { machine.handleTick(peers, context) })]
     }
     if (state.left.limits > 0 && pending !== undefined && pending.sinceMs > -LIMIT_MS) {
       yield [`r${index} limit`, this.#runRank(spend(state, 'limits'), index, (machine, context) => { machine.handleTick(peers, context) }, 'limit')]
@@ -243,7 +245,7 @@
     if (change.fence > 0 && (!change.closed || change.wanted !== undefined || change.proposal !== undefined)) {
       const needed = change.call === undefined && (!change.closed || change.wanted !== undefined || change.proposal?.intent !== undefined)
       if (needed || state.left.repeats > 0) {
-        yield [`${name} tick`, this.#runHolder(needed ? state : spend(state, 'repeats'), index, (machine, context) => { machine.handleTick(context) }, 'next')]
+        yield [`${name} tick`, this.#runHolder(needed ? state : spend(state, 'repeats'), index, (machine, context) => { machine.handleTick(context) })]
       }
       if (state.left.limits > 0 && change.proposal !== undefined) yield [`${name} limit`, this.#runHolder(spend(state, 'limits'), index, (machine, context) => { machine.handleTick(context) }, 'limit')]
     }
@@ -308,7 +310,7 @@
     run(machine, { nowMs: 0, random: this.#random, emit: effect => { effects.push(effect) } })
     const ran = this.#applyEffects(this.#updateRank(state, index, { rank: shiftTimes(machine.getState(), undefined) }), 'ranks', index, effects)
     const outstanding = machine.getState().gate.outstanding
-    return outstanding?.order.kind === 'load-map' ? this.#answerOrder(ran, index, outstanding) : ran
+    return outstanding !== undefined && ORDERS_AT_ONCE.has(outstanding.order.kind) ? this.#answerOrder(ran, index, outstanding) : ran
   }
 
   #runHolder (state: State, index: number, run: (change: Change, context: RunContext) => void, time?: Time): State {
@@ -360,7 +362,7 @@
 }
 
 interface RunContext { readonly nowMs: number, readonly random: Random, readonly emit: (effect: Effect) => void }
-type Time = 'next' | 'limit'
+type Time = 'limit'
 
 function spend (state: State, kind: keyof Budget): State {
   return { ...state, left: { ...state.left, [kind]: state.left[kind] - 1 } }
@@ -406,13 +408,13 @@
   return JSON.stringify(value).replace(/"(?:experts|map)\/g\/\d+"/g, '0').replace(/"map-\d+"/g, '0').replace(/"(?:calls|sequence)":\d+,?/g, '')
 }
 
-/** Keeps times relative to the present: points in the past that have the same effect become equal. */
+/** Keeps times relative to the present. Only ticks look at the times of next attempts, and each tick of the walk is one at which they have come. */
 function shiftTimes<T> (value: T, time: Time | undefined): T {
   if (Array.isArray(value)) return value
   if (typeof value !== 'object' || value === null) return value
   const shifted: Record<string, unknown> = {}
   for (const [key, item] of Object.entries(value)) {
-    if (typeof item === 'number' && key.startsWith('next')) shifted[key] = time === undefined ? Math.max(0, item) : 0
+    if (typeof item === 'number' && key.startsWith('next')) shifted[key] = 0
     else if (typeof item === 'number' && key.endsWith('Ms')) shifted[key] = time === 'limit' ? -LIMIT_MS : item
     else shifted[key] = key === 'call' || key === 'pending' || key === 'proposal' ? shiftTimes(item, time) : item
   }
--- a/src/plugins/experts/endpoint-plugin.ts
+++ b/src/plugins/experts/endpoint-plugin.ts
@@ -129,7 +129,7 @@
     const configuration = context.port('configuration')
     return context.port('membership').listPeers()
       .map(peer => peer.process.id)
-      .filter(id => configuration.findEndpoint(id)?.group === place.group.name)
+      .filter(id => id !== context.self.id && configuration.findEndpoint(id)?.group === place.group.name)
       .slice(0, ASKED_RANKS)
   }
 
--- a/src/plugins/experts/holder-plugin.ts
+++ b/src/plugins/experts/holder-plugin.ts
@@ -6,7 +6,8 @@
 import { registerPlugin } from '../../kernel/plugin.js'
 import type { Context, Plugin } from '../../kernel/plugin.js'
 import type { ExpertLoad, Message, ProcessRef } from '../../protocol/messages.js'
-import { Change, INITIAL_CHANGE } from './change.js'
+import { CHANGE_RULES, Change, INITIAL_CHANGE } from './change.js'
+import type { ChangeRules } from './change.js'
 import { INITIAL_LEASE, Lease } from './lease.js'
 import { Rebalancer } from './placement/rebalancer.js'
 import { buildStaticPlacement } from './placement/static.js'
@@ -57,16 +58,20 @@
   #instances = 0
   #nextConnectMs = 0
 
-  private constructor (createPlanner: CreatePlanner) {
+  readonly #rules: ChangeRules
+
+  private constructor (createPlanner: CreatePlanner, rules: ChangeRules) {
+    this.#rules = rules
     this.#createPlanner = createPlanner
   }
 
   /**
    * @param createPlanner - creates the planner of a group
+   * @param rules - safeguards; tests switch single ones off
    * @returns the plug-in in its initial state
    */
-  static create (createPlanner: CreatePlanner): MapHolderPlugin {
-    return new MapHolderPlugin(createPlanner)
+  static create (createPlanner: CreatePlanner, rules: ChangeRules = CHANGE_RULES): MapHolderPlugin {
+    return new MapHolderPlugin(createPlanner, rules)
   }
 
   /**
@@ -105,7 +110,7 @@
     if (context.nowMs >= this.#nextConnectMs) this.#connectRanks(held, context)
     held.change.handleTick(context)
     const { stored } = held.change.getState()
-    if (stored === undefined || !held.change.isReady()) return
+    if (stored === undefined || !held.change.isReady() || !held.steps.isReached(stored.record.map.step)) return
     const ranks = held.planner.choosePlacement(stored.record.map, context)
     if (ranks !== undefined) held.change.propose({ ranks, step: held.steps.chooseStep(context.nowMs) })
   }
@@ -166,7 +171,7 @@
     const calls = this.#instances * CALLS_PER_INSTANCE
     this.#instances += 1
     const lease = before?.lease ?? Lease.create(group.name, { ...INITIAL_LEASE, calls })
-    const change = Change.create(group.name, ranks.map(rank => rank.id), undefined, { ...INITIAL_CHANGE, calls })
+    const change = Change.create(group.name, ranks.map(rank => rank.id), this.#rules, { ...INITIAL_CHANGE, calls })
     const planner = this.#createPlanner(group.name, buildShape(group, ranks))
     return { group, ranks, lease, change, planner, steps: StepClock.create() }
   }
--- a/src/plugins/experts/placement/moves.ts
+++ b/src/plugins/experts/placement/moves.ts
@@ -42,7 +42,7 @@
     if (gain > 0 && (best === undefined || gain > best.gain)) best = { move, gain }
   }
   for (let rank = 0; rank < loads.length; rank += 1) {
-    if (loads[rank]! >= target) continue
+    if (loads[rank]! >= loads[hot]! * 0.999) continue
     rateSwaps(layer, target, hot, rank, note)
     rateReplicas(layer, target, hot, rank, note)
   }
@@ -91,7 +91,7 @@
 function rateDrops (layer: Layer, target: number, hot: number, note: NoteMove): void {
   const loads = layer.getLoads()
   const lighter = new Set<number>()
-  loads.forEach((load, rank) => { if (load > target) for (const expert of layer.getSlots(rank)) lighter.add(expert) })
+  loads.forEach((load, rank) => { if (load > 0) for (const expert of layer.getSlots(rank)) lighter.add(expert) })
   layer.getSlots(hot).forEach((old, slot) => {
     if (layer.getHolders(old).size < 2) return
     for (const expert of lighter) {
--- a/src/plugins/experts/placement/rebalancer.ts
+++ b/src/plugins/experts/placement/rebalancer.ts
@@ -10,7 +10,7 @@
 /** Time between two decisions, in ms. */
 export const CHECK_MS = 10_000
 /** Moves that a decision searches for in one tick. */
-export const MOVES_PER_TICK = 20
+export const MOVES_PER_TICK = 10
 /** Step time assumed until a rank reports one, in ms. */
 const STEP_DEFAULT_MS = 50
 
--- a/src/plugins/experts/rank-state.ts
+++ b/src/plugins/experts/rank-state.ts
@@ -48,7 +48,9 @@
   readonly fence: number
   /** Latest decided version known. */
   readonly decided: number
+  /** Map in force, and the one used until its first step. */
   readonly base?: RankMap
+  readonly previous?: RankMap
   readonly pending?: PendingMap
   /** The engine carried out every order that the state asks for. */
   readonly synced: boolean
@@ -108,22 +110,25 @@
 }
 
 /**
- * Lists the orders that bring an engine in any state to the rank's state. The map
- * in force is loaded first and used last: an engine that restarts in between has
- * not loaded it and refuses to use it, so it never steps without the hold.
+ * Lists the orders that bring an engine in any state to the rank's state. Maps in
+ * force are loaded first and used last: an engine that restarts in between has not
+ * loaded them and refuses to use them, so it never steps without the hold. The
+ * later map is used before the earlier one, so the engine cannot step past the
+ * change with the earlier.
  *
  * @param state - state of the rank
  * @param rules - safeguards
  * @returns orders in sequence
  */
 export function buildSyncOrders (state: RankState, rules: RankRules): readonly EndpointOrder[] {
-  const { base, pending } = state
+  const { base, previous, pending, step } = state
   if (base === undefined) return []
-  const load: EndpointOrder = { kind: 'load-map', version: base.version, layers: base.layers }
-  const use: EndpointOrder = { kind: 'use-map', version: base.version, step: base.step }
-  if (pending === undefined) return [load, use, { kind: 'release-hold' }]
+  const maps = previous !== undefined && step < base.step ? [base, previous] : [base]
+  const loads = maps.map((map): EndpointOrder => ({ kind: 'load-map', version: map.version, layers: map.layers }))
+  const uses = maps.map((map): EndpointOrder => ({ kind: 'use-map', version: map.version, step: map.step }))
+  if (pending === undefined) return [...loads, ...uses, { kind: 'release-hold' }]
   const prepare = buildPrepareOrders(pending)
-  return [load, ...(rules.holdsRestartedEngine ? prepare : prepare.slice(0, 1)), use]
+  return [...loads, ...(rules.holdsRestartedEngine ? prepare : prepare.slice(0, 1)), ...uses]
 }
 
 /**
--- a/src/plugins/experts/rank.ts
+++ b/src/plugins/experts/rank.ts
@@ -236,15 +236,16 @@
 
   #join (record: MapRecord, context: RankContext): void {
     if (record.version < this.#state.decided) return
-    const { map } = record
-    const layers = map.ranks[this.#place.rank] ?? []
-    const { pending: _pending, ...rest } = this.#state
+    const { map, previous } = record
+    const { rank } = this.#place
+    const { pending: _pending, previous: _previous, ...rest } = this.#state
     this.#state = {
       ...rest,
       joined: true,
       fence: Math.max(rest.fence, record.fence),
       decided: record.version,
-      base: { version: map.version, step: map.step, layers },
+      base: { version: map.version, step: map.step, layers: map.ranks[rank] ?? [] },
+      ...(previous === undefined ? {} : { previous: { version: previous.version, step: previous.step, layers: previous.ranks[rank] ?? [] } }),
       synced: false
     }
     this.#update({ gate: removeWaiting(this.#state.gate, true) })
@@ -252,8 +253,10 @@
   }
 
   #isAcceptable (message: MapPrepare): boolean {
-    const { joined, fence, decided, pending, step } = this.#state
+    const { joined, fence, decided, pending, step, base } = this.#state
     if (!joined || message.fence < fence || step >= message.step) return false
+    // A record holds two maps, so the one before must be out of use.
+    if (base === undefined || step < base.step) return false
     if (message.version <= decided && this.#rules.refusesOldProposals) return false
     if (pending === undefined || pending.version < message.version) return true
     return !this.#rules.keepsPromise && pending.version === message.version
@@ -261,14 +264,14 @@
 
   /** Takes a decided version in: the record in the platform stands at it or above. */
   #settle (decision: Decision, context: RankContext): void {
-    const { decided, pending, fence } = this.#state
+    const { decided, pending, base, fence } = this.#state
     if (decision.version <= decided && this.#rules.ignoresOldDecisions) return
     this.#update({ decided: decision.version, fence: Math.max(fence, decision.fence) })
     if (pending !== undefined && pending.version <= decision.version) {
       const committed = decision.mapVersion === pending.version
       this.#removePending()
       this.#update({ gate: removeWaiting(this.#state.gate, true) })
-      if (committed) this.#update({ base: { version: pending.version, step: decision.step, layers: pending.layers } })
+      if (committed) this.#update({ ...(base === undefined ? {} : { previous: base }), base: { version: pending.version, step: decision.step, layers: pending.layers } })
       const use: EndpointOrder = { kind: 'use-map', version: decision.mapVersion, step: decision.step }
       if (this.#state.synced) this.#order(decision.version, [...(committed ? [use] : []), { kind: 'release-hold' }], context)
       else this.#startSync(context)
--- a/src/plugins/experts/record.ts
+++ b/src/plugins/experts/record.ts
@@ -23,6 +23,8 @@
   readonly fence: number
   /** Map in force after the decision. */
   readonly map: MapContent
+  /** Map that ranks use until `map.step`; a rank replaced before that step needs it. */
+  readonly previous?: MapContent
 }
 
 /** A record and the platform revision it was read or written at. */
@@ -84,7 +86,7 @@
  * @returns the record to write
  */
 export function buildAbort (record: MapRecord, fence: number): MapRecord {
-  return { version: record.version + 1, decision: 'abort', fence, map: record.map }
+  return { ...record, version: record.version + 1, decision: 'abort', fence }
 }
 
 /**
@@ -98,7 +100,8 @@
  */
 export function buildCommit (record: MapRecord | undefined, fence: number, step: number, ranks: MapContent['ranks']): MapRecord {
   const version = (record?.version ?? 0) + 1
-  return { version, decision: 'commit', fence, map: { version, step, fence, ranks } }
+  const previous = record === undefined ? {} : { previous: record.map }
+  return { version, decision: 'commit', fence, map: { version, step, fence, ranks }, ...previous }
 }
 
 function parseObject (value: string): object | undefined {
--- a/src/plugins/experts/step-clock.ts
+++ b/src/plugins/experts/step-clock.ts
@@ -43,6 +43,14 @@
     this.#leadMs = Math.min(LEAD_MAX_MS, Math.max(FIRST_LEAD_MS, wantedMs))
   }
 
+  /**
+   * @param step - first step of the map in force
+   * @returns whether the group has reported that step or a later one
+   */
+  isReached (step: number): boolean {
+    return this.#step >= step
+  }
+
   /**
    * @param nowMs - monotonic time in ms
    * @returns the step from which a map proposed now should be used
--- a/test/experts/world.ts
+++ b/test/experts/world.ts
@@ -8,6 +8,7 @@
 import type { Message, ProcessRef } from '../../src/protocol/messages.js'
 import { ExpertsPlugin } from '../../src/plugins/experts/endpoint-plugin.js'
 import { MapHolderPlugin } from '../../src/plugins/experts/holder-plugin.js'
+import type { ChangeRules } from '../../src/plugins/experts/change.js'
 import type { RankRules } from '../../src/plugins/experts/rank-state.js'
 import { FRESH_ENGINE, applyOrder, buildRestarted, findUsedVersion } from '../../bench/experts/engine.js'
 import type { EngineState } from '../../bench/experts/engine.js'
@@ -21,6 +22,9 @@
   readonly checksFencing: boolean
   readonly seed: number
   readonly rules?: RankRules
+  readonly changeRules?: ChangeRules
+  /** False lets the platform ignore the revision of a write. */
+  readonly conditionalWrites?: boolean
   /** Times at which the holder wants another map. */
   readonly changesAtMs: readonly number[]
 }
@@ -52,6 +56,8 @@
   loseAnswers = 0
   /** Ranks whose engines do not step. */
   readonly stalled = new Set<number>()
+  lastStepMs = 0
+  longestStallMs = 0
   #sequence = 0
   #wanted = 0
 
@@ -151,6 +157,8 @@
       if (other !== undefined && other !== version) throw new Error(`step ${engine.step}: rank ${rank} uses map ${version}, another rank ${other}`)
       if (other === undefined) this.executed.set(engine.step, version)
       this.engines[rank] = { ...engine, step: engine.step + 1 }
+      if (engine.step > 0) this.longestStallMs = Math.max(this.longestStallMs, this.nowMs - this.lastStepMs)
+      this.lastStepMs = this.nowMs
     })
   }
 
@@ -196,15 +204,16 @@
     if (!this.platformUp) return { kind: 'unavailable' }
     const found = this.#objects.get(operation.key)
     if (operation.kind === 'read') return found === undefined ? { kind: 'missing' } : { kind: 'found', ...found }
-    if ((found?.revision ?? 0) !== operation.revision) return { kind: 'conflict' }
-    this.#objects.set(operation.key, { value: operation.value, revision: operation.revision + 1 })
+    if ((found?.revision ?? 0) !== operation.revision && this.options.conditionalWrites !== false) return { kind: 'conflict' }
+    const revision = (found?.revision ?? 0) + 1
+    this.#objects.set(operation.key, { value: operation.value, revision })
     const { version, decision, fence, map } = JSON.parse(operation.value) as { version?: number, decision?: string, fence: number, map?: { version: number } }
     if (version !== undefined) this.#note(`${id} writes version ${version} ${decision} fence ${fence} map ${map?.version}`)
     if (this.loseAnswers > 0 && version !== undefined) {
       this.loseAnswers -= 1
       return { kind: 'unknown' }
     }
-    return { kind: 'written', revision: operation.revision + 1 }
+    return { kind: 'written', revision }
   }
 
   #getPort<N extends keyof Ports> (name: N): Ports[N] {
@@ -225,7 +234,7 @@
   }
 
   #addNode (id: string, role: 'entry' | 'endpoint', incarnation = 1): void {
-    const plugin = role === 'endpoint' ? ExpertsPlugin.create(this.options.rules) : MapHolderPlugin.create(() => this.#createPlanner())
+    const plugin = role === 'endpoint' ? ExpertsPlugin.create(this.options.rules) : MapHolderPlugin.create(() => this.#createPlanner(), this.options.changeRules)
     this.#nodes.set(id, { self: { id, role, domain: 'a', host: id, address: '', incarnation }, plugin, alive: true, paused: false, inbox: [] })
   }
 
