Close the open version after a lease is lost and regained

A holder whose lease lapsed between two events and was renewed with the same fencing number took the record's number for its own close. It could propose the same version with other content while ranks still had the promise for the first, so one version would have named two maps.

Only an own write now closes, and a scripted test holds that.

--- a/src/plugins/experts/change.ts
+++ b/src/plugins/experts/change.ts
@@ -39,7 +39,7 @@
 export interface ChangeState {
   /** Fencing number of the lease; 0 when not held. */
   readonly fence: number
-  /** The record bears this holder's number: nothing older can be decided. */
+  /** This holder has written the record since it got the lease: nothing older can be decided. */
   readonly closed: boolean
   readonly stored?: StoredRecord
   readonly wanted?: WantedMap
@@ -200,14 +200,14 @@
     switch (result.kind) {
       case 'found': {
         const record = parseRecord(result.value)
-        if (record !== undefined) this.#handleStored({ revision: result.revision, record }, call.sentAtMs, context)
+        if (record !== undefined) this.#handleStored({ revision: result.revision, record }, call.sentAtMs, false, context)
         return
       }
       case 'missing':
         this.#handleMissing(context)
         return
       case 'written':
-        if (call.writes !== undefined) this.#handleStored({ ...call.writes, revision: result.revision }, call.sentAtMs, context)
+        if (call.writes !== undefined) this.#handleStored({ ...call.writes, revision: result.revision }, call.sentAtMs, true, context)
         return
       case 'conflict':
       case 'unknown':
@@ -220,7 +220,7 @@
   }
 
   /** Takes in what stands in the platform, then continues from there. */
-  #handleStored (stored: StoredRecord, sentAtMs: number, context: ChangeContext): void {
+  #handleStored (stored: StoredRecord, sentAtMs: number, written: boolean, context: ChangeContext): void {
     const { fence, closed, proposal, wanted } = this.#state
     const older = this.#state.stored !== undefined && stored.record.version < this.#state.stored.record.version
     if (older) return
@@ -231,7 +231,7 @@
       this.#removeProposal()
       this.#update({ closed: false, nextCallAtMs: context.nowMs + CALL_LIMIT_MS })
     } else if (!closed) {
-      this.#handleClosing(stored, context)
+      this.#handleClosing(stored, written, context)
     } else if (proposal !== undefined) {
       if (record.version >= proposal.version) this.#handleDecided(record, proposal, context)
       else if (proposal.intent !== undefined) this.#writeDecision(stored, proposal, proposal.intent, context)
@@ -241,9 +241,13 @@
     }
   }
 
-  #handleClosing (stored: StoredRecord, context: ChangeContext): void {
+  /**
+   * Only an own write closes. A record that already bears the number may be older than a
+   * proposal that this holder made before it lost the lease and got it back.
+   */
+  #handleClosing (stored: StoredRecord, written: boolean, context: ChangeContext): void {
     const { fence } = this.#state
-    if (stored.record.fence === fence || !this.#rules.closesOnTakeOver) {
+    if (written || !this.#rules.closesOnTakeOver) {
       this.#removeWanted()
       this.#update({ closed: true })
       this.#tellAll(stored.record, context)
--- a/test/experts/safeguards.test.ts
+++ b/test/experts/safeguards.test.ts
@@ -70,6 +70,20 @@
   t.deepEqual(run({ closesOnTakeOver: false }), ['read', 'send'])
 })
 
+// Guards against a second proposal of the same version and fencing number with other content.
+test('closesOnTakeOver: a lease lost and regained with the same number closes again', t => {
+  const effects = runChange({}, (change, context) => {
+    change.updateLease(0)
+    change.updateLease(1)
+    change.handleTick(context)
+    change.handlePlatform('map/g/1', FOUND, context)
+    t.false(change.isReady())
+    change.handlePlatform('map/g/2', { kind: 'written', revision: 2 }, context)
+    t.true(change.isReady())
+  })
+  t.deepEqual(effects.map(effect => effect.kind === 'platform-call' ? effect.operation.kind : effect.kind), ['read', 'write', 'send'])
+})
+
 // Guards against an outcome that is given up or guessed when the platform's answer is lost.
 test('readsBack: a lost answer is followed by a read', t => {
   const run = (rules: Partial<ChangeRules>): readonly string[] => runChange(rules, (change, context) => {
