Tell stalled ranks from overloaded ones by the load of their experts

A slow rank with little load does not need another map. The planner classifies ranks at each decision and the port mapHolder lists the stalled ones; routing does not read it yet. Expert counts are dropped when the map in use changes, because they belong to other slots.

Contract edit: MapHolderPort.listStalled. The 43 tests of rebalancer, placement, sessions and safeguards pass.

--- a/src/kernel/ports.ts
+++ b/src/kernel/ports.ts
@@ -133,6 +133,8 @@
 export interface MapHolderPort {
   isHolder (group: string): boolean
   getMapVersion (group: string): number | undefined
+  /** Endpoints that are slower than their expert load predicts. */
+  listStalled (group: string): readonly string[]
 }
 
 /** All ports by name. */
--- a/src/plugins/experts/endpoint-plugin.ts
+++ b/src/plugins/experts/endpoint-plugin.ts
@@ -38,6 +38,7 @@
   #lastEventMs: number | undefined
   #holder: string | undefined
   #counts: number[][] = []
+  #countsVersion = 0
   #nextLoadMs = 0
   #instances = 0
   readonly #rules: RankRules
@@ -81,8 +82,8 @@
         this.#place?.machine.handleOrderAnswered(event.orderId, event.accepted, context)
         return
       case 'endpoint-reported':
-        this.#addCounts(event.report)
         this.#place?.machine.handleReport(event.report, context)
+        this.#addCounts(event.report)
     }
   }
 
@@ -133,7 +134,11 @@
       .slice(0, ASKED_RANKS)
   }
 
+  /** Counts of one map say nothing about the slots of the next. */
   #addCounts (report: EndpointReport): void {
+    const version = this.#getUsedVersion()
+    if (version !== this.#countsVersion) this.#counts = []
+    this.#countsVersion = version
     report.expertCounts?.forEach((layer, index) => {
       const sums = this.#counts[index] ??= []
       layer.forEach((count, slot) => { sums[slot] = (sums[slot] ?? 0) + count })
@@ -144,16 +149,22 @@
     const place = this.#place
     if (place === undefined || this.#holder === undefined || context.nowMs < this.#nextLoadMs) return
     this.#nextLoadMs = context.nowMs + LOAD_REPORT_MS
-    const { step, stepMs, base } = place.machine.getState()
+    const { step, stepMs } = place.machine.getState()
     const counts = this.#counts
     this.#counts = []
     context.emit({
       kind: 'send',
       peer: this.#holder,
-      message: { kind: 'expert-load', group: place.group.name, rank: place.rank, step, stepMs, mapVersion: base?.version ?? 0, counts }
+      message: { kind: 'expert-load', group: place.group.name, rank: place.rank, step, stepMs, mapVersion: this.#countsVersion, counts }
     })
   }
 
+  #getUsedVersion (): number {
+    const state = this.#place?.machine.getState()
+    if (state?.base === undefined) return 0
+    return state.step < state.base.step ? state.previous?.version ?? 0 : state.base.version
+  }
+
   #getStepMs (): number | undefined {
     const stepMs = this.#place?.machine.getState().stepMs ?? 0
     return stepMs > 0 ? stepMs : undefined
--- a/src/plugins/experts/holder-plugin.ts
+++ b/src/plugins/experts/holder-plugin.ts
@@ -12,6 +12,7 @@
 import { Rebalancer } from './placement/rebalancer.js'
 import { buildStaticPlacement } from './placement/static.js'
 import type { GroupShape, Placement } from './placement/shape.js'
+import type { RankSpeed } from './placement/slow-ranks.js'
 import type { MapContent } from './record.js'
 import { StepClock } from './step-clock.js'
 
@@ -26,6 +27,7 @@
 export interface MapPlanner {
   noteLoad (load: ExpertLoad, nowMs: number): void
   noteChange (committed: boolean, nowMs: number): void
+  listSpeeds (): readonly RankSpeed[]
   /** Called at each tick while no change is under way; undefined keeps the map. */
   choosePlacement (inForce: MapContent, context: Context): Placement | undefined
 }
@@ -49,7 +51,8 @@
   readonly ports = {
     mapHolder: {
       isHolder: (group: string) => (this.#groups.get(group)?.change.getState().fence ?? 0) > 0,
-      getMapVersion: (group: string) => this.#groups.get(group)?.change.getState().stored?.record.map.version
+      getMapVersion: (group: string) => this.#groups.get(group)?.change.getState().stored?.record.map.version,
+      listStalled: (group: string) => this.#listStalled(group)
     }
   }
 
@@ -103,6 +106,13 @@
     }
   }
 
+  #listStalled (group: string): readonly string[] {
+    const held = this.#groups.get(group)
+    if (held === undefined) return []
+    const speeds = held.planner.listSpeeds()
+    return held.ranks.filter((_, rank) => speeds[rank] === 'stalled').map(rank => rank.id)
+  }
+
   #handleTick (held: HeldGroup, context: Context): void {
     held.lease.handleTick(isCandidate(held.group.name, context), context)
     this.#updateLease(held, context)
--- a/src/plugins/experts/placement/plan.ts
+++ b/src/plugins/experts/placement/plan.ts
@@ -58,6 +58,8 @@
 export interface Plan {
   readonly placement?: Placement
   readonly explanation: PlanExplanation
+  /** Predicted load of each rank in the placement in force; the mean is 1. */
+  readonly loads: readonly number[]
 }
 
 interface LayerPlan {
@@ -89,6 +91,7 @@
   #search: Search | undefined
   #skewSum = 0
   #boundSum = 0
+  readonly #loads: number[]
 
   private constructor (
     readonly shape: GroupShape,
@@ -96,7 +99,9 @@
     readonly popularity: readonly Float64Array[],
     readonly stepMs: number,
     readonly policy: PlanPolicy
-  ) {}
+  ) {
+    this.#loads = shape.hosts.map(() => 0)
+  }
 
   /**
    * @param shape - sizes of the group
@@ -137,6 +142,7 @@
     const bound = computeSkewBound(shape, popularity)
     const before = layer.computeSkew()
     this.#skewSum += before
+    layer.getLoads().forEach((load, rank) => { this.#loads[rank]! += load * shape.hosts.length / shape.layers })
     this.#boundSum += bound
     if (before <= bound * policy.startSkew) return
     const target = bound * policy.targetSkew / shape.hosts.length
@@ -194,7 +200,7 @@
       savedMs,
       costMs
     }
-    return isWorth ? { placement: this.#assemblePlacement(chosen), explanation } : { explanation }
+    return { explanation, loads: this.#loads, ...(isWorth ? { placement: this.#assemblePlacement(chosen) } : {}) }
   }
 
   #assemblePlacement (chosen: ReadonlyMap<number, LayerPlan>): Placement {
--- a/src/plugins/experts/placement/rebalancer.ts
+++ b/src/plugins/experts/placement/rebalancer.ts
@@ -6,6 +6,8 @@
 import type { PlanExplanation, PlanPolicy } from './plan.js'
 import { Popularity } from './popularity.js'
 import type { GroupShape, Placement } from './shape.js'
+import { computeRankSpeeds } from './slow-ranks.js'
+import type { RankSpeed } from './slow-ranks.js'
 
 /** Time between two decisions, in ms. */
 export const CHECK_MS = 10_000
@@ -26,6 +28,8 @@
   #nextCheckMs = 0
   #stepMs = STEP_DEFAULT_MS
   #explanation: PlanExplanation | undefined
+  #speeds: readonly RankSpeed[] = []
+  readonly #stepTimes = new Map<number, number>()
 
   private constructor (group: string, shape: GroupShape, policy: PlanPolicy) {
     this.#group = group
@@ -49,6 +53,11 @@
     return this.#explanation
   }
 
+  /** @returns class of each rank at the last decision; empty before the first */
+  listSpeeds (): readonly RankSpeed[] {
+    return this.#speeds
+  }
+
   /**
    * Notes one rank's report; only the latest of each rank is kept.
    *
@@ -56,7 +65,9 @@
    */
   noteLoad (load: ExpertLoad): void {
     this.#reports.set(load.rank, load)
-    if (load.stepMs > 0) this.#stepMs = load.stepMs
+    if (load.stepMs <= 0) return
+    this.#stepMs = load.stepMs
+    this.#stepTimes.set(load.rank, load.stepMs)
   }
 
   /**
@@ -87,6 +98,8 @@
     if (plan === undefined) return undefined
     this.#job = undefined
     this.#explanation = plan.explanation
+    const timings = plan.loads.map((load, rank) => ({ load, stepMs: this.#stepTimes.get(rank) ?? this.#stepMs }))
+    this.#speeds = computeRankSpeeds(timings, this.#policy.expertShare)
     if (plan.placement === undefined) {
       context.emit({ kind: 'log', event: 'rebalance-declined', fields: { group: this.#group, ...plan.explanation } })
     }
--- a/test/experts/world.ts
+++ b/test/experts/world.ts
@@ -242,6 +242,7 @@
   #createPlanner (): ReturnType<Parameters<typeof MapHolderPlugin.create>[0]> {
     return {
       noteLoad: () => {},
+      listSpeeds: () => [],
       noteChange: committed => { if (committed) this.#wanted += 1 },
       choosePlacement: inForce => {
         const at = this.options.changesAtMs[this.#wanted]
