--- a/test/experts/world.ts
+++ b/test/experts/world.ts
@@ -9,6 +9,8 @@
 import { ExpertsPlugin } from '../../src/plugins/experts/endpoint-plugin.js'
 import { MapHolderPlugin } from '../../src/plugins/experts/holder-plugin.js'
 import type { ChangeRules } from '../../src/plugins/experts/change.js'
+import { Rebalancer } from '../../src/plugins/experts/placement/rebalancer.js'
+import { parseRecord } from '../../src/plugins/experts/record.js'
 import type { RankRules } from '../../src/plugins/experts/rank-state.js'
 import { FRESH_ENGINE, applyOrder, buildRestarted, findUsedVersion } from '../../bench/experts/engine.js'
 import type { EngineState } from '../../bench/experts/engine.js'
@@ -25,6 +27,8 @@
   readonly changeRules?: ChangeRules
   /** False lets the platform ignore the revision of a write. */
   readonly conditionalWrites?: boolean
+  /** Tokens by expert in each report; the holder then plans with the real planner. */
+  readonly tokens?: readonly number[]
   /** Times at which the holder wants another map. */
   readonly changesAtMs: readonly number[]
 }
@@ -141,12 +145,24 @@
       const rank = Number(id.slice(1))
       if (node.self.role === 'endpoint') {
         const { startId, step } = this.engines[rank]!
-        this.dispatch(id, { kind: 'endpoint-reported', report: { healthy: true, startId: String(startId), warmth: 1, step, stepMs: STEP_MS } })
+        this.dispatch(id, { kind: 'endpoint-reported', report: { healthy: true, startId: String(startId), warmth: 1, step, stepMs: STEP_MS, ...this.#countTokens(rank) } })
       }
       this.dispatch(id, { kind: 'tick' })
     }
   }
 
+  /** Tokens of an expert are shared by its replicas in the map that the rank uses. */
+  #countTokens (rank: number): { readonly expertCounts?: readonly (readonly number[])[] } {
+    const { tokens } = this.options
+    const value = this.#objects.get('map/g')?.value
+    const version = findUsedVersion(this.engines[rank]!)
+    if (tokens === undefined || value === undefined || version === undefined) return {}
+    const record = parseRecord(value)!
+    const map = record.map.version === version ? record.map : record.previous!
+    const countReplicas = (expert: number): number => map.ranks.filter(held => held[0]!.includes(expert)).length
+    return { expertCounts: map.ranks[rank]!.map(experts => experts.map(expert => tokens[expert]! / countReplicas(expert))) }
+  }
+
   /** Lock-step: a rank executes a step only when no rank is behind it. */
   #stepEngines (): void {
     const group = Math.min(...this.engines.map(engine => engine.step))
@@ -234,7 +250,7 @@
   }
 
   #addNode (id: string, role: 'entry' | 'endpoint', incarnation = 1): void {
-    const plugin = role === 'endpoint' ? ExpertsPlugin.create(this.options.rules) : MapHolderPlugin.create(() => this.#createPlanner(), this.options.changeRules)
+    const plugin = role === 'endpoint' ? ExpertsPlugin.create(this.options.rules) : MapHolderPlugin.create((group, shape) => this.options.tokens === undefined ? this.#createPlanner() : Rebalancer.create(group, shape), this.options.changeRules)
     this.#nodes.set(id, { self: { id, role, domain: 'a', host: id, address: '', incarnation }, plugin, alive: true, paused: false, inbox: [] })
   }
 
