Count an order without an answer as refused

The edge sends no event for an order that times out, so a rank waited for it for ever. After 35 s, longer than the edge waits, the rank now brings the engine to its state again. A rank also counts as waiting when the engine reports the step before its hold as the step that it runs.

--- a/src/plugins/experts/gate.ts
+++ b/src/plugins/experts/gate.ts
@@ -11,7 +11,7 @@
 export interface GateState {
   readonly sequence: number
   readonly fence: number
-  readonly outstanding?: FencedOrder & { readonly orderId: string }
+  readonly outstanding?: FencedOrder & { readonly orderId: string, readonly sentAtMs: number }
   readonly waiting: readonly FencedOrder[]
 }
 
@@ -39,14 +39,14 @@
  * @param context - where the effect goes
  * @returns the new gate
  */
-export function sendNextOrder (gate: GateState, context: Pick<Context, 'emit'>): GateState {
+export function sendNextOrder (gate: GateState, context: Pick<Context, 'emit' | 'nowMs'>): GateState {
   if (gate.outstanding !== undefined) return gate
   const waiting = gate.waiting.filter(item => item.fence >= gate.fence)
   const [next, ...rest] = waiting
   if (next === undefined) return { ...gate, waiting }
   const orderId = `map-${gate.sequence + 1}`
   context.emit({ kind: 'order', orderId, fence: next.fence, order: next.order })
-  return { ...gate, sequence: gate.sequence + 1, outstanding: { ...next, orderId }, waiting: rest }
+  return { ...gate, sequence: gate.sequence + 1, outstanding: { ...next, orderId, sentAtMs: context.nowMs }, waiting: rest }
 }
 
 /**
--- a/src/plugins/experts/rank.ts
+++ b/src/plugins/experts/rank.ts
@@ -16,6 +16,8 @@
 export const PROMISE_LIMIT_MS = 60_000
 /** Time after which a platform call without an answer counts as unknown, in ms. */
 export const CALL_LIMIT_MS = 5_000
+/** Time after which an order without an answer counts as refused, in ms; longer than the edge waits for it. */
+export const ORDER_LIMIT_MS = 35_000
 /** Time between two attempts to bring an engine to the rank's state, in ms. */
 export const SYNC_RETRY_MS = 500
 /** Spread of repeated writes over time per rank of the group, in ms: a whole group may start at once. */
@@ -164,7 +166,8 @@
     const { startId, pending, joined } = this.#state
     const step = report.step ?? this.#state.step
     this.#update({ startId: report.startId, step, stepMs: report.stepMs ?? this.#state.stepMs })
-    if (pending?.promised === true && pending.heldSinceMs === undefined && step >= pending.step) {
+    // Engines report the step that they run or the one that they run next.
+    if (pending?.promised === true && pending.heldSinceMs === undefined && step >= pending.step - 1) {
       this.#update({ pending: { ...pending, heldSinceMs: context.nowMs } })
     }
     if (startId === undefined || startId === report.startId) return
@@ -183,6 +186,10 @@
   handleTick (peers: readonly string[], context: RankContext): void {
     const { call, joined, nextSyncAtMs, synced, gate, pending } = this.#state
     if (call !== undefined && context.nowMs - call.sentAtMs >= CALL_LIMIT_MS) this.#removeCall()
+    const outstanding = gate.outstanding
+    if (outstanding !== undefined && context.nowMs - outstanding.sentAtMs >= ORDER_LIMIT_MS) {
+      this.handleOrderAnswered(outstanding.orderId, false, context)
+    }
     if (!joined) {
       if (context.nowMs >= this.#state.nextCallAtMs) this.#callPlatform('join-read', context)
       return
