--- /dev/null
+++ b/src/edge/platform/transport.ts
@@ -0,0 +1,156 @@
+/** HTTP calls to the platform and what a failed one means. */
+
+import type { SecureContextOptions } from 'node:tls'
+import { Agent, buildConnector } from 'undici'
+
+/** What the transport is created with. */
+export interface TransportOptions {
+  readonly urls: readonly string[]
+  readonly timeoutMs: number
+  readonly credential?: string
+  /** Gives the TLS options for each new connection; may give renewed ones. */
+  readonly tls?: () => SecureContextOptions
+}
+
+/** Connections to each platform URL, the watches' included. */
+const CONNECTIONS_MAX = 16
+
+/** One call. */
+export interface TransportCall {
+  readonly method: 'GET' | 'PUT' | 'DELETE'
+  /** Path with query. */
+  readonly path: string
+  /** Expected revision of a conditional update. */
+  readonly revision?: number
+  readonly body?: string
+  /** Time that the platform may hold the call, added to the limit, in ms. */
+  readonly heldMs?: number
+  readonly signal?: AbortSignal
+}
+
+/** What came of a call. */
+export type TransportAnswer =
+  | { readonly kind: 'answered', readonly status: number, readonly body: unknown }
+  /** No byte of the request reached the platform. */
+  | { readonly kind: 'unsent' }
+  /** The request may have reached the platform; its answer is lost. */
+  | { readonly kind: 'lost' }
+
+/** No connection was made or its TLS handshake failed, so nothing was sent. */
+class ConnectFailure extends Error {}
+
+/** Sends calls to the first URL that can be reached. */
+export class PlatformTransport {
+  readonly #options: TransportOptions
+  /** Former agents whose calls have not ended yet. */
+  readonly #retired = new Set<Agent>()
+  #agent: Agent
+  #index = 0
+
+  private constructor (options: TransportOptions) {
+    this.#options = options
+    this.#agent = buildAgent(options)
+  }
+
+  /**
+   * @param options - URLs, time limit and connections
+   * @returns a transport
+   * @throws RangeError when there is no URL
+   */
+  static create (options: TransportOptions): PlatformTransport {
+    if (options.urls.length === 0) throw new RangeError('the platform has no URL')
+    return new PlatformTransport(options)
+  }
+
+  /**
+   * Sends a call; a read or an unsent call is tried once at each URL.
+   *
+   * @param call - method, path and body
+   * @returns what came of it
+   */
+  async send (call: TransportCall): Promise<TransportAnswer> {
+    let answer: TransportAnswer = { kind: 'unsent' }
+    for (let tries = 0; tries < this.#options.urls.length; tries += 1) {
+      answer = await this.#sendOnce(call)
+      if (answer.kind === 'answered' && answer.status < 500) return answer
+      this.#index = (this.#index + 1) % this.#options.urls.length
+      const isRepeatable = call.method === 'GET' || answer.kind === 'unsent'
+      if (!isRepeatable || call.signal?.aborted === true) return answer
+    }
+    return answer
+  }
+
+  /** Closes the connections; calls in flight fail. */
+  async close (): Promise<void> {
+    await Promise.all([this.#agent, ...this.#retired].map(async agent => { await agent.destroy() }))
+  }
+
+  async #sendOnce (call: TransportCall): Promise<TransportAnswer> {
+    const agent = this.#agent
+    const controller = new AbortController()
+    const abort = (): void => { controller.abort() }
+    const timer = setTimeout(() => {
+      this.#removeAgent(agent)
+      abort()
+    }, this.#options.timeoutMs + (call.heldMs ?? 0))
+    if (call.signal?.aborted === true) abort()
+    call.signal?.addEventListener('abort', abort)
+    try {
+      const answer = await agent.request({
+        origin: this.#options.urls[this.#index]!,
+        path: call.path,
+        method: call.method,
+        headers: this.#buildHeaders(call),
+        body: call.body ?? null,
+        signal: controller.signal
+      })
+      const text = await answer.body.text()
+      return { kind: 'answered', status: answer.statusCode, body: parseJson(text) }
+    } catch (error) {
+      return { kind: error instanceof ConnectFailure ? 'unsent' : 'lost' }
+    } finally {
+      clearTimeout(timer)
+      call.signal?.removeEventListener('abort', abort)
+    }
+  }
+
+  /**
+   * Takes new connections for later calls. After a call without an answer all
+   * open connections may be silent for good while new ones work, and each of
+   * them would cost one time limit.
+   */
+  #removeAgent (agent: Agent): void {
+    if (agent !== this.#agent) return
+    this.#agent = buildAgent(this.#options)
+    this.#retired.add(agent)
+    const forget = (): void => { this.#retired.delete(agent) }
+    agent.close().then(forget, forget)
+  }
+
+  #buildHeaders (call: TransportCall): Record<string, string> {
+    return {
+      ...(call.body === undefined ? {} : { 'content-type': 'application/json' }),
+      ...(call.revision === undefined ? {} : { 'if-match': String(call.revision) }),
+      ...(this.#options.credential === undefined ? {} : { authorization: `Bearer ${this.#options.credential}` })
+    }
+  }
+}
+
+function buildAgent ({ timeoutMs, tls }: TransportOptions): Agent {
+  const connect: buildConnector.connector = (options, callback) => {
+    buildConnector({ timeout: timeoutMs, ...tls?.() })(options, (...[error, socket]) => {
+      if (error === null) callback(null, socket)
+      else callback(new ConnectFailure(error.message), null)
+    })
+  }
+  return new Agent({ connections: CONNECTIONS_MAX, connect })
+}
+
+/** An answer that is not JSON has no usable body. */
+function parseJson (text: string): unknown {
+  try {
+    return JSON.parse(text)
+  } catch {
+    return undefined
+  }
+}
--- a/src/kernel/document.ts
+++ b/src/kernel/document.ts
@@ -109,6 +109,26 @@
   readonly groups: readonly RankGroup[]
 }
 
+/** One value that a change replaced; holds no secret and no key hash. */
+export interface ConfigurationDifference {
+  /** Names as in the configuration file, such as `endpoints.worker-1.warm_cap`. */
+  readonly name: string
+  readonly was: string
+  readonly is: string
+}
+
+/** The audit entry of the last change, kept in the root until it is in the audit trail. */
+export interface ConfigurationChange {
+  /** Random; tells this change from another one of the same version number. */
+  readonly id: string
+  readonly command: string
+  /** Bounded; `omitted` counts the differences left out. */
+  readonly differences: readonly ConfigurationDifference[]
+  readonly omitted: number
+  /** Platform keys of parts that this change took out of use; bounded. */
+  readonly replacedParts: readonly string[]
+}
+
 /** Value of `config/root` in the platform. */
 export interface ConfigurationRoot {
   readonly version: number
@@ -120,14 +140,21 @@
   /** Wall-clock time, ISO 8601. */
   readonly changedAt: string
   readonly reason: string
+  readonly change?: ConfigurationChange
 }
 
 /** Count of parts over which team records are spread by name hash. */
 export const TEAM_PARTS = 64
 
-/** Content of the parts, by part name: `topology`, `services`, `teams-00` to `teams-63`. */
+/**
+ * Content of the parts, by part name: `topology`, `endpoints-<failure domain>`,
+ * `services`, `teams-00` to `teams-63`. Endpoints have a part for each failure
+ * domain because all of them in one come close to the platform's 1 MB at the
+ * planned size.
+ */
 export interface ConfigurationParts {
   readonly topology: Pick<Configuration, 'entries' | 'endpoints' | 'groups'> & { readonly domains: readonly Omit<FailureDomain, 'state'>[] }
+  readonly endpoints: readonly EndpointSpec[]
   readonly services: Pick<Configuration, 'services' | 'profiles'>
   readonly teams: readonly Team[]
 }
@@ -167,18 +194,18 @@
 export function assembleConfiguration (root: ConfigurationRoot, parts: ReadonlyMap<string, unknown>): Configuration {
   const topology = parts.get('topology') as ConfigurationParts['topology']
   const services = parts.get('services') as ConfigurationParts['services']
-  const teams = [...parts.entries()]
-    .filter(([name]) => name.startsWith('teams-'))
-    .flatMap(([, value]) => value as readonly Team[])
+  const list = (prefix: string): readonly unknown[] => [...parts.entries()]
+    .filter(([name]) => name.startsWith(prefix))
+    .flatMap(([, value]) => value as readonly unknown[])
   return {
     version: root.version,
     domains: topology.domains.map(domain => ({ ...domain, state: root.domainStates[domain.name] ?? 'in' })),
     drainingHosts: root.drainingHosts,
     entries: topology.entries,
-    endpoints: topology.endpoints,
+    endpoints: [...topology.endpoints, ...list('endpoints-') as readonly EndpointSpec[]],
     groups: topology.groups,
     services: services.services,
     profiles: services.profiles,
-    teams
+    teams: list('teams-') as readonly Team[]
   }
 }
--- a/src/kernel/events.ts
+++ b/src/kernel/events.ts
@@ -53,20 +53,33 @@
   | { readonly kind: 'tick' }
   | { readonly kind: 'leave-requested', readonly deadlineMs: number }
   | { readonly kind: 'peer-connected', readonly peer: ProcessRef }
+  /**
+   * The connection is gone. Raised by the membership plug-in after its own
+   * `disconnect`; the edge gives it only for connections that it lost itself.
+   */
   | { readonly kind: 'peer-disconnected', readonly peer: ProcessRef }
+  /** Asks the membership plug-in for a connection to an endpoint outside the subset. */
+  | { readonly kind: 'peer-wanted', readonly peer: string }
+  /** The platform's list of hosts, which lags. */
+  | { readonly kind: 'hosts-listed', readonly live: readonly string[], readonly leaving: readonly string[] }
   | { readonly kind: 'message-received', readonly peer: ProcessRef, readonly message: Message }
   | { readonly kind: 'platform-answered', readonly callId: string, readonly result: PlatformResult }
   /** A configuration read from the platform or sent by a peer; accepted only when newer. */
   | { readonly kind: 'configuration-offered', readonly configuration: Configuration, readonly source: string }
+  /** A root and parts as the platform or a peer holds them; parts that are held already may be absent. */
+  | { readonly kind: 'configuration-read', readonly root: string, readonly parts: readonly (readonly [hash: string, json: string])[], readonly source: string }
   /** Raised by the configuration plug-in when a newer version is in force. */
   | { readonly kind: 'configuration-changed', readonly version: number }
   /* entry role */
   | RequestReceived
   | { readonly kind: 'caller-gone', readonly requestId: string }
+  | { readonly kind: 'address-asked', readonly askId: string, readonly services: readonly string[] }
   | { readonly kind: 'outcome-asked', readonly askId: string, readonly team: string, readonly keyText: string }
   /* endpoint role */
   | { readonly kind: 'work-offered', readonly work: Submit }
   | { readonly kind: 'work-refused', readonly workId: string, readonly error: ErrorKind, readonly outcome: Outcome, readonly retryAfterMs?: number }
+  /** Raised by admission for each offer that it takes, before any start. */
+  | { readonly kind: 'work-queued', readonly workId: string, readonly queued: number, readonly waitMs: number }
   | { readonly kind: 'work-started', readonly workId: string }
   | { readonly kind: 'endpoint-head', readonly workId: string, readonly status: number, readonly headers: HeaderList }
   | { readonly kind: 'endpoint-chunk', readonly workId: string, readonly data: Uint8Array }
--- a/src/kernel/ports.ts
+++ b/src/kernel/ports.ts
@@ -2,7 +2,7 @@
 
 import type { Configuration, EndpointSpec, Profile, Service, Team } from './document.js'
 import type { Context } from './plugin.js'
-import type { EndpointState, ProcessRef, RequestKey } from '../protocol/messages.js'
+import type { EndpointState, HomeMove, ProcessRef, RequestKey } from '../protocol/messages.js'
 
 /** The configuration in force. */
 export interface ConfigurationPort {
@@ -17,6 +17,8 @@
   listEndpoints (service: string): readonly EndpointSpec[]
   /** Whether the endpoint's domain is in and its host is not draining. */
   isInService (endpoint: Pick<EndpointSpec, 'domain' | 'host'>): boolean
+  /** Hashes of the parts held as JSON text; the edge reads only the others. */
+  listPartHashes (): readonly string[]
 }
 
 /** A peer process with which a connection stands. */
@@ -36,6 +38,10 @@
   /** Live entries for the address answer; leaving ones are left out. */
   listEntries (): readonly ProcessRef[]
   isLeaving (): boolean
+  /** Whether the platform's host list names the host as leaving. */
+  isHostLeaving (host: string): boolean
+  /** Whether this entry is one of those of its region that watch the platform. */
+  isWatcher (): boolean
 }
 
 /** What a routing choice is made for. */
@@ -81,6 +87,10 @@
 /** Requests in flight at an entry. */
 export interface RequestsPort {
   countInFlight (): number
+  /** Moves of homes that were learned of a short time ago and are to be spread. */
+  listMoves (nowMs: number): readonly HomeMove[]
+  /** Requests in flight at one endpoint process; its connection is kept while there are any. */
+  countAt (endpoint: string): number
   /** Steps of a recent request; undefined when it is not remembered. */
   explain (requestId: string): readonly TraceStep[] | undefined
 }
@@ -96,6 +106,8 @@
 export interface QuarantinePort {
   isRefused (fingerprint: string): boolean
   isSuspect (fingerprint: string): boolean
+  /** Whether a suspect runs at this endpoint, or failed there and may have crashed it. */
+  isSuspectInFlight (): boolean
 }
 
 /** Queue and running set of an endpoint process. */
--- /dev/null
+++ b/src/plugins/admission/plugin.ts
@@ -0,0 +1,187 @@
+/** Admission at an endpoint process: what waits, what starts, what is refused. */
+
+import { Queue } from './queue.js'
+import type { Waiting } from './queue.js'
+import { Running } from './running.js'
+import { Warmth } from './warmth.js'
+import type { ErrorKind } from '../../kernel/errors.js'
+import type { KernelEvent } from '../../kernel/events.js'
+import { registerPlugin } from '../../kernel/plugin.js'
+import type { Context, Plugin } from '../../kernel/plugin.js'
+import type { AdmissionPort, Ports } from '../../kernel/ports.js'
+import type { Submit } from '../../protocol/messages.js'
+
+/** Interval in ms at which gauges are written. */
+const GAUGES_MS = 1_000
+/** Waiting work may still start for this time after the domain went out; the bound is 5 s. */
+const OUT_DRAIN_MS = 3_000
+
+const KINDS = [
+  'tick', 'configuration-changed', 'work-offered', 'endpoint-head', 'endpoint-chunk', 'endpoint-ended',
+  'endpoint-failed', 'endpoint-reported', 'endpoint-crashed'
+] as const satisfies readonly KernelEvent['kind'][]
+
+/** Bounded queue in front of an endpoint with a cap. */
+export class Admission implements Plugin, AdmissionPort {
+  readonly name = 'admission'
+  readonly subscribesTo = KINDS
+  readonly ports: Partial<Ports> = { admission: this }
+  readonly #queue = Queue.create()
+  readonly #running = Running.create()
+  readonly #warmth = Warmth.create()
+  #cap = 0
+  #outSinceMs: number | undefined
+  #gaugesAtMs = 0
+
+  private constructor () {}
+
+  /** @returns the plug-in with an empty queue */
+  static create (): Admission {
+    return new Admission()
+  }
+
+  describeState (): ReturnType<AdmissionPort['describeState']> {
+    return { running: this.#running.size, queued: this.#queue.size, cap: this.#cap, warmth: this.#warmth.value, healthy: this.#warmth.healthy }
+  }
+
+  removeWaiting (workId: string): boolean {
+    return this.#queue.remove(workId)
+  }
+
+  handle (event: KernelEvent, context: Context): void {
+    this.#updateCap(context)
+    switch (event.kind) {
+      case 'work-offered':
+        this.#handleOffer(event.work, context)
+        break
+      case 'endpoint-head':
+      case 'endpoint-chunk': return this.#noteFirstByte(event.workId, context)
+      case 'endpoint-ended':
+      case 'endpoint-failed':
+        this.#handleEnd(event.workId, event.kind === 'endpoint-ended', context)
+        break
+      case 'endpoint-reported':
+        if (this.#warmth.noteReport(event.report, context.nowMs)) writeCold('new-start', context)
+        break
+      case 'endpoint-crashed':
+        this.#warmth.noteCrash(context.nowMs)
+        this.#refuseAll('endpoint-failed', context)
+        break
+      case 'tick':
+        this.#handleTick(context)
+    }
+    this.#updateCap(context)
+    this.#startNext(context)
+  }
+
+  #updateCap (context: Context): void {
+    const configuration = context.port('configuration')
+    const spec = configuration.findEndpoint(context.self.id)
+    this.#cap = spec === undefined ? 0 : this.#warmth.computeCap(spec)
+    const isOut = spec !== undefined && !configuration.isInService(spec)
+    this.#outSinceMs = isOut ? this.#outSinceMs ?? context.nowMs : undefined
+  }
+
+  #handleEnd (workId: string, isWhole: boolean, context: Context): void {
+    if (isWhole) this.#noteFirstByte(workId, context)
+    const ended = this.#running.remove(workId, isWhole, context.nowMs)
+    if (ended === undefined || !isWhole) return
+    context.emit({ kind: 'count', metric: 'work_finished', label: ended.work.terms.priority })
+    context.emit({ kind: 'observe', metric: 'run_ms', value: context.nowMs - ended.startedAtMs, label: ended.work.terms.priority })
+  }
+
+  #writeGauges (context: Context): void {
+    if (context.nowMs < this.#gaugesAtMs) return
+    this.#gaugesAtMs = context.nowMs + GAUGES_MS
+    const gauges = { work_running: this.#running.size, work_queued: this.#queue.size, cap: this.#cap, warmth: this.#warmth.value }
+    for (const [metric, value] of Object.entries(gauges)) context.emit({ kind: 'observe', metric, value })
+  }
+
+  #handleTick (context: Context): void {
+    this.#writeGauges(context)
+    this.#warmth.noteTick(context.nowMs)
+    if (this.#warmth.noteSilence(this.#running.listSilenceMs(context.nowMs))) writeCold('first-byte', context)
+    if (this.#outSinceMs !== undefined && context.nowMs - this.#outSinceMs >= OUT_DRAIN_MS) this.#refuseAll('domain-out', context)
+    for (const waiting of this.#queue.list()) this.#checkDeadline(waiting, context)
+  }
+
+  #handleOffer (work: Submit, context: Context): void {
+    if (context.port('quarantine').isRefused(work.fingerprint)) return this.#refuse(work, 'quarantined', context)
+    if (!this.#warmth.healthy) return this.#refuse(work, 'endpoint-failed', context)
+    const waitMs = this.#computeWaitMs(work)
+    if (waitMs > work.timeLeftMs) return this.#refuse(work, 'deadline-unreachable', context)
+    if (this.#queue.countProfile(work.terms.profile) >= work.terms.queueMax) {
+      const excess = this.#queue.findExcess(work)
+      if (excess === undefined) return this.#refuse(work, 'overloaded', context, waitMs)
+      this.#queue.remove(excess.work.workId)
+      this.#refuse(excess.work, 'overloaded', context, waitMs)
+    }
+    this.#queue.add(work, context.nowMs)
+    context.emit({ kind: 'count', metric: 'work_accepted', label: work.terms.priority })
+    context.raise({ kind: 'work-queued', workId: work.workId, queued: this.#queue.size - 1, waitMs })
+  }
+
+  /** Estimated wait in ms: work ahead that finds no free place, at the mean service time. */
+  #computeWaitMs (work: Submit): number {
+    const ahead = this.#queue.countAhead(work) + this.#running.size + 1 - this.#cap
+    return Math.max(0, Math.round(ahead * this.#running.serviceMs / Math.max(1, this.#cap)))
+  }
+
+  #startNext (context: Context): void {
+    while (this.#warmth.healthy && this.#running.size < this.#cap) {
+      const next = this.#queue.chooseNext(waiting => this.#isEligible(waiting, context))
+      if (next === undefined) return
+      if (this.#checkDeadline(next, context)) continue
+      this.#queue.removeStarted(next)
+      this.#running.add(next.work, context.nowMs)
+      context.emit({ kind: 'run', work: next.work })
+      context.emit({ kind: 'count', metric: 'work_started', label: next.work.terms.priority })
+      context.emit({ kind: 'observe', metric: 'queue_wait_ms', value: context.nowMs - next.offeredAtMs, label: next.work.terms.priority })
+      context.raise({ kind: 'work-started', workId: next.work.workId })
+    }
+  }
+
+  /** Suspects run one at a time, and one team takes at most its share while others wait. */
+  #isEligible ({ work }: Waiting, context: Context): boolean {
+    const quarantine = context.port('quarantine')
+    const isAlone = !quarantine.isSuspectInFlight() && !this.#running.list().some(other => quarantine.isSuspect(other.fingerprint))
+    if (quarantine.isSuspect(work.fingerprint) && !isAlone) return false
+    const share = context.port('configuration').findProfile(work.terms.profile)?.teamShareMax ?? 1
+    if (this.#running.countTeam(work.team) < Math.max(1, Math.floor(share * this.#cap))) return true
+    return this.#queue.list().every(other => other.work.team === work.team)
+  }
+
+  /** @returns whether the work was refused because it must not start any more */
+  #checkDeadline ({ work, deadlineAtMs }: Waiting, context: Context): boolean {
+    const isRefused = context.port('quarantine').isRefused(work.fingerprint)
+    if (!isRefused && context.nowMs < deadlineAtMs) return false
+    this.#queue.remove(work.workId)
+    this.#refuse(work, isRefused ? 'quarantined' : 'deadline-exceeded', context)
+    return true
+  }
+
+  #noteFirstByte (workId: string, context: Context): void {
+    const elapsedMs = this.#running.noteFirstByte(workId, context.nowMs)
+    if (elapsedMs === undefined) return
+    if (this.#warmth.noteFirstByte(elapsedMs)) writeCold('first-byte', context)
+  }
+
+  #refuseAll (error: ErrorKind, context: Context): void {
+    for (const { work } of this.#queue.list()) {
+      this.#queue.remove(work.workId)
+      this.#refuse(work, error, context)
+    }
+  }
+
+  #refuse (work: Submit, error: ErrorKind, context: Context, retryAfterMs?: number): void {
+    if (error === 'quarantined') context.emit({ kind: 'count', metric: 'quarantined' })
+    const wait = retryAfterMs === undefined ? {} : { retryAfterMs }
+    context.raise({ kind: 'work-refused', workId: work.workId, error, outcome: 'not-run', ...wait })
+  }
+}
+
+function writeCold (reason: string, context: Context): void {
+  context.emit({ kind: 'log', event: 'endpoint-cold', fields: { reason } })
+}
+
+registerPlugin({ name: 'admission', roles: ['endpoint'], create: () => Admission.create() })
--- a/src/protocol/messages.ts
+++ b/src/protocol/messages.ts
@@ -58,7 +58,9 @@
   readonly protocol: number
   readonly process: ProcessRef
   readonly configVersion: number
-  /** HMAC over the connection's challenge by the cluster secret. */
+  /** Random text that the other side signs. */
+  readonly nonce: string
+  /** HMAC over the receiver's nonce and this process by the cluster secret; empty in the first hello. */
   readonly proof: string
 }
 
@@ -138,12 +140,12 @@
 export interface Chunk {
   readonly kind: 'chunk'
   readonly workId: string
-  /** Position from 0; a gap means that the stream broke. */
+  /** Position from 0 in this attempt; a gap means that the stream broke. */
   readonly index: number
   readonly data: Uint8Array
 }
 
-/** The answer is whole when `chunks` chunks were received. */
+/** The answer is whole when `chunks` chunks of this attempt were received. */
 export interface End {
   readonly kind: 'end'
   readonly workId: string
@@ -208,6 +210,8 @@
   readonly incarnation: number
   readonly service: string
   readonly window: number
+  /** 0 is the whole table; later batches hold results of work that still ran then. */
+  readonly batch: number
   readonly part: number
   readonly parts: number
   readonly records: readonly RecordEntry[]
@@ -217,6 +221,9 @@
   readonly kind: 'handover-ack'
   readonly home: string
   readonly incarnation: number
+  readonly batch: number
+  /** False when the receiver leaves too and took nothing over. */
+  readonly accepted: boolean
 }
 
 /** Announces a configuration version. */
@@ -229,10 +236,22 @@
   readonly kind: 'config-pull'
   /** Version that the sender has. */
   readonly have: number
-  /** Hashes of the parts that the sender has. */
+  /** First 16 digits of the hashes of the parts that the sender has. */
   readonly hashes: readonly string[]
 }
 
+/** A text as its difference from an older one, in UTF-16 units. */
+export interface TextDelta {
+  /** Hash of the older text, which the receiver has. */
+  readonly from: string
+  readonly hash: string
+  /** Length of the common start and of the common end. */
+  readonly start: number
+  readonly end: number
+  /** What stands between them in the newer text. */
+  readonly text: string
+}
+
 export interface ConfigParts {
   readonly kind: 'config-parts'
   readonly version: number
@@ -240,6 +259,8 @@
   readonly root: string
   /** Parts that the receiver lacks: JSON text by hash. */
   readonly parts: readonly (readonly [hash: string, json: string])[]
+  /** Parts of which the receiver has an older text. */
+  readonly deltas?: readonly TextDelta[]
 }
 
 /** What a member knows of another. */
@@ -249,16 +270,25 @@
   readonly configVersion: number
 }
 
+/** The successor that serves the keys of a home after its planned leave. */
+export interface HomeMove {
+  readonly home: string
+  readonly incarnation: number
+  readonly to: string
+}
+
 export interface Probe {
   readonly kind: 'probe'
   readonly sequence: number
   readonly updates: readonly MemberUpdate[]
+  readonly moves?: readonly HomeMove[]
 }
 
 export interface ProbeAck {
   readonly kind: 'probe-ack'
   readonly sequence: number
   readonly updates: readonly MemberUpdate[]
+  readonly moves?: readonly HomeMove[]
 }
 
 /** Asks a third member to probe the target. */
--- /dev/null
+++ b/test/entry/invariants.test.ts
@@ -0,0 +1,256 @@
+import test from 'ava'
+import fc from 'fast-check'
+import type { Configuration, DomainState, Profile } from '../../src/kernel/document.js'
+import type { Effect } from '../../src/kernel/effects.js'
+import type { RequestReceived } from '../../src/kernel/events.js'
+import { Network } from './network.js'
+import { DOMAINS, PROFILE, buildConfiguration, buildProcess, buildRequest } from './session.js'
+import { buildRead } from './texts.js'
+
+const ENTRIES = ['e1', 'e2']
+const HOMES = DOMAINS.map(domain => `book-${domain}`)
+const WORKERS = DOMAINS.map(domain => `chat-${domain}`)
+const ANSWER = ['one', 'two', 'three', 'four']
+
+/** What callers were told about one request. */
+interface Told {
+  readonly received: RequestReceived
+  chunks: string[]
+  end: Effect | undefined
+}
+
+/** Entries and endpoint processes with all plug-ins, simulated endpoints behind them. */
+class World {
+  readonly network: Network
+  readonly told = new Map<string, Told>()
+  /** Request ids by work that an endpoint ran, and by key. */
+  readonly runs = new Map<string, number>()
+  /** Time of the latest start by endpoint process. */
+  readonly lastRunMs = new Map<string, number>()
+  #count = 0
+  readonly #entries: Configuration['entries']
+  readonly #profiles: readonly Profile[]
+  readonly #states = new Map<string, DomainState>()
+  #version = 1
+
+  private constructor (seed: number, deadlineMs: number) {
+    // Messages of odd seeds overtake each other.
+    this.network = Network.create({ seed, stepMs: 100, delaySteps: seed % 2 === 0 ? 0 : 2 })
+    this.network.handleEffect = (id, effect) => { this.#handle(id, effect) }
+    const entries = ENTRIES.map((id, index) => buildProcess(id, 'entry', DOMAINS[index]))
+    this.#entries = entries.map(({ id, host, domain, address }) => ({ id, host, domain, callerUrl: id, peerAddress: address }))
+    this.#profiles = [{ ...PROFILE, deadlineMs, hedgeAfterMs: 800 }, { ...PROFILE, name: 'model', idempotency: 'always', deadlineMs }]
+    const configuration = buildConfiguration(1, { entries: this.#entries, profiles: this.#profiles })
+    for (const entry of entries) this.network.add(entry, entries)
+    for (const id of [...HOMES, ...WORKERS]) this.network.add({ ...buildProcess(id, 'endpoint', id.slice(-1)), host: `host-${id}` }, entries, id.slice(0, 4))
+    for (const id of ENTRIES) this.network.dispatch(id, buildRead(configuration))
+    this.network.run(3_000)
+    for (const id of [...HOMES, ...WORKERS]) this.network.dispatch(id, { kind: 'endpoint-reported', report: { healthy: true, startId: 's', warmth: 1 } })
+    this.network.run(2_000)
+  }
+
+  static create (seed: number, deadlineMs: number): World {
+    return new World(seed, deadlineMs)
+  }
+
+  send (entry: string, method: string, keyText?: string, service = 'book'): void {
+    const received = buildRequest(`${entry}-r${this.#count += 1}`, { method, service, bodyHash: 'same', ...(keyText === undefined ? {} : { keyText }) })
+    this.told.set(received.requestId, { received, chunks: [], end: undefined })
+    this.network.dispatch(entry, received)
+  }
+
+  formatKey (entry: string, own: string): string | undefined {
+    const { kernel, self } = this.network.get(entry)
+    const context = { nowMs: this.network.nowMs, random: { pickInt: () => 0, pickHex: () => own, pickFloat: () => 0 } as never, self, emit: () => {}, raise: () => {}, port: kernel.port.bind(kernel), findPort: () => undefined }
+    const [home] = kernel.port('routing').chooseHomes('book', context)
+    return home === undefined ? undefined : `${kernel.port('tokens').formatToken('book', home)}.${own}`
+  }
+
+  /** Takes a domain out or in again, as an operator does. */
+  applyState (entry: string, domain: string, state: DomainState): void {
+    this.#states.set(domain, state)
+    this.#version += 1
+    const domains = DOMAINS.map(name => ({ name, region: 'r', state: this.#states.get(name) ?? 'in' as const }))
+    this.network.dispatch(entry, buildRead(buildConfiguration(this.#version, { entries: this.#entries, profiles: this.#profiles, domains })))
+  }
+
+  #handle (id: string, effect: Effect): void {
+    switch (effect.kind) {
+      case 'run': {
+        const { workId, requestId, key, resumeFrom } = effect.work
+        const name = key?.text ?? requestId
+        this.runs.set(name, (this.runs.get(name) ?? 0) + 1)
+        this.lastRunMs.set(id, this.network.nowMs)
+        const headAfter = 1 + (this.#count * 7) % 12
+        this.network.scheduleEvent(id, { kind: 'endpoint-head', workId, status: 200, headers: [] }, headAfter)
+        ANSWER.slice(resumeFrom ?? 0).forEach((text, index) => { this.network.scheduleEvent(id, { kind: 'endpoint-chunk', workId, data: Buffer.from(text) }, headAfter + 1 + index) })
+        this.network.scheduleEvent(id, { kind: 'endpoint-ended', workId }, headAfter + 6)
+        break
+      }
+      case 'abort-run':
+        this.network.scheduleEvent(id, { kind: 'endpoint-failed', workId: effect.workId, sent: true }, 1)
+        break
+      case 'leave-finished':
+        this.network.kill(id)
+        break
+      case 'reply-chunk':
+        this.#get(effect.requestId).chunks.push(Buffer.from(effect.data).toString())
+        break
+      case 'reply-end':
+      case 'reply-error': {
+        const told = this.#get(effect.requestId)
+        if (told.end !== undefined) throw new Error(`${effect.requestId} ended twice`)
+        told.end = effect
+        break
+      }
+      default:
+    }
+  }
+
+  #get (requestId: string): Told {
+    const told = this.told.get(requestId)
+    if (told === undefined) throw new Error(`${requestId} is unknown`)
+    return told
+  }
+
+  /** Checks what callers were told against what ran. */
+  check (): void {
+    for (const [name, count] of this.runs) {
+      const told = this.told.get(name)
+      if (count > 1 && told?.received.method !== 'GET' && told?.received.service !== 'chat') throw new Error(`${name} ran ${count} times`)
+    }
+    for (const [id, { received, chunks, end }] of this.told) {
+      if (end === undefined) throw new Error(`${id} has no end`)
+      if (end.kind === 'reply-end' && chunks.join() !== ANSWER.join()) throw new Error(`${id} ended after ${chunks.join()}`)
+      const ran = [...this.runs].filter(([name]) => name === id || name === received.keyText).length
+      if (end.kind === 'reply-error' && end.outcome === 'not-run' && ran > 0) throw new Error(`${id} ran but "not run" was said`)
+    }
+  }
+}
+
+// Guards against a booking that runs twice, a "not run" that is untrue, a request without exactly one end, and a truncated answer that looks whole.
+test('invariants hold under lost connections, deaths, leaves, partitions and repeats', t => {
+  const entry = fc.constantFrom(...ENTRIES)
+  const home = fc.constantFrom(...HOMES, ...WORKERS)
+  const step = fc.oneof(
+    fc.record({ kind: fc.constant('book' as const), entry }),
+    fc.record({ kind: fc.constant('keyed' as const), entry, own: fc.integer({ min: 0, max: 3 }) }),
+    fc.record({ kind: fc.constant('read' as const), entry }),
+    fc.record({ kind: fc.constant('stream' as const), entry }),
+    fc.record({ kind: fc.constant('cut' as const), entry, home }),
+    fc.record({ kind: fc.constant('part' as const), entry, home, ms: fc.integer({ min: 1, max: 50 }) }),
+    fc.record({ kind: fc.constant('kill' as const), home }),
+    fc.record({ kind: fc.constant('pause' as const), process: fc.constantFrom(...ENTRIES, ...HOMES, ...WORKERS), ms: fc.integer({ min: 5, max: 60 }) }),
+    fc.record({ kind: fc.constant('domain' as const), entry, domain: fc.constantFrom(...DOMAINS), state: fc.constantFrom('in' as const, 'out' as const) }),
+    fc.record({ kind: fc.constant('leave' as const), home }),
+    fc.record({ kind: fc.constant('gone' as const), entry })
+  )
+  const counts = { 'reply-end': 0, resumed: 0, run: 0, 'not-run': 0, unknown: 0 }
+  fc.assert(fc.property(fc.array(fc.tuple(step, fc.integer({ min: 0, max: 12 })), { minLength: 4, maxLength: 25 }), fc.integer({ min: 0, max: 9_999 }), (steps, seed) => {
+    const world = World.create(seed, 3_000)
+    const { network } = world
+    const keys = new Map<number, string>()
+    for (const [action, waits] of steps) {
+      switch (action.kind) {
+        case 'book':
+          world.send(action.entry, 'POST')
+          break
+        case 'keyed': {
+          const text = keys.get(action.own) ?? world.formatKey(action.entry, `own${action.own}`)
+          if (text !== undefined) {
+            keys.set(action.own, text)
+            world.send(action.entry, 'POST', text)
+          }
+          break
+        }
+        case 'read':
+          world.send(action.entry, 'GET')
+          break
+        case 'stream':
+          world.send(action.entry, 'POST', undefined, 'chat')
+          break
+        case 'cut':
+          network.cutLink(action.entry, action.home)
+          break
+        case 'part': {
+          const untilMs = network.nowMs + action.ms * 100
+          const before = network.isReachable
+          network.isReachable = (a, b) => before(a, b) && (network.nowMs >= untilMs || ![a, b].includes(action.entry) || ![a, b].includes(action.home))
+          break
+        }
+        case 'kill':
+          network.kill(action.home)
+          break
+        case 'pause':
+          network.pause(action.process, action.ms * 100)
+          break
+        case 'domain':
+          world.applyState(action.entry, action.domain, action.state)
+          break
+        case 'leave':
+          network.dispatch(action.home, { kind: 'leave-requested', deadlineMs: 20_000 })
+          break
+        case 'gone': {
+          const [id, told] = [...world.told].reverse().find(([name, { end }]) => name.startsWith(action.entry) && end === undefined) ?? []
+          // A paused entry may have replied before it reads that the caller is gone.
+          const isPaused = network.get(action.entry).pausedUntilMs > network.nowMs
+          if (id !== undefined && told !== undefined && !isPaused) {
+            network.dispatch(action.entry, { kind: 'caller-gone', requestId: id })
+            told.end = { kind: 'leave-finished' }
+          }
+          break
+        }
+      }
+      network.run(waits * 100)
+    }
+    network.run(8_000)
+    world.check()
+    for (const [id, { end }] of world.told) {
+      const steps = network.get(id.slice(0, 2)).kernel.port('requests').explain(id) ?? []
+      if (end?.kind === 'reply-end' && steps.filter(({ step }) => step === 'head').length > 1) counts.resumed += 1
+      if (end?.kind === 'reply-end') counts['reply-end'] += 1
+      if (end?.kind === 'reply-error') counts[end.outcome] += 1
+    }
+  }), { numRuns: 300, seed: 16, includeErrorInReport: true })
+  t.log(`answers: ${JSON.stringify(counts)}`)
+  t.true(counts['reply-end'] > 0 && counts.resumed > 0 && counts['not-run'] > 0 && counts.unknown > 0)
+})
+
+// Guards against a planned leave that costs a caller its request or runs it twice.
+test('a planned leave interrupts no request', t => {
+  fc.assert(fc.property(fc.constantFrom(...HOMES, ...WORKERS), fc.array(fc.tuple(fc.constantFrom(...ENTRIES), fc.constantFrom('GET', 'POST', 'keyed', 'stream'), fc.integer({ min: 0, max: 5 })), { minLength: 20, maxLength: 40 }), fc.integer({ min: 0, max: 4_999 }), (home, sends, half) => {
+    const world = World.create(half * 2, 10_000)
+    const keys = ENTRIES.flatMap(entry => HOMES.map((_, index) => world.formatKey(entry, `own${index}`)))
+    sends.forEach(([entry, method, waits], index) => {
+      if (index === 8) world.network.dispatch(home, { kind: 'leave-requested', deadlineMs: 60_000 })
+      if (method === 'keyed') world.send(entry, 'POST', keys[index % keys.length])
+      else if (method === 'stream') world.send(entry, 'POST', undefined, 'chat')
+      else world.send(entry, method)
+      world.network.run(waits * 100)
+    })
+    world.network.run(15_000)
+    world.check()
+    for (const [id, { end }] of world.told) if (end?.kind !== 'reply-end') throw new Error(`${id}: ${JSON.stringify(end)} ${JSON.stringify(world.network.get(id.slice(0, 2)).kernel.port('requests').explain(id))}`)
+  }), { numRuns: 60, seed: 17, includeErrorInReport: true })
+  t.pass()
+})
+
+// Guards against work that still starts in a failure domain, or at a leaving home, more than 5 s after it was taken out.
+test('a domain taken out and a leaving home get no new work after 5 s', t => {
+  const world = World.create(2, 3_000)
+  const outMs = world.network.nowMs
+  world.applyState('e1', 'b', 'out')
+  world.network.dispatch('book-a', { kind: 'leave-requested', deadlineMs: 60_000 })
+  for (let count = 0; count < 100; count += 1) {
+    world.send(ENTRIES[count % 2]!, count % 3 === 0 ? 'GET' : 'POST')
+    world.network.run(200)
+  }
+  world.network.run(8_000)
+  world.check()
+  const after = (home: string): number => (world.lastRunMs.get(home) ?? outMs) - outMs
+  t.log(`last start after the change: domain out ${after('book-b')} ms, leaving ${after('book-a')} ms`)
+  t.true(after('book-b') <= 5_000 && after('book-a') <= 5_000)
+  t.true(after('book-c') > 15_000)
+  const ends = [...world.told.values()].filter(({ end }) => end?.kind === 'reply-end').length
+  t.is(ends, 100)
+})
