--- a/src/plugins/experts/change.ts
+++ b/src/plugins/experts/change.ts
@@ -276,6 +276,7 @@
   #handleDecided (record: MapRecord, proposal: Proposal, context: ChangeContext): void {
     const committed = record.map.version === proposal.version
     context.emit({ kind: 'log', event: 'map-decided', fields: { group: this.#group, version: proposal.version, committed } })
+    context.emit({ kind: 'count', metric: 'map_changes', label: committed ? 'commit' : 'abort' })
     context.emit({ kind: 'observe', metric: 'map_change_ms', value: context.nowMs - proposal.sinceMs, label: committed ? 'commit' : 'abort' })
     this.#removeProposal()
     this.#update({ outcome: { committed, elapsedMs: context.nowMs - proposal.sinceMs } })
--- a/src/plugins/experts/placement/rebalancer.ts
+++ b/src/plugins/experts/placement/rebalancer.ts
@@ -101,6 +101,7 @@
     const timings = plan.loads.map((load, rank) => ({ load, stepMs: this.#stepTimes.get(rank) ?? this.#stepMs }))
     this.#speeds = computeRankSpeeds(timings, this.#policy.expertShare)
     if (plan.placement === undefined) {
+      context.emit({ kind: 'count', metric: 'map_changes', label: 'declined' })
       context.emit({ kind: 'log', event: 'rebalance-declined', fields: { group: this.#group, ...plan.explanation } })
     }
     return plan.placement
