--- a/src/plugins/experts/holder-plugin.ts
+++ b/src/plugins/experts/holder-plugin.ts
@@ -1,16 +1,18 @@
 /** Entry role: holder of the expert maps of groups whose lease this entry has. */
 
-import { createHash } from 'node:crypto'
 import type { EndpointSpec, RankGroup } from '../../kernel/document.js'
 import type { KernelEvent } from '../../kernel/events.js'
 import { registerPlugin } from '../../kernel/plugin.js'
 import type { Context, Plugin } from '../../kernel/plugin.js'
 import type { ExpertLoad, Message, ProcessRef } from '../../protocol/messages.js'
-import { Change, INITIAL_CHANGE } from './change.js'
+import { CHANGE_RULES, Change, INITIAL_CHANGE } from './change.js'
+import type { ChangeRules } from './change.js'
+import { EntryRing } from './entry-ring.js'
 import { INITIAL_LEASE, Lease } from './lease.js'
 import { Rebalancer } from './placement/rebalancer.js'
 import { buildStaticPlacement } from './placement/static.js'
 import type { GroupShape, Placement } from './placement/shape.js'
+import type { RankSpeed } from './placement/slow-ranks.js'
 import type { MapContent } from './record.js'
 import { StepClock } from './step-clock.js'
 
@@ -25,6 +27,7 @@
 export interface MapPlanner {
   noteLoad (load: ExpertLoad, nowMs: number): void
   noteChange (committed: boolean, nowMs: number): void
+  listSpeeds (): readonly RankSpeed[]
   /** Called at each tick while no change is under way; undefined keeps the map. */
   choosePlacement (inForce: MapContent, context: Context): Placement | undefined
 }
@@ -48,25 +51,31 @@
   readonly ports = {
     mapHolder: {
       isHolder: (group: string) => (this.#groups.get(group)?.change.getState().fence ?? 0) > 0,
-      getMapVersion: (group: string) => this.#groups.get(group)?.change.getState().stored?.record.map.version
+      getMapVersion: (group: string) => this.#groups.get(group)?.change.getState().stored?.record.map.version,
+      listStalled: (group: string) => this.#listStalled(group)
     }
   }
 
   readonly #groups = new Map<string, HeldGroup>()
+  readonly #ring = EntryRing.create()
   readonly #createPlanner: CreatePlanner
   #instances = 0
   #nextConnectMs = 0
 
-  private constructor (createPlanner: CreatePlanner) {
+  readonly #rules: ChangeRules
+
+  private constructor (createPlanner: CreatePlanner, rules: ChangeRules) {
+    this.#rules = rules
     this.#createPlanner = createPlanner
   }
 
   /**
    * @param createPlanner - creates the planner of a group
+   * @param rules - safeguards; tests switch single ones off
    * @returns the plug-in in its initial state
    */
-  static create (createPlanner: CreatePlanner): MapHolderPlugin {
-    return new MapHolderPlugin(createPlanner)
+  static create (createPlanner: CreatePlanner, rules: ChangeRules = CHANGE_RULES): MapHolderPlugin {
+    return new MapHolderPlugin(createPlanner, rules)
   }
 
   /**
@@ -82,6 +91,7 @@
         return
       case 'tick':
         if (this.#groups.size === 0) this.#updateGroups(context)
+        this.#updateRing(context)
         for (const held of this.#groups.values()) this.#handleTick(held, context)
         if (context.nowMs >= this.#nextConnectMs) this.#nextConnectMs = context.nowMs + CONNECT_RETRY_MS
         return
@@ -98,14 +108,27 @@
     }
   }
 
+  #updateRing (context: Context): void {
+    const entries = context.port('membership').listEntries().map(entry => entry.id)
+    this.#ring.updateEntries([context.self.id, ...entries].sort())
+  }
+
+  #listStalled (group: string): readonly string[] {
+    const held = this.#groups.get(group)
+    if (held === undefined) return []
+    const speeds = held.planner.listSpeeds()
+    return held.ranks.filter((_, rank) => speeds[rank] === 'stalled').map(rank => rank.id)
+  }
+
   #handleTick (held: HeldGroup, context: Context): void {
-    held.lease.handleTick(isCandidate(held.group.name, context), context)
+    const candidate = !context.port('membership').isLeaving() && this.#ring.isCandidate(held.group.name, context.self.id, CANDIDATES)
+    held.lease.handleTick(candidate, context)
     this.#updateLease(held, context)
     if (held.change.getState().fence === 0) return
     if (context.nowMs >= this.#nextConnectMs) this.#connectRanks(held, context)
     held.change.handleTick(context)
     const { stored } = held.change.getState()
-    if (stored === undefined || !held.change.isReady()) return
+    if (stored === undefined || !held.change.isReady() || !held.steps.isReached(stored.record.map.step)) return
     const ranks = held.planner.choosePlacement(stored.record.map, context)
     if (ranks !== undefined) held.change.propose({ ranks, step: held.steps.chooseStep(context.nowMs) })
   }
@@ -152,8 +175,9 @@
     const { groups, endpoints } = context.port('configuration').getCurrent()
     const known = new Set(groups.map(group => group.name))
     for (const name of this.#groups.keys()) if (!known.has(name)) this.#groups.delete(name)
+    const places = new Map(endpoints.map(endpoint => [`${endpoint.group}/${endpoint.rank}`, endpoint]))
     for (const group of groups) {
-      const ranks = Array.from({ length: group.ranks }, (_, rank) => endpoints.find(found => found.group === group.name && found.rank === rank))
+      const ranks = Array.from({ length: group.ranks }, (_, rank) => places.get(`${group.name}/${rank}`))
       const present = ranks.filter(rank => rank !== undefined)
       const before = this.#groups.get(group.name)
       const same = before !== undefined && JSON.stringify([before.group, before.ranks]) === JSON.stringify([group, present])
@@ -166,7 +190,7 @@
     const calls = this.#instances * CALLS_PER_INSTANCE
     this.#instances += 1
     const lease = before?.lease ?? Lease.create(group.name, { ...INITIAL_LEASE, calls })
-    const change = Change.create(group.name, ranks.map(rank => rank.id), undefined, { ...INITIAL_CHANGE, calls })
+    const change = Change.create(group.name, ranks.map(rank => rank.id), this.#rules, { ...INITIAL_CHANGE, calls })
     const planner = this.#createPlanner(group.name, buildShape(group, ranks))
     return { group, ranks, lease, change, planner, steps: StepClock.create() }
   }
@@ -176,17 +200,4 @@
   return { layers: group.layers, experts: group.expertsPerLayer, slots: group.slotsPerRank, hosts: ranks.map(rank => rank.host) }
 }
 
-/** The candidates are the first live entries in an order that differs between groups. */
-function isCandidate (group: string, context: Context): boolean {
-  const membership = context.port('membership')
-  if (membership.isLeaving()) return false
-  const scores = new Set([context.self.id, ...membership.listEntries().map(entry => entry.id)])
-  const order = [...scores].sort((a, b) => hashEntry(group, a) < hashEntry(group, b) ? -1 : 1)
-  return order.indexOf(context.self.id) < CANDIDATES
-}
-
-function hashEntry (group: string, entry: string): string {
-  return createHash('sha256').update(`${group}/${entry}`).digest('hex')
-}
-
 registerPlugin({ name: 'map-holder', roles: ['entry'], create: () => MapHolderPlugin.create((group, shape) => Rebalancer.create(group, shape)) })
--- a/src/plugins/experts/rank.ts
+++ b/src/plugins/experts/rank.ts
@@ -16,6 +16,8 @@
 export const PROMISE_LIMIT_MS = 60_000
 /** Time after which a platform call without an answer counts as unknown, in ms. */
 export const CALL_LIMIT_MS = 5_000
+/** Time after which an order without an answer counts as refused, in ms; longer than the edge waits for it. */
+export const ORDER_LIMIT_MS = 35_000
 /** Time between two attempts to bring an engine to the rank's state, in ms. */
 export const SYNC_RETRY_MS = 500
 /** Spread of repeated writes over time per rank of the group, in ms: a whole group may start at once. */
@@ -164,7 +166,8 @@
     const { startId, pending, joined } = this.#state
     const step = report.step ?? this.#state.step
     this.#update({ startId: report.startId, step, stepMs: report.stepMs ?? this.#state.stepMs })
-    if (pending?.promised === true && pending.heldSinceMs === undefined && step >= pending.step) {
+    // Engines report the step that they run or the one that they run next.
+    if (pending?.promised === true && pending.heldSinceMs === undefined && step >= pending.step - 1) {
       this.#update({ pending: { ...pending, heldSinceMs: context.nowMs } })
     }
     if (startId === undefined || startId === report.startId) return
@@ -183,6 +186,10 @@
   handleTick (peers: readonly string[], context: RankContext): void {
     const { call, joined, nextSyncAtMs, synced, gate, pending } = this.#state
     if (call !== undefined && context.nowMs - call.sentAtMs >= CALL_LIMIT_MS) this.#removeCall()
+    const outstanding = gate.outstanding
+    if (outstanding !== undefined && context.nowMs - outstanding.sentAtMs >= ORDER_LIMIT_MS) {
+      this.handleOrderAnswered(outstanding.orderId, false, context)
+    }
     if (!joined) {
       if (context.nowMs >= this.#state.nextCallAtMs) this.#callPlatform('join-read', context)
       return
@@ -236,15 +243,16 @@
 
   #join (record: MapRecord, context: RankContext): void {
     if (record.version < this.#state.decided) return
-    const { map } = record
-    const layers = map.ranks[this.#place.rank] ?? []
-    const { pending: _pending, ...rest } = this.#state
+    const { map, previous } = record
+    const { rank } = this.#place
+    const { pending: _pending, previous: _previous, ...rest } = this.#state
     this.#state = {
       ...rest,
       joined: true,
       fence: Math.max(rest.fence, record.fence),
       decided: record.version,
-      base: { version: map.version, step: map.step, layers },
+      base: { version: map.version, step: map.step, layers: map.ranks[rank] ?? [] },
+      ...(previous === undefined ? {} : { previous: { version: previous.version, step: previous.step, layers: previous.ranks[rank] ?? [] } }),
       synced: false
     }
     this.#update({ gate: removeWaiting(this.#state.gate, true) })
@@ -252,8 +260,10 @@
   }
 
   #isAcceptable (message: MapPrepare): boolean {
-    const { joined, fence, decided, pending, step } = this.#state
+    const { joined, fence, decided, pending, step, base } = this.#state
     if (!joined || message.fence < fence || step >= message.step) return false
+    // A record holds two maps, so the one before must be out of use.
+    if (base === undefined || step < base.step) return false
     if (message.version <= decided && this.#rules.refusesOldProposals) return false
     if (pending === undefined || pending.version < message.version) return true
     return !this.#rules.keepsPromise && pending.version === message.version
@@ -261,14 +271,14 @@
 
   /** Takes a decided version in: the record in the platform stands at it or above. */
   #settle (decision: Decision, context: RankContext): void {
-    const { decided, pending, fence } = this.#state
+    const { decided, pending, base, fence } = this.#state
     if (decision.version <= decided && this.#rules.ignoresOldDecisions) return
     this.#update({ decided: decision.version, fence: Math.max(fence, decision.fence) })
     if (pending !== undefined && pending.version <= decision.version) {
       const committed = decision.mapVersion === pending.version
       this.#removePending()
       this.#update({ gate: removeWaiting(this.#state.gate, true) })
-      if (committed) this.#update({ base: { version: pending.version, step: decision.step, layers: pending.layers } })
+      if (committed) this.#update({ ...(base === undefined ? {} : { previous: base }), base: { version: pending.version, step: decision.step, layers: pending.layers } })
       const use: EndpointOrder = { kind: 'use-map', version: decision.mapVersion, step: decision.step }
       if (this.#state.synced) this.#order(decision.version, [...(committed ? [use] : []), { kind: 'release-hold' }], context)
       else this.#startSync(context)
