Pass expert counts and unanswered orders to the kernel

Cause: the planner had no source of popularity, and an order without an answer was noticed only after 35 s. Change: expert_counts of the endpoint's report reach the kernel; an order whose connection closed without an answer counts as refused at once. Result: builds; test/experts passes with the kernel side unchanged; no run on a real group yet.

--- a/src/edge/endpoint/orders.ts
+++ b/src/edge/endpoint/orders.ts
@@ -38,8 +38,8 @@
   }
 
   /**
-   * Sends one order; its answer arrives as an `order-answered` event. No answer
-   * is not an event: the kernel repeats the order, which is idempotent.
+   * Sends one order; its answer arrives as an `order-answered` event. An order
+   * without an answer counts as refused once its connection is closed.
    *
    * @param orderId - names the order in the answer
    * @param fence - fencing number
@@ -48,7 +48,7 @@
   send (orderId: string, fence: number, order: EndpointOrder): void {
     this.#post(fence, order).then(
       answer => { this.#options.dispatch({ kind: 'order-answered', orderId, ...answer }) },
-      () => undefined
+      () => { this.#options.dispatch({ kind: 'order-answered', orderId, accepted: false, fence }) }
     )
   }
 
--- a/src/edge/endpoint/reporter.ts
+++ b/src/edge/endpoint/reporter.ts
@@ -26,7 +26,8 @@
   start_id: z.string(),
   warmth: z.number().min(0).max(1),
   step_ms: z.number().optional(),
-  step: z.number().optional()
+  step: z.number().optional(),
+  expert_counts: z.array(z.array(z.number().min(0))).optional()
 })
 
 /** What a reporter is created with. */
@@ -98,7 +99,8 @@
       startId: value.start_id,
       warmth: value.warmth,
       ...(value.step_ms === undefined ? {} : { stepMs: value.step_ms }),
-      ...(value.step === undefined ? {} : { step: value.step })
+      ...(value.step === undefined ? {} : { step: value.step }),
+      ...(value.expert_counts === undefined ? {} : { expertCounts: value.expert_counts })
     }
   }
 
