Feed every metric of the table and answer refused requests in one form

Cause: platform calls, losses of the platform, peers, members, configuration versions and times of answers were in the table of metrics or the list of log events, but nothing reported them. NestJS set its own error and not-found handlers during its start, after ours.

Change: the platform client and the watch report results and losses; gauges of the kernel's ports are read when the metrics are fetched; counters of rare events follow the log events. Metrics that no code can feed are removed: time of a placement, skew of steps, stalled ranks, time of a dispatch. The adapter ignores the framework's handlers, so that size limits, malformed URLs and HTTP, and unknown paths get our answer.

--- /dev/null
+++ b/src/edge/entry/adapter.ts
@@ -0,0 +1,81 @@
+/**
+ * The framework's HTTP adapter with this project's answers to requests that no
+ * route sees: limits, malformed requests and unknown paths.
+ */
+
+import { randomUUID } from 'node:crypto'
+import type { Server, ServerResponse } from 'node:http'
+import type { Socket } from 'node:net'
+import { FastifyAdapter } from '@nestjs/platform-fastify'
+import { ERROR_ANSWERS } from '../../kernel/errors.js'
+import type { ErrorKind } from '../../kernel/errors.js'
+import { CallerExchange, formatRawError } from './exchange.js'
+
+/** Options of the HTTP server with or without TLS. */
+export type AdapterOptions = ConstructorParameters<typeof FastifyAdapter<Server>>[0]
+
+interface HandledRequest {
+  readonly headers: Readonly<Record<string, unknown>>
+}
+
+interface HandledReply {
+  readonly raw: unknown
+  hijack (): unknown
+}
+
+/** Server options for requests that fail before a route is looked for. */
+export const FAULT_HANDLERS = { frameworkErrors: answerFault, clientErrorHandler: answerMalformed }
+
+/**
+ * The framework sets handlers of its own while it starts, which would replace
+ * ours and answer in its own form, so its calls have no effect here.
+ */
+export class EntryAdapter extends FastifyAdapter {
+  private constructor (options: AdapterOptions) {
+    super(options)
+    super.setErrorHandler((error: unknown, request: HandledRequest, reply: HandledReply) => { answerFault(error, request, reply) })
+    super.setNotFoundHandler((request: HandledRequest, reply: HandledReply) => { answerFault({ statusCode: ERROR_ANSWERS['unknown-path'].status }, request, reply) })
+  }
+
+  /**
+   * @param options - of the HTTP server, with `FAULT_HANDLERS` among them
+   * @returns an adapter with our handlers in place
+   */
+  static create (options: AdapterOptions): EntryAdapter {
+    return new EntryAdapter(options)
+  }
+
+  override setErrorHandler (): ReturnType<FastifyAdapter['setErrorHandler']> {
+    return this.getInstance()
+  }
+
+  override setNotFoundHandler (): ReturnType<FastifyAdapter['setNotFoundHandler']> {
+    return this.getInstance()
+  }
+}
+
+/** With a key an earlier send of the same key may have run, so its outcome is unknown here. */
+function answerFault (error: unknown, request: HandledRequest, reply: HandledReply): void {
+  const hasKey = request.headers['idempotency-key'] !== undefined
+  reply.hijack()
+  CallerExchange.create(randomUUID(), reply.raw as ServerResponse).writeError({ error: findKind(error), outcome: hasKey ? 'unknown' : 'not-run', forwarded: false })
+}
+
+/**
+ * Whether the request bore a key is not known. Nothing is written into an answer
+ * to an earlier request of the connection, which could pass for part of it.
+ */
+function answerMalformed (error: NodeJS.ErrnoException, socket: Socket): void {
+  const current = (socket as { readonly _httpMessage?: ServerResponse | null })._httpMessage
+  if (error.code !== 'ECONNRESET' && socket.writable && current?.headersSent !== true) {
+    socket.write(formatRawError(randomUUID(), { error: 'bad-request', outcome: 'unknown', forwarded: false }))
+  }
+  socket.destroy()
+}
+
+function findKind (error: unknown): ErrorKind {
+  const status = (error as { readonly statusCode?: unknown }).statusCode
+  if (status === ERROR_ANSWERS['body-too-large'].status) return 'body-too-large'
+  if (status === ERROR_ANSWERS['unknown-path'].status) return 'unknown-path'
+  return typeof status === 'number' && status < 500 ? 'bad-request' : 'internal'
+}
--- a/src/edge/entry/exchange.ts
+++ b/src/edge/entry/exchange.ts
@@ -1,3 +1,4 @@
+import { STATUS_CODES } from 'node:http'
 import type { ServerResponse } from 'node:http'
 import { ERROR_ANSWERS } from '../../kernel/errors.js'
 import type { ErrorKind, Outcome } from '../../kernel/errors.js'
@@ -35,6 +36,11 @@
     return new CallerExchange(requestId, response)
   }
 
+  /** Whether the answer is an event stream; known once its head was written. */
+  get isEventStream (): boolean {
+    return this.#eventStream
+  }
+
   /**
    * @param status - status of the endpoint's answer
    * @param headers - headers of the endpoint's answer
@@ -101,6 +107,29 @@
   }
 }
 
+/**
+ * Answer on a connection whose request could not be parsed; the connection ends after it.
+ *
+ * @param requestId - sent back in the answer
+ * @param reply - kind, outcome and whether the request was forwarded
+ * @returns head and body as HTTP text
+ */
+export function formatRawError (requestId: string, reply: ErrorReply): string {
+  const { status } = ERROR_ANSWERS[reply.error]
+  const body = JSON.stringify({ error: describeError(requestId, reply) })
+  return [
+    `HTTP/1.1 ${status} ${STATUS_CODES[status] ?? ''}`,
+    'content-type: application/json',
+    `content-length: ${Buffer.byteLength(body)}`,
+    'connection: close',
+    `heatherdoor-request-id: ${requestId}`,
+    `heatherdoor-outcome: ${reply.outcome}`,
+    `heatherdoor-send: ${reply.forwarded ? 'forwarded' : 'not-forwarded'}`,
+    '',
+    body
+  ].join('\r\n')
+}
+
 function describeError (requestId: string, reply: ErrorReply): Record<string, string> {
   return {
     kind: reply.error,
--- a/src/edge/entry/gateway.ts
+++ b/src/edge/entry/gateway.ts
@@ -3,6 +3,7 @@
 import type { ErrorKind } from '../../kernel/errors.js'
 import type { KernelEvent, RequestReceived } from '../../kernel/events.js'
 import type { KeyState } from '../../protocol/messages.js'
+import type { Metrics } from '../metrics/metrics.js'
 import type { CallerExchange } from './exchange.js'
 
 /** Time after which an unanswered question to the kernel fails, in ms. */
@@ -10,11 +11,21 @@
 
 type Answer = AddressAnswer | KeyState
 
+/** A caller that waits for its answer. */
+interface Waiting {
+  readonly exchange: CallerExchange
+  readonly service: string
+  readonly receivedAtMs: number
+  /** Time of the last chunk; undefined before the first. */
+  chunkAtMs: number | undefined
+}
+
 /** Connects callers' exchanges with the kernel's events and effects. */
 export class Gateway {
-  readonly #exchanges = new Map<string, CallerExchange>()
+  readonly #exchanges = new Map<string, Waiting>()
   readonly #asks = new Map<string, (answer: Answer | undefined) => void>()
   #dispatch: (event: KernelEvent) => void = () => undefined
+  #metrics: Metrics | undefined
 
   private constructor () {}
 
@@ -25,9 +36,11 @@
 
   /**
    * @param dispatch - gives an event to the kernel
+   * @param metrics - takes counts and times of answers
    */
-  connect (dispatch: (event: KernelEvent) => void): void {
+  connect (dispatch: (event: KernelEvent) => void, metrics: Metrics): void {
     this.#dispatch = dispatch
+    this.#metrics = metrics
   }
 
   /** @returns count of callers that wait for an answer */
@@ -40,7 +53,8 @@
    * @param event - the request
    */
   acceptRequest (exchange: CallerExchange, event: RequestReceived): void {
-    this.#exchanges.set(exchange.requestId, exchange)
+    this.#metrics?.count('requests_received', event.service)
+    this.#exchanges.set(exchange.requestId, { exchange, service: event.service, receivedAtMs: performance.now(), chunkAtMs: undefined })
     this.#dispatch(event)
   }
 
@@ -53,7 +67,10 @@
    * @param hasKey - whether the request bears an idempotency key
    */
   refuseRequest (exchange: CallerExchange, error: ErrorKind, hasKey: boolean): void {
-    exchange.writeError({ error, outcome: hasKey ? 'unknown' : 'not-run', forwarded: false })
+    const outcome = hasKey ? 'unknown' : 'not-run'
+    this.#metrics?.count('requests', error)
+    this.#metrics?.count('outcomes', outcome)
+    exchange.writeError({ error, outcome, forwarded: false })
   }
 
   /**
@@ -89,15 +106,16 @@
   applyEffect (effect: Effect): void {
     switch (effect.kind) {
       case 'reply-head':
-        this.#exchanges.get(effect.requestId)?.writeHead(effect.status, effect.headers)
+        this.#exchanges.get(effect.requestId)?.exchange.writeHead(effect.status, effect.headers)
         return
       case 'reply-chunk':
-        this.#exchanges.get(effect.requestId)?.writeChunk(effect.data)
+        this.#writeChunk(effect.requestId, effect.data)
         return
       case 'reply-end':
         this.#takeExchange(effect.requestId)?.end()
         return
       case 'reply-error':
+        this.#metrics?.count('outcomes', effect.outcome)
         this.#takeExchange(effect.requestId)?.writeError(effect)
         return
       case 'address-told':
@@ -111,10 +129,23 @@
     }
   }
 
+  #writeChunk (requestId: string, data: Uint8Array): void {
+    const waiting = this.#exchanges.get(requestId)
+    if (waiting === undefined) return
+    if (waiting.exchange.isEventStream) {
+      const nowMs = performance.now()
+      if (waiting.chunkAtMs !== undefined) this.#metrics?.observe('chunk_gap_ms', nowMs - waiting.chunkAtMs, waiting.service)
+      waiting.chunkAtMs = nowMs
+    }
+    waiting.exchange.writeChunk(data)
+  }
+
   #takeExchange (requestId: string): CallerExchange | undefined {
-    const exchange = this.#exchanges.get(requestId)
+    const waiting = this.#exchanges.get(requestId)
+    if (waiting === undefined) return undefined
     this.#exchanges.delete(requestId)
-    return exchange
+    this.#metrics?.observe('request_ms', performance.now() - waiting.receivedAtMs, waiting.service)
+    return waiting.exchange
   }
 
   async #ask (build: (askId: string) => KernelEvent): Promise<Answer | undefined> {
--- a/src/edge/entry/process.ts
+++ b/src/edge/entry/process.ts
@@ -44,7 +44,7 @@
       handleRoleEffect: effect => { gateway.applyEffect(effect) },
       handleLeaveFinished: () => { state.handleLeft(gateway.countExchanges() > 0) }
     })
-    gateway.connect(event => { edge.runtime.dispatch(event) })
+    gateway.connect(event => { edge.runtime.dispatch(event) }, edge.metrics)
     const callers = await EntryServer.create(buildCallersOptions(settings, edge, gateway))
     const operations = await EntryServer.create(buildOperationsOptions(settings, edge))
     return new EntryProcess(state, edge, gateway, callers, operations)
--- a/src/edge/entry/server.ts
+++ b/src/edge/entry/server.ts
@@ -1,19 +1,16 @@
 /** HTTP servers of an entry: one for callers, one for operators. */
 
 import 'reflect-metadata'
-import { randomUUID } from 'node:crypto'
 import type { Server } from 'node:http'
 import type { Server as HttpsServer } from 'node:https'
 import { Module } from '@nestjs/common'
 import type { DynamicModule, Provider, Type } from '@nestjs/common'
 import { NestFactory } from '@nestjs/core'
-import { FastifyAdapter } from '@nestjs/platform-fastify'
 import type { NestFastifyApplication } from '@nestjs/platform-fastify'
 import type { FastifyInstance } from 'fastify'
-import { ERROR_ANSWERS } from '../../kernel/errors.js'
-import type { ErrorKind } from '../../kernel/errors.js'
 import type { TlsSource } from '../security/tls.js'
-import { CallerExchange } from './exchange.js'
+import { EntryAdapter, FAULT_HANDLERS } from './adapter.js'
+import type { AdapterOptions } from './adapter.js'
 import type { LimitSettings } from '../../settings/process.js'
 
 /** What a server is started with. */
@@ -48,17 +45,12 @@
    * @returns a server that does not listen yet
    */
   static async create (options: ServerOptions): Promise<EntryServer> {
-    const adapter = new FastifyAdapter(buildServerOptions(options))
+    const adapter = EntryAdapter.create(buildServerOptions(options))
     const module: DynamicModule = { module: ServerModule, controllers: [options.controller], providers: [...options.providers] }
     const app = await NestFactory.create<NestFastifyApplication>(module, adapter, { bodyParser: false, logger: ['error'] })
     const fastify = app.getHttpAdapter().getInstance() as unknown as FastifyInstance
     fastify.removeAllContentTypeParsers()
     fastify.addContentTypeParser('*', { parseAs: 'buffer' }, (_request, body, done) => { done(null, body) })
-    fastify.setErrorHandler((error, request, reply) => {
-      const hasKey = request.headers['idempotency-key'] !== undefined
-      reply.hijack()
-      CallerExchange.create(randomUUID(), reply.raw).writeError({ error: findKind(error), outcome: hasKey ? 'unknown' : 'not-run', forwarded: false })
-    })
     await app.init()
     options.tls?.addServer(app.getHttpServer() as HttpsServer)
     return new EntryServer(app, options)
@@ -81,10 +73,11 @@
   }
 }
 
-function buildServerOptions (options: ServerOptions): ConstructorParameters<typeof FastifyAdapter>[0] {
+function buildServerOptions (options: ServerOptions): AdapterOptions {
   const { limits, tls } = options
   const http = { maxHeaderSize: limits.headerMaxBytes, headersTimeout: limits.headersTimeoutMs, connectionsCheckingInterval: SLOW_SENDER_CHECK_MS }
   const common = {
+    ...FAULT_HANDLERS,
     bodyLimit: limits.bodyMaxBytes,
     keepAliveTimeout: limits.idleTimeoutMs,
     requestTimeout: limits.headersTimeoutMs,
@@ -94,10 +87,3 @@
   if (tls === undefined) return { ...common, http }
   return { ...common, https: { ...http, ...tls.getOptions() } }
 }
-
-function findKind (error: unknown): ErrorKind {
-  const status = (error as { statusCode?: unknown }).statusCode
-  if (status === ERROR_ANSWERS['body-too-large'].status) return 'body-too-large'
-  if (status === ERROR_ANSWERS['unknown-path'].status) return 'unknown-path'
-  return typeof status === 'number' && status < 500 ? 'bad-request' : 'internal'
-}
--- /dev/null
+++ b/src/edge/metrics/logged.ts
@@ -0,0 +1,23 @@
+/** Counters of rare events that the kernel also logs. */
+
+import type { LogEvent } from '../../kernel/log-events.js'
+import type { LogFields } from '../log/logger.js'
+import type { Metrics } from './metrics.js'
+
+/**
+ * @param event - event that was logged
+ * @param fields - fields of its line
+ * @param metrics - counts the event when the table has a counter for it
+ */
+export function countLogged (event: LogEvent, fields: LogFields, metrics: Metrics): void {
+  switch (event) {
+    case 'endpoint-ejected': return metrics.count('ejections')
+    case 'peer-disconnected': return metrics.count('peers_lost')
+    case 'configuration-accepted': return metrics.count('configurations', 'accepted')
+    case 'configuration-ignored': return metrics.count('configurations', 'ignored')
+    case 'configuration-rejected': return metrics.count('configurations', 'rejected')
+    case 'map-decided': return metrics.count('map_changes', fields['committed'] === true ? 'commit' : 'abort')
+    case 'rebalance-declined': return metrics.count('map_changes', 'declined')
+    default:
+  }
+}
--- a/src/edge/metrics/table.ts
+++ b/src/edge/metrics/table.ts
@@ -36,7 +36,6 @@
 const serviceLabel: LabelSpec = { name: 'service', values: { kind: 'first', max: NAMES_MAX } }
 const groupLabel: LabelSpec = { name: 'group', values: { kind: 'first', max: NAMES_MAX } }
 const decisionLabel: LabelSpec = { name: 'decision', values: { kind: 'list', values: ['commit', 'abort', 'declined'] } }
-const pluginLabel: LabelSpec = { name: 'plugin', values: { kind: 'first', max: 16 } }
 
 /** Metrics of entries. */
 const ENTRY_METRICS = {
@@ -50,7 +49,7 @@
   first_byte_ms: { type: 'histogram', help: 'Time from receipt to the first byte of the answer in ms.', label: serviceLabel, buckets: WAIT_BUCKETS_MS },
   chunk_gap_ms: { type: 'histogram', help: 'Time between chunks of a model stream in ms.', label: serviceLabel, buckets: WAIT_BUCKETS_MS },
   requests_in_flight: { type: 'gauge', help: 'Requests of callers in flight at the entry.' },
-  ejections: { type: 'counter', help: 'Endpoints ejected as outliers.', label: serviceLabel }
+  ejections: { type: 'counter', help: 'Endpoints ejected as outliers.' }
 } as const satisfies Record<string, MetricSpec>
 
 /** Metrics of endpoint processes. */
@@ -77,7 +76,7 @@
   quarantined: { type: 'counter', help: 'Requests refused because they crashed endpoints.' },
   members: { type: 'gauge', help: 'Live entries known.' },
   peers: { type: 'gauge', help: 'Connections to peers that work.' },
-  peers_lost: { type: 'counter', help: 'Connections to peers that were lost or replaced.' },
+  peers_lost: { type: 'counter', help: 'Connections to peers that ended.' },
   configuration_version: { type: 'gauge', help: 'Version of the configuration in force.' },
   configurations: { type: 'counter', help: 'Configurations offered.', label: { name: 'result', values: { kind: 'list', values: ['accepted', 'ignored', 'rejected'] } } },
   platform_calls: {
@@ -91,12 +90,8 @@
   map_change_ms: { type: 'histogram', help: 'Time from proposal to decision of a map change in ms.', label: decisionLabel, buckets: WAIT_BUCKETS_MS },
   map_stall_ms: { type: 'histogram', help: 'Time for which a rank was held before the first step of a map in ms.', buckets: WAIT_BUCKETS_MS },
   map_version: { type: 'gauge', help: 'Version of the expert map in use.', label: groupLabel },
-  map_decision_ms: { type: 'histogram', help: 'Time to compute one placement in ms.', label: groupLabel, buckets: SHORT_BUCKETS_MS },
-  step_ms: { type: 'histogram', help: 'Time of one decoding step in ms.', label: groupLabel, buckets: WAIT_BUCKETS_MS },
-  step_skew_percent: { type: 'gauge', help: 'Slowest rank over the mean of its group in percent.', label: groupLabel },
-  stalls: { type: 'counter', help: 'Ranks found stalled.', label: groupLabel },
+  step_ms: { type: 'gauge', help: 'Last reported time of one decoding step in ms.', label: groupLabel },
 
-  dispatch_ms: { type: 'histogram', help: 'Time of one kernel dispatch in ms.', label: pluginLabel, buckets: SHORT_BUCKETS_MS },
   loop_delay_ms: { type: 'histogram', help: 'Delay of the event loop in ms.', buckets: SHORT_BUCKETS_MS }
 } as const satisfies Record<string, MetricSpec>
 
--- a/src/edge/operations.ts
+++ b/src/edge/operations.ts
@@ -5,6 +5,7 @@
 
 import type { Kernel } from '../kernel/kernel.js'
 import type { PeerView } from '../kernel/ports.js'
+import { observePorts } from './metrics/gauges.js'
 import type { Metrics } from './metrics/metrics.js'
 import type { OperatorKeys } from './security/credentials.js'
 import { getNowMs } from './clock.js'
@@ -53,13 +54,19 @@
   async answer (path: string, authorization: string | undefined): Promise<OperationsAnswer> {
     if (path === '/healthz') return formatJson(200, { status: 'ok' })
     if (path === '/readyz') return this.#describeReadiness()
-    if (path === '/metrics') return { status: 200, contentType: 'text/plain; version=0.0.4', body: await this.#parts.metrics.format() }
+    if (path === '/metrics') return await this.#formatMetrics()
     if (this.#parts.operators.verifyHeader(authorization) === undefined) return formatJson(401, { error: { kind: 'unauthenticated' } })
     if (path === '/v1/status') return formatJson(200, this.#describeStatus())
     if (path.startsWith(EXPLAIN_PATH)) return this.#describeRequest(path.slice(EXPLAIN_PATH.length))
     return formatJson(404, { error: { kind: 'unknown-path' } })
   }
 
+  async #formatMetrics (): Promise<OperationsAnswer> {
+    const { kernel, metrics } = this.#parts
+    observePorts(kernel, metrics)
+    return { status: 200, contentType: 'text/plain; version=0.0.4', body: await metrics.format() }
+  }
+
   #describeReadiness (): OperationsAnswer {
     const { kernel } = this.#parts
     const hasConfiguration = kernel.port('configuration').getCurrent().version > 0
--- a/src/edge/platform/reader.ts
+++ b/src/edge/platform/reader.ts
@@ -24,6 +24,8 @@
   readonly configuration: ConfigurationPort
   readonly membership: MembershipPort
   readonly dispatch: (event: KernelEvent) => void
+  /** Told by the watch when the platform stops answering and when it answers again. */
+  readonly handleState: (state: 'lost' | 'found') => void
 }
 
 /**
@@ -71,7 +73,7 @@
   #updateWatch (): void {
     const wanted = this.#options.membership.isWatcher()
     if (wanted && this.#stopWatch === undefined) {
-      this.#stopWatch = this.#options.platform.watch(ROOT_KEY, () => { this.#read() })
+      this.#stopWatch = this.#options.platform.watch(ROOT_KEY, () => { this.#read() }, this.#options.handleState)
       this.#read()
     } else if (!wanted) {
       this.#stopWatch?.()
--- a/src/edge/runtime.ts
+++ b/src/edge/runtime.ts
@@ -7,6 +7,7 @@
 import type { Kernel } from '../kernel/kernel.js'
 import type { PlatformClient } from './platform/client.js'
 import type { Logger } from './log/logger.js'
+import { countLogged } from './metrics/logged.js'
 import type { Metrics } from './metrics/metrics.js'
 import type { PeerHub } from './peer/hub.js'
 import { getNowMs } from './clock.js'
@@ -48,7 +49,13 @@
 
   /** Starts the regular timer. */
   start (): void {
-    this.#timer = setInterval(() => { this.dispatch({ kind: 'tick' }) }, TICK_MS)
+    let expectedMs = performance.now() + TICK_MS
+    this.#timer = setInterval(() => {
+      const nowMs = performance.now()
+      this.#parts.metrics.observe('loop_delay_ms', Math.max(0, nowMs - expectedMs))
+      expectedMs = nowMs + TICK_MS
+      this.dispatch({ kind: 'tick' })
+    }, TICK_MS)
   }
 
   /** Stops the regular timer. */
@@ -92,6 +99,7 @@
         return
       case 'log':
         logger.write(effect.event, effect.fields)
+        countLogged(effect.event, effect.fields, metrics)
         return
       case 'count':
         metrics.count(effect.metric, effect.label)
