Record sessions of real processes as golden files

Cause: the answers to callers' and operators' mistakes, failed starts and forced stops on real processes were covered by no test.

Change: golden sessions of the demo, of mistakes, and of faulty starts and ends. An unknown service is answered as unknown-service, the framework's errors become internal-error lines, and an answer to a body that was not read closes the connection. The demo's first port can be set, so that tests do not meet it.

--- a/demo/ports.ts
+++ b/demo/ports.ts
@@ -1,29 +1,32 @@
-/** The demo's fixed ports on loopback, below the range that systems use for outgoing connections. */
+/** The demo's ports on loopback, by default below the range that systems use for outgoing connections. */
 
 import { createServer } from 'node:net'
 
 export const IP = '127.0.0.1'
 
+/** First of the ports; tests set another one, so that they do not meet a running demo. */
+const FIRST_PORT = Number(process.env['DEMO_FIRST_PORT'] ?? 27_100)
+
 export const PORTS = {
-  platform: 27100,
-  engineNorth: 27110,
-  engineSouth: 27111,
-  counterNorth: 27112,
-  counterSouth: 27113,
-  entryNorthCallers: 27120,
-  entrySouthCallers: 27121,
-  entryNorthOperations: 27122,
-  entrySouthOperations: 27123,
-  entryNorthPeers: 27124,
-  entrySouthPeers: 27125,
-  guidanceNorthPeers: 27130,
-  guidanceSouthPeers: 27131,
-  counterNorthPeers: 27132,
-  counterSouthPeers: 27133,
-  guidanceNorthOperations: 27140,
-  guidanceSouthOperations: 27141,
-  counterNorthOperations: 27142,
-  counterSouthOperations: 27143
+  platform: FIRST_PORT,
+  engineNorth: FIRST_PORT + 10,
+  engineSouth: FIRST_PORT + 11,
+  counterNorth: FIRST_PORT + 12,
+  counterSouth: FIRST_PORT + 13,
+  entryNorthCallers: FIRST_PORT + 20,
+  entrySouthCallers: FIRST_PORT + 21,
+  entryNorthOperations: FIRST_PORT + 22,
+  entrySouthOperations: FIRST_PORT + 23,
+  entryNorthPeers: FIRST_PORT + 24,
+  entrySouthPeers: FIRST_PORT + 25,
+  guidanceNorthPeers: FIRST_PORT + 30,
+  guidanceSouthPeers: FIRST_PORT + 31,
+  counterNorthPeers: FIRST_PORT + 32,
+  counterSouthPeers: FIRST_PORT + 33,
+  guidanceNorthOperations: FIRST_PORT + 40,
+  guidanceSouthOperations: FIRST_PORT + 41,
+  counterNorthOperations: FIRST_PORT + 42,
+  counterSouthOperations: FIRST_PORT + 43
 } as const
 
 /** @returns the ports that another program uses */
--- a/src/edge/entry/adapter.ts
+++ b/src/edge/entry/adapter.ts
@@ -58,7 +58,10 @@
 function answerFault (error: unknown, request: HandledRequest, reply: HandledReply): void {
   const hasKey = request.headers['idempotency-key'] !== undefined
   reply.hijack()
-  CallerExchange.create(randomUUID(), reply.raw as ServerResponse).writeError({ error: findKind(error), outcome: hasKey ? 'unknown' : 'not-run', forwarded: false })
+  const response = reply.raw as ServerResponse
+  // The rest of a body that was not read would be taken for the next request.
+  if (!response.req.complete) response.setHeader('connection', 'close')
+  CallerExchange.create(randomUUID(), response).writeError({ error: findKind(error), outcome: hasKey ? 'unknown' : 'not-run', forwarded: false })
 }
 
 /**
--- a/src/edge/entry/callers.ts
+++ b/src/edge/entry/callers.ts
@@ -98,7 +98,8 @@
       Left: error => { this.#gateway.refuseRequest(exchange, error, hasKey) },
       Right: event => {
         if (!team.services.includes(event.service)) {
-          this.#gateway.refuseRequest(exchange, 'forbidden', hasKey)
+          const isKnown = this.#configuration.findService(event.service) !== undefined
+          this.#gateway.refuseRequest(exchange, isKnown ? 'forbidden' : 'unknown-service', hasKey)
           return
         }
         reply.raw.on('close', () => { this.#gateway.handleCallerGone(requestId) })
--- a/src/edge/entry/process.ts
+++ b/src/edge/entry/process.ts
@@ -112,7 +112,7 @@
   }
 }
 
-function buildListener (edge: ProcessEdge, listener: ListenerSettings): Pick<ServerOptions, 'ip' | 'port' | 'tls'> {
+function buildListener (edge: ProcessEdge, listener: ListenerSettings): Pick<ServerOptions, 'ip' | 'port' | 'logger' | 'tls'> {
   const tls = edge.tls.loadListener(listener)
-  return { ip: listener.ip, port: listener.port, ...(tls === undefined ? {} : { tls }) }
+  return { ip: listener.ip, port: listener.port, logger: edge.logger, ...(tls === undefined ? {} : { tls }) }
 }
--- a/src/edge/entry/server.ts
+++ b/src/edge/entry/server.ts
@@ -4,10 +4,11 @@
 import type { Server } from 'node:http'
 import type { Server as HttpsServer } from 'node:https'
 import { Module } from '@nestjs/common'
-import type { DynamicModule, Provider, Type } from '@nestjs/common'
+import type { DynamicModule, LoggerService, Provider, Type } from '@nestjs/common'
 import { NestFactory } from '@nestjs/core'
 import type { NestFastifyApplication } from '@nestjs/platform-fastify'
 import type { FastifyInstance } from 'fastify'
+import type { Logger } from '../log/logger.js'
 import type { TlsSource } from '../security/tls.js'
 import { EntryAdapter, FAULT_HANDLERS } from './adapter.js'
 import type { AdapterOptions } from './adapter.js'
@@ -20,6 +21,7 @@
   readonly controller: Type
   readonly providers: readonly Provider[]
   readonly limits: LimitSettings
+  readonly logger: Logger
   /** Plain HTTP when absent. */
   readonly tls?: TlsSource
 }
@@ -47,7 +49,7 @@
   static async create (options: ServerOptions): Promise<EntryServer> {
     const adapter = EntryAdapter.create(buildServerOptions(options))
     const module: DynamicModule = { module: ServerModule, controllers: [options.controller], providers: [...options.providers] }
-    const app = await NestFactory.create<NestFastifyApplication>(module, adapter, { bodyParser: false, logger: ['error'] })
+    const app = await NestFactory.create<NestFastifyApplication>(module, adapter, { bodyParser: false, logger: buildFrameworkLogger(options.logger) })
     const fastify = app.getHttpAdapter().getInstance() as unknown as FastifyInstance
     fastify.removeAllContentTypeParsers()
     fastify.addContentTypeParser('*', { parseAs: 'buffer' }, (_request, body, done) => { done(null, body) })
@@ -73,6 +75,12 @@
   }
 }
 
+/** Errors that the framework reports become lines of the process's log; the rest is of no use to operators. */
+function buildFrameworkLogger (logger: Logger): LoggerService {
+  const error = (message: unknown): void => { logger.write('internal-error', { reason: String(message) }) }
+  return { log: () => undefined, warn: () => undefined, error, fatal: error }
+}
+
 function buildServerOptions (options: ServerOptions): AdapterOptions {
   const { limits, tls } = options
   const http = { maxHeaderSize: limits.headerMaxBytes, headersTimeout: limits.headersTimeoutMs, connectionsCheckingInterval: SLOW_SENDER_CHECK_MS }
--- a/test/processes/live.ts
+++ b/test/processes/live.ts
@@ -1,6 +1,7 @@
 /** A small deployment of real processes for tests that kill and stop them. */
 
 import type { ChildProcess } from 'node:child_process'
+import { readFileSync, writeFileSync } from 'node:fs'
 import { createServer } from 'node:net'
 import { request } from 'undici'
 import { DeploymentFiles } from '../../bench/processes/deployment.js'
@@ -139,6 +140,33 @@
     return await this.#request(entry, 'POST', '/services/counter/bookings', JSON.stringify({ board: 'b', slot: '1' }), key)
   }
 
+  /** Runs a command of the operators' command line. */
+  async runCommand (...args: readonly string[]): Promise<{ readonly code: number, readonly output: string }> {
+    return await this.#processes.run('src/bin/heatherdoor.js', [...args, '--settings', this.files.getPath('cli.toml')])
+  }
+
+  /** Runs a process whose settings have some values changed, until it ends. */
+  async runProcess (script: string, settings: string): Promise<{ readonly code: number, readonly output: string }> {
+    return await this.#processes.run(script, [settings])
+  }
+
+  /** Writes a copy of a process's settings with lines replaced. */
+  writeSettings (from: string, to: string, replace: (text: string) => string): string {
+    const path = this.files.getPath(to)
+    writeFileSync(path, replace(readFileSync(this.files.getPath(from), 'utf8')))
+    return path
+  }
+
+  /** Starts an entry with settings of its own. */
+  startEntry (name: string, settings: string): void {
+    this.#children.set(name, this.#processes.start(name, 'src/bin/entry.js', [settings]))
+  }
+
+  /** Log lines that a process wrote so far, of the named events. */
+  listLogged (name: string, events: readonly string[]): readonly string[] {
+    return readFileSync(this.files.getPath(`${name}.log`), 'utf8').split('\n').filter(line => events.some(event => line.includes(`"event":"${event}"`)))
+  }
+
   async stream (entry: number, content: string): Promise<Answer> {
     return await this.#request(entry, 'POST', '/v1/chat/completions', JSON.stringify({ model: 'oil', stream: true, max_tokens: 40, messages: [{ role: 'user', content }] }))
   }
@@ -197,7 +225,7 @@
 }
 
 /** Finds a block of ports whose first one is free, so that test runs side by side do not meet. */
-async function findBasePort (): Promise<number> {
+export async function findBasePort (): Promise<number> {
   const start = Math.floor(Math.random() * PORT_BLOCKS)
   for (let tries = 0; tries < PORT_BLOCKS; tries += 1) {
     const port = FIRST_PORT + (start + tries) % PORT_BLOCKS * PORTS_PER_BLOCK
