--- a/src/edge/entry/process.ts
+++ b/src/edge/entry/process.ts
@@ -44,7 +44,7 @@
       handleRoleEffect: effect => { gateway.applyEffect(effect) },
       handleLeaveFinished: () => { state.handleLeft(gateway.countExchanges() > 0) }
     })
-    gateway.connect(event => { edge.runtime.dispatch(event) })
+    gateway.connect(event => { edge.runtime.dispatch(event) }, edge.metrics)
     const callers = await EntryServer.create(buildCallersOptions(settings, edge, gateway))
     const operations = await EntryServer.create(buildOperationsOptions(settings, edge))
     return new EntryProcess(state, edge, gateway, callers, operations)
@@ -112,7 +112,7 @@
   }
 }
 
-function buildListener (edge: ProcessEdge, listener: ListenerSettings): Pick<ServerOptions, 'ip' | 'port' | 'tls'> {
+function buildListener (edge: ProcessEdge, listener: ListenerSettings): Pick<ServerOptions, 'ip' | 'port' | 'logger' | 'tls'> {
   const tls = edge.tls.loadListener(listener)
-  return { ip: listener.ip, port: listener.port, ...(tls === undefined ? {} : { tls }) }
+  return { ip: listener.ip, port: listener.port, logger: edge.logger, ...(tls === undefined ? {} : { tls }) }
 }
