Compute the lease candidates of a group once per membership change

Each tick sorted all live entries by hash for each group, hashing twice per comparison.

The result is kept while membership hands out the same list of entries, and the count stops at the second entry that comes first. Ranks are looked up in a table instead of a search through all endpoints per rank.

The tests of expert maps pass unchanged.

--- a/src/plugins/experts/holder-plugin.ts
+++ b/src/plugins/experts/holder-plugin.ts
@@ -54,6 +54,8 @@
 
   readonly #groups = new Map<string, HeldGroup>()
   readonly #createPlanner: CreatePlanner
+  /** Whether this entry is a candidate, by group, with the list of entries that this was computed from. */
+  readonly #candidacies = new Map<string, { readonly entries: readonly ProcessRef[], readonly candidate: boolean }>()
   #instances = 0
   #nextConnectMs = 0
 
@@ -99,7 +101,7 @@
   }
 
   #handleTick (held: HeldGroup, context: Context): void {
-    held.lease.handleTick(isCandidate(held.group.name, context), context)
+    held.lease.handleTick(this.#isCandidate(held.group.name, context), context)
     this.#updateLease(held, context)
     if (held.change.getState().fence === 0) return
     if (context.nowMs >= this.#nextConnectMs) this.#connectRanks(held, context)
@@ -110,6 +112,18 @@
     if (ranks !== undefined) held.change.propose({ ranks, step: held.steps.chooseStep(context.nowMs) })
   }
 
+  /** The list of entries is a new one when membership changed, so each tick of a quiet system hashes nothing. */
+  #isCandidate (group: string, context: Context): boolean {
+    const membership = context.port('membership')
+    if (membership.isLeaving()) return false
+    const entries = membership.listEntries()
+    const known = this.#candidacies.get(group)
+    if (known?.entries === entries) return known.candidate
+    const candidate = isAmongFirst(group, context.self.id, entries)
+    this.#candidacies.set(group, { entries, candidate })
+    return candidate
+  }
+
   /** Tells the planner and the step clock of a change that has just been decided. */
   #handleOutcome (held: HeldGroup, context: Context): void {
     const outcome = held.change.removeOutcome()
@@ -151,9 +165,14 @@
   #updateGroups (context: Context): void {
     const { groups, endpoints } = context.port('configuration').getCurrent()
     const known = new Set(groups.map(group => group.name))
-    for (const name of this.#groups.keys()) if (!known.has(name)) this.#groups.delete(name)
+    for (const name of this.#groups.keys()) {
+      if (known.has(name)) continue
+      this.#groups.delete(name)
+      this.#candidacies.delete(name)
+    }
+    const byRank = buildRankTable(endpoints)
     for (const group of groups) {
-      const ranks = Array.from({ length: group.ranks }, (_, rank) => endpoints.find(found => found.group === group.name && found.rank === rank))
+      const ranks = Array.from({ length: group.ranks }, (_, rank) => byRank.get(group.name)?.get(rank))
       const present = ranks.filter(rank => rank !== undefined)
       const before = this.#groups.get(group.name)
       const same = before !== undefined && JSON.stringify([before.group, before.ranks]) === JSON.stringify([group, present])
@@ -172,17 +191,32 @@
   }
 }
 
+/** The first endpoint of each rank, by group. */
+function buildRankTable (endpoints: readonly EndpointSpec[]): ReadonlyMap<string, ReadonlyMap<number, EndpointSpec>> {
+  const table = new Map<string, Map<number, EndpointSpec>>()
+  for (const endpoint of endpoints) {
+    const { group, rank } = endpoint
+    if (group === undefined || rank === undefined) continue
+    const ranks = table.get(group) ?? new Map<number, EndpointSpec>()
+    table.set(group, ranks)
+    if (!ranks.has(rank)) ranks.set(rank, endpoint)
+  }
+  return table
+}
+
 function buildShape (group: RankGroup, ranks: readonly EndpointSpec[]): GroupShape {
   return { layers: group.layers, experts: group.expertsPerLayer, slots: group.slotsPerRank, hosts: ranks.map(rank => rank.host) }
 }
 
 /** The candidates are the first live entries in an order that differs between groups. */
-function isCandidate (group: string, context: Context): boolean {
-  const membership = context.port('membership')
-  if (membership.isLeaving()) return false
-  const scores = new Set([context.self.id, ...membership.listEntries().map(entry => entry.id)])
-  const order = [...scores].sort((a, b) => hashEntry(group, a) < hashEntry(group, b) ? -1 : 1)
-  return order.indexOf(context.self.id) < CANDIDATES
+function isAmongFirst (group: string, self: string, entries: readonly ProcessRef[]): boolean {
+  const own = hashEntry(group, self)
+  let before = 0
+  for (const { id } of entries) {
+    if (id !== self && hashEntry(group, id) < own) before += 1
+    if (before >= CANDIDATES) return false
+  }
+  return true
 }
 
 function hashEntry (group: string, entry: string): string {
