Add the bench that measures slopes of each role

Sizing rested on single figures. The bench starts entries, endpoint processes, the platform stand-in and one service on loopback, samples resident memory, processor time and bytes written by role, and fits a line by entries, endpoint processes, teams, models, records and configuration changes. Pure kernels give the points that do not fit on one machine.

The kernel part ran on its own; the whole bench had not been run when this was written. Teams of bench deployments now have a key of their own each.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -10,7 +10,8 @@
   cold: async () => await import('./cold.js'),
   drill: async () => await import('./drill.js'),
   overload: async () => await import('./overload.js'),
-  path: async () => await import('./path.js')
+  path: async () => await import('./path.js'),
+  slopes: async () => await import('./slopes.js')
 }
 
 const cli = cac('bench')
--- /dev/null
+++ b/bench/processes/changes.ts
@@ -0,0 +1,73 @@
+/** Configuration changes at a steady rate, written as the command line writes them but without its audit trail. */
+
+import { request } from 'undici'
+import { ROOT_KEY, formatPartKey } from '../../src/kernel/document.js'
+import type { ConfigurationRoot, Team } from '../../src/kernel/document.js'
+import { hashPart } from '../../src/kernel/hash.js'
+import { wait } from './stage.js'
+import type { Stage } from './stage.js'
+
+const SECOND_MS = 1_000
+
+interface Stored {
+  readonly value: string
+  readonly revision: number
+}
+
+/** One accepted change. */
+export interface Change {
+  readonly version: number
+  /** Wall-clock time of the platform's answer in ms. */
+  readonly atMs: number
+}
+
+/**
+ * @param stage - deployment with one team or more
+ * @param perS - changes a second
+ * @param durationMs - time for which changes are made
+ * @returns the changes made
+ */
+export async function runChanges (stage: Stage, perS: number, durationMs: number): Promise<readonly Change[]> {
+  const changes: Change[] = []
+  const startMs = performance.now()
+  const due = Math.ceil(durationMs * perS / SECOND_MS)
+  for (let count = 0; count < due; count += 1) {
+    await wait(Math.max(0, startMs + count * SECOND_MS / perS - performance.now()))
+    changes.push(await writeChange(stage.files.platformUrl))
+  }
+  await wait(Math.max(0, startMs + durationMs - performance.now()))
+  return changes
+}
+
+/**
+ * @param stage - deployment
+ * @param changes - what was accepted by the platform
+ * @returns for each change the time in ms until the last process had it or a newer one
+ */
+export function listForceTimes (stage: Stage, changes: readonly Change[]): readonly number[] {
+  const accepted = stage.listNames().map(name => stage.listAccepted(name))
+  return changes.map(({ version, atMs }) => Math.max(...accepted.map(list => (list.find(entry => entry.version >= version)?.atMs ?? Infinity) - atMs)))
+}
+
+async function writeChange (url: string): Promise<Change> {
+  const stored = await read(url, ROOT_KEY)
+  const root = JSON.parse(stored.value) as ConfigurationRoot
+  const name = Object.keys(root.parts).find(part => part.startsWith('teams-')) ?? ''
+  const teams = JSON.parse((await read(url, formatPartKey(name, root.parts[name] ?? ''))).value) as readonly Team[]
+  const json = JSON.stringify(teams.map((team, index) => index === 0 ? { ...team, weight: team.weight + 1 } : team))
+  const hash = hashPart(json)
+  await write(url, formatPartKey(name, hash), json, 0)
+  const version = root.version + 1
+  await write(url, ROOT_KEY, JSON.stringify({ ...root, version, parts: { ...root.parts, [name]: hash } }), stored.revision)
+  return { version, atMs: Date.now() }
+}
+
+async function read (url: string, key: string): Promise<Stored> {
+  return await (await request(`${url}/v1/objects/${encodeURIComponent(key)}`)).body.json() as Stored
+}
+
+async function write (url: string, key: string, value: string, revision: number): Promise<void> {
+  const answer = await request(`${url}/v1/objects/${encodeURIComponent(key)}`, { method: 'PUT', headers: { 'if-match': String(revision) }, body: JSON.stringify({ value }) })
+  await answer.body.dump()
+  if (answer.statusCode !== 200) throw new Error(`the platform answered ${answer.statusCode} to a write`)
+}
--- a/bench/processes/deployment.ts
+++ b/bench/processes/deployment.ts
@@ -129,7 +129,7 @@
         name: `team-${index}`,
         weight: 1,
         services: services.map(service => service['name']),
-        keys: [storedKey]
+        keys: [index === 0 ? storedKey : createCredential('hd', `team-${index}`).stored]
       }))
     }
   }
--- /dev/null
+++ b/bench/processes/fit.ts
@@ -0,0 +1,42 @@
+/** Straight lines through measured points. */
+
+/** One measured point. */
+export interface Point {
+  readonly x: number
+  readonly y: number
+}
+
+/** A line and how far the points are from it, in the unit of y. */
+export interface Fit {
+  readonly slope: number
+  readonly atZero: number
+  /** Root mean square distance of the points from the line. */
+  readonly error: number
+  /** Largest difference between repeats at the same x. */
+  readonly spread: number
+}
+
+/**
+ * @param points - at least two, with at least two different x
+ * @returns the least-squares line
+ */
+export function computeFit (points: readonly Point[]): Fit {
+  const meanX = computeMean(points.map(({ x }) => x))
+  const meanY = computeMean(points.map(({ y }) => y))
+  const square = points.reduce((sum, { x }) => sum + (x - meanX) ** 2, 0)
+  const slope = points.reduce((sum, { x, y }) => sum + (x - meanX) * (y - meanY), 0) / square
+  const atZero = meanY - slope * meanX
+  const error = Math.sqrt(computeMean(points.map(({ x, y }) => (y - atZero - slope * x) ** 2)))
+  const repeats = new Map<number, number[]>()
+  for (const { x, y } of points) repeats.set(x, [...repeats.get(x) ?? [], y])
+  const spread = Math.max(...[...repeats.values()].map(values => Math.max(...values) - Math.min(...values)))
+  return { slope, atZero, error, spread }
+}
+
+/**
+ * @param values - at least one
+ * @returns their mean
+ */
+export function computeMean (values: readonly number[]): number {
+  return values.reduce((sum, value) => sum + value, 0) / values.length
+}
--- /dev/null
+++ b/bench/processes/kernels.ts
@@ -0,0 +1,176 @@
+/** Pure kernels at sizes that cannot be run as processes on one machine. */
+
+import { randomBytes } from 'node:crypto'
+import { setFlagsFromString } from 'node:v8'
+import { runInNewContext } from 'node:vm'
+import type { Configuration, EndpointSpec, Team } from '../../src/kernel/document.js'
+import { hashPart } from '../../src/kernel/hash.js'
+import { Kernel } from '../../src/kernel/kernel.js'
+import { RecordTable } from '../../src/plugins/outcomes/table.js'
+import '../../src/plugins/index.js'
+import type { ProcessRef, Role } from '../../src/protocol/messages.js'
+
+const TICK_MS = 100
+const TICKS = 50
+const CHANGES = 5
+const TEAM_PARTS = 64
+const DOMAINS = Array.from({ length: 9 }, (_, index) => `d${index}`)
+const RANKS = 64
+const MIB = 1024 * 1024
+
+/** Sizes of what a kernel knows. */
+export interface KernelSize {
+  readonly members: number
+  readonly endpoints: number
+  readonly teams: number
+  readonly models: number
+  readonly groups: number
+}
+
+/** What a kernel of one size costs. */
+export interface KernelCost {
+  /** Heap that the configuration and the members take in MiB. */
+  readonly heapMib: number
+  /** Mean time of one tick in ms, without connections. */
+  readonly tickMs: number
+  /** Mean time in ms to take a configuration in which one team changed. */
+  readonly changeMs: number
+}
+
+/**
+ * @param role - role of the kernel
+ * @param size - what it knows
+ * @returns its cost
+ */
+export function measureKernel (role: Role, size: KernelSize): KernelCost {
+  const before = readHeapMib()
+  const self = buildProcess(0, role)
+  const kernel = Kernel.create({ self, seed: 1, settings: { clusterSecret: 's', seeds: [] }, ...(role === 'endpoint' ? { service: 'text-0' } : {}) })
+  let nowMs = 0
+  const parts = buildParts(size)
+  kernel.dispatch({ kind: 'configuration-read', ...buildTexts(1, parts, []), source: 'bench' }, nowMs)
+  if (role === 'entry') addMembers(kernel, size.members)
+  const heapMib = readHeapMib() - before
+  kernel.dispatch({ kind: 'tick' }, nowMs)
+  const startMs = performance.now()
+  for (let tick = 0; tick < TICKS; tick += 1) kernel.dispatch({ kind: 'tick' }, nowMs += TICK_MS)
+  const tickMs = (performance.now() - startMs) / TICKS
+  let changesMs = 0
+  for (let change = 0; change < CHANGES; change += 1) {
+    const name = 'teams-00'
+    const teams = (parts.get(name) ?? []) as readonly Team[]
+    parts.set(name, teams.map((team, index) => index === 0 ? { ...team, weight: team.weight + 1 } : team))
+    const texts = buildTexts(change + 2, parts, kernel.port('configuration').listPartHashes())
+    const beforeMs = performance.now()
+    kernel.dispatch({ kind: 'configuration-read', ...texts, source: 'bench' }, nowMs)
+    changesMs += performance.now() - beforeMs
+  }
+  return { heapMib, tickMs, changeMs: changesMs / CHANGES }
+}
+
+/**
+ * @param count - records of bookings with a small answer
+ * @returns heap that they take in MiB
+ */
+export function measureRecords (count: number): number {
+  const before = readHeapMib()
+  const table = RecordTable.create('counter-0', 1, 0, 0)
+  for (let index = 0; index < count; index += 1) {
+    table.update(`team-${index % 10}\ncounter\nhdk1.counter.counter-0.1.0.${randomBytes(32).toString('hex')}.${index}`, {
+      window: 0,
+      bodyHash: randomBytes(32).toString('hex'),
+      state: { kind: 'run', answer: { status: 201, headers: [['content-type', 'application/json']], chunks: [new Uint8Array(Buffer.from('{"booking":1}'))] } }
+    })
+  }
+  const taken = readHeapMib() - before
+  return table.size === count ? taken : NaN
+}
+
+const runCollection = createCollection()
+
+function createCollection (): () => void {
+  setFlagsFromString('--expose-gc')
+  return runInNewContext('gc') as () => void
+}
+
+function readHeapMib (): number {
+  runCollection()
+  const { heapUsed, external } = process.memoryUsage()
+  return (heapUsed + external) / MIB
+}
+
+function buildProcess (index: number, role: Role): ProcessRef {
+  return { id: `${role}-${index}`, role, domain: DOMAINS[index % DOMAINS.length] ?? '', host: `host-${index}`, address: `10.0.${index >> 8}.${index & 255}:7000`, incarnation: 1_760_000_000_000 + index }
+}
+
+function addMembers (kernel: Kernel, count: number): void {
+  const peer = buildProcess(1, 'entry')
+  kernel.dispatch({ kind: 'peer-connected', peer }, 0)
+  const updates = Array.from({ length: count - 1 }, (_, index) => ({ process: buildProcess(index + 1, 'entry'), state: 'alive' as const, configVersion: 1 }))
+  kernel.dispatch({ kind: 'message-received', peer, message: { kind: 'probe', sequence: 1, updates } }, 0)
+  if (kernel.port('membership').listEntries().length !== count) throw new Error('the kernel does not know all members')
+}
+
+function buildTexts (version: number, parts: ReadonlyMap<string, unknown>, held: readonly string[]): { readonly root: string, readonly parts: readonly (readonly [string, string])[] } {
+  const texts = [...parts].map(([name, value]) => {
+    const json = JSON.stringify(value)
+    return { name, json, hash: hashPart(json) }
+  })
+  const known = new Set(held)
+  return {
+    root: JSON.stringify({ version, parts: Object.fromEntries(texts.map(({ name, hash }) => [name, hash])), domainStates: {}, drainingHosts: [], changedBy: '', changedAt: '', reason: '' }),
+    parts: texts.filter(({ hash }) => !known.has(hash)).map(({ hash, json }) => [hash, json] as const)
+  }
+}
+
+function buildParts (size: KernelSize): Map<string, unknown> {
+  const parts = new Map<string, unknown>([['topology', buildTopology(size)], ['services', buildServices(size)]])
+  const endpoints = Array.from({ length: size.endpoints }, (_, index) => buildEndpoint(index, size))
+  for (const domain of DOMAINS) parts.set(`endpoints-${domain}`, endpoints.filter(endpoint => endpoint.domain === domain))
+  const teams = Array.from({ length: size.teams }, (_, index) => buildTeam(index, size.models))
+  for (let part = 0; part < TEAM_PARTS; part += 1) {
+    parts.set(`teams-${String(part).padStart(2, '0')}`, teams.filter((_, index) => index % TEAM_PARTS === part))
+  }
+  return parts
+}
+
+function buildTopology ({ members, groups }: KernelSize): unknown {
+  return {
+    domains: DOMAINS.map((name, index) => ({ name, region: `r${index % 3}` })),
+    entries: Array.from({ length: members }, (_, index) => buildProcess(index, 'entry')).map(({ id, host, domain, address }) => ({ id, host, domain, callerUrl: `https://${address}`, peerAddress: address })),
+    endpoints: [],
+    groups: Array.from({ length: groups }, (_, index) => ({ name: `group-${index}`, service: 'text-0', ranks: RANKS, layers: 60, expertsPerLayer: 128, slotsPerRank: 4 }))
+  }
+}
+
+function buildServices ({ models }: KernelSize): Pick<Configuration, 'services' | 'profiles'> {
+  return {
+    services: Array.from({ length: models }, (_, index) => ({ name: `text-${index}`, kind: 'model' as const, profile: 'text', model: `model-${index}` })),
+    profiles: [{ name: 'text', priority: 'normal', idempotency: 'always', deadlineMs: 20_000, queueMax: 64, teamShareMax: 1, attemptsMax: 3, backoffBaseMs: 50 }]
+  }
+}
+
+function buildEndpoint (index: number, { models, groups }: KernelSize): EndpointSpec {
+  const { id, host, domain, address } = buildProcess(index, 'endpoint')
+  const grouped = index < groups * RANKS
+  return {
+    id,
+    host,
+    domain,
+    service: `text-${grouped ? 0 : index % models}`,
+    peerAddress: address,
+    checksFencing: true,
+    warmCap: 64,
+    coldCap: 4,
+    ...(grouped ? { group: `group-${Math.floor(index / RANKS)}`, rank: index % RANKS } : {})
+  }
+}
+
+function buildTeam (index: number, models: number): Team {
+  return {
+    name: `team-${index}`,
+    weight: 1,
+    services: [`text-${index % models}`],
+    keys: [{ salt: randomBytes(16).toString('hex'), hash: randomBytes(32).toString('hex') }]
+  }
+}
--- a/bench/processes/usage.ts
+++ b/bench/processes/usage.ts
@@ -26,3 +26,14 @@
   const match = /^VmRSS:\s+(\d+) kB$/m.exec(readFileSync(`/proc/${pid}/status`, 'utf8'))
   return Number(match?.[1] ?? 0) * KIB / MIB
 }
+
+/**
+ * Bytes that the process wrote to sockets, pipes and files. Headers of TCP and
+ * IP are not in them; log lines are, so a caller subtracts the log's size.
+ *
+ * @param pid - process
+ * @returns bytes so far
+ */
+export function readWrittenBytes (pid: number): number {
+  return Number(/^wchar: (\d+)$/m.exec(readFileSync(`/proc/${pid}/io`, 'utf8'))?.[1] ?? 0)
+}
