Give errors of the callers' server the outcome headers

Cause: the web framework replaced the entry's error handler while it started, and answered unknown paths itself. A body above the limit and an unknown path were answered without heatherdoor-outcome, heatherdoor-send and the error body, and the kind unknown-path was never answered. An endpoint's own heatherdoor- headers reached the caller next to the entry's.

Measured on a running deployment, before: 413 with {"statusCode":413} and no outcome header; 404 with {"statusCode":404}; heatherdoor-send: zz from a test endpoint. Node's own answers to malformed HTTP (400) and large headers (431) still lack the headers.

--- a/src/edge/entry/exchange.ts
+++ b/src/edge/entry/exchange.ts
@@ -37,12 +37,14 @@
 
   /**
    * @param status - status of the endpoint's answer
-   * @param headers - headers of the endpoint's answer
+   * @param headers - headers of the endpoint's answer; those named `heatherdoor-` are left out
    */
   writeHead (status: number, headers: HeaderList): void {
     const response = this.#response
     response.statusCode = status
-    for (const [name, value] of headers) response.appendHeader(name, value)
+    for (const [name, value] of headers) {
+      if (!name.startsWith('heatherdoor-')) response.appendHeader(name, value)
+    }
     this.#eventStream = String(response.getHeader('content-type') ?? '').startsWith('text/event-stream')
     response.setHeader('heatherdoor-request-id', this.requestId)
     response.setHeader('heatherdoor-outcome', 'run')
--- a/src/edge/entry/server.ts
+++ b/src/edge/entry/server.ts
@@ -59,6 +59,8 @@
       reply.hijack()
       CallerExchange.create(randomUUID(), reply.raw).writeError({ error: findKind(error), outcome: hasKey ? 'unknown' : 'not-run', forwarded: false })
     })
+    // The framework would replace the handler in `init` with one that gives no outcome.
+    adapter.setErrorHandler = () => adapter.getInstance()
     await app.init()
     options.tls?.addServer(app.getHttpServer() as HttpsServer)
     return new EntryServer(app, options)
--- /dev/null
+++ b/test/entry/server.test.ts
@@ -0,0 +1,51 @@
+import test from 'ava'
+import type { AddressInfo } from 'node:net'
+import { request } from 'undici'
+import { CallersController, CONFIGURATION } from '../../src/edge/entry/callers.js'
+import { CallerExchange } from '../../src/edge/entry/exchange.js'
+import { Gateway } from '../../src/edge/entry/gateway.js'
+import { EntryServer } from '../../src/edge/entry/server.js'
+
+const BODY_MAX_BYTES = 1024
+const REQUESTS = [
+  ['GET', '/v1/chat/completions'],
+  ['POST', '/services/counter'],
+  ['DELETE', '/'],
+  ['POST', '/services/counter/bookings', 'x'.repeat(BODY_MAX_BYTES + 1)],
+  ['POST', '/services/counter/bookings', 'x'.repeat(BODY_MAX_BYTES + 1), 'hdk1.any']
+] as const
+
+// Guards against errors of the web framework that lack the outcome headers and the error body.
+test('errors of the server itself have the form of every error', async t => {
+  const server = await EntryServer.create({
+    ip: '127.0.0.1',
+    port: 0,
+    limits: { bodyMaxBytes: BODY_MAX_BYTES, headerMaxBytes: 8192, headersTimeoutMs: 5000, idleTimeoutMs: 5000 },
+    controller: CallersController,
+    providers: [{ provide: Gateway, useValue: Gateway.create() }, { provide: CONFIGURATION, useValue: { findTeam: () => undefined } }]
+  })
+  await server.start()
+  const url = `http://127.0.0.1:${(server.server.address() as AddressInfo).port}`
+  const lines: string[] = []
+  for (const [method, path, body, key] of REQUESTS) {
+    const answer = await request(`${url}${path}`, { method, body: body ?? null, headers: key === undefined ? {} : { 'idempotency-key': key } })
+    const { error } = await answer.body.json() as { readonly error: Readonly<Record<string, string>> }
+    t.is(error['request_id'], String(answer.headers['heatherdoor-request-id']))
+    lines.push(`${method} ${path}: ${answer.statusCode} ${error['kind']} ${error['outcome']} ${String(answer.headers['heatherdoor-outcome'])} ${String(answer.headers['heatherdoor-send'])}`)
+  }
+  t.snapshot(lines)
+  await server.stop()
+})
+
+// Guards against an endpoint that sets the headers by which callers judge an answer.
+test('heatherdoor headers of an endpoint do not reach the caller', t => {
+  const headers: [string, string][] = []
+  const response = {
+    appendHeader: (...header: [string, string]) => { headers.push(header) },
+    setHeader: (...header: [string, string]) => { headers.push(header) },
+    getHeader: () => undefined,
+    flushHeaders: () => undefined
+  }
+  CallerExchange.create('id', response as never).writeHead(200, [['x-own', '1'], ['heatherdoor-send', 'not-forwarded'], ['heatherdoor-outcome', 'not-run']])
+  t.deepEqual(headers, [['x-own', '1'], ['heatherdoor-request-id', 'id'], ['heatherdoor-outcome', 'run']])
+})
