--- a/src/edge/operations.ts
+++ b/src/edge/operations.ts
@@ -53,13 +53,24 @@
   async answer (path: string, authorization: string | undefined): Promise<OperationsAnswer> {
     if (path === '/healthz') return formatJson(200, { status: 'ok' })
     if (path === '/readyz') return this.#describeReadiness()
-    if (path === '/metrics') return { status: 200, contentType: 'text/plain; version=0.0.4', body: await this.#parts.metrics.format() }
+    if (path === '/metrics') return { status: 200, contentType: 'text/plain; version=0.0.4', body: await this.#describeMetrics() }
     if (this.#parts.operators.verifyHeader(authorization) === undefined) return formatJson(401, { error: { kind: 'unauthenticated' } })
     if (path === '/v1/status') return formatJson(200, this.#describeStatus())
     if (path.startsWith(EXPLAIN_PATH)) return this.#describeRequest(path.slice(EXPLAIN_PATH.length))
     return formatJson(404, { error: { kind: 'unknown-path' } })
   }
 
+  /** Gauges of the process as a whole are read when they are asked for. */
+  async #describeMetrics (): Promise<string> {
+    const { kernel, metrics } = this.#parts
+    const membership = kernel.port('membership')
+    metrics.observe('configuration_version', kernel.port('configuration').getCurrent().version)
+    metrics.observe('peers', membership.listPeers().length)
+    metrics.observe('members', membership.listEntries().length)
+    if (kernel.self.role === 'entry') metrics.observe('requests_in_flight', kernel.port('requests').countInFlight())
+    return await metrics.format()
+  }
+
   #describeReadiness (): OperationsAnswer {
     const { kernel } = this.#parts
     const hasConfiguration = kernel.port('configuration').getCurrent().version > 0
--- a/src/edge/process.ts
+++ b/src/edge/process.ts
@@ -56,6 +56,10 @@
     this.platform = PlatformClient.create({
       urls: settings.platform.urls,
       timeoutMs: settings.platform.timeoutMs,
+      onResult: (result, elapsedMs) => {
+        this.metrics.count('platform_calls', result)
+        this.metrics.observe('platform_call_ms', elapsedMs)
+      },
       ...(platformTls === undefined ? {} : { tls: () => platformTls.getOptions() }),
       ...(settings.platform.credentialFile === undefined ? {} : { credential: loadSecret(settings.platform.credentialFile, 1) })
     })
