Answer unknown paths in one place

Cause: two branches answered unknown paths, in the adapter and by a route. Change: the adapter's handler stays; the test of the server's errors has a logger.

--- a/src/edge/entry/callers.ts
+++ b/src/edge/entry/callers.ts
@@ -80,12 +80,6 @@
     exchange.writeJson({ key, state: await this.#gateway.askOutcome(team.name, key) })
   }
 
-  /** Every other path and method. */
-  @All('*')
-  handleOther (@Req() request: FastifyRequest, @Res() reply: FastifyReply): void {
-    this.#gateway.refuseRequest(takeOver(reply), 'unknown-path', request.headers['idempotency-key'] !== undefined)
-  }
-
   #findTeam (authorization: string | undefined): Team | undefined {
     return verifyTeamHeader(authorization, name => this.#configuration.findTeam(name))
   }
--- a/test/entry/server.test.ts
+++ b/test/entry/server.test.ts
@@ -4,6 +4,7 @@
 import { CallersController, CONFIGURATION } from '../../src/edge/entry/callers.js'
 import { CallerExchange } from '../../src/edge/entry/exchange.js'
 import { Gateway } from '../../src/edge/entry/gateway.js'
+import { Logger } from '../../src/edge/log/logger.js'
 import { EntryServer } from '../../src/edge/entry/server.js'
 
 const BODY_MAX_BYTES = 1024
@@ -21,6 +22,7 @@
     ip: '127.0.0.1',
     port: 0,
     limits: { bodyMaxBytes: BODY_MAX_BYTES, headerMaxBytes: 8192, headersTimeoutMs: 5000, idleTimeoutMs: 5000 },
+    logger: Logger.create({ processId: 'entry-0', write: () => {} }),
     controller: CallersController,
     providers: [{ provide: Gateway, useValue: Gateway.create() }, { provide: CONFIGURATION, useValue: { findTeam: () => undefined } }]
   })
