Test a session with TLS on every connection and a renewed certificate

Cause: one test ran one entry and one endpoint process with TLS inside the test's process; connections to the platform and to endpoints, and renewal without a restart, were not covered on real processes. Test files that start at the same time could also take the same block of ports.

Change: a deployment of the tests can use TLS on every listener and dialler, with TLS terminated before the stand-ins by relays that ask for client certificates. A guard port reserves each block of ports.

--- a/bench/processes/deployment.ts
+++ b/bench/processes/deployment.ts
@@ -9,6 +9,10 @@
 
 const IP = '127.0.0.1'
 
+/** TLS files below the deployment's folder. */
+const HOST_FILES = { cert_file: 'host.crt', key_file: 'host.key' }
+const MUTUAL_FILES = { ...HOST_FILES, ca_file: 'ca.crt' }
+
 /** Ports that one entry or endpoint process uses. */
 const PORTS_PER_PROCESS = 3
 
@@ -37,6 +41,12 @@
   readonly addressHoldMs: number
   /** Ports at which entries reach an endpoint process, where these differ from its own. */
   readonly peerPorts?: Readonly<Record<string, number>>
+  /**
+   * TLS on every connection. The files `host.crt`, `host.key` and `ca.crt` are
+   * written to the folder by the caller, who also terminates TLS before the
+   * platform at this port and before the endpoints at their target ports.
+   */
+  readonly tls?: { readonly platformPort: number }
 }
 
 /** Files of a deployment and the ports of its processes. */
@@ -57,9 +67,10 @@
     writeFileSync(join(this.folder, 'operators.keys'), `bench ${operator.stored}\n`)
     this.#writeFile('configuration.toml', this.#buildConfiguration(team.stored))
     this.#writeFile('cli.toml', {
-      platform: { urls: [this.platformUrl] },
-      operations_urls: options.entries.map((_, index) => `http://${IP}:${this.findEntryPorts(index).operations}`),
-      operator_credential_file: 'operator.credential'
+      platform: this.#buildPlatform(),
+      operations_urls: options.entries.map((_, index) => `${this.#scheme}://${IP}:${this.findEntryPorts(index).operations}`),
+      operator_credential_file: 'operator.credential',
+      ...(options.tls === undefined ? {} : { tls: { ca_file: 'ca.crt' } })
     })
     options.entries.forEach((domain, index) => { this.#writeFile(`entry-${index}.toml`, this.#buildEntry(domain, index)) })
     options.endpoints.forEach((endpoint, index) => { this.#writeFile(`${endpoint.id}.toml`, this.#buildEndpoint(endpoint, index)) })
@@ -76,6 +87,13 @@
   get platformPort (): number { return this.#options.basePort }
   get platformUrl (): string { return `http://${IP}:${this.platformPort}` }
 
+  get #scheme (): string { return this.#options.tls === undefined ? 'http' : 'https' }
+
+  /** @returns URL of an entry's listener for callers */
+  findEntryUrl (index: number): string {
+    return `${this.#scheme}://${IP}:${this.findEntryPorts(index).callers}`
+  }
+
   /** @returns path of a file of the deployment */
   getPath (name: string): string {
     return join(this.folder, name)
@@ -110,7 +128,7 @@
         id: `entry-${index}`,
         host: `entry-host-${index}`,
         failure_domain: domain,
-        caller_url: `http://${IP}:${this.findEntryPorts(index).callers}`,
+        caller_url: this.findEntryUrl(index),
         peer_address: `${IP}:${this.findEntryPorts(index).peers}`
       })),
       endpoints: endpoints.map((endpoint, index) => ({
@@ -140,7 +158,7 @@
       process_id: `entry-${index}`,
       host: `entry-host-${index}`,
       address_hold_ms: this.#options.addressHoldMs,
-      caller_listener: { ip: IP, port: ports.callers, public_url: `http://${IP}:${ports.callers}` },
+      caller_listener: { ip: IP, port: ports.callers, public_url: this.findEntryUrl(index), ...this.#buildTls(HOST_FILES) },
       ...this.#buildCommon(domain, ports)
     }
   }
@@ -152,7 +170,7 @@
       service: endpoint.service,
       warm_cap: endpoint.warmCap,
       cold_cap: endpoint.coldCap,
-      endpoint: { url: `http://${IP}:${endpoint.targetPort}`, checks_fencing: false },
+      endpoint: { url: `${this.#scheme}://${IP}:${endpoint.targetPort}`, checks_fencing: false, ...this.#buildTls(MUTUAL_FILES) },
       ...this.#buildCommon(endpoint.domain, this.findEndpointPorts(index))
     }
   }
@@ -162,10 +180,20 @@
       failure_domain: domain,
       cluster_secret_file: 'cluster.secret',
       leave_deadline_ms: 15_000,
-      peer_listener: { ip: IP, port: ports.peers },
-      operations_listener: { ip: IP, port: ports.operations, operator_keys_file: 'operators.keys' },
-      platform: { urls: [this.platformUrl] },
+      peer_listener: { ip: IP, port: ports.peers, ...this.#buildTls(MUTUAL_FILES) },
+      peer_dialler: this.#buildTls(MUTUAL_FILES),
+      operations_listener: { ip: IP, port: ports.operations, operator_keys_file: 'operators.keys', ...this.#buildTls(HOST_FILES) },
+      platform: this.#buildPlatform(),
       seeds: this.#options.entries.slice(0, 8).map((_, index) => ({ id: `entry-${index}`, peer_address: `${IP}:${this.findEntryPorts(index).peers}` }))
     }
   }
+
+  #buildPlatform (): Record<string, unknown> {
+    const { tls } = this.#options
+    return { urls: [tls === undefined ? this.platformUrl : `https://${IP}:${tls.platformPort}`], ...this.#buildTls(MUTUAL_FILES) }
+  }
+
+  #buildTls (files: Readonly<Record<string, string>>): { readonly tls?: Readonly<Record<string, string>> } {
+    return this.#options.tls === undefined ? {} : { tls: files }
+  }
 }
--- a/bench/processes/ready.ts
+++ b/bench/processes/ready.ts
@@ -16,9 +16,8 @@
   await waitUntil('the platform answers', async () => (await request(`${files.platformUrl}/counters`)).statusCode === 200)
   const applied = await processes.run('src/bin/heatherdoor.js', ['apply', files.getPath('configuration.toml'), '--expect', '0', '--by', 'bench', '--reason', 'bench', '--settings', files.getPath('cli.toml')])
   if (applied.code !== 0) throw new Error(`apply ended with ${applied.code}: ${applied.output}`)
-  const { callers } = files.findEntryPorts(0)
   await waitUntil('homes are offered', async () => {
-    const answer = await request(`http://127.0.0.1:${callers}/v1/address`, { headers: { authorization: `Bearer ${files.teamKey}` } })
+    const answer = await request(`${files.findEntryUrl(0)}/v1/address`, { headers: { authorization: `Bearer ${files.teamKey}` } })
     const body = await answer.body.json() as { readonly key_tokens?: readonly unknown[] }
     return answer.statusCode === 200 && (body.key_tokens?.length ?? 0) > 0
   })
--- a/test/processes/live.ts
+++ b/test/processes/live.ts
@@ -1,9 +1,10 @@
 /** A small deployment of real processes for tests that kill and stop them. */
 
 import type { ChildProcess } from 'node:child_process'
-import { readFileSync, writeFileSync } from 'node:fs'
+import { copyFileSync, readFileSync, writeFileSync } from 'node:fs'
 import { createServer } from 'node:net'
-import { request } from 'undici'
+import type { Server } from 'node:net'
+import { Agent, request, setGlobalDispatcher } from 'undici'
 import { DeploymentFiles } from '../../bench/processes/deployment.js'
 import type { DeployedEndpoint } from '../../bench/processes/deployment.js'
 import { waitUntil, waitUntilReady } from '../../bench/processes/ready.js'
@@ -14,6 +15,10 @@
 const TARGET_OFFSET = 60
 const RELAY_OFFSET = 90
 
+/** Offset of the ports where TLS is terminated from the ports of endpoints, and that of the platform from the base port. */
+const TLS_OFFSET = 10
+const TLS_PLATFORM_OFFSET = 80
+
 /** Ports of all deployments: below the range that systems use for outgoing connections. */
 const FIRST_PORT = 20_000
 const PORT_BLOCKS = 70
@@ -40,6 +45,8 @@
   readonly warmCap?: number
   /** Whether entries reach `counter-0` through a relay. */
   readonly relayed?: boolean
+  /** Whether every connection uses TLS, at first with the certificate `first`. */
+  readonly tls?: boolean
 }
 
 export class Live {
@@ -49,6 +56,7 @@
   readonly #options: LiveOptions
   readonly #basePort: number
   #relay: Relay | undefined
+  readonly #tlsRelays: Relay[] = []
 
   private constructor (options: LiveOptions, basePort: number) {
     this.#options = options
@@ -58,7 +66,7 @@
       id: `${service}-${index}`,
       service,
       domain: index === 0 ? 'north' : 'south',
-      targetPort: this.findTargetPort(service, index),
+      targetPort: this.findTargetPort(service, index) + (options.tls === true ? TLS_OFFSET : 0),
       warmCap: cap,
       coldCap: Math.min(cap, 2)
     })
@@ -77,6 +85,7 @@
       ],
       teams: 1,
       addressHoldMs: 1_000,
+      ...(options.tls === true ? { tls: { platformPort: basePort + TLS_PLATFORM_OFFSET } } : {}),
       ...(options.relayed === true ? { peerPorts: { 'counter-0': basePort + RELAY_OFFSET } } : {})
     })
     this.#processes = Processes.create(this.files.folder)
@@ -85,6 +94,7 @@
   static async start (options: LiveOptions = {}): Promise<Live> {
     const live = new Live(options, await findBasePort())
     if (options.relayed === true) live.#relay = await Relay.start(live.#basePort + RELAY_OFFSET, live.files.findEndpointPorts(0).peers)
+    if (options.tls === true) await live.#startTls()
     live.startProcess('platform')
     for (const index of [0, 1]) {
       for (const name of [`service-${index}`, `engine-${index}`, `entry-${index}`, `counter-${index}`, `guidance-${index}`]) live.startProcess(name)
@@ -95,6 +105,28 @@
     return live
   }
 
+  /** Puts a certificate of the fixtures in place for all processes. */
+  renewCertificate (name: 'first' | 'second'): void {
+    for (const kind of ['crt', 'key']) copyFileSync(`test/security/fixtures/${name}.${kind}`, this.files.getPath(`host.${kind}`))
+  }
+
+  /** Breaks the connections to the platform and to endpoints; subjects of the certificates shown so far. */
+  listSubjects (): readonly string[] {
+    for (const relay of this.#tlsRelays) relay.cut()
+    return this.#tlsRelays.map(relay => [...relay.subjects].join(' '))
+  }
+
+  async #startTls (): Promise<void> {
+    this.renewCertificate('first')
+    const ca = readFileSync('test/security/fixtures/first.crt', 'utf8') + readFileSync('test/security/fixtures/second.crt', 'utf8')
+    writeFileSync(this.files.getPath('ca.crt'), ca)
+    setGlobalDispatcher(new Agent({ connect: { ca } }))
+    const tls = { cert: readFileSync(this.files.getPath('host.crt')), key: readFileSync(this.files.getPath('host.key')), ca, requestCert: true }
+    const targets = ['counter', 'guidance'].flatMap(service => [0, 1].map(index => this.findTargetPort(service, index)))
+    this.#tlsRelays.push(await Relay.start(this.#basePort + TLS_PLATFORM_OFFSET, this.files.platformPort, tls))
+    for (const port of targets) this.#tlsRelays.push(await Relay.start(port + TLS_OFFSET, port, tls))
+  }
+
   findTargetPort (service: string, index: number): number {
     return this.#basePort + TARGET_OFFSET + index + (service === 'counter' ? 0 : 2)
   }
@@ -208,12 +240,13 @@
     for (const child of this.#children.values()) child.kill('SIGCONT')
     const ended = await this.#processes.stop()
     this.#relay?.stop()
+    for (const relay of this.#tlsRelays) relay.stop()
     this.files.remove()
     return ended
   }
 
   async #request (entry: number, method: 'GET' | 'POST', path: string, body?: string, key?: string): Promise<Answer> {
-    const answer = await request(`http://${IP}:${this.files.findEntryPorts(entry).callers}${path}`, {
+    const answer = await request(`${this.files.findEntryUrl(entry)}${path}`, {
       method,
       headers: { authorization: `Bearer ${this.files.teamKey}`, ...(key === undefined ? {} : { 'idempotency-key': key }) },
       body: body ?? null
@@ -224,21 +257,32 @@
   }
 }
 
-/** Finds a block of ports whose first one is free, so that test runs side by side do not meet. */
+/**
+ * Finds a free block of ports. Its last port stays taken until this process
+ * ends, so that test files that start at the same time do not share a block.
+ */
 export async function findBasePort (): Promise<number> {
   const start = Math.floor(Math.random() * PORT_BLOCKS)
   for (let tries = 0; tries < PORT_BLOCKS; tries += 1) {
     const port = FIRST_PORT + (start + tries) % PORT_BLOCKS * PORTS_PER_BLOCK
-    if (await isFree(port)) return port
+    const guard = await openPort(port + PORTS_PER_BLOCK - 1)
+    if (guard === undefined) continue
+    const first = await openPort(port)
+    if (first !== undefined) {
+      await new Promise(resolve => { first.close(resolve) })
+      return port
+    }
+    guard.close()
   }
   throw new Error('no block of ports is free')
 }
 
-async function isFree (port: number): Promise<boolean> {
+async function openPort (port: number): Promise<Server | undefined> {
   return await new Promise(resolve => {
     const server = createServer()
-    server.once('error', () => { resolve(false) })
-    server.listen(port, IP, () => { server.close(() => { resolve(true) }) })
+    server.unref()
+    server.once('error', () => { resolve(undefined) })
+    server.listen(port, IP, () => { resolve(server) })
   })
 }
 
--- a/test/processes/relay.ts
+++ b/test/processes/relay.ts
@@ -1,13 +1,18 @@
 import { connect, createServer } from 'node:net'
 import type { Server, Socket } from 'node:net'
+import { createServer as createTlsServer } from 'node:tls'
+import type { TLSSocket, TlsOptions } from 'node:tls'
 
-/** TCP relay whose open connections can go silent while new ones work. */
+/** TCP relay whose open connections can go silent while new ones work; it may terminate TLS. */
 export class Relay {
   readonly #server: Server
   readonly #sockets = new Set<Socket>()
 
-  private constructor (targetPort: number) {
-    this.#server = createServer(inbound => {
+  /** Subjects of the client certificates shown so far. */
+  readonly subjects = new Set<string>()
+
+  private constructor (targetPort: number, tls: TlsOptions | undefined) {
+    const accept = (inbound: Socket): void => {
       const outbound = connect(targetPort, '127.0.0.1')
       for (const socket of [inbound, outbound]) {
         this.#sockets.add(socket)
@@ -16,11 +21,17 @@
       }
       inbound.pipe(outbound)
       outbound.pipe(inbound)
-    })
+    }
+    this.#server = tls === undefined
+      ? createServer(accept)
+      : createTlsServer(tls, (inbound: TLSSocket) => {
+        this.subjects.add(String(inbound.getPeerCertificate().subject.CN))
+        accept(inbound)
+      })
   }
 
-  static async start (port: number, targetPort: number): Promise<Relay> {
-    const relay = new Relay(targetPort)
+  static async start (port: number, targetPort: number, tls?: TlsOptions): Promise<Relay> {
+    const relay = new Relay(targetPort, tls)
     await new Promise<void>((resolve, reject) => { relay.#server.once('error', reject).listen(port, '127.0.0.1', resolve) })
     return relay
   }
@@ -33,8 +44,13 @@
     }
   }
 
-  stop (): void {
+  /** Breaks open connections. */
+  cut (): void {
     for (const socket of this.#sockets) socket.destroy()
+  }
+
+  stop (): void {
+    this.cut()
     this.#server.close()
   }
 }
