Measure one chunk gap in eight

Cause: one observation of the histogram took 1140 ns in a loop of 1,000,000 observations; at the planned 11,000 chunks/s of an entry that is 1.3 % of a core by calculation.

Change: of every eight chunks of a stream, the gap between the first two is measured.

Result: the tests of metrics pass (2). The cost at an entry under load was not measured.

--- a/src/edge/entry/gateway.ts
+++ b/src/edge/entry/gateway.ts
@@ -9,6 +9,9 @@
 /** Time after which an unanswered question to the kernel fails, in ms. */
 const ASK_TIMEOUT_MS = 5_000
 
+/** One gap in so many is measured: observing a histogram for each chunk costs an entry more than 1 % of a core at planned load. */
+const CHUNKS_PER_GAP = 8
+
 type Answer = AddressAnswer | KeyState
 
 /** A caller that waits for its answer. */
@@ -16,8 +19,10 @@
   readonly exchange: CallerExchange
   readonly service: string
   readonly receivedAtMs: number
-  /** Time of the last chunk; undefined before the first. */
-  chunkAtMs: number | undefined
+  /** Chunks of an event stream so far. */
+  chunks: number
+  /** Time of the last chunk before a measured gap. */
+  chunkAtMs: number
 }
 
 /** Connects callers' exchanges with the kernel's events and effects. */
@@ -54,7 +59,7 @@
    */
   acceptRequest (exchange: CallerExchange, event: RequestReceived): void {
     this.#metrics?.count('requests_received', event.service)
-    this.#exchanges.set(exchange.requestId, { exchange, service: event.service, receivedAtMs: performance.now(), chunkAtMs: undefined })
+    this.#exchanges.set(exchange.requestId, { exchange, service: event.service, receivedAtMs: performance.now(), chunks: 0, chunkAtMs: 0 })
     this.#dispatch(event)
   }
 
@@ -132,14 +137,17 @@
   #writeChunk (requestId: string, data: Uint8Array): void {
     const waiting = this.#exchanges.get(requestId)
     if (waiting === undefined) return
-    if (waiting.exchange.isEventStream) {
-      const nowMs = performance.now()
-      if (waiting.chunkAtMs !== undefined) this.#metrics?.observe('chunk_gap_ms', nowMs - waiting.chunkAtMs, waiting.service)
-      waiting.chunkAtMs = nowMs
-    }
+    if (waiting.exchange.isEventStream) this.#observeGap(waiting)
     waiting.exchange.writeChunk(data)
   }
 
+  #observeGap (waiting: Waiting): void {
+    const place = waiting.chunks % CHUNKS_PER_GAP
+    waiting.chunks += 1
+    if (place === 0) waiting.chunkAtMs = performance.now()
+    else if (place === 1) this.#metrics?.observe('chunk_gap_ms', performance.now() - waiting.chunkAtMs, waiting.service)
+  }
+
   #takeExchange (requestId: string): CallerExchange | undefined {
     const waiting = this.#exchanges.get(requestId)
     if (waiting === undefined) return undefined
--- a/src/edge/metrics/table.ts
+++ b/src/edge/metrics/table.ts
@@ -47,7 +47,7 @@
   resumes: { type: 'counter', help: 'Model streams resumed on another endpoint.' },
   request_ms: { type: 'histogram', help: 'Time from receipt to the end of the answer in ms.', label: serviceLabel, buckets: WAIT_BUCKETS_MS },
   first_byte_ms: { type: 'histogram', help: 'Time from receipt to the first byte of the answer in ms.', label: serviceLabel, buckets: WAIT_BUCKETS_MS },
-  chunk_gap_ms: { type: 'histogram', help: 'Time between chunks of a model stream in ms.', label: serviceLabel, buckets: WAIT_BUCKETS_MS },
+  chunk_gap_ms: { type: 'histogram', help: 'Time between chunks of a model stream in ms; one gap in 8 is measured.', label: serviceLabel, buckets: WAIT_BUCKETS_MS },
   requests_in_flight: { type: 'gauge', help: 'Requests of callers in flight at the entry.' },
   ejections: { type: 'counter', help: 'Endpoints ejected as outliers.' }
 } as const satisfies Record<string, MetricSpec>
