Keep the list of endpoints while a change leaves its items as they are

Assembling a configuration built a new list of endpoints for each change, so every entry ranked all endpoints of all services anew although only a team had changed; the check in membership that should prevent this never held.

The store now hands out the list it has while its items are the same objects.

--- a/src/plugins/configuration/store.ts
+++ b/src/plugins/configuration/store.ts
@@ -119,7 +119,7 @@
         held.set(hash, json)
         parsed.set(name, this.#parsed.get(hash) ?? JSON.parse(json))
       }
-      this.#apply(assembleConfiguration(root, parsed), nowMs)
+      this.#apply(this.#keepEndpoints(assembleConfiguration(root, parsed)), nowMs)
     } catch {
       return { kind: 'rejected', reason: 'a part is malformed' }
     }
@@ -162,6 +162,13 @@
     })
   }
 
+  /** The list stays the same object while its items do, so that what is computed from it is not computed again. */
+  #keepEndpoints (configuration: Configuration): Configuration {
+    const { endpoints } = this.#current
+    const isSame = endpoints.length === configuration.endpoints.length && endpoints.every((endpoint, index) => endpoint === configuration.endpoints[index])
+    return isSame ? { ...configuration, endpoints } : configuration
+  }
+
   #keepReplaced (held: ReadonlyMap<string, string>): void {
     const replaced = [...this.#parts].flatMap(([hash, json]) => {
       const name = this.#names.get(hash)
