--- a/bench/main.ts
+++ b/bench/main.ts
@@ -11,7 +11,8 @@
   drill: async () => await import('./drill.js'),
   overload: async () => await import('./overload.js'),
   path: async () => await import('./path.js'),
-  slopes: async () => await import('./slopes.js')
+  slopes: async () => await import('./slopes.js'),
+  'slopes-kernels': async () => ({ run: (await import('./slopes.js')).runKernels })
 }
 
 const cli = cac('bench')
--- a/bench/slopes.ts
+++ b/bench/slopes.ts
@@ -24,6 +24,7 @@
   models: [1, 10, 40]
 }
 
+const COLUMNS = ['who', 'what', 'by', 'slope', 'at 0', 'fit error', 'repeat spread', 'points']
 const RECORDS = [0, 2_500, 5_000, 9_000]
 const CHANGES_PER_S = [0, 1, 4]
 const CHANGES_MS = 8_000
@@ -73,7 +74,14 @@
   }
   await addRecords(points)
   await addChanges(points)
-  return { name: 'slopes', columns: ['who', 'what', 'by', 'slope', 'at 0', 'fit error', 'repeat spread', 'points'], rows: points.formatRows() }
+  return { name: 'slopes', columns: COLUMNS, rows: points.formatRows() }
+}
+
+/** @returns the rows of pure kernels only, which take some seconds */
+export function runKernels (): BenchResult {
+  const points = Points.create()
+  addKernels(points)
+  return { name: 'slopes-kernels', columns: COLUMNS, rows: points.formatRows() }
 }
 
 function addKernels (points: Points): void {
