--- a/src/edge/runtime.ts
+++ b/src/edge/runtime.ts
@@ -2,8 +2,8 @@
  * Drives a kernel: gives it events with the time and carries out its effects.
  */
 
-import type { Effect } from '../kernel/effects.js'
-import type { KernelEvent } from '../kernel/events.js'
+import type { Effect, PlatformOperation } from '../kernel/effects.js'
+import type { KernelEvent, PlatformResult } from '../kernel/events.js'
 import type { Kernel } from '../kernel/kernel.js'
 import type { PlatformClient } from './platform/client.js'
 import type { Logger } from './log/logger.js'
@@ -115,12 +115,19 @@
     }
   }
 
-  async #callPlatform (effect: Extract<Effect, { kind: 'platform-call' }>): Promise<void> {
+  async #callPlatform ({ operation, callId }: Extract<Effect, { kind: 'platform-call' }>): Promise<void> {
+    const result = await this.#operate(operation).catch((error: unknown): PlatformResult => {
+      this.#parts.logger.write('internal-error', { reason: String(error) })
+      return { kind: 'unavailable' }
+    })
+    this.dispatch({ kind: 'platform-answered', callId, result })
+  }
+
+  /** @throws RangeError when the value exceeds what the platform takes */
+  async #operate (operation: PlatformOperation): Promise<PlatformResult> {
     const { platform } = this.#parts
-    const { operation, callId } = effect
-    const result = operation.kind === 'read'
+    return operation.kind === 'read'
       ? await platform.read(operation.key)
       : await platform.write(operation.key, operation.value, operation.revision)
-    this.dispatch({ kind: 'platform-answered', callId, result })
   }
 }
--- a/src/plugins/outcomes/leave.ts
+++ b/src/plugins/outcomes/leave.ts
@@ -15,6 +15,8 @@
 const RETRY_MS = 2_000
 /** Time after which a home that reached no successor gives up. */
 const SEARCH_MS = 10_000
+/** Wait for a successor that got the records and does not acknowledge them. */
+const ACKNOWLEDGE_MS = 6_000
 /** Heartbeats of 1 s tell entries of the successor before attempts are sent on to it. */
 const ANNOUNCE_MS = 1_500
 /** Time for which the process still answers after the handover. */
@@ -25,7 +27,7 @@
   | { readonly kind: 'draining', readonly sinceMs: number }
   | { readonly kind: 'searching', readonly sinceMs: number }
   | { readonly kind: 'moved', readonly sinceMs: number }
-  /** No successor was reached, and none has the records. */
+  /** No successor serves the keys; whether one has the records is told by `hasRecords`. */
   | { readonly kind: 'alone' }
   | { readonly kind: 'finished' }
 
@@ -111,14 +113,14 @@
     if (stage.kind === 'draining') {
       if (context.nowMs - stage.sinceMs >= DRAIN_MS || this.#executions.listWaiting().length === 0) this.#stopStarts(context)
     } else if (stage.kind === 'searching') this.#chooseSuccessor(stage.sinceMs, context)
-    else if (stage.kind === 'moved' && context.nowMs - stage.sinceMs >= ANNOUNCE_MS) this.#refuseParked(context)
+    else if (stage.kind === 'alone' || context.nowMs - stage.sinceMs >= ANNOUNCE_MS) this.#refuseParked(context)
     this.#sendOutgoing(context)
     this.#checkFinished(context)
   }
 
   /** Hands over the result of work that was running when the table was sent. */
   noteResult (execution: Execution, context: Context): void {
-    if (execution.place === undefined || this.#successor?.hasRecords !== true) return
+    if (execution.place === undefined || this.#successor?.hasRecords !== true || this.#stage.kind === 'alone') return
     const { table, scope } = execution.place
     const record = table.find(scope)
     const entry = record === undefined ? undefined : buildEntry(scope, record)
@@ -160,9 +162,12 @@
   #chooseSuccessor (sinceMs: number, context: Context): void {
     const current = this.#successor
     // Only one process may ever hold the records: after they were sent, no other is tried.
-    if (current?.hasRecords === true) return
+    if (current?.hasRecords === true) {
+      if (context.nowMs - current.sinceMs >= ACKNOWLEDGE_MS) this.#stopHandover(context)
+      return
+    }
     if (current !== undefined && context.port('membership').findPeer(current.id) !== undefined) {
-      this.#successor = { ...current, hasRecords: true }
+      this.#successor = { id: current.id, sinceMs: context.nowMs, hasRecords: true }
       for (const table of this.#records.listTables()) {
         const entries = table.list().flatMap(([scope, record]) => buildEntry(scope, record) ?? [])
         this.#addOutgoing(table, 0, entries, context)
@@ -204,6 +209,13 @@
     this.#parked = []
   }
 
+  /** The successor is silent. It may run open keys, so this process says "unknown" of them and starts none. */
+  #stopHandover (context: Context): void {
+    this.#stage = { kind: 'alone' }
+    this.#outgoing = []
+    this.#refuseParked(context)
+  }
+
   #refuseParked (context: Context): void {
     for (const { to } of this.#parked) sendRefused(to, { error: 'leaving', outcome: 'unknown' }, context)
     this.#parked = []
--- a/src/plugins/requests/plugin.ts
+++ b/src/plugins/requests/plugin.ts
@@ -80,7 +80,6 @@
         break
       case 'leave-requested':
         this.#leave = { holdUntilMs: context.nowMs + this.#addressHoldMs, deadlineAtMs: context.nowMs + event.deadlineMs }
-        context.emit({ kind: 'log', event: 'process-leaving', fields: { inFlight: this.#lifecycle.countActive() } })
         break
       default:
     }
--- a/test/endpoint/sessions.test.ts
+++ b/test/endpoint/sessions.test.ts
@@ -186,3 +186,20 @@
   home.wait(500)
   t.snapshot(home.lines)
 })
+
+// Guards against a leave that waits for its deadline because the successor died, and against an untrue "not run" then.
+test.serial('successor dies after the records were sent', t => {
+  const home = createBusy()
+  home.dispatch({ kind: 'leave-requested', deadlineMs: 60_000 })
+  home.wait(3_000)
+  World.current.peers = [buildRef('h2')]
+  home.dispatch({ kind: 'peer-connected', peer: buildRef('h2') })
+  home.handle(buildSubmit('parked', { key: buildKey('parked') }))
+  World.current.peers = []
+  home.dispatch({ kind: 'peer-disconnected', peer: buildRef('h2') })
+  for (const id of ['w1', 'w2']) home.runToEnd(id)
+  home.wait(7_000)
+  home.handle(buildSubmit('late', { key: buildKey('late') }))
+  home.wait(1_000)
+  t.snapshot(home.lines)
+})
