--- a/src/kernel/log-events.ts
+++ b/src/kernel/log-events.ts
@@ -3,14 +3,13 @@
   'process-started', 'process-leaving', 'process-stopped', 'work-cut',
   'peer-connected', 'peer-disconnected', 'peer-silent', 'peer-refused',
   'request-received', 'request-finished', 'request-refused', 'request-retried', 'stream-resumed',
-  'work-accepted', 'work-started', 'work-finished', 'work-refused', 'pause-detected',
+  'work-started', 'work-refused', 'pause-detected',
   'handover-started', 'handover-finished', 'handover-received',
-  'endpoint-cold', 'endpoint-warm', 'endpoint-crashed', 'endpoint-unhealthy', 'endpoint-ejected', 'endpoint-readmitted',
-  'request-suspected', 'request-quarantined', 'suspect-cleared',
+  'endpoint-cold', 'endpoint-crashed', 'endpoint-ejected', 'request-suspected', 'request-quarantined', 'suspect-cleared',
   'member-joined', 'member-suspected', 'member-dead', 'member-leaving',
   'configuration-accepted', 'configuration-ignored', 'configuration-rejected', 'platform-lost', 'platform-found',
   'lease-acquired', 'lease-lost', 'map-proposed', 'map-prepared', 'map-decided', 'map-stalled', 'rebalance-declined',
-  'tls-reloaded', 'settings-rejected', 'internal-error'
+  'tls-reloaded', 'internal-error'
 ] as const
 
 /** One name of the closed list. */
