--- a/bench/experts/walk.ts
+++ b/bench/experts/walk.ts
@@ -270,7 +270,7 @@
   * #listCallActions (state: State, kind: 'ranks' | 'holders', index: number, calls: readonly Call[], answer: readonly [string, PlatformResult] | undefined): Generator<Action> {
     const name = `${kind} ${index}`
     for (const call of calls) {
-      const [next, result] = this.#callPlatform(state, call.operation)
+      const [next, result] = this.#runPlatformCall(state, call.operation)
       const rest = calls.filter(other => other !== call)
       const current = this.#findCallId(state, kind, index) === call.id
       if (call.operation.kind === 'read') {
@@ -294,7 +294,7 @@
       : this.#runHolder(state, index, (machine, context) => { machine.handlePlatform(id, result, context) })
   }
 
-  #callPlatform (state: State, operation: PlatformOperation): [State, PlatformResult] {
+  #runPlatformCall (state: State, operation: PlatformOperation): [State, PlatformResult] {
     if (operation.kind === 'read') return [state, { kind: 'found', value: JSON.stringify(state.record), revision: state.revision }]
     if (operation.revision !== state.revision && this.#options.conditionalWrites !== false) return [state, { kind: 'conflict' }]
     const revision = state.revision + 1
--- a/src/edge/endpoint/runner.ts
+++ b/src/edge/endpoint/runner.ts
@@ -6,7 +6,7 @@
 import type { Dispatcher } from 'undici'
 import type { KernelEvent } from '../../kernel/events.js'
 import type { HeaderList, Submit } from '../../protocol/messages.js'
-import { splitServerEvents } from './server-events.js'
+import { parseServerEvents } from './server-events.js'
 import type { Connector } from '../security/tls.js'
 
 /** Connections to the endpoint; above any cap, which admission enforces. */
@@ -90,7 +90,7 @@
       })
       const headers = listHeaders(response.headers)
       dispatch({ kind: 'endpoint-head', workId, status: response.statusCode, headers })
-      if (isEventStream(headers)) await this.#relayEvents(workId, response.body)
+      if (isEventStream(headers)) await this.#sendEvents(workId, response.body)
       else for await (const data of response.body) dispatch({ kind: 'endpoint-chunk', workId, data: data as Buffer })
       dispatch({ kind: 'endpoint-ended', workId })
     } catch (error) {
@@ -99,9 +99,9 @@
   }
 
   /** A stream without its closing event was cut, even when the connection closed cleanly. */
-  async #relayEvents (workId: string, body: AsyncIterable<Buffer>): Promise<void> {
+  async #sendEvents (workId: string, body: AsyncIterable<Buffer>): Promise<void> {
     let last = ''
-    for await (const event of splitServerEvents(body)) {
+    for await (const event of parseServerEvents(body)) {
       last = event.toString('utf8').trim()
       this.#options.dispatch({ kind: 'endpoint-chunk', workId, data: event })
     }
--- a/src/edge/endpoint/server-events.ts
+++ b/src/edge/endpoint/server-events.ts
@@ -12,7 +12,7 @@
  * @returns events with their closing blank line; a rest without one is left out
  * @throws Error when an event exceeds the limit
  */
-export async function * splitServerEvents (body: AsyncIterable<Buffer>): AsyncGenerator<Buffer, void> {
+export async function * parseServerEvents (body: AsyncIterable<Buffer>): AsyncGenerator<Buffer, void> {
   let rest: Buffer = Buffer.alloc(0)
   for await (const piece of body) {
     rest = rest.length === 0 ? piece : Buffer.concat([rest, piece])
--- a/src/edge/entry/adapter.ts
+++ b/src/edge/entry/adapter.ts
@@ -24,7 +24,7 @@
 }
 
 /** Server options for requests that fail before a route is looked for. */
-export const FAULT_HANDLERS = { frameworkErrors: answerFault, clientErrorHandler: answerMalformed }
+export const FAULT_HANDLERS = { frameworkErrors: handleFault, clientErrorHandler: handleMalformed }
 
 /**
  * The framework sets handlers of its own while it starts, which would replace
@@ -33,8 +33,8 @@
 export class EntryAdapter extends FastifyAdapter {
   private constructor (options: AdapterOptions) {
     super(options)
-    super.setErrorHandler((error: unknown, request: HandledRequest, reply: HandledReply) => { answerFault(error, request, reply) })
-    super.setNotFoundHandler((request: HandledRequest, reply: HandledReply) => { answerFault({ statusCode: ERROR_ANSWERS['unknown-path'].status }, request, reply) })
+    super.setErrorHandler((error: unknown, request: HandledRequest, reply: HandledReply) => { handleFault(error, request, reply) })
+    super.setNotFoundHandler((request: HandledRequest, reply: HandledReply) => { handleFault({ statusCode: ERROR_ANSWERS['unknown-path'].status }, request, reply) })
   }
 
   /**
@@ -55,7 +55,7 @@
 }
 
 /** With a key an earlier send of the same key may have run, so its outcome is unknown here. */
-function answerFault (error: unknown, request: HandledRequest, reply: HandledReply): void {
+function handleFault (error: unknown, request: HandledRequest, reply: HandledReply): void {
   const hasKey = request.headers['idempotency-key'] !== undefined
   reply.hijack()
   const response = reply.raw as ServerResponse
@@ -68,7 +68,7 @@
  * Whether the request bore a key is not known. Nothing is written into an answer
  * to an earlier request of the connection, which could pass for part of it.
  */
-function answerMalformed (error: NodeJS.ErrnoException, socket: Socket): void {
+function handleMalformed (error: NodeJS.ErrnoException, socket: Socket): void {
   const current = (socket as { readonly _httpMessage?: ServerResponse | null })._httpMessage
   if (error.code !== 'ECONNRESET' && socket.writable && current?.headersSent !== true) {
     socket.write(formatRawError(randomUUID(), { error: 'bad-request', outcome: 'unknown', forwarded: false }))
--- a/src/edge/entry/callers.ts
+++ b/src/edge/entry/callers.ts
@@ -47,7 +47,7 @@
   /** Which entries to use, for how long, and key tokens of the named services. */
   @Get('/v1/address')
   async handleAddress (@Req() request: FastifyRequest, @Res() reply: FastifyReply): Promise<void> {
-    const exchange = takeOver(reply)
+    const exchange = openExchange(reply)
     const team = this.#findTeam(request.headers.authorization)
     if (team === undefined) {
       this.#gateway.refuseRequest(exchange, 'unauthenticated', false)
@@ -55,7 +55,7 @@
     }
     const asked = new URL(request.url, 'http://entry').searchParams.getAll('service')
     const services = asked.length > 0 ? asked.filter(service => team.services.includes(service)) : team.services
-    const answer = await this.#gateway.askAddress(services)
+    const answer = await this.#gateway.findAddress(services)
     if (answer === undefined || answer.addresses.length === 0) {
       this.#gateway.refuseRequest(exchange, 'no-endpoint', false)
       return
@@ -70,14 +70,14 @@
   /** What became of an idempotency key. */
   @Get('/v1/outcome')
   async handleOutcome (@Req() request: FastifyRequest, @Res() reply: FastifyReply): Promise<void> {
-    const exchange = takeOver(reply)
+    const exchange = openExchange(reply)
     const team = this.#findTeam(request.headers.authorization)
     const key = new URL(request.url, 'http://entry').searchParams.get('key')
     if (team === undefined || key === null) {
       this.#gateway.refuseRequest(exchange, team === undefined ? 'unauthenticated' : 'bad-request', true)
       return
     }
-    exchange.writeJson({ key, state: await this.#gateway.askOutcome(team.name, key) })
+    exchange.writeJson({ key, state: await this.#gateway.findOutcome(team.name, key) })
   }
 
   #findTeam (authorization: string | undefined): Team | undefined {
@@ -85,7 +85,7 @@
   }
 
   #handleRequest (request: FastifyRequest, reply: FastifyReply, path: string, parse: (caller: CallerRequest) => Either<ErrorKind, RequestReceived>): void {
-    const exchange = takeOver(reply)
+    const exchange = openExchange(reply)
     const hasKey = request.headers['idempotency-key'] !== undefined
     const team = this.#findTeam(request.headers.authorization)
     if (team === undefined) {
@@ -110,7 +110,7 @@
 }
 
 /** Takes the response from the framework, so that answers can be streamed. */
-function takeOver (reply: FastifyReply): CallerExchange {
+function openExchange (reply: FastifyReply): CallerExchange {
   reply.hijack()
   return CallerExchange.create(randomUUID(), reply.raw)
 }
--- a/src/edge/entry/gateway.ts
+++ b/src/edge/entry/gateway.ts
@@ -89,7 +89,7 @@
    * @param services - services to return key tokens for
    * @returns the address answer; undefined when the kernel gave none in time
    */
-  async askAddress (services: readonly string[]): Promise<AddressAnswer | undefined> {
+  async findAddress (services: readonly string[]): Promise<AddressAnswer | undefined> {
     return await this.#ask(askId => ({ kind: 'address-asked', askId, services })) as AddressAnswer | undefined
   }
 
@@ -98,7 +98,7 @@
    * @param keyText - idempotency key
    * @returns what its home knows of the key
    */
-  async askOutcome (team: string, keyText: string): Promise<KeyState> {
+  async findOutcome (team: string, keyText: string): Promise<KeyState> {
     const answer = await this.#ask(askId => ({ kind: 'outcome-asked', askId, team, keyText }))
     return answer as KeyState | undefined ?? 'unknown'
   }
@@ -117,11 +117,11 @@
         this.#writeChunk(effect.requestId, effect.data)
         return
       case 'reply-end':
-        this.#takeExchange(effect.requestId)?.end()
+        this.#removeExchange(effect.requestId)?.end()
         return
       case 'reply-error':
         this.#metrics?.count('outcomes', effect.outcome)
-        this.#takeExchange(effect.requestId)?.writeError(effect)
+        this.#removeExchange(effect.requestId)?.writeError(effect)
         return
       case 'address-told':
         this.#answer(effect.askId, effect.answer)
@@ -148,7 +148,7 @@
     else if (place === 1) this.#metrics?.observe('chunk_gap_ms', performance.now() - waiting.chunkAtMs, waiting.service)
   }
 
-  #takeExchange (requestId: string): CallerExchange | undefined {
+  #removeExchange (requestId: string): CallerExchange | undefined {
     const waiting = this.#exchanges.get(requestId)
     if (waiting === undefined) return undefined
     this.#exchanges.delete(requestId)
--- a/src/edge/platform/client.ts
+++ b/src/edge/platform/client.ts
@@ -91,7 +91,7 @@
    * @returns `found`, `missing` or `unavailable`
    */
   async read (key: string): Promise<PlatformResult> {
-    return await this.#send({ method: 'GET', path: formatObjectPath(key) }, convertRead)
+    return await this.#send({ method: 'GET', path: formatObjectPath(key) }, parseRead)
   }
 
   /**
@@ -107,7 +107,7 @@
   async write (key: string, value: string, revision: number): Promise<PlatformResult> {
     const bytes = Buffer.byteLength(value)
     if (bytes > VALUE_BYTES_MAX) throw new RangeError(`value of ${key} has ${bytes} bytes, more than ${VALUE_BYTES_MAX}`)
-    return await this.#send({ method: 'PUT', path: formatObjectPath(key), revision, body: JSON.stringify({ value }) }, convertWrite)
+    return await this.#send({ method: 'PUT', path: formatObjectPath(key), revision, body: JSON.stringify({ value }) }, parseWrite)
   }
 
   /**
@@ -118,7 +118,7 @@
    * @returns as `write`
    */
   async remove (key: string, revision: number): Promise<PlatformResult> {
-    return await this.#send({ method: 'DELETE', path: formatObjectPath(key), revision }, convertWrite)
+    return await this.#send({ method: 'DELETE', path: formatObjectPath(key), revision }, parseWrite)
   }
 
   /**
@@ -238,7 +238,7 @@
   return `/v1/objects/${encodeURIComponent(key)}`
 }
 
-function convertRead (answer: TransportAnswer): PlatformResult {
+function parseRead (answer: TransportAnswer): PlatformResult {
   if (answer.kind !== 'answered') return { kind: 'unavailable' }
   if (answer.status === 404) return { kind: 'missing' }
   const object = objectAnswerSchema.safeParse(answer.body)
@@ -246,7 +246,7 @@
   return { kind: 'found', value: object.data.value, revision: object.data.revision }
 }
 
-function convertWrite (answer: TransportAnswer): PlatformResult {
+function parseWrite (answer: TransportAnswer): PlatformResult {
   switch (answer.kind) {
     case 'unsent': return { kind: 'unavailable' }
     case 'lost': return { kind: 'unknown' }
--- a/src/edge/runtime.ts
+++ b/src/edge/runtime.ts
@@ -95,7 +95,7 @@
         hub.disconnect(effect.peer)
         return
       case 'platform-call':
-        this.#callPlatform(effect)
+        this.#runPlatformCall(effect)
         return
       case 'log':
         logger.write(effect.event, effect.fields)
@@ -115,8 +115,8 @@
     }
   }
 
-  async #callPlatform ({ operation, callId }: Extract<Effect, { kind: 'platform-call' }>): Promise<void> {
-    const result = await this.#operate(operation).catch((error: unknown): PlatformResult => {
+  async #runPlatformCall ({ operation, callId }: Extract<Effect, { kind: 'platform-call' }>): Promise<void> {
+    const result = await this.#runOperation(operation).catch((error: unknown): PlatformResult => {
       this.#parts.logger.write('internal-error', { reason: String(error) })
       return { kind: 'unavailable' }
     })
@@ -124,7 +124,7 @@
   }
 
   /** @throws RangeError when the value exceeds what the platform takes */
-  async #operate (operation: PlatformOperation): Promise<PlatformResult> {
+  async #runOperation (operation: PlatformOperation): Promise<PlatformResult> {
     const { platform } = this.#parts
     return operation.kind === 'read'
       ? await platform.read(operation.key)
--- a/src/plugins/experts/rank.ts
+++ b/src/plugins/experts/rank.ts
@@ -191,7 +191,7 @@
       this.handleOrderAnswered(outstanding.orderId, false, context)
     }
     if (!joined) {
-      if (context.nowMs >= this.#state.nextCallAtMs) this.#callPlatform('join-read', context)
+      if (context.nowMs >= this.#state.nextCallAtMs) this.#runPlatformCall('join-read', context)
       return
     }
     if (!synced && isIdle(gate) && context.nowMs >= nextSyncAtMs) this.#startSync(context)
@@ -327,10 +327,10 @@
       context.emit({ kind: 'log', event: 'map-stalled', fields: { group, rank, version: pending.version, step: pending.step, held_ms: heldMs } })
       context.emit({ kind: 'observe', metric: 'map_stall_ms', value: heldMs })
     }
-    this.#callPlatform('ask-read', context)
+    this.#runPlatformCall('ask-read', context)
   }
 
-  #callPlatform (purpose: RankCall['purpose'], context: RankContext): void {
+  #runPlatformCall (purpose: RankCall['purpose'], context: RankContext): void {
     if (this.#state.call !== undefined) return
     const id = this.#noteCall(purpose, context)
     context.emit({ kind: 'platform-call', callId: id, operation: { kind: 'read', key: formatMapKey(this.#place.group) } })
--- a/test/experts/world.ts
+++ b/test/experts/world.ts
@@ -205,7 +205,7 @@
       case 'platform-call': {
         const { self } = node
         this.#schedule(5, () => {
-          const result = this.#callPlatform(id, effect.operation)
+          const result = this.#runPlatformCall(id, effect.operation)
           this.#schedule(5, () => {
             if (this.#nodes.get(id)?.self === self) this.dispatch(id, { kind: 'platform-answered', callId: effect.callId, result })
           })
@@ -217,7 +217,7 @@
     }
   }
 
-  #callPlatform (id: string, operation: Extract<Effect, { kind: 'platform-call' }>['operation']): PlatformResult {
+  #runPlatformCall (id: string, operation: Extract<Effect, { kind: 'platform-call' }>['operation']): PlatformResult {
     if (!this.platformUp) return { kind: 'unavailable' }
     const found = this.#objects.get(operation.key)
     if (operation.kind === 'read') return found === undefined ? { kind: 'missing' } : { kind: 'found', ...found }
