Decide the outcome of requests refused before the kernel in one place

Cause: the gateway and the HTTP adapter each held the rule that a refused request with a key is unknown and one without is not run; placement held a function that nothing called. Change: the exchange has the rule, both call it; the unused function is removed and its reason stands at the one that is used. Behaviour is unchanged.

--- a/src/edge/entry/adapter.ts
+++ b/src/edge/entry/adapter.ts
@@ -54,14 +54,13 @@
   }
 }
 
-/** With a key an earlier send of the same key may have run, so its outcome is unknown here. */
 function handleFault (error: unknown, request: HandledRequest, reply: HandledReply): void {
   const hasKey = request.headers['idempotency-key'] !== undefined
   reply.hijack()
   const response = reply.raw as ServerResponse
   // The rest of a body that was not read would be taken for the next request.
   if (!response.req.complete) response.setHeader('connection', 'close')
-  CallerExchange.create(randomUUID(), response).writeError({ error: findKind(error), outcome: hasKey ? 'unknown' : 'not-run', forwarded: false })
+  CallerExchange.create(randomUUID(), response).refuse(findKind(error), hasKey)
 }
 
 /**
--- a/src/edge/entry/exchange.ts
+++ b/src/edge/entry/exchange.ts
@@ -84,6 +84,20 @@
     this.#response.end()
   }
 
+  /**
+   * Refuses a request that the kernel never sees. With an idempotency key an
+   * earlier send of the same key may have run, so the outcome is unknown.
+   *
+   * @param error - why
+   * @param hasKey - whether the request bears an idempotency key
+   * @returns the outcome that was told
+   */
+  refuse (error: ErrorKind, hasKey: boolean): Outcome {
+    const outcome = hasKey ? 'unknown' : 'not-run'
+    this.writeError({ error, outcome, forwarded: false })
+    return outcome
+  }
+
   /**
    * Answers with an error. After the head was sent an event stream gets the
    * error as its last event; any other answer is cut by closing the connection,
--- a/src/edge/entry/gateway.ts
+++ b/src/edge/entry/gateway.ts
@@ -64,18 +64,15 @@
   }
 
   /**
-   * Refuses a request that the kernel never sees. With an idempotency key an
-   * earlier send of the same key may have run, so the outcome is unknown.
+   * Refuses a request that the kernel never sees, and counts it.
    *
    * @param exchange - where the answer goes
    * @param error - why
    * @param hasKey - whether the request bears an idempotency key
    */
   refuseRequest (exchange: CallerExchange, error: ErrorKind, hasKey: boolean): void {
-    const outcome = hasKey ? 'unknown' : 'not-run'
     this.#metrics?.count('requests', error)
-    this.#metrics?.count('outcomes', outcome)
-    exchange.writeError({ error, outcome, forwarded: false })
+    this.#metrics?.count('outcomes', exchange.refuse(error, hasKey))
   }
 
   /**
--- a/src/plugins/experts/placement/moves.ts
+++ b/src/plugins/experts/placement/moves.ts
@@ -11,20 +11,6 @@
   readonly gain: number
 }
 
-/**
- * Sum of squared loads above the target. Unlike the largest load alone it falls
- * with each rank that is relieved, so ties between slow ranks do not stop a search.
- *
- * @param loads - load by rank
- * @param target - load that a rank may have
- * @returns the excess
- */
-export function computeExcess (loads: Float64Array, target: number): number {
-  let sum = 0
-  for (const load of loads) sum += rateLoad(load, target)
-  return sum
-}
-
 /**
  * Finds the move that relieves the slowest rank most per weight loaded.
  *
@@ -124,6 +110,10 @@
   return change
 }
 
+/**
+ * Squared load above the target. Unlike the largest load alone its sum falls with
+ * each rank that is relieved, so ties between slow ranks do not stop a search.
+ */
 function rateLoad (load: number, target: number): number {
   return load > target ? (load - target) ** 2 : 0
 }
