--- a/src/edge/metrics/table.ts
+++ b/src/edge/metrics/table.ts
@@ -99,7 +99,32 @@
  * Metrics of each role by the name that kernel effects use. On the page
  * `heatherdoor_` stands before it, and `_total` after that of a counter.
  */
+/** Metrics of gateways. */
+const GATEWAY_METRICS = {
+  requests_received: { type: 'counter', help: 'Requests from callers.', label: serviceLabel },
+  requests: { type: 'counter', help: 'Requests answered, by `ok` or error kind.', label: resultLabel },
+  attempts: { type: 'counter', help: 'Attempts at endpoints by how they ended.', label: { name: 'result', values: { kind: 'list', values: ['ok', 'failed', 'refused', 'unreachable', 'cancelled'] } } },
+  retries: { type: 'counter', help: 'Second and later attempts of requests.' },
+  resumes: { type: 'counter', help: 'Model streams resumed on another endpoint.' },
+  request_ms: { type: 'histogram', help: 'Time from receipt to the end of the answer in ms.', label: serviceLabel, buckets: WAIT_BUCKETS_MS },
+  first_byte_ms: { type: 'histogram', help: 'Time from receipt to the first byte of the answer in ms.', label: serviceLabel, buckets: WAIT_BUCKETS_MS },
+  store_calls: { type: 'counter', help: 'Calls to the store by result.', label: { name: 'result', values: { kind: 'list', values: ['ok', 'not-found', 'conflict', 'history-gone', 'busy', 'unavailable', 'no-answer', 'malformed'] } } },
+  configuration_version: { type: 'gauge', help: 'Version of the configuration in force.' },
+  requests_in_flight: { type: 'gauge', help: 'Requests in flight.' },
+  log_lines_dropped: { type: 'counter', help: 'Log lines dropped because too many were written.' }
+} as const satisfies Record<string, MetricSpec>
+
+/** Metrics of agents beside model workers. */
+const AGENT_METRICS = {
+  map_changes: { type: 'counter', help: 'Changes of expert maps by how they ended.', label: { name: 'result', values: { kind: 'list', values: ['committed', 'aborted', 'declined'] } } },
+  orders: { type: 'counter', help: 'Orders to the engine by answer.', label: { name: 'result', values: { kind: 'list', values: ['accepted', 'done', 'refused', 'no-answer'] } } },
+  map_version: { type: 'gauge', help: 'Version of the expert map in force.' },
+  log_lines_dropped: { type: 'counter', help: 'Log lines dropped because too many were written.' }
+} as const satisfies Record<string, MetricSpec>
+
 export const METRICS = {
+  gateway: GATEWAY_METRICS,
+  agent: AGENT_METRICS,
   entry: { ...ENTRY_METRICS, ...SHARED_METRICS },
   endpoint: { ...ENDPOINT_METRICS, ...SHARED_METRICS }
 } as const satisfies Record<Role, Readonly<Record<string, MetricSpec>>>
--- /dev/null
+++ b/src/gateway/context.ts
@@ -0,0 +1,132 @@
+/** What the parts of a gateway share: decisions, logs, metrics and clock. */
+
+import type { Kernel } from '../kernel/kernel.js'
+import type { LogEvent } from '../kernel/log-events.js'
+import type { Logger, LogFields } from '../edge/log/logger.js'
+import type { Metrics } from '../edge/metrics/metrics.js'
+import type { CrashesPort } from '../plugins/gateway/crashes.js'
+import type { EndpointsPort, EndpointView } from '../plugins/gateway/endpoints.js'
+import type { PeersPort } from '../plugins/gateway/peers.js'
+import type { Placement, PlacingPort } from '../plugins/gateway/placing.js'
+import type { RetriesPort } from '../plugins/gateway/retries.js'
+import type { RoutesPort } from '../plugins/gateway/routes.js'
+import { CrashProbe } from './crash-probe.js'
+import type { Exchange } from './exchange.js'
+import type { Dialect } from './model.js'
+
+/** What a context is created with. */
+export interface GatewayContextOptions {
+  readonly kernel: Kernel
+  readonly dialect: Dialect
+  readonly logger: Logger
+  readonly metrics: Metrics
+}
+
+/** Shared parts of one gateway. */
+export class GatewayContext {
+  readonly dialect: Dialect
+  readonly metrics: Metrics
+  readonly routes: RoutesPort
+  readonly endpoints: EndpointsPort
+  readonly peers: PeersPort
+  readonly retries: RetriesPort
+  readonly crashes: CrashesPort
+  readonly placing: PlacingPort
+  readonly #logger: Logger
+  readonly #probe: CrashProbe
+  readonly #exchanges = new Set<Exchange>()
+
+  private constructor ({ kernel, dialect, logger, metrics }: GatewayContextOptions) {
+    this.dialect = dialect
+    this.metrics = metrics
+    this.#logger = logger
+    this.routes = kernel.port('routes')
+    this.endpoints = kernel.port('endpoints')
+    this.peers = kernel.port('peers')
+    this.retries = kernel.port('retries')
+    this.crashes = kernel.port('crashes')
+    this.placing = kernel.port('placing')
+    this.#probe = CrashProbe.create((endpoint, fingerprints) => { this.#handleCrash(endpoint, fingerprints) })
+  }
+
+  /**
+   * @param options - parts of the process
+   * @returns the shared context
+   */
+  static create (options: GatewayContextOptions): GatewayContext {
+    return new GatewayContext(options)
+  }
+
+  /** @returns monotonic time in ms */
+  getNowMs (): number {
+    return performance.now()
+  }
+
+  /** @returns a random number from 0 to 1 */
+  pickFloat (): number {
+    return Math.random()
+  }
+
+  log (event: LogEvent, fields: LogFields): void {
+    this.#logger.write(event, fields)
+  }
+
+  /**
+   * Chooses an endpoint of a service.
+   *
+   * @param service - name of the service
+   * @param exclude - endpoints that were tried
+   * @param nowMs - monotonic time in ms
+   * @returns the choice; undefined when no endpoint can take a request now
+   */
+  choose (service: string, exclude: ReadonlySet<string>, nowMs: number): Placement | undefined {
+    return this.placing.choose({
+      candidates: this.endpoints.listUsable(service),
+      exclude,
+      coldPerS: this.routes.findService(service)?.coldPerS ?? 0,
+      gateways: this.peers.count(),
+      countElsewhere: endpoint => this.peers.countInFlight(endpoint)
+    }, nowMs)
+  }
+
+  /** Spends a retry of the budget that all gateways share. */
+  acceptRetry (service: string, nowMs: number): boolean {
+    return this.retries.accept(service, this.peers.count(), nowMs)
+  }
+
+  /** Finds out whether an endpoint crashed that broke an answer off. */
+  checkCrash (endpoint: EndpointView, fingerprint: string): void {
+    this.#probe.check(endpoint, fingerprint)
+  }
+
+  /** Drops an endpoint whose address another one has. */
+  noteMisdirected ({ record }: EndpointView): void {
+    this.endpoints.remove(record.id)
+    this.placing.forget(record.id)
+    this.log('endpoint-changed', { endpoint: record.id, change: 'gone', reason: 'misdirected' })
+  }
+
+  addExchange (exchange: Exchange): void {
+    this.#exchanges.add(exchange)
+    this.metrics.observe('requests_in_flight', this.#exchanges.size)
+  }
+
+  handleFinished (exchange: Exchange): void {
+    this.#exchanges.delete(exchange)
+    this.metrics.observe('requests_in_flight', this.#exchanges.size)
+  }
+
+  /** @returns requests in flight */
+  listExchanges (): readonly Exchange[] {
+    return [...this.#exchanges]
+  }
+
+  #handleCrash (endpoint: EndpointView, fingerprints: readonly string[]): void {
+    const nowMs = this.getNowMs()
+    this.log('endpoint-crashed', { endpoint: endpoint.record.id, inFlight: fingerprints.length })
+    for (const fingerprint of fingerprints) {
+      const count = this.crashes.strike(fingerprint, nowMs)
+      this.log(this.crashes.isRefused(fingerprint, nowMs) ? 'request-quarantined' : 'request-suspected', { fingerprint, count, endpoint: endpoint.record.id })
+    }
+  }
+}
--- /dev/null
+++ b/src/gateway/exchange.ts
@@ -0,0 +1,384 @@
+/** The life of one request at a gateway: attempts, retries, resumes and its answer. */
+
+import type { ServerResponse } from 'node:http'
+import { ERROR_ANSWERS } from '../kernel/errors.js'
+import type { ErrorKind } from '../kernel/errors.js'
+import type { AttemptResult, Placement } from '../plugins/gateway/placing.js'
+import { EventSplitter } from './events.js'
+import type { GatewayContext } from './context.js'
+import type { AnswerHead, CallerRequest, RawHeaders, Repeat, Route, TeamRef } from './model.js'
+import { Attempt } from './upstream.js'
+import type { AttemptFailure } from './upstream.js'
+
+/** Time in ms by which a final answer may follow the deadline: the endpoint's own answer at its deadline is on its way. */
+const ANSWER_GRACE_MS = 60
+
+/** Least time in ms that an attempt needs to be worth sending. */
+const ATTEMPT_MIN_MS = 5
+
+/** Wait in ms before a request that an endpoint had no room for is tried elsewhere. */
+const REFUSED_BACKOFF_MS = 30
+
+/** Advice to callers in ms when no endpoint can take the request now; spread over as much again. */
+const BUSY_RETRY_AFTER_MS = 250
+
+/** Largest answer kept whole before it is passed on, in bytes. */
+const ANSWER_BYTES_MAX = 8 * 1024 * 1024
+
+/** A request that was read whole and may be served. */
+export interface ExchangeOptions {
+  readonly request: CallerRequest
+  readonly method: string
+  readonly headers: RawHeaders
+  readonly body: Buffer
+  readonly route: Route
+  readonly team: TeamRef | undefined
+  readonly service: string
+  readonly fingerprint: string
+  readonly response: ServerResponse
+  /** Monotonic time in ms at which the head of the request was read. */
+  readonly receivedAtMs: number
+}
+
+interface RunningAttempt {
+  readonly attempt: Attempt
+  readonly endpoint: Placement['endpoint']
+  readonly startedAtMs: number
+  status: number
+  head: AnswerHead | undefined
+  headers: RawHeaders
+  chunks: Buffer[]
+  bytes: number
+  splitter: EventSplitter | undefined
+  firstEventMs: number | undefined
+}
+
+interface KeptAnswer {
+  readonly status: number
+  readonly headers: RawHeaders
+  readonly body: Buffer
+}
+
+/** One request from its receipt to the end of its answer. */
+export class Exchange {
+  readonly #options: ExchangeOptions
+  readonly #context: GatewayContext
+  readonly #deadlineAtMs: number
+  readonly #tried = new Set<string>()
+  #timer: NodeJS.Timeout | undefined
+  #backoff: NodeJS.Timeout | undefined
+  #running: RunningAttempt | undefined
+  #attempts = 0
+  /** Whether some attempt may have run the request. */
+  #mayHaveRun = false
+  #isHeadSent = false
+  #isDone = false
+  #lastEventId: string | undefined
+  #events = 0
+  /** A whole failure answer of an endpoint, passed on when no retry does better. */
+  #kept: KeptAnswer | undefined
+
+  private constructor (options: ExchangeOptions, context: GatewayContext) {
+    this.#options = options
+    this.#context = context
+    this.#lastEventId = options.request.lastEventId
+    const limitMs = Math.min(options.request.deadlineMs ?? Infinity, options.route.timeoutMs)
+    this.#deadlineAtMs = options.receivedAtMs + limitMs
+  }
+
+  /**
+   * @param options - the request
+   * @param context - decisions, logs and clock of the process
+   * @returns an exchange that has not started
+   */
+  static create (options: ExchangeOptions, context: GatewayContext): Exchange {
+    return new Exchange(options, context)
+  }
+
+  /** Sends the first attempt. */
+  start (): void {
+    const nowMs = this.#context.getNowMs()
+    this.#context.retries.noteRequest(this.#options.service, nowMs)
+    this.#timer = setTimeout(() => { this.#expire() }, Math.max(0, this.#deadlineAtMs - nowMs) + ANSWER_GRACE_MS)
+    this.#options.response.on('close', () => { this.#handleCallerClosed() })
+    this.#options.response.on('drain', () => { this.#running?.attempt.resume() })
+    this.#place()
+  }
+
+  /** Ends the exchange at a planned stop whose time is over. */
+  cut (): void {
+    if (!this.#isDone) this.#fail('leaving')
+  }
+
+  #place (): void {
+    const { service, fingerprint } = this.#options
+    const nowMs = this.#context.getNowMs()
+    if (this.#context.crashes.isRefused(fingerprint, nowMs)) {
+      this.#fail('quarantined')
+      return
+    }
+    if (this.#deadlineAtMs - nowMs < ATTEMPT_MIN_MS) {
+      this.#expire()
+      return
+    }
+    const placement = this.#context.choose(service, this.#tried, nowMs)
+    if (placement === undefined) this.#fail('no-endpoint')
+    else this.#send(placement, nowMs)
+  }
+
+  #send ({ endpoint, inFlight }: Placement, nowMs: number): void {
+    const { request, method, headers, body, team, route } = this.#options
+    const { record } = endpoint
+    this.#tried.add(record.id)
+    this.#attempts += 1
+    const attemptHeaders = this.#context.dialect.buildAttempt(headers, {
+      endpointId: record.id,
+      deadlineLeftMs: Math.max(1, Math.floor(this.#deadlineAtMs - nowMs)),
+      priority: team?.priority ?? route.priority,
+      bodyBytes: body.length,
+      ...(team === undefined ? {} : { team: team.name }),
+      ...(this.#lastEventId === undefined ? {} : { lastEventId: this.#lastEventId })
+    })
+    this.#context.placing.noteStart(endpoint, nowMs)
+    this.#context.log('work-started', { request: request.requestId, endpoint: record.id, domain: record.domain, inFlight, attempt: this.#attempts })
+    const attempt = Attempt.create({ address: record.address, method, path: request.path, headers: attemptHeaders, body }, {
+      handleHead: (status, answerHeaders) => { this.#handleHead(status, answerHeaders) },
+      handleData: chunk => { this.#handleData(chunk) },
+      handleEnd: () => { this.#handleEnd() },
+      handleFailure: failure => { this.#handleFailure(failure) }
+    })
+    this.#running = {
+      attempt, endpoint, startedAtMs: nowMs, status: 0, head: undefined, headers: [], chunks: [], bytes: 0, splitter: undefined, firstEventMs: undefined
+    }
+  }
+
+  #handleHead (status: number, headers: RawHeaders): void {
+    const running = this.#running
+    if (running === undefined) return
+    const head = this.#context.dialect.parseAnswer(status, headers)
+    const isForeign = head.requestId !== undefined && head.requestId !== this.#options.request.requestId
+    if (isForeign || status < 200) {
+      running.attempt.abort()
+      this.#handleFailure({ kind: 'broken', reason: isForeign ? 'answer to another request' : `status ${status}` })
+      return
+    }
+    running.status = status
+    running.headers = headers
+    running.head = head
+    if (status === 200 && isStream(this.#options.route.repeat)) running.splitter = EventSplitter.create()
+  }
+
+  #handleData (chunk: Buffer): void {
+    const running = this.#running
+    if (running === undefined) return
+    if (running.splitter === undefined) {
+      running.bytes += chunk.length
+      if (running.bytes <= ANSWER_BYTES_MAX) {
+        running.chunks.push(chunk)
+      } else {
+        running.attempt.abort()
+        this.#handleFailure({ kind: 'broken', reason: 'answer too large' })
+      }
+      return
+    }
+    const batch = running.splitter.add(chunk)
+    if (batch === undefined) return
+    if (running.firstEventMs === undefined) this.#noteFirstEvent(running)
+    this.#lastEventId = batch.lastId ?? this.#lastEventId
+    this.#events += batch.count
+    this.#sendStreamHead(running)
+    if (!this.#options.response.write(batch.bytes)) running.attempt.pause()
+  }
+
+  #noteFirstEvent (running: RunningAttempt): void {
+    running.firstEventMs = this.#context.getNowMs() - running.startedAtMs
+    if (this.#isHeadSent) return
+    this.#context.metrics.observe('first_byte_ms', this.#context.getNowMs() - this.#options.receivedAtMs, this.#options.service)
+  }
+
+  #sendStreamHead (running: RunningAttempt): void {
+    if (this.#isHeadSent) return
+    this.#isHeadSent = true
+    const { response } = this.#options
+    response.writeHead(running.status, this.#context.dialect.buildAnswer(running.headers))
+  }
+
+  #handleEnd (): void {
+    const running = this.#running
+    if (running === undefined) return
+    const { head, status } = running
+    if (running.splitter !== undefined) {
+      this.#endStream(running)
+    } else if (head?.notRun === true || head?.misdirected === true) {
+      this.#settle('refused')
+      this.#handleRefused(running, head)
+    } else if (status >= 500) {
+      this.#mayHaveRun = true
+      this.#settle('failed')
+      this.#kept = { status, headers: running.headers, body: Buffer.concat(running.chunks) }
+      this.#retryOr('endpoint-failed', 0)
+    } else {
+      this.#settle('ok')
+      this.#context.crashes.clear(this.#options.fingerprint)
+      this.#relay({ status, headers: running.headers, body: Buffer.concat(running.chunks) }, 'ok')
+    }
+  }
+
+  #endStream (running: RunningAttempt): void {
+    if ((running.splitter?.getRest().length ?? 0) > 0) {
+      this.#handleFailure({ kind: 'broken', reason: 'stream ended inside an event' })
+      return
+    }
+    this.#settle('ok')
+    this.#context.crashes.clear(this.#options.fingerprint)
+    this.#sendStreamHead(running)
+    this.#options.response.end()
+    this.#finish('ok', running.status)
+  }
+
+  #handleFailure (failure: AttemptFailure): void {
+    const running = this.#running
+    if (running === undefined) return
+    switch (failure.kind) {
+      case 'unreachable':
+        this.#settle('unreachable', failure.reason)
+        this.#attempts -= 1
+        this.#place()
+        break
+      case 'broken':
+        this.#mayHaveRun = true
+        this.#settle('failed', failure.reason)
+        this.#context.checkCrash(running.endpoint, this.#options.fingerprint)
+        this.#retryOr(this.#isHeadSent ? 'stream-broken' : 'connection-lost', 0)
+        break
+    }
+  }
+
+  #handleRefused (running: RunningAttempt, head: AnswerHead): void {
+    if (head.misdirected) {
+      // Another endpoint has the address; the request reached none of its route.
+      this.#attempts -= 1
+      this.#context.noteMisdirected(running.endpoint)
+      this.#place()
+      return
+    }
+    this.#retryOr('overloaded', REFUSED_BACKOFF_MS)
+  }
+
+  /** Tries again where the request may be repeated, or has provably not run; else answers. */
+  #retryOr (error: ErrorKind, backoffMs: number): void {
+    const { route, service } = this.#options
+    const nowMs = this.#context.getNowMs()
+    const mayRepeat = !this.#mayHaveRun || mayRunAgain(route.repeat)
+    const isTimely = nowMs + backoffMs + ATTEMPT_MIN_MS < this.#deadlineAtMs
+    if (!mayRepeat || !isTimely || this.#attempts >= route.attemptsMax || !this.#context.acceptRetry(service, nowMs)) {
+      this.#fail(error)
+      return
+    }
+    this.#context.metrics.count(this.#isHeadSent ? 'resumes' : 'retries')
+    this.#context.log(this.#isHeadSent ? 'stream-resumed' : 'request-retried', { request: this.#options.request.requestId, error, attempt: this.#attempts + 1, events: this.#events })
+    if (backoffMs === 0) this.#place()
+    else this.#backoff = setTimeout(() => { this.#place() }, backoffMs)
+  }
+
+  #settle (result: AttemptResult, reason = ''): void {
+    const running = this.#running
+    if (running === undefined) return
+    this.#running = undefined
+    const nowMs = this.#context.getNowMs()
+    const elapsedMs = running.firstEventMs ?? nowMs - running.startedAtMs
+    const { id } = running.endpoint.record
+    this.#context.placing.noteEnd(id, result, elapsedMs, nowMs)
+    this.#context.metrics.count('attempts', result)
+    if (result === 'ok') return
+    this.#context.log('attempt-ended', {
+      request: this.#options.request.requestId, endpoint: id, result, reason, status: running.status, elapsedMs: Math.round(nowMs - running.startedAtMs), events: this.#events
+    })
+  }
+
+  #expire (): void {
+    const running = this.#running
+    if (this.#isDone) return
+    if (running !== undefined) {
+      if (running.attempt.isSent) this.#mayHaveRun = true
+      running.attempt.abort()
+      this.#settle('cancelled', 'deadline')
+    }
+    this.#fail('deadline-exceeded')
+  }
+
+  #handleCallerClosed (): void {
+    if (this.#isDone) return
+    const { request, route } = this.#options
+    this.#context.log('caller-gone', { request: request.requestId, events: this.#events, sent: this.#attempts })
+    const running = this.#running
+    if (running !== undefined && (mayRunAgain(route.repeat) || isStream(route.repeat) || !running.attempt.isSent)) {
+      running.attempt.abort()
+      this.#settle('cancelled', 'caller gone')
+      this.#finish('cancelled', 0)
+    } else if (running === undefined) {
+      this.#finish('cancelled', 0)
+    }
+  }
+
+  /** Answers with an error, or with the endpoint's own failure where there is one. */
+  #fail (error: ErrorKind): void {
+    if (this.#isDone) return
+    if (this.#isHeadSent) {
+      // Without the last chunk the caller sees that the answer is not complete.
+      this.#options.response.destroy()
+      this.#finish(error, 0)
+    } else if (this.#kept !== undefined) {
+      this.#relay(this.#kept, error)
+    } else {
+      this.#refuse(error)
+    }
+  }
+
+  #refuse (error: ErrorKind): void {
+    const { response, request } = this.#options
+    const status = chooseStatus(error, this.#mayHaveRun)
+    const retryAfterMs = status === 503 && error !== 'quarantined' ? BUSY_RETRY_AFTER_MS * (1 + this.#context.pickFloat()) : undefined
+    const body = ERROR_ANSWERS[error].message
+    response.writeHead(status, { ...this.#context.dialect.buildRefusal(request.requestId, retryAfterMs), 'Content-Type': 'text/plain', 'Content-Length': String(Buffer.byteLength(body)) })
+    response.end(body)
+    this.#finish(error, status)
+  }
+
+  #relay ({ status, headers, body }: KeptAnswer, result: ErrorKind | 'ok'): void {
+    const { response, method, service, receivedAtMs } = this.#options
+    const hasBody = method !== 'HEAD' && status !== 204 && status !== 304
+    this.#context.metrics.observe('first_byte_ms', this.#context.getNowMs() - receivedAtMs, service)
+    response.writeHead(status, [...this.#context.dialect.buildAnswer(headers), ...(hasBody ? ['Content-Length', String(body.length)] : [])])
+    response.end(body)
+    this.#finish(result, status)
+  }
+
+  #finish (result: ErrorKind | 'ok', status: number): void {
+    this.#isDone = true
+    clearTimeout(this.#timer)
+    clearTimeout(this.#backoff)
+    const { request, route, service, receivedAtMs, team } = this.#options
+    const elapsedMs = this.#context.getNowMs() - receivedAtMs
+    this.#context.metrics.count('requests', result)
+    this.#context.metrics.observe('request_ms', elapsedMs, service)
+    this.#context.log(result === 'ok' ? 'request-finished' : 'request-refused', {
+      request: request.requestId, route: route.name, service, team: team?.name ?? '', status, result, elapsedMs: Math.round(elapsedMs), attempts: this.#attempts, events: this.#events, mayHaveRun: this.#mayHaveRun
+    })
+    this.#context.handleFinished(this)
+  }
+}
+
+/** A status that promises that the request has not run is only given where that is so. */
+function chooseStatus (error: ErrorKind, mayHaveRun: boolean): number {
+  if (!mayHaveRun) return 503
+  return error === 'deadline-exceeded' ? 504 : 502
+}
+
+function mayRunAgain (repeat: Repeat): boolean {
+  return repeat === 'idempotent' || repeat === 'resumable-stream'
+}
+
+function isStream (repeat: Repeat): boolean {
+  return repeat === 'resumable-stream' || repeat === 'at-most-once-stream'
+}
--- /dev/null
+++ b/src/gateway/process.ts
@@ -0,0 +1,340 @@
+/** One gateway: an entry that sends requests to endpoints itself and follows a metadata store. */
+
+import { createServer } from 'node:http'
+import type { Server } from 'node:http'
+import type { Either } from 'purify-ts'
+import { Logger } from '../edge/log/logger.js'
+import { Metrics } from '../edge/metrics/metrics.js'
+import { Kernel } from '../kernel/kernel.js'
+import type { RetryBounds } from '../plugins/gateway/retries.js'
+import '../plugins/gateway/index.js'
+import type { EndpointChange } from '../plugins/gateway/endpoints.js'
+import type { GatewayState } from '../plugins/gateway/peers.js'
+import { GatewayContext } from './context.js'
+import { LineWriter } from './lines.js'
+import { GatewayLink } from './link.js'
+import type { Address, Dialect, EndpointRecord, GatewayConfiguration } from './model.js'
+import { CallerServer } from './server.js'
+import { StoreFollower } from './store.js'
+import type { Change, StoreFailure, StoreKind } from './store.js'
+
+/** Wait of a watch in ms. A silent connection is found after the wait, and a change must be in force 2 s after its write. */
+const WATCH_WAIT_MS = 2_000
+
+/** Wait of the watch for evacuations in ms, which must be in force after 5 s. */
+const EVACUATION_WAIT_MS = 4_000
+
+/** Interval in ms of heartbeats, and its growth for each other gateway. */
+const HEARTBEAT_MS = 200
+const HEARTBEAT_PER_PEER_MS = 12
+
+/** Interval in ms at which the list of gateways is read again. */
+const DISCOVERY_MS = 10_000
+
+/** Interval in ms of the housekeeping of tables. */
+const TICK_MS = 100
+
+/** Parts of the grace of a planned stop after which connections close and new requests are refused. */
+const CLOSING_SHARE = 0.1
+const REFUSING_SHARE = 0.4
+
+/** Part of the grace after which the process ends, whatever is in flight. */
+const END_SHARE = 0.93
+
+/** A gateway as the store lists it. */
+export interface GatewayEntry {
+  readonly id: string
+  readonly address: Address
+}
+
+/** The store as a gateway uses it. */
+export interface GatewayStore {
+  readonly endpoints: StoreKind<EndpointRecord>
+  readonly configuration: StoreKind<GatewayConfiguration>
+  /** Failure domains that are out of service. */
+  readonly evacuations: StoreKind<string>
+  listGateways (): Promise<Either<StoreFailure, readonly GatewayEntry[]>>
+  register (entry: GatewayEntry): Promise<Either<StoreFailure, void>>
+  deregister (id: string): Promise<Either<StoreFailure, void>>
+  close (): void
+}
+
+/** Settings of a gateway. */
+export interface GatewaySettings {
+  readonly host: string
+  readonly domain: string
+  readonly callerListener: Address
+  readonly readyListener: Address
+  readonly directoryListener: Address
+  readonly linkListener: Address
+  readonly metricsListener: Address
+  readonly retries: RetryBounds
+  /** Time from the stop signal to the kill, in ms. */
+  readonly graceMs: number
+  /** How long callers may keep an address answer, in ms. */
+  readonly addressHoldMs: number
+}
+
+/** Answers of the adapter that are not requests of callers. */
+export interface DirectoryDialect {
+  /** Undefined when the path asks for nothing that is served here. */
+  answerReady (path: string, isReady: boolean): number
+  answerDirectory (path: string, addresses: readonly string[], holdMs: number): string | undefined
+}
+
+/** What a gateway is created with. */
+export interface GatewayOptions {
+  readonly settings: GatewaySettings
+  readonly dialect: Dialect & DirectoryDialect
+  /** Opens the store; skipped entries and calls are reported. */
+  readonly openStore: (logger: Logger, metrics: Metrics) => GatewayStore
+}
+
+/** Process of a gateway. */
+export class GatewayProcess {
+  readonly #settings: GatewaySettings
+  readonly #dialect: Dialect & DirectoryDialect
+  readonly #logger: Logger
+  readonly #lines: LineWriter
+  readonly #metrics: Metrics
+  readonly #store: GatewayStore
+  readonly #context: GatewayContext
+  readonly #callers: CallerServer
+  readonly #link: GatewayLink
+  readonly #followers: readonly StoreFollower<unknown>[]
+  readonly #evacuated = new Set<string>()
+  readonly #servers: Server[] = []
+  readonly #bornMs = Date.now()
+  #hasEndpoints = false
+  #isLeaving = false
+  #leftSinceMs: number | undefined
+
+  private constructor ({ settings, dialect, openStore }: GatewayOptions) {
+    this.#settings = settings
+    this.#dialect = dialect
+    this.#lines = LineWriter.create(count => {
+      this.#logger.write('log-lines-dropped', { count })
+    })
+    this.#logger = Logger.create({ processId: settings.host, write: line => { this.#lines.add(line, performance.now()) } })
+    this.#metrics = Metrics.create({ role: 'gateway' })
+    this.#store = openStore(this.#logger, this.#metrics)
+    const { host, domain, linkListener } = settings
+    const kernel = Kernel.create({
+      self: { id: host, role: 'gateway', domain, host, address: `${linkListener.host}:${linkListener.port}`, incarnation: this.#bornMs },
+      seed: Math.floor(Math.random() * 2 ** 31),
+      settings: { clusterSecret: '', seeds: [] }
+    })
+    this.#context = GatewayContext.create({ kernel, dialect, logger: this.#logger, metrics: this.#metrics })
+    this.#context.retries.setBounds(settings.retries)
+    this.#callers = CallerServer.create(this.#context)
+    this.#link = GatewayLink.create(linkListener, heartbeat => {
+      const nowMs = performance.now()
+      this.#context.crashes.merge(heartbeat.strikes, nowMs)
+      if (this.#context.peers.note(heartbeat.state, nowMs)) this.#logger.write('gateway-joined', { gateway: heartbeat.state.id, domain: heartbeat.state.domain })
+    }, reason => { this.#logger.write('internal-error', { reason }) })
+    this.#followers = this.#createFollowers()
+  }
+
+  /**
+   * @param options - settings, adapter and store
+   * @returns a process that has not started
+   */
+  static create (options: GatewayOptions): GatewayProcess {
+    return new GatewayProcess(options)
+  }
+
+  /** @throws Error when an address is taken */
+  async start (): Promise<void> {
+    const { settings } = this
+    await this.#link.start()
+    await this.#callers.start(settings.callerListener)
+    await this.#listen(settings.readyListener, path => ({ status: this.#dialect.answerReady(path, this.isReady) }))
+    await this.#listen(settings.directoryListener, path => this.#answerDirectory(path))
+    await this.#listen(settings.metricsListener, async () => ({ status: 200, type: 'text/plain; version=0.0.4', body: await this.#metrics.format() }))
+    for (const follower of this.#followers) void follower.run()
+    void this.#discover()
+    setInterval(() => { this.#tick() }, TICK_MS)
+    this.#scheduleHeartbeat()
+    this.#logger.write('process-started', { role: 'gateway', id: settings.host, incarnation: this.#bornMs })
+  }
+
+  /** Whether callers may connect. */
+  get isReady (): boolean {
+    return !this.#isLeaving && this.#hasEndpoints && this.#context.routes.getVersion() !== undefined
+  }
+
+  get settings (): GatewaySettings {
+    return this.#settings
+  }
+
+  /** Starts a planned stop; `handleLeft` is called when nothing is in flight or the time is over. */
+  leave (handleLeft: () => void): void {
+    if (this.#isLeaving) return
+    this.#isLeaving = true
+    this.#leftSinceMs = performance.now()
+    const { graceMs } = this.#settings
+    this.#logger.write('process-leaving', { deadlineMs: graceMs, inFlight: this.#context.listExchanges().length })
+    this.#sendHeartbeat()
+    void this.#store.deregister(this.#settings.host)
+    setTimeout(() => { this.#callers.updateStage('closing-connections') }, graceMs * CLOSING_SHARE)
+    setTimeout(() => { this.#callers.updateStage('refusing') }, graceMs * REFUSING_SHARE)
+    const timer = setInterval(() => {
+      const elapsedMs = performance.now() - (this.#leftSinceMs ?? 0)
+      const inFlight = this.#context.listExchanges().length
+      if (elapsedMs < graceMs * END_SHARE && (inFlight > 0 || elapsedMs < graceMs * (REFUSING_SHARE + CLOSING_SHARE))) return
+      clearInterval(timer)
+      if (inFlight > 0) this.#logger.write('work-cut', { count: inFlight })
+      for (const exchange of this.#context.listExchanges()) exchange.cut()
+      this.#logger.write('process-stopped', {})
+      this.#lines.flush()
+      setTimeout(handleLeft, TICK_MS)
+    }, TICK_MS)
+  }
+
+  /** Notes that the settings file changed; addresses and bounds hold for the life of the process. */
+  reload (): void {
+    this.#logger.write('settings-reloaded', {})
+  }
+
+  #createFollowers (): readonly StoreFollower<unknown>[] {
+    const handleState = (kind: string) => (state: 'lost' | 'found', reason: string): void => {
+      this.#logger.write(state === 'lost' ? 'store-lost' : 'store-found', { kind, reason })
+    }
+    const endpoints = StoreFollower.create(this.#store.endpoints, WATCH_WAIT_MS, {
+      handleList: (items, wasAway) => {
+        this.#hasEndpoints = true
+        this.#noteChanges(this.#context.endpoints.replaceAll(items, wasAway, performance.now()))
+      },
+      handleChanges: (changes, wasAway) => { this.#applyEndpointChanges(changes, wasAway) },
+      handleState: handleState('endpoints')
+    })
+    const configuration = StoreFollower.create(this.#store.configuration, WATCH_WAIT_MS, {
+      handleList: items => { for (const item of items) this.#applyConfiguration(item) },
+      handleChanges: changes => { for (const change of changes) if (change.kind === 'written') this.#applyConfiguration(change.item) },
+      handleState: handleState('configuration')
+    })
+    const evacuations = StoreFollower.create(this.#store.evacuations, EVACUATION_WAIT_MS, {
+      handleList: items => {
+        this.#evacuated.clear()
+        for (const domain of items) this.#evacuated.add(domain)
+        this.#applyEvacuations()
+      },
+      handleChanges: changes => {
+        for (const change of changes) {
+          if (change.kind === 'written') this.#evacuated.add(change.item)
+          else this.#evacuated.delete(change.name)
+        }
+        this.#applyEvacuations()
+      },
+      handleState: handleState('evacuations')
+    })
+    return [endpoints, configuration, evacuations]
+  }
+
+  #applyEndpointChanges (changes: readonly Change<EndpointRecord>[], wasAway: boolean): void {
+    const { endpoints } = this.#context
+    const nowMs = performance.now()
+    if (wasAway) {
+      const items = new Map(endpoints.listAll().map(({ record }) => [record.id, record]))
+      for (const change of changes) {
+        if (change.kind === 'written') items.set(change.item.id, change.item)
+        else items.delete(change.name)
+      }
+      this.#noteChanges(endpoints.replaceAll([...items.values()], true, nowMs))
+      return
+    }
+    this.#noteChanges(changes.flatMap(change => {
+      if (change.kind === 'written') return [endpoints.upsert(change.item, nowMs)]
+      return endpoints.remove(change.name) ?? []
+    }))
+  }
+
+  #noteChanges (changes: readonly EndpointChange[]): void {
+    for (const { id, change } of changes) {
+      if (change === 'gone' || change === 'restarted') this.#context.placing.forget(id)
+      const record = this.#context.endpoints.find(id)?.record
+      this.#logger.write('endpoint-changed', { endpoint: id, change, state: record?.state ?? '', domain: record?.domain ?? '', coldMs: record?.coldRemainingMs ?? 0 })
+    }
+  }
+
+  #applyConfiguration (configuration: GatewayConfiguration): void {
+    const isAccepted = this.#context.routes.accept(configuration)
+    this.#logger.write(isAccepted ? 'configuration-accepted' : 'configuration-ignored', { version: configuration.version })
+    if (!isAccepted) return
+    this.#metrics.observe('configuration_version', configuration.version)
+    this.#callers.updateLimits()
+  }
+
+  #applyEvacuations (): void {
+    this.#context.endpoints.setEvacuated(new Set(this.#evacuated))
+    this.#logger.write('domains-evacuated', { domains: [...this.#evacuated].join(',') })
+  }
+
+  #tick (): void {
+    const nowMs = performance.now()
+    this.#noteChanges(this.#context.endpoints.expire(nowMs))
+    for (const gateway of this.#context.peers.expire(nowMs)) this.#logger.write('gateway-lost', { gateway })
+  }
+
+  #scheduleHeartbeat (): void {
+    setTimeout(() => {
+      this.#sendHeartbeat()
+      this.#scheduleHeartbeat()
+    }, HEARTBEAT_MS + HEARTBEAT_PER_PEER_MS * this.#link.countTargets())
+  }
+
+  #sendHeartbeat (): void {
+    this.#link.send(this.#describeState(), this.#context.crashes.list(performance.now()))
+  }
+
+  #describeState (): GatewayState {
+    const { host, domain, callerListener } = this.#settings
+    return {
+      id: host, bornMs: this.#bornMs, domain, isReady: this.isReady, inFlight: this.#context.placing.listInFlight(), callerAddress: `${callerListener.host}:${callerListener.port}`
+    }
+  }
+
+  /** Registers this gateway and reads the list of the others, again and again: a machine may come at another address. */
+  async #discover (): Promise<void> {
+    const { host, linkListener } = this.#settings
+    let isRegistered = false
+    for (;;) {
+      if (!isRegistered && !this.#isLeaving) isRegistered = (await this.#store.register({ id: host, address: linkListener })).isRight()
+      const listed = await this.#store.listGateways()
+      listed.ifRight(entries => { for (const { id, address } of entries) this.#link.addTarget(id, address) })
+      const isComplete = isRegistered && listed.isRight()
+      await new Promise(resolve => { setTimeout(resolve, isComplete ? DISCOVERY_MS * (0.8 + 0.4 * Math.random()) : TICK_MS * 5) })
+    }
+  }
+
+  #answerDirectory (path: string): { status: number, type?: string, body?: string } {
+    const others = this.#context.peers.listReady().map(({ callerAddress }) => callerAddress)
+    const own = this.isReady ? [this.#describeState().callerAddress] : []
+    const body = this.#dialect.answerDirectory(path, [...own, ...others], this.#settings.addressHoldMs)
+    return body === undefined ? { status: 404 } : { status: 200, type: 'application/json', body }
+  }
+
+  async #listen ({ host, port }: Address, answer: (path: string) => Answer | Promise<Answer>): Promise<void> {
+    const server = createServer((request, response) => {
+      request.resume()
+      Promise.resolve(answer(request.url ?? '')).then(({ status, type, body = '' }) => {
+        response.writeHead(status, { 'Content-Length': String(Buffer.byteLength(body)), ...(type === undefined ? {} : { 'Content-Type': type }) })
+        response.end(body)
+      }, (error: unknown) => {
+        this.#logger.write('internal-error', { reason: String(error) })
+        response.destroy()
+      })
+    })
+    this.#servers.push(server)
+    await new Promise<void>((resolve, reject) => {
+      server.once('error', reject)
+      server.listen(port, host, () => { resolve() })
+    })
+  }
+}
+
+interface Answer {
+  readonly status: number
+  readonly type?: string
+  readonly body?: string
+}
--- /dev/null
+++ b/src/gateway/server.ts
@@ -0,0 +1,169 @@
+/** HTTP server for callers. */
+
+import { createHash } from 'node:crypto'
+import { createServer } from 'node:http'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
+import { ERROR_ANSWERS, assertNever } from '../kernel/errors.js'
+import type { ErrorKind } from '../kernel/errors.js'
+import type { GatewayContext } from './context.js'
+import { Exchange } from './exchange.js'
+import type { Address, CallerRequest, Route, RouteShare } from './model.js'
+
+/** Limits in force until a configuration is known; the configuration's own follow. */
+const HEADER_BYTES_MAX = 64 * 1024
+const HEADER_TIMEOUT_MS = 3_000
+const IDLE_TIMEOUT_MS = 15_000
+const BODY_BYTES_MAX = 4 * 1024 * 1024
+
+/** Interval in ms at which the server looks for callers that are too slow. */
+const CHECK_INTERVAL_MS = 500
+
+/** Advice to callers in ms while no configuration is known. */
+const UNCONFIGURED_RETRY_MS = 300
+
+/** Advice to callers in ms when this process leaves; other gateways are up. */
+const LEAVING_RETRY_MS = 0
+
+/** How far a planned stop has gone. */
+export type LeaveStage = 'serving' | 'closing-connections' | 'refusing'
+
+/** Serves callers' requests. */
+export class CallerServer {
+  readonly #context: GatewayContext
+  readonly #server: Server
+  #stage: LeaveStage = 'serving'
+
+  private constructor (context: GatewayContext) {
+    this.#context = context
+    this.#server = createServer({
+      maxHeaderSize: HEADER_BYTES_MAX,
+      headersTimeout: HEADER_TIMEOUT_MS,
+      keepAliveTimeout: IDLE_TIMEOUT_MS,
+      requestTimeout: 0,
+      connectionsCheckingInterval: CHECK_INTERVAL_MS,
+      noDelay: true
+    }, (request, response) => { this.#handleRequest(request, response) })
+  }
+
+  /**
+   * @param context - shared parts of the gateway
+   * @returns a server that does not listen yet
+   */
+  static create (context: GatewayContext): CallerServer {
+    return new CallerServer(context)
+  }
+
+  /** @throws Error when the address is taken */
+  async start ({ host, port }: Address): Promise<void> {
+    await new Promise<void>((resolve, reject) => {
+      this.#server.once('error', reject)
+      this.#server.listen(port, host, () => { resolve() })
+    })
+  }
+
+  /** Takes the limits of a new configuration in force. */
+  updateLimits (): void {
+    const limits = this.#context.routes.findLimits()
+    if (limits === undefined) return
+    this.#server.headersTimeout = limits.headerTimeoutMs
+    this.#server.keepAliveTimeout = limits.idleTimeoutMs
+  }
+
+  /** Goes on with a planned stop. */
+  updateStage (stage: LeaveStage): void {
+    this.#stage = stage
+    if (stage === 'refusing') this.#server.closeIdleConnections()
+  }
+
+  /** Closes the listener and every connection. */
+  stop (): void {
+    this.#server.close()
+    this.#server.closeAllConnections()
+  }
+
+  #handleRequest (message: IncomingMessage, response: ServerResponse): void {
+    const receivedAtMs = this.#context.getNowMs()
+    if (this.#stage !== 'serving') response.setHeader('Connection', 'close')
+    const request = this.#context.dialect.parseRequest(message.url ?? '', message.rawHeaders)
+    if (request === undefined) {
+      this.#refuse(response, undefined, 'bad-request')
+      return
+    }
+    this.#readBody(message, response, request, body => { this.#handleBody(message, response, request, body, receivedAtMs) })
+  }
+
+  #readBody (message: IncomingMessage, response: ServerResponse, request: CallerRequest, handle: (body: Buffer) => void): void {
+    const limit = this.#context.routes.findLimits()?.bodyBytesMax ?? BODY_BYTES_MAX
+    const chunks: Buffer[] = []
+    let bytes = 0
+    message.on('data', (chunk: Buffer) => {
+      bytes += chunk.length
+      if (bytes <= limit) chunks.push(chunk)
+      else if (!response.headersSent) this.#refuse(response, request, 'body-too-large')
+    })
+    message.on('end', () => { if (bytes <= limit) handle(Buffer.concat(chunks)) })
+    // A caller that goes away while it sends is noticed here; nothing has been sent on.
+    message.on('error', error => { this.#context.log('caller-gone', { request: request.requestId, events: 0, sent: 0, reason: error.message }) })
+  }
+
+  #handleBody (message: IncomingMessage, response: ServerResponse, request: CallerRequest, body: Buffer, receivedAtMs: number): void {
+    const decision = this.#context.routes.decide(request.host, request.path, request.credential)
+    switch (decision.kind) {
+      case 'unconfigured':
+        this.#refuse(response, request, 'no-configuration', UNCONFIGURED_RETRY_MS)
+        return
+      case 'unknown-path':
+        this.#refuse(response, request, 'unknown-path', undefined, decision.version)
+        return
+      case 'unauthenticated':
+        this.#refuse(response, request, 'unauthenticated', undefined, decision.version)
+        return
+      case 'allowed':
+        break
+      default:
+        assertNever(decision)
+    }
+    if (this.#stage === 'refusing') {
+      this.#refuse(response, request, 'leaving', LEAVING_RETRY_MS)
+      return
+    }
+    const { route, team } = decision
+    const service = pickShare(route, this.#context.pickFloat())
+    this.#context.metrics.count('requests_received', service)
+    const exchange = Exchange.create({
+      request, method: message.method ?? 'GET', headers: message.rawHeaders, body, route, team, service, response, receivedAtMs,
+      fingerprint: hashFingerprint(team?.name ?? '', message.method ?? '', request.path, body)
+    }, this.#context)
+    this.#context.addExchange(exchange)
+    exchange.start()
+  }
+
+  #refuse (response: ServerResponse, request: CallerRequest | undefined, error: ErrorKind, retryAfterMs?: number, version?: number): void {
+    const { status, message } = ERROR_ANSWERS[error]
+    this.#context.metrics.count('requests', error)
+    this.#context.log('request-refused', { request: request?.requestId ?? '', result: error, status, version: version ?? 0, path: request?.path ?? '' })
+    response.writeHead(status, { ...this.#context.dialect.buildRefusal(request?.requestId, retryAfterMs), 'Content-Type': 'text/plain', 'Content-Length': String(Buffer.byteLength(message)) })
+    response.end(message)
+  }
+}
+
+/**
+ * Picks the service that a request of a split route goes to.
+ *
+ * @param route - route with at least one share
+ * @param fraction - random number from 0 to 1
+ * @returns name of the service
+ */
+export function pickShare (route: Route, fraction: number): string {
+  const total = route.shares.reduce((sum, { weight }) => sum + weight, 0)
+  let left = fraction * total
+  const found = route.shares.find(({ weight }) => {
+    left -= weight
+    return left < 0
+  })
+  return (found ?? route.shares.at(-1) as RouteShare).service
+}
+
+function hashFingerprint (team: string, method: string, path: string, body: Buffer): string {
+  return createHash('sha1').update(`${team}\n${method}\n${path}\n`).update(body).digest('base64url')
+}
--- a/src/kernel/errors.ts
+++ b/src/kernel/errors.ts
@@ -37,6 +37,7 @@
   'domain-out': { status: 503, retryable: true, message: 'The failure domain is out of service.' },
   leaving: { status: 503, retryable: true, message: 'The endpoint is leaving.' },
   'no-endpoint': { status: 503, retryable: true, message: 'No endpoint is available.' },
+  'no-configuration': { status: 503, retryable: true, message: 'No configuration is known yet.' },
   'configuration-stale': { status: 503, retryable: true, message: 'The entry uses an older configuration.' },
   'process-paused': { status: 503, retryable: true, message: 'The endpoint process was paused and dropped its queue.' },
   'endpoint-failed': { status: 502, retryable: true, message: 'The endpoint failed.' },
--- a/src/kernel/log-events.ts
+++ b/src/kernel/log-events.ts
@@ -9,7 +9,10 @@
   'member-joined', 'member-suspected', 'member-dead', 'member-leaving',
   'configuration-accepted', 'configuration-ignored', 'configuration-rejected', 'platform-lost', 'platform-found',
   'lease-acquired', 'lease-lost', 'map-proposed', 'map-prepared', 'map-decided', 'map-stalled', 'rebalance-declined',
-  'tls-reloaded', 'internal-error'
+  'tls-reloaded', 'settings-reloaded', 'internal-error',
+  'attempt-ended', 'caller-gone', 'endpoint-changed', 'domains-evacuated', 'gateway-joined', 'gateway-lost',
+  'store-lost', 'store-found', 'store-entry-skipped', 'log-lines-dropped',
+  'map-step', 'map-planned', 'group-changed', 'order-answered'
 ] as const
 
 /** One name of the closed list. */
--- a/src/kernel/ports.ts
+++ b/src/kernel/ports.ts
@@ -2,6 +2,12 @@
 
 import type { Configuration, EndpointSpec, Profile, Service, Team } from './document.js'
 import type { Context } from './plugin.js'
+import type { CrashesPort } from '../plugins/gateway/crashes.js'
+import type { EndpointsPort } from '../plugins/gateway/endpoints.js'
+import type { PeersPort } from '../plugins/gateway/peers.js'
+import type { PlacingPort } from '../plugins/gateway/placing.js'
+import type { RetriesPort } from '../plugins/gateway/retries.js'
+import type { RoutesPort } from '../plugins/gateway/routes.js'
 import type { EndpointState, HomeMove, ProcessRef, RequestKey } from '../protocol/messages.js'
 
 /** The configuration in force. */
@@ -161,4 +167,10 @@
   readonly outcomes: OutcomesPort
   readonly experts: ExpertsPort
   readonly mapHolder: MapHolderPort
+  readonly routes: RoutesPort
+  readonly endpoints: EndpointsPort
+  readonly peers: PeersPort
+  readonly retries: RetriesPort
+  readonly crashes: CrashesPort
+  readonly placing: PlacingPort
 }
--- /dev/null
+++ b/src/plugins/gateway/crashes.ts
@@ -0,0 +1,92 @@
+/** Requests that crash the endpoints that run them, by fingerprint, at all gateways. */
+
+import { registerPlugin } from '../../kernel/plugin.js'
+import type { Plugin } from '../../kernel/plugin.js'
+
+/** Crashes after which a request is refused. */
+const STRIKES_MAX = 2
+
+/** Time in ms after the last crash for which a fingerprint is remembered. */
+const REMEMBER_MS = 60_000
+
+/** Most fingerprints that are remembered. */
+const FINGERPRINTS_MAX = 2_000
+
+/** Strikes of one fingerprint. */
+export interface Strikes {
+  readonly fingerprint: string
+  readonly count: number
+}
+
+/** Strikes of requests. */
+export interface CrashesPort {
+  isRefused (fingerprint: string, nowMs: number): boolean
+  /** Notes that an endpoint crashed while the request ran there. */
+  strike (fingerprint: string, nowMs: number): number
+  /** Notes a whole answer, which shows that the request is harmless. */
+  clear (fingerprint: string): void
+  /** Takes the strikes that another gateway counted. */
+  merge (strikes: readonly Strikes[], nowMs: number): void
+  /** Strikes to tell the other gateways. */
+  list (nowMs: number): readonly Strikes[]
+}
+
+/** Table of strikes. */
+export class CrashesPlugin implements Plugin, CrashesPort {
+  readonly name = 'crashes'
+  readonly subscribesTo = []
+  readonly ports = { crashes: this }
+  readonly #strikes = new Map<string, { count: number, atMs: number }>()
+
+  private constructor () {}
+
+  /** @returns an empty table */
+  static create (): CrashesPlugin {
+    return new CrashesPlugin()
+  }
+
+  handle (): void {}
+
+  isRefused (fingerprint: string, nowMs: number): boolean {
+    return (this.#find(fingerprint, nowMs)?.count ?? 0) >= STRIKES_MAX
+  }
+
+  strike (fingerprint: string, nowMs: number): number {
+    const count = (this.#find(fingerprint, nowMs)?.count ?? 0) + 1
+    this.#set(fingerprint, count, nowMs)
+    return count
+  }
+
+  clear (fingerprint: string): void {
+    this.#strikes.delete(fingerprint)
+  }
+
+  merge (strikes: readonly Strikes[], nowMs: number): void {
+    for (const { fingerprint, count } of strikes) {
+      if (count > (this.#find(fingerprint, nowMs)?.count ?? 0)) this.#set(fingerprint, count, nowMs)
+    }
+  }
+
+  list (nowMs: number): readonly Strikes[] {
+    return [...this.#strikes.keys()].flatMap(fingerprint => {
+      const found = this.#find(fingerprint, nowMs)
+      return found === undefined ? [] : [{ fingerprint, count: found.count }]
+    })
+  }
+
+  #set (fingerprint: string, count: number, atMs: number): void {
+    this.#strikes.delete(fingerprint)
+    this.#strikes.set(fingerprint, { count, atMs })
+    const oldest = this.#strikes.keys().next().value
+    if (this.#strikes.size > FINGERPRINTS_MAX && oldest !== undefined) this.#strikes.delete(oldest)
+  }
+
+  #find (fingerprint: string, nowMs: number): { count: number, atMs: number } | undefined {
+    const found = this.#strikes.get(fingerprint)
+    if (found === undefined || nowMs - found.atMs <= REMEMBER_MS) return found
+    this.#strikes.delete(fingerprint)
+    return undefined
+  }
+}
+
+registerPlugin({ name: 'crashes', roles: ['gateway'], create: () => CrashesPlugin.create() })
--- /dev/null
+++ b/src/plugins/gateway/endpoints.ts
@@ -0,0 +1,135 @@
+/** Which endpoints may get work: listed, ready and in a domain that is in service. */
+
+import type { EndpointRecord } from '../../gateway/model.js'
+import { registerPlugin } from '../../kernel/plugin.js'
+import type { Plugin } from '../../kernel/plugin.js'
+
+/** Time in ms after the store's return in which entries that lapsed meanwhile come back; users' letter. */
+export const LAPSE_GRACE_MS = 2_000
+
+/** Why the set of usable endpoints changed. */
+export interface EndpointChange {
+  readonly id: string
+  readonly change: 'added' | 'updated' | 'restarted' | 'lapsed' | 'gone'
+}
+
+/** One endpoint with what the gateway adds to its record. */
+export interface EndpointView {
+  readonly record: EndpointRecord
+  /** Monotonic time in ms until which the endpoint is cold. */
+  readonly coldUntilMs: number
+}
+
+/** Table of endpoints at a gateway. */
+export interface EndpointsPort {
+  /** Replaces the whole table; entries that lapsed while the store was away stay for `LAPSE_GRACE_MS`. */
+  replaceAll (records: readonly EndpointRecord[], storeWasAway: boolean, nowMs: number): readonly EndpointChange[]
+  upsert (record: EndpointRecord, nowMs: number): EndpointChange
+  remove (id: string): EndpointChange | undefined
+  /** Ends the grace of lapsed entries. */
+  expire (nowMs: number): readonly EndpointChange[]
+  setEvacuated (domains: ReadonlySet<string>): void
+  listEvacuated (): readonly string[]
+  find (id: string): EndpointView | undefined
+  listUsable (service: string): readonly EndpointView[]
+  listAll (): readonly EndpointView[]
+}
+
+interface Entry extends EndpointView {
+  /** End of the grace in monotonic ms; undefined while the store lists the entry. */
+  readonly lapsesAtMs?: number
+}
+
+/** Endpoints as the store lists them. */
+export class EndpointsPlugin implements Plugin, EndpointsPort {
+  readonly name = 'endpoints'
+  readonly subscribesTo = []
+  readonly ports = { endpoints: this }
+  readonly #entries = new Map<string, Entry>()
+  #byService: Map<string, Entry[]> | undefined
+  #evacuated: ReadonlySet<string> = new Set()
+
+  private constructor () {}
+
+  /** @returns an empty table */
+  static create (): EndpointsPlugin {
+    return new EndpointsPlugin()
+  }
+
+  handle (): void {}
+
+  replaceAll (records: readonly EndpointRecord[], storeWasAway: boolean, nowMs: number): readonly EndpointChange[] {
+    const listed = new Set(records.map(record => record.id))
+    const changes = records.map(record => this.upsert(record, nowMs))
+    for (const [id, entry] of this.#entries) {
+      if (listed.has(id)) continue
+      if (!storeWasAway) {
+        changes.push(this.#drop(id))
+      } else if (entry.lapsesAtMs === undefined) {
+        this.#entries.set(id, { ...entry, lapsesAtMs: nowMs + LAPSE_GRACE_MS })
+        changes.push({ id, change: 'lapsed' })
+      }
+    }
+    return changes
+  }
+
+  upsert (record: EndpointRecord, nowMs: number): EndpointChange {
+    const known = this.#entries.get(record.id)
+    this.#entries.set(record.id, { record, coldUntilMs: nowMs + record.coldRemainingMs })
+    this.#byService = undefined
+    if (known === undefined) return { id: record.id, change: 'added' }
+    return { id: record.id, change: known.record.bornMs === record.bornMs ? 'updated' : 'restarted' }
+  }
+
+  remove (id: string): EndpointChange | undefined {
+    return this.#entries.has(id) ? this.#drop(id) : undefined
+  }
+
+  expire (nowMs: number): readonly EndpointChange[] {
+    return [...this.#entries.entries()]
+      .filter(([, entry]) => entry.lapsesAtMs !== undefined && entry.lapsesAtMs <= nowMs)
+      .map(([id]) => this.#drop(id))
+  }
+
+  setEvacuated (domains: ReadonlySet<string>): void {
+    this.#evacuated = domains
+    this.#byService = undefined
+  }
+
+  listEvacuated (): readonly string[] {
+    return [...this.#evacuated]
+  }
+
+  find (id: string): EndpointView | undefined {
+    return this.#entries.get(id)
+  }
+
+  listUsable (service: string): readonly EndpointView[] {
+    this.#byService ??= this.#indexUsable()
+    return this.#byService.get(service) ?? []
+  }
+
+  listAll (): readonly EndpointView[] {
+    return [...this.#entries.values()]
+  }
+
+  #drop (id: string): EndpointChange {
+    this.#entries.delete(id)
+    this.#byService = undefined
+    return { id, change: 'gone' }
+  }
+
+  #indexUsable (): Map<string, Entry[]> {
+    const index = new Map<string, Entry[]>()
+    for (const entry of this.#entries.values()) {
+      const { service, state, domain } = entry.record
+      if (state !== 'ready' || this.#evacuated.has(domain)) continue
+      const list = index.get(service)
+      if (list === undefined) index.set(service, [entry])
+      else list.push(entry)
+    }
+    return index
+  }
+}
+
+registerPlugin({ name: 'endpoints', roles: ['gateway'], create: () => EndpointsPlugin.create() })
--- /dev/null
+++ b/src/plugins/gateway/index.ts
@@ -0,0 +1,8 @@
+/** Imports the plug-ins of a gateway. */
+
+import './routes.js'
+import './endpoints.js'
+import './peers.js'
+import './retries.js'
+import './crashes.js'
+import './placing.js'
--- /dev/null
+++ b/src/plugins/gateway/peers.ts
@@ -0,0 +1,91 @@
+/** Which other gateways are alive, and how much work they have at each endpoint. */
+
+import { registerPlugin } from '../../kernel/plugin.js'
+import type { Plugin } from '../../kernel/plugin.js'
+
+/** Time in ms without a heartbeat after which a gateway is taken as gone; heartbeats come several times a second. */
+export const SILENCE_MAX_MS = 2_500
+
+/** What a gateway says of itself in a heartbeat. */
+export interface GatewayState {
+  readonly id: string
+  /** Start of the process in Unix ms. */
+  readonly bornMs: number
+  /** Where callers connect. */
+  readonly callerAddress: string
+  readonly domain: string
+  readonly isReady: boolean
+  /** Requests in flight by endpoint. */
+  readonly inFlight: Readonly<Record<string, number>>
+}
+
+/** Live gateways. */
+export interface PeersPort {
+  /** @returns whether the gateway was not known as alive before */
+  note (state: GatewayState, nowMs: number): boolean
+  /** Removes gateways that are silent. @returns their ids */
+  expire (nowMs: number): readonly string[]
+  listReady (): readonly GatewayState[]
+  /** Count of live gateways, this one included. */
+  count (): number
+  /** Requests that other gateways have in flight at an endpoint. */
+  countInFlight (endpoint: string): number
+}
+
+/** Last heartbeats of the other gateways. */
+export class PeersPlugin implements Plugin, PeersPort {
+  readonly name = 'peers'
+  readonly subscribesTo = []
+  readonly ports = { peers: this }
+  readonly #heard = new Map<string, { readonly state: GatewayState, readonly atMs: number }>()
+  readonly #inFlight = new Map<string, number>()
+
+  private constructor () {}
+
+  /** @returns a table without peers */
+  static create (): PeersPlugin {
+    return new PeersPlugin()
+  }
+
+  handle (): void {}
+
+  note (state: GatewayState, nowMs: number): boolean {
+    const before = this.#heard.get(state.id)
+    if (before !== undefined && before.state.bornMs > state.bornMs) return false
+    if (before !== undefined) this.#addLoad(before.state, -1)
+    this.#heard.set(state.id, { state, atMs: nowMs })
+    this.#addLoad(state, 1)
+    return before === undefined
+  }
+
+  expire (nowMs: number): readonly string[] {
+    const silent = [...this.#heard].filter(([, { atMs }]) => nowMs - atMs > SILENCE_MAX_MS)
+    for (const [id, { state }] of silent) {
+      this.#heard.delete(id)
+      this.#addLoad(state, -1)
+    }
+    return silent.map(([id]) => id)
+  }
+
+  listReady (): readonly GatewayState[] {
+    return [...this.#heard.values()].map(({ state }) => state).filter(({ isReady }) => isReady)
+  }
+
+  count (): number {
+    return this.#heard.size + 1
+  }
+
+  countInFlight (endpoint: string): number {
+    return this.#inFlight.get(endpoint) ?? 0
+  }
+
+  #addLoad (state: GatewayState, sign: 1 | -1): void {
+    for (const [endpoint, count] of Object.entries(state.inFlight)) {
+      const sum = (this.#inFlight.get(endpoint) ?? 0) + sign * count
+      if (sum <= 0) this.#inFlight.delete(endpoint)
+      else this.#inFlight.set(endpoint, sum)
+    }
+  }
+}
+
+registerPlugin({ name: 'peers', roles: ['gateway'], create: () => PeersPlugin.create() })
--- /dev/null
+++ b/src/plugins/gateway/placing.ts
@@ -0,0 +1,167 @@
+/**
+ * Choice of the endpoint for one request. Answers uneven load: gateways see
+ * only their own requests and the counts that the others sent a moment ago.
+ */
+
+import type { EndpointView } from './endpoints.js'
+import { registerPlugin } from '../../kernel/plugin.js'
+import type { Context, Plugin, PluginOptions } from '../../kernel/plugin.js'
+import { SlidingWindow } from './window.js'
+
+/** Weight of the latest answer in the moving averages of latency and failures. */
+const AVERAGE_WEIGHT = 0.15
+
+/** Load, in requests, that an endpoint in another failure domain counts as having more. */
+const REMOTE_PENALTY = 0.4
+
+/** Load, in shares of the slots, that an endpoint counts as having more when all its answers fail. */
+const FAILURE_PENALTY = 2
+
+/** First and longest time in ms for which an endpoint that takes no connection is left alone. */
+const UNREACHABLE_FIRST_MS = 400
+const UNREACHABLE_MAX_MS = 3_000
+
+/** Length in ms of the window in which a cold endpoint's requests are counted. */
+const COLD_WINDOW_MS = 1_000
+
+/** Part of the rate of a cold endpoint that is used; gateways' windows overlap. */
+const COLD_SHARE = 0.9
+
+/** How an attempt ended, as far as placing is concerned. */
+export type AttemptResult = 'ok' | 'failed' | 'refused' | 'unreachable' | 'cancelled'
+
+/** What a choice is made for. */
+export interface PlacingRequest {
+  readonly candidates: readonly EndpointView[]
+  /** Endpoints that were tried already; taken again only when no other is left. */
+  readonly exclude: ReadonlySet<string>
+  /** Requests that a cold endpoint of the service bears in a second, from all gateways. */
+  readonly coldPerS: number
+  readonly gateways: number
+  /** Requests that other gateways have in flight at an endpoint. */
+  countElsewhere (endpoint: string): number
+}
+
+/** A choice with the inputs that decided it. */
+export interface Placement {
+  readonly endpoint: EndpointView
+  /** Requests in flight there as known here, this one not included. */
+  readonly inFlight: number
+}
+
+/** Choice of endpoints. */
+export interface PlacingPort {
+  choose (request: PlacingRequest, nowMs: number): Placement | undefined
+  noteStart (endpoint: EndpointView, nowMs: number): void
+  noteEnd (endpoint: string, result: AttemptResult, elapsedMs: number, nowMs: number): void
+  /** Requests of this gateway in flight by endpoint. */
+  listInFlight (): Readonly<Record<string, number>>
+  /** Forgets an endpoint that is gone or was started anew. */
+  forget (endpoint: string): void
+}
+
+interface EndpointMeasures {
+  inFlight: number
+  latencyMs: number
+  failures: number
+  unreachableUntilMs: number
+  unreachableInRow: number
+  readonly coldStarts: SlidingWindow
+}
+
+/** Endpoint choice by load, measured latency and failures. */
+export class PlacingPlugin implements Plugin, PlacingPort {
+  readonly name = 'placing'
+  readonly subscribesTo = []
+  readonly ports = { placing: this }
+  readonly #domain: string
+  readonly #records = new Map<string, EndpointMeasures>()
+
+  private constructor (options: PluginOptions) {
+    this.#domain = options.self.domain
+  }
+
+  /**
+   * @param options - identity of the process
+   * @returns placing without measurements
+   */
+  static create (options: PluginOptions): PlacingPlugin {
+    return new PlacingPlugin(options)
+  }
+
+  handle (_event: unknown, _context: Context): void {}
+
+  choose (request: PlacingRequest, nowMs: number): Placement | undefined {
+    const open = request.candidates.filter(view => this.#acceptsCold(view, request, nowMs))
+    const fresh = open.filter(({ record }) => !request.exclude.has(record.id))
+    const reachable = fresh.filter(({ record }) => this.#get(record.id).unreachableUntilMs <= nowMs)
+    const pool = reachable.length > 0 ? reachable : fresh.length > 0 ? fresh : open
+    const fastestMs = Math.min(...pool.map(({ record }) => this.#get(record.id).latencyMs || Infinity))
+    let best: Placement | undefined
+    let bestScore = Infinity
+    for (const endpoint of pool) {
+      const inFlight = this.#get(endpoint.record.id).inFlight + request.countElsewhere(endpoint.record.id)
+      const score = this.#rate(endpoint, inFlight, fastestMs)
+      if (score >= bestScore) continue
+      best = { endpoint, inFlight }
+      bestScore = score
+    }
+    return best
+  }
+
+  noteStart (endpoint: EndpointView, nowMs: number): void {
+    const record = this.#get(endpoint.record.id)
+    record.inFlight += 1
+    record.coldStarts.add(nowMs)
+  }
+
+  noteEnd (endpoint: string, result: AttemptResult, elapsedMs: number, nowMs: number): void {
+    const record = this.#records.get(endpoint)
+    if (record === undefined) return
+    record.inFlight = Math.max(0, record.inFlight - 1)
+    if (result === 'unreachable') {
+      record.unreachableUntilMs = nowMs + Math.min(UNREACHABLE_MAX_MS, UNREACHABLE_FIRST_MS * 2 ** record.unreachableInRow)
+      record.unreachableInRow += 1
+      return
+    }
+    record.unreachableInRow = 0
+    if (result === 'cancelled' || result === 'refused') return
+    record.failures += AVERAGE_WEIGHT * ((result === 'failed' ? 1 : 0) - record.failures)
+    if (result === 'ok') record.latencyMs = record.latencyMs === 0 ? elapsedMs : record.latencyMs + AVERAGE_WEIGHT * (elapsedMs - record.latencyMs)
+  }
+
+  listInFlight (): Readonly<Record<string, number>> {
+    const counts: Record<string, number> = {}
+    for (const [id, { inFlight }] of this.#records) if (inFlight > 0) counts[id] = inFlight
+    return counts
+  }
+
+  forget (endpoint: string): void {
+    this.#records.delete(endpoint)
+  }
+
+  /** Expected wait relative to an idle endpoint with the fastest answers. */
+  #rate ({ record }: EndpointView, inFlight: number, fastestMs: number): number {
+    const { latencyMs, failures } = this.#get(record.id)
+    const slowness = latencyMs === 0 || !Number.isFinite(fastestMs) ? 1 : Math.sqrt(latencyMs / fastestMs)
+    const remote = record.domain === this.#domain ? 0 : REMOTE_PENALTY
+    return (inFlight + 1 + remote) / record.slots * slowness + FAILURE_PENALTY * failures * failures
+  }
+
+  #acceptsCold (view: EndpointView, { coldPerS, gateways }: PlacingRequest, nowMs: number): boolean {
+    if (view.coldUntilMs <= nowMs || coldPerS === 0) return true
+    const share = Math.max(1, Math.floor(COLD_SHARE * coldPerS / gateways))
+    return this.#get(view.record.id).coldStarts.count(nowMs) < share
+  }
+
+  #get (id: string): EndpointMeasures {
+    let record = this.#records.get(id)
+    if (record === undefined) {
+      record = { inFlight: 0, latencyMs: 0, failures: 0, unreachableUntilMs: 0, unreachableInRow: 0, coldStarts: SlidingWindow.create(COLD_WINDOW_MS) }
+      this.#records.set(id, record)
+    }
+    return record
+  }
+}
+
+registerPlugin({ name: 'placing', roles: ['gateway'], create: options => PlacingPlugin.create(options) })
--- /dev/null
+++ b/src/plugins/gateway/retries.ts
@@ -0,0 +1,82 @@
+/** Bounds the extra load of retries that all gateways together put on a service. */
+
+import { registerPlugin } from '../../kernel/plugin.js'
+import type { Plugin } from '../../kernel/plugin.js'
+import { SlidingWindow } from './window.js'
+
+/** What the deployment allows; from its settings. */
+export interface RetryBounds {
+  /** Retries for each request of a service. */
+  readonly ratio: number
+  readonly windowMs: number
+  /** Retries in a window beyond the ratio, for all gateways together. */
+  readonly extra: number
+}
+
+/** Part of the bounds that is used; the rest covers windows that overlap a restart. */
+const USED_SHARE = 0.75
+
+/** Retry budget of one gateway. */
+export interface RetriesPort {
+  setBounds (bounds: RetryBounds): void
+  noteRequest (service: string, nowMs: number): void
+  /**
+   * Spends one retry.
+   *
+   * @param gateways - count of gateways that share the budget
+   * @returns false when the budget does not allow it
+   */
+  accept (service: string, gateways: number, nowMs: number): boolean
+}
+
+interface Counts {
+  readonly requests: SlidingWindow
+  readonly retries: SlidingWindow
+}
+
+/** Sliding windows of requests and retries by service. */
+export class RetriesPlugin implements Plugin, RetriesPort {
+  readonly name = 'retries'
+  readonly subscribesTo = []
+  readonly ports = { retries: this }
+  readonly #services = new Map<string, Counts>()
+  #bounds: RetryBounds = { ratio: 0, windowMs: 1_000, extra: 0 }
+
+  private constructor () {}
+
+  /** @returns a budget that allows nothing until its bounds are set */
+  static create (): RetriesPlugin {
+    return new RetriesPlugin()
+  }
+
+  handle (): void {}
+
+  setBounds (bounds: RetryBounds): void {
+    this.#bounds = bounds
+    this.#services.clear()
+  }
+
+  noteRequest (service: string, nowMs: number): void {
+    this.#get(service).requests.add(nowMs)
+  }
+
+  accept (service: string, gateways: number, nowMs: number): boolean {
+    const { requests, retries } = this.#get(service)
+    const { ratio, extra } = this.#bounds
+    const allowed = USED_SHARE * (ratio * requests.count(nowMs) + extra / Math.max(1, gateways))
+    if (retries.count(nowMs) + 1 > allowed) return false
+    retries.add(nowMs)
+    return true
+  }
+
+  #get (service: string): Counts {
+    let counts = this.#services.get(service)
+    if (counts === undefined) {
+      counts = { requests: SlidingWindow.create(this.#bounds.windowMs), retries: SlidingWindow.create(this.#bounds.windowMs) }
+      this.#services.set(service, counts)
+    }
+    return counts
+  }
+}
+
+registerPlugin({ name: 'retries', roles: ['gateway'], create: () => RetriesPlugin.create() })
--- /dev/null
+++ b/src/plugins/gateway/routes.ts
@@ -0,0 +1,75 @@
+/** The configuration in force at a gateway: routes, services and teams. */
+
+import type { CallerLimits, GatewayConfiguration, Route, ServiceSpec, TeamRef } from '../../gateway/model.js'
+import { registerPlugin } from '../../kernel/plugin.js'
+import type { Plugin } from '../../kernel/plugin.js'
+
+/** What the configuration says of a request. */
+export type RouteDecision =
+  | { readonly kind: 'unconfigured' }
+  | { readonly kind: 'unknown-path', readonly version: number }
+  | { readonly kind: 'unauthenticated', readonly version: number }
+  | { readonly kind: 'allowed', readonly version: number, readonly route: Route, readonly team: TeamRef | undefined }
+
+/** The configuration in force. */
+export interface RoutesPort {
+  /** Takes a version in force unless a newer one is. @returns whether it did */
+  accept (configuration: GatewayConfiguration): boolean
+  getVersion (): number | undefined
+  findLimits (): CallerLimits | undefined
+  findService (name: string): ServiceSpec | undefined
+  listServices (): readonly ServiceSpec[]
+  decide (host: string, path: string, credential: string | undefined): RouteDecision
+}
+
+/** Routes by host and path prefix. */
+export class RoutesPlugin implements Plugin, RoutesPort {
+  readonly name = 'routes'
+  readonly subscribesTo = []
+  readonly ports = { routes: this }
+  #current: GatewayConfiguration | undefined
+
+  private constructor () {}
+
+  /** @returns routes without a configuration */
+  static create (): RoutesPlugin {
+    return new RoutesPlugin()
+  }
+
+  handle (): void {}
+
+  accept (configuration: GatewayConfiguration): boolean {
+    if (this.#current !== undefined && configuration.version <= this.#current.version) return false
+    this.#current = configuration
+    return true
+  }
+
+  getVersion (): number | undefined {
+    return this.#current?.version
+  }
+
+  findLimits (): CallerLimits | undefined {
+    return this.#current?.limits
+  }
+
+  findService (name: string): ServiceSpec | undefined {
+    return this.#current?.services.get(name)
+  }
+
+  listServices (): readonly ServiceSpec[] {
+    return [...this.#current?.services.values() ?? []]
+  }
+
+  decide (host: string, path: string, credential: string | undefined): RouteDecision {
+    const current = this.#current
+    if (current === undefined) return { kind: 'unconfigured' }
+    const { version } = current
+    const route = current.routes.get(host)?.find(({ pathPrefix }) => path.startsWith(pathPrefix))
+    if (route === undefined) return { kind: 'unknown-path', version }
+    const team = credential === undefined ? undefined : current.teams?.get(credential)
+    if (current.teams !== undefined && !route.isPublic && team === undefined) return { kind: 'unauthenticated', version }
+    return { kind: 'allowed', version, route, team }
+  }
+}
+
+registerPlugin({ name: 'routes', roles: ['gateway'], create: () => RoutesPlugin.create() })
--- /dev/null
+++ b/src/plugins/gateway/window.ts
@@ -0,0 +1,55 @@
+/** Counts of events in a sliding window of time. */
+
+/** Sliding window made of buckets; counts at least what a window of the full length holds. */
+export class SlidingWindow {
+  readonly #bucketMs: number
+  readonly #counts: number[]
+  #bucket = 0
+  #sum = 0
+
+  private constructor (lengthMs: number, buckets: number) {
+    this.#bucketMs = lengthMs / buckets
+    // One bucket more than the length, so that a window that starts inside a bucket is covered.
+    this.#counts = new Array<number>(buckets + 1).fill(0)
+  }
+
+  /**
+   * @param lengthMs - length of the window in ms
+   * @param buckets - count of buckets that the length is divided into
+   * @returns an empty window
+   */
+  static create (lengthMs: number, buckets = 10): SlidingWindow {
+    return new SlidingWindow(lengthMs, buckets)
+  }
+
+  /**
+   * @param nowMs - monotonic time in ms
+   * @param count - events to add
+   */
+  add (nowMs: number, count = 1): void {
+    this.#advance(nowMs)
+    this.#counts[this.#bucket % this.#counts.length]! += count
+    this.#sum += count
+  }
+
+  /** @returns events in the window that ends at `nowMs` */
+  count (nowMs: number): number {
+    this.#advance(nowMs)
+    return this.#sum
+  }
+
+  #advance (nowMs: number): void {
+    const bucket = Math.floor(nowMs / this.#bucketMs)
+    const steps = Math.min(bucket - this.#bucket, this.#counts.length)
+    for (let step = 1; step <= steps; step += 1) {
+      const index = (this.#bucket + step) % this.#counts.length
+      this.#sum -= this.#counts[index]!
+      this.#counts[index] = 0
+    }
+    if (steps === this.#counts.length) this.#sum = 0
+    if (bucket > this.#bucket) {
+      if (steps === this.#counts.length) this.#counts.fill(0)
+      this.#bucket = bucket
+    }
+  }
+}
