Keep expert maps in step with demand from the first live gateway

Agents beside the ranks read counters, which is free there, and pass orders on; the gateway with the first id plans and changes maps.

--- a/src/edge/metrics/table.ts
+++ b/src/edge/metrics/table.ts
@@ -111,20 +111,13 @@
   store_calls: { type: 'counter', help: 'Calls to the store by result.', label: { name: 'result', values: { kind: 'list', values: ['ok', 'not-found', 'conflict', 'history-gone', 'busy', 'unavailable', 'no-answer', 'malformed'] } } },
   configuration_version: { type: 'gauge', help: 'Version of the configuration in force.' },
   requests_in_flight: { type: 'gauge', help: 'Requests in flight.' },
-  log_lines_dropped: { type: 'counter', help: 'Log lines dropped because too many were written.' }
-} as const satisfies Record<string, MetricSpec>
-
-/** Metrics of agents beside model workers. */
-const AGENT_METRICS = {
-  map_changes: { type: 'counter', help: 'Changes of expert maps by how they ended.', label: { name: 'result', values: { kind: 'list', values: ['committed', 'aborted', 'declined'] } } },
-  orders: { type: 'counter', help: 'Orders to the engine by answer.', label: { name: 'result', values: { kind: 'list', values: ['accepted', 'done', 'refused', 'no-answer'] } } },
-  map_version: { type: 'gauge', help: 'Version of the expert map in force.' },
+  map_changes: { type: 'counter', help: 'Changes of expert maps by how they ended.', label: { name: 'result', values: { kind: 'list', values: ['committed', 'aborted'] } } },
   log_lines_dropped: { type: 'counter', help: 'Log lines dropped because too many were written.' }
 } as const satisfies Record<string, MetricSpec>
 
 export const METRICS = {
   gateway: GATEWAY_METRICS,
-  agent: AGENT_METRICS,
+  agent: {},
   entry: { ...ENTRY_METRICS, ...SHARED_METRICS },
   endpoint: { ...ENDPOINT_METRICS, ...SHARED_METRICS }
 } as const satisfies Record<Role, Readonly<Record<string, MetricSpec>>>
--- /dev/null
+++ b/src/gateway/agent.ts
@@ -0,0 +1,97 @@
+/** Process beside a model worker: reads its counters, which is free on its own host, and passes orders on. */
+
+import { Logger } from '../edge/log/logger.js'
+import type { OrderResult, RankOrder, RankState } from '../plugins/lockstep/rank.js'
+import { LineWriter } from './lines.js'
+import type { Address } from './model.js'
+import { RankServer } from './rank-link.js'
+import type { RankReply, RankRequest } from './rank-link.js'
+
+/** A model worker as agents and keepers use it. */
+export interface RankEngine {
+  readState (address: Address): Promise<RankState | undefined>
+  readCounts (address: Address): Promise<readonly number[] | undefined>
+  /** @returns experts of the rank by layer */
+  readMap (address: Address): Promise<readonly (readonly number[])[] | undefined>
+  send (address: Address, epoch: number, order: RankOrder): Promise<OrderResult>
+}
+
+/** Settings of an agent. */
+export interface AgentSettings {
+  readonly host: string
+  readonly linkListener: Address
+  readonly workerAddress: Address
+}
+
+/**
+ * Asks a model worker what a keeper wants to know, or gives it an order.
+ *
+ * @param engine - client of model workers
+ * @param address - the worker
+ * @param request - what is wanted
+ */
+export async function answerRankRequest (engine: RankEngine, address: Address, request: RankRequest): Promise<RankReply> {
+  switch (request.kind) {
+    case 'read': {
+      const [state, counts, experts] = await Promise.all([
+        engine.readState(address),
+        request.wantsCounts ? engine.readCounts(address) : undefined,
+        request.wantsMap ? engine.readMap(address) : undefined
+      ])
+      return { state, ...(counts === undefined ? {} : { counts }), ...(experts === undefined ? {} : { experts }) }
+    }
+    case 'order': {
+      const result = await engine.send(address, request.epoch, request.order)
+      return { state: await engine.readState(address), result }
+    }
+  }
+}
+
+/** Agent of one model worker. */
+export class AgentProcess {
+  readonly #settings: AgentSettings
+  readonly #engine: RankEngine
+  readonly #lines: LineWriter
+  readonly #logger: Logger
+  readonly #server: RankServer
+
+  private constructor (settings: AgentSettings, engine: RankEngine) {
+    this.#settings = settings
+    this.#engine = engine
+    this.#lines = LineWriter.create(count => { this.#logger.write('log-lines-dropped', { count }) })
+    this.#logger = Logger.create({ processId: settings.host, write: line => { this.#lines.add(line, performance.now()) } })
+    this.#server = RankServer.create(request => this.#answer(request), reason => { this.#logger.write('internal-error', { reason }) })
+  }
+
+  /**
+   * @param settings - where the agent and its worker are
+   * @param engine - client of model workers
+   * @returns an agent that has not started
+   */
+  static create (settings: AgentSettings, engine: RankEngine): AgentProcess {
+    return new AgentProcess(settings, engine)
+  }
+
+  /** @throws Error when the address is taken */
+  async start (): Promise<void> {
+    await this.#server.start(this.#settings.linkListener)
+    this.#logger.write('process-started', { role: 'agent', id: this.#settings.host })
+  }
+
+  /** An agent holds nothing; a keeper asks again. */
+  stop (): void {
+    this.#logger.write('process-stopped', {})
+    this.#lines.flush()
+  }
+
+  async #answer (request: RankRequest): Promise<RankReply> {
+    const reply = await answerRankRequest(this.#engine, this.#settings.workerAddress, request)
+    if (request.kind === 'order') {
+      const { order, epoch } = request
+      this.#logger.write('order-answered', {
+        order: order.kind, epoch, result: reply.result ?? '', step: reply.state?.step ?? -1, ...('version' in order ? { version: order.version } : {}), ...('step' in order ? { atStep: order.step } : {})
+      })
+    }
+    return reply
+  }
+}
--- /dev/null
+++ b/src/gateway/maps.ts
@@ -0,0 +1,264 @@
+/** Keeps the expert maps of the groups in step with demand, at the one gateway that does so. */
+
+import { MapKeeper } from '../plugins/lockstep/keeper.js'
+import type { KeeperDecision } from '../plugins/lockstep/keeper.js'
+import { planLayer } from '../plugins/lockstep/planner.js'
+import { RecentPopularity } from '../plugins/lockstep/popularity.js'
+import type { GroupMap, RankState } from '../plugins/lockstep/rank.js'
+import { answerRankRequest } from './agent.js'
+import type { RankEngine } from './agent.js'
+import type { GatewayContext } from './context.js'
+import type { Address, EngineSpec } from './model.js'
+import type { RankClient, RankReply, RankRequest } from './rank-link.js'
+
+/** Pause in ms between two readings of a group that nothing is changed in. */
+const READ_MS = 250
+
+/** Pause in ms between two readings while a change is under way. */
+const CHANGE_READ_MS = 10
+
+/** Longest wait in ms for a reply of an agent. */
+const REPLY_MS = 80
+
+/** Longest wait in ms for the reply to an order: the engine's own answer may be lost. */
+const ORDER_REPLY_MS = 60
+
+/** Readings without a reply after which a rank is asked without its agent while a step may be held. */
+const SILENT_READS_MAX = 3
+
+/** Time in ms for which this gateway must be the first one before it keeps maps. */
+const LEAD_AFTER_MS = 1_500
+
+/** Least time in ms between the ends and starts of changes of one group. */
+const CHANGE_PAUSE_MS = 300
+
+/** Least fall of a layer's largest load, in mean loads, for each expert that is copied. */
+const GAIN_PER_COPY_MIN = 0.02
+
+/** Least fall of the skew, mean of all layers, that makes a change worth its orders. */
+const GAIN_MIN = 0.05
+
+/** Tokens of a layer that must have been counted before demand is known. */
+const TOKENS_MIN = 2_000
+
+interface Group {
+  readonly keeper: MapKeeper
+  readonly popularity: RecentPopularity
+  readonly silentReads: Map<string, number>
+  epoch: number
+  changedAtMs: number
+}
+
+interface RankReading {
+  readonly address: Address
+  readonly reply: RankReply
+}
+
+/** What a map service is created with. */
+export interface MapServiceOptions {
+  readonly context: GatewayContext
+  readonly client: RankClient
+  readonly engine: RankEngine
+  /** Identity of this gateway; the first of the live ones keeps the maps. */
+  readonly id: string
+  isReady (): boolean
+}
+
+/** Reads the groups and carries out what their keepers decide. */
+export class MapService {
+  readonly #options: MapServiceOptions
+  readonly #groups = new Map<string, Group>()
+  /** Last known addresses of ranks by service; a rank may be unlisted while its group holds a step. */
+  readonly #addresses = new Map<string, Map<string, Address>>()
+  #leaderSinceMs: number | undefined
+
+  private constructor (options: MapServiceOptions) {
+    this.#options = options
+  }
+
+  /**
+   * @param options - decisions, transport and identity
+   * @returns a service that has not started
+   */
+  static create (options: MapServiceOptions): MapService {
+    return new MapService(options)
+  }
+
+  /** Runs for the life of the process. */
+  async run (): Promise<void> {
+    for (;;) {
+      let pauseMs = READ_MS
+      if (this.#isLeader()) {
+        for (const service of this.#options.context.routes.listServices()) {
+          if (service.engine === undefined || service.engine.layers === 0) continue
+          const isChanging = await this.#keepService(service.name, service.engine)
+          if (isChanging) pauseMs = CHANGE_READ_MS
+        }
+      } else {
+        this.#groups.clear()
+      }
+      await new Promise(resolve => { setTimeout(resolve, pauseMs) })
+    }
+  }
+
+  /** Whether this gateway has been the first of the live ones for a while. */
+  #isLeader (): boolean {
+    const { context, id } = this.#options
+    const isFirst = this.#options.isReady() && context.peers.listReady().every(peer => peer.id > id)
+    const nowMs = context.getNowMs()
+    if (!isFirst) {
+      if (this.#leaderSinceMs !== undefined) context.log('lease-lost', { holder: id })
+      this.#leaderSinceMs = undefined
+      return false
+    }
+    if (this.#leaderSinceMs === undefined) context.log('lease-acquired', { holder: id })
+    this.#leaderSinceMs ??= nowMs
+    return nowMs - this.#leaderSinceMs >= LEAD_AFTER_MS
+  }
+
+  /** @returns whether a change is under way */
+  async #keepService (service: string, engine: EngineSpec): Promise<boolean> {
+    const isChanging = this.#isChanging()
+    const readings = await this.#readRanks(service, { kind: 'read', wantsCounts: !isChanging, wantsMap: false })
+    const byGroup = new Map<string, RankReading[]>()
+    for (const reading of readings) {
+      const name = reading.reply.state?.group
+      if (name !== undefined) byGroup.set(name, [...byGroup.get(name) ?? [], reading])
+    }
+    for (const [name, ranks] of byGroup) await this.#keepGroup(name, ranks, engine)
+    return this.#isChanging()
+  }
+
+  #isChanging (): boolean {
+    return [...this.#groups.values()].some(({ keeper }) => keeper.phase.kind !== 'idle')
+  }
+
+  async #keepGroup (name: string, readings: readonly RankReading[], engine: EngineSpec): Promise<void> {
+    const group = this.#getGroup(name, engine)
+    const states = listWholeGroup(readings)
+    if (states === undefined) return
+    const epoch = states[0]!.epoch
+    if (epoch !== group.epoch) {
+      group.epoch = epoch
+      this.#options.context.log('group-changed', { group: name, epoch, size: states.length })
+    }
+    const nowMs = this.#options.context.getNowMs()
+    group.popularity.noteCounts(readings.flatMap(({ reply: { state, counts } }) =>
+      state === undefined || counts === undefined ? [] : [{ rank: state.rank, incarnation: `${state.bornMs} ${state.epoch}`, counts }]), nowMs)
+    if (group.keeper.map === undefined) await this.#findMap(group, states, readings, engine)
+    const decision = group.keeper.decide(states, nowMs)
+    await this.#carryOut(name, group, decision, readings)
+    if (group.keeper.phase.kind === 'idle' && group.keeper.map !== undefined && nowMs - group.changedAtMs >= CHANGE_PAUSE_MS) this.#plan(name, group, group.keeper.map, engine, nowMs)
+  }
+
+  /** Follows the decisions as long as replies bring new ones. */
+  async #carryOut (name: string, group: Group, first: KeeperDecision, readings: readonly RankReading[]): Promise<void> {
+    const { context } = this.#options
+    const states = new Map(readings.flatMap(({ address, reply: { state } }) => state === undefined ? [] : [[state.rank, { address, state }] as const]))
+    for (let decision = first; ; decision = group.keeper.decide([...states.values()].map(({ state }) => state), context.getNowMs())) {
+      if (decision.ended !== undefined) {
+        context.log('map-decided', { group: name, result: decision.ended, epoch: group.epoch })
+        context.metrics.count('map_changes', decision.ended)
+        group.changedAtMs = context.getNowMs()
+      }
+      if (decision.orders.length === 0) return
+      const before = group.keeper.phase.kind
+      const replies = await Promise.all(decision.orders.map(async ({ rank, epoch, order }) => {
+        const found = states.get(rank)
+        if (found === undefined) return undefined
+        const reply = await this.#ask(found.address, { kind: 'order', epoch, order }, ORDER_REPLY_MS, group)
+        if (order.kind === 'prepare' && reply?.result === 'refused') group.keeper.noteRefusedVersion(order.version)
+        return reply === undefined ? undefined : { address: found.address, reply }
+      }))
+      for (const answered of replies) {
+        if (answered?.reply.state !== undefined) states.set(answered.reply.state.rank, { address: answered.address, state: answered.reply.state })
+      }
+      context.log('map-step', { group: name, phase: before, orders: decision.orders.length, order: decision.orders[0]?.order.kind ?? '', answered: replies.filter(reply => reply !== undefined).length })
+    }
+  }
+
+  #plan (name: string, group: Group, map: GroupMap, engine: EngineSpec, nowMs: number): void {
+    const { context } = this.#options
+    if (group.popularity.getTotal() < TOKENS_MIN) return
+    const limits = { slots: engine.slotsPerRank, spare: engine.spare, gainMin: GAIN_PER_COPY_MIN }
+    const plans = map.map((layer, index) => planLayer(layer, group.popularity.getShares(index), limits))
+    const before = computeMean(plans.map(plan => plan.skewBefore))
+    const after = computeMean(plans.map(plan => plan.skewAfter))
+    if (before - after < GAIN_MIN) return
+    const version = group.keeper.propose(plans.map(plan => plan.map), nowMs)
+    if (version === undefined) return
+    context.log('map-planned', {
+      group: name, version, skewBefore: round(before), skewAfter: round(after), copies: plans.reduce((sum, { copies }) => sum + copies, 0), planMs: round(context.getNowMs() - nowMs)
+    })
+  }
+
+  /** Learns the map in use: the first one of an epoch is known, others are listed by the ranks. */
+  async #findMap (group: Group, states: readonly RankState[], readings: readonly RankReading[], engine: EngineSpec): Promise<void> {
+    if (states.every(({ map }) => map === 0)) {
+      group.keeper.noteMap(buildFirstMap(states.length, engine))
+      return
+    }
+    const listed = await Promise.all(readings.map(({ address }) => this.#ask(address, { kind: 'read', wantsCounts: false, wantsMap: true }, REPLY_MS, group)))
+    const versions = new Set(listed.map(reply => reply?.state?.map))
+    if (versions.size !== 1 || listed.some(reply => reply?.experts === undefined)) return
+    const byRank = new Map(listed.map(reply => [reply!.state!.rank, reply!.experts!]))
+    group.keeper.noteMap(Array.from({ length: engine.layers }, (_, layer) => states.map(({ rank }) => byRank.get(rank)?.[layer] ?? [])))
+  }
+
+  async #readRanks (service: string, request: RankRequest): Promise<readonly RankReading[]> {
+    const addresses = this.#addresses.get(service) ?? new Map<string, Address>()
+    this.#addresses.set(service, addresses)
+    for (const { record } of this.#options.context.endpoints.listAll()) {
+      if (record.service === service) addresses.set(`${record.address.host}:${record.address.port}`, record.address)
+    }
+    const group = [...this.#groups.values()][0]
+    const replies = await Promise.all([...addresses.values()].map(async address => ({ address, reply: await this.#ask(address, request, REPLY_MS, group) })))
+    return replies.flatMap(({ address, reply }) => reply?.state === undefined ? [] : [{ address, reply }])
+  }
+
+  /** Asks a rank by its agent; while a step may be held, a rank whose agent is silent is asked itself. */
+  async #ask (address: Address, request: RankRequest, timeoutMs: number, group: Group | undefined): Promise<RankReply | undefined> {
+    const reply = await this.#options.client.ask(address.host, request, timeoutMs)
+    const key = `${address.host}:${address.port}`
+    const silent = reply === undefined ? (group?.silentReads.get(key) ?? 0) + 1 : 0
+    group?.silentReads.set(key, silent)
+    if (reply !== undefined || silent < SILENT_READS_MAX || !this.#isChanging()) return reply
+    return await answerRankRequest(this.#options.engine, address, request)
+  }
+
+  #getGroup (name: string, engine: EngineSpec): Group {
+    let group = this.#groups.get(name)
+    if (group === undefined) {
+      group = { keeper: MapKeeper.create(), popularity: RecentPopularity.create(engine.layers, engine.experts), silentReads: new Map(), epoch: 0, changedAtMs: 0 }
+      this.#groups.set(name, group)
+    }
+    return group
+  }
+}
+
+/** @returns states by rank when every rank of the group answered, is open and in one epoch */
+function listWholeGroup (readings: readonly RankReading[]): readonly RankState[] | undefined {
+  const states = readings.flatMap(({ reply: { state } }) => state === undefined ? [] : [state])
+  const newest = Math.max(...states.map(({ epoch }) => epoch))
+  const current = states.filter(({ epoch, isOpen }) => epoch === newest && isOpen).sort((a, b) => a.rank - b.rank)
+  const isWhole = current.length === current[0]?.size && current.every(({ rank }, index) => rank === index)
+  return isWhole ? current : undefined
+}
+
+/**
+ * @param ranks - count of ranks
+ * @param engine - layers and experts
+ * @returns the map that a group starts with: experts in turn
+ */
+export function buildFirstMap (ranks: number, { layers, experts }: Pick<EngineSpec, 'layers' | 'experts'>): GroupMap {
+  const layer = Array.from({ length: ranks }, (_, rank) => Array.from({ length: Math.ceil((experts - rank) / ranks) }, (_, turn) => rank + turn * ranks))
+  return Array.from({ length: layers }, () => layer)
+}
+
+function computeMean (values: readonly number[]): number {
+  return values.reduce((sum, value) => sum + value, 0) / Math.max(1, values.length)
+}
+
+function round (value: number): number {
+  return Math.round(value * 1_000) / 1_000
+}
--- a/src/gateway/process.ts
+++ b/src/gateway/process.ts
@@ -10,10 +10,13 @@
 import '../plugins/gateway/index.js'
 import type { EndpointChange } from '../plugins/gateway/endpoints.js'
 import type { GatewayState } from '../plugins/gateway/peers.js'
+import type { RankEngine } from './agent.js'
 import { GatewayContext } from './context.js'
 import { LineWriter } from './lines.js'
 import { GatewayLink } from './link.js'
 import type { Address, Dialect, EndpointRecord, GatewayConfiguration } from './model.js'
+import { MapService } from './maps.js'
+import { RankClient } from './rank-link.js'
 import { CallerServer } from './server.js'
 import { StoreFollower } from './store.js'
 import type { Change, StoreFailure, StoreKind } from './store.js'
@@ -67,6 +70,9 @@
   readonly readyListener: Address
   readonly directoryListener: Address
   readonly linkListener: Address
+  readonly rankListener: Address
+  /** Port on which agents listen on their hosts. */
+  readonly agentPort: number
   readonly metricsListener: Address
   readonly retries: RetryBounds
   /** Time from the stop signal to the kill, in ms. */
@@ -86,6 +92,7 @@
 export interface GatewayOptions {
   readonly settings: GatewaySettings
   readonly dialect: Dialect & DirectoryDialect
+  readonly engine: RankEngine
   /** Opens the store; skipped entries and calls are reported. */
   readonly openStore: (logger: Logger, metrics: Metrics) => GatewayStore
 }
@@ -101,6 +108,8 @@
   readonly #context: GatewayContext
   readonly #callers: CallerServer
   readonly #link: GatewayLink
+  readonly #ranks: RankClient
+  readonly #maps: MapService
   readonly #followers: readonly StoreFollower<unknown>[]
   readonly #evacuated = new Set<string>()
   readonly #servers: Server[] = []
@@ -109,7 +118,7 @@
   #isLeaving = false
   #leftSinceMs: number | undefined
 
-  private constructor ({ settings, dialect, openStore }: GatewayOptions) {
+  private constructor ({ settings, dialect, engine, openStore }: GatewayOptions) {
     this.#settings = settings
     this.#dialect = dialect
     this.#lines = LineWriter.create(count => {
@@ -132,6 +141,8 @@
       this.#context.crashes.merge(heartbeat.strikes, nowMs)
       if (this.#context.peers.note(heartbeat.state, nowMs)) this.#logger.write('gateway-joined', { gateway: heartbeat.state.id, domain: heartbeat.state.domain })
     }, reason => { this.#logger.write('internal-error', { reason }) })
+    this.#ranks = RankClient.create(settings.agentPort, reason => { this.#logger.write('internal-error', { reason }) })
+    this.#maps = MapService.create({ context: this.#context, client: this.#ranks, engine, id: host, isReady: () => this.isReady })
     this.#followers = this.#createFollowers()
   }
 
@@ -147,6 +158,8 @@
   async start (): Promise<void> {
     const { settings } = this
     await this.#link.start()
+    await this.#ranks.start(settings.rankListener)
+    void this.#maps.run()
     await this.#callers.start(settings.callerListener)
     await this.#listen(settings.readyListener, path => ({ status: this.#dialect.answerReady(path, this.isReady) }))
     await this.#listen(settings.directoryListener, path => this.#answerDirectory(path))
--- /dev/null
+++ b/src/gateway/rank-link.ts
@@ -0,0 +1,127 @@
+/** Requests from the keeper of expert maps to the agents beside the ranks, over UDP. */
+
+import { createSocket } from 'node:dgram'
+import type { RemoteInfo, Socket } from 'node:dgram'
+import { pack, unpack } from 'msgpackr'
+import type { OrderResult, RankOrder, RankState } from '../plugins/lockstep/rank.js'
+import type { Address } from './model.js'
+
+/** Version of the messages; others are ignored. */
+const RANK_LINK_VERSION = 1
+
+/** What an agent is asked. */
+export type RankRequest =
+  | { readonly kind: 'read', readonly wantsCounts: boolean, readonly wantsMap: boolean }
+  | { readonly kind: 'order', readonly epoch: number, readonly order: RankOrder }
+
+/** What an agent answers; the state is read after an order. */
+export interface RankReply {
+  /** Undefined when the rank does not answer its agent. */
+  readonly state: RankState | undefined
+  /** Tokens by layer and expert since the rank started. */
+  readonly counts?: readonly number[]
+  /** Experts of this rank by layer. */
+  readonly experts?: readonly (readonly number[])[]
+  readonly result?: OrderResult
+}
+
+interface Envelope<T> {
+  readonly version: number
+  readonly id: number
+  readonly content: T
+}
+
+/** Sends requests to agents and matches their replies. */
+export class RankClient {
+  readonly #socket: Socket
+  readonly #port: number
+  readonly #waiting = new Map<number, (reply: RankReply | undefined) => void>()
+  #nextId = 1
+
+  private constructor (port: number, handleError: (reason: string) => void) {
+    this.#port = port
+    this.#socket = createSocket('udp4')
+    this.#socket.on('message', bytes => {
+      const reply = decodeEnvelope<RankReply>(bytes)
+      if (reply !== undefined) this.#waiting.get(reply.id)?.(reply.content)
+    })
+    this.#socket.on('error', error => { handleError(error.message) })
+  }
+
+  /**
+   * @param port - port on which agents listen on their hosts
+   * @param handleError - told errors of the socket
+   * @returns a client that is not bound yet
+   */
+  static create (port: number, handleError: (reason: string) => void): RankClient {
+    return new RankClient(port, handleError)
+  }
+
+  async start ({ host, port }: Address): Promise<void> {
+    await new Promise<void>(resolve => { this.#socket.bind(port, host, () => { resolve() }) })
+  }
+
+  /** @returns the reply; undefined when none came in time */
+  async ask (host: string, request: RankRequest, timeoutMs: number): Promise<RankReply | undefined> {
+    const id = this.#nextId++
+    return await new Promise(resolve => {
+      const finish = (reply: RankReply | undefined): void => {
+        clearTimeout(timer)
+        this.#waiting.delete(id)
+        resolve(reply)
+      }
+      const timer = setTimeout(() => { finish(undefined) }, timeoutMs)
+      this.#waiting.set(id, finish)
+      this.#socket.send(encodeEnvelope(id, request), this.#port, host)
+    })
+  }
+}
+
+/** Answers requests of keepers. */
+export class RankServer {
+  readonly #socket: Socket
+
+  private constructor (answer: (request: RankRequest) => Promise<RankReply>, handleError: (reason: string) => void) {
+    this.#socket = createSocket('udp4')
+    this.#socket.on('message', (bytes: Buffer, sender: RemoteInfo) => {
+      const request = decodeEnvelope<RankRequest>(bytes)
+      if (request === undefined) return
+      answer(request.content).then(
+        reply => { this.#socket.send(encodeEnvelope(request.id, reply), sender.port, sender.address) },
+        (error: unknown) => { handleError(String(error)) }
+      )
+    })
+    this.#socket.on('error', error => { handleError(error.message) })
+  }
+
+  /**
+   * @param answer - answers one request
+   * @param handleError - told errors of the socket and of answers
+   * @returns a server that does not listen yet
+   */
+  static create (answer: (request: RankRequest) => Promise<RankReply>, handleError: (reason: string) => void): RankServer {
+    return new RankServer(answer, handleError)
+  }
+
+  async start ({ host, port }: Address): Promise<void> {
+    await new Promise<void>((resolve, reject) => {
+      this.#socket.once('error', reject)
+      this.#socket.bind(port, host, () => { resolve() })
+    })
+  }
+}
+
+function encodeEnvelope<T> (id: number, content: T): Buffer {
+  const envelope: Envelope<T> = { version: RANK_LINK_VERSION, id, content }
+  return pack(envelope)
+}
+
+function decodeEnvelope<T> (bytes: Buffer): Envelope<T> | undefined {
+  try {
+    const envelope = unpack(bytes) as Partial<Envelope<T>> | null
+    return envelope?.version === RANK_LINK_VERSION && typeof envelope.id === 'number' && envelope.content !== undefined ? envelope as Envelope<T> : undefined
+  } catch {
+    // A datagram of another program; requests without a reply are asked again.
+    return undefined
+  }
+}
--- a/src/gateway/upstream.ts
+++ b/src/gateway/upstream.ts
@@ -57,6 +57,10 @@
         this.#isConnected = true
         clearTimeout(this.#timer)
       })
+      // A reset that arrives together with data is reported as a plain end; only the
+      // missing peer address tells them apart. An answer without a length ends with its
+      // connection, so a reset would make a part of it look whole.
+      socket.prependOnceListener('end', () => { if (socket.remoteAddress === undefined) this.#fail('connection reset') })
     })
     this.#request.on('response', response => { this.#handleResponse(response) })
     this.#request.on('error', error => { this.#fail(error.message) })
