--- /dev/null
+++ b/test/adapter/dialect.test.ts
@@ -0,0 +1,61 @@
+import test from 'ava'
+import { decodeConfiguration, decodeEndpoint } from '../../platform/decode.js'
+import { platformDialect } from '../../platform/dialect.js'
+import { parseAgentSettings, parsePlatformSettings } from '../../platform/settings.js'
+
+const CALLER = [
+  'Host', 'Svc.example:8080', 'Heatherdoor-Request-Id', 'r1', 'Authorization', 'Bearer k1', 'Connection', 'keep-alive, X-Private', 'X-Private', '1',
+  'Heatherdoor-Tenant', 'forged', 'Heatherdoor-Expect-Instance', 'forged', 'Heatherdoor-Request-Urgency', '0', 'Heatherdoor-Model', 'm',
+  'Heatherdoor-Token-Usage', '1460,80', 'Heatherdoor-Deadline-Ms', '8021', 'Last-Event-Id', '12', 'X-Twice', 'a', 'X-Twice', 'b', 'Transfer-Encoding', 'chunked'
+]
+
+// Guards against fields that are read from the wrong header.
+test('a request is decoded', t => {
+  t.snapshot(platformDialect.parseRequest('/a/b?c=1', CALLER))
+  t.is(platformDialect.parseRequest('/a', ['Host', 'h']), undefined)
+  t.is(platformDialect.parseRequest('*', CALLER), undefined)
+})
+
+// Guards against credentials, forged identities and headers of one connection that reach an endpoint.
+test('an attempt has the headers of the caller less those that are not for endpoints', t => {
+  t.snapshot(platformDialect.buildAttempt(CALLER, { endpointId: 'e1', deadlineLeftMs: 7_000, team: 't1', priority: 2, lastEventId: '13', bodyBytes: 5 }))
+})
+
+// Guards against answers that lose their proof, and against a refusal that is taken for a run.
+test('answers are decoded and passed on', t => {
+  t.deepEqual(platformDialect.parseAnswer(503, ['Heatherdoor-Not-Executed', '1', 'At-Server', 'e2']), { notRun: true, misdirected: false, faultyEndpoint: 'e2' })
+  t.deepEqual(platformDialect.parseAnswer(421, ['Heatherdoor-Request-Id', 'r1']), { notRun: false, misdirected: true, requestId: 'r1' })
+  t.deepEqual(platformDialect.buildAnswer(['Heatherdoor-Response-Signature', 's', 'Content-Length', '5', 'Keep-Alive', 'timeout=5', 'X-A', 'b']), ['Heatherdoor-Response-Signature', 's', 'X-A', 'b'])
+  t.deepEqual(platformDialect.buildRefusal('r1', 250), { 'heatherdoor-request-id': 'r1', 'Retry-After': '0.250' })
+})
+
+// Guards against an entry of another writer that is taken for an endpoint.
+test('entries that name no endpoint are skipped', t => {
+  const entry = { service: 's', address: '10.0.0.1:80', zone: 'a', state: 'ready', slots: 8, cold_remaining_ms: 0, born: 5 }
+  t.snapshot(decodeEndpoint('e1', entry))
+  for (const wrong of [null, [], 'text', { ...entry, service: 1 }, { ...entry, state: 'other' }, { ...entry, address: 'x' }, { ...entry, slots: '8' }, { ...entry, slots: 0 }, { ...entry, born: 1.5 }, { ...entry, zone: undefined }]) {
+    t.is(decodeEndpoint('e1', wrong), undefined, JSON.stringify(wrong))
+  }
+})
+
+// Guards against routes, teams and limits that are decoded from the wrong field.
+test('a configuration is decoded', t => {
+  const configuration = decodeConfiguration({
+    version: 7,
+    routes: [
+      { name: 'r1', host: 'Svc.example', path_prefix: '/a/', route_kind: 'streaming', timeout_ms: 8_000, target_latency_ms: 400, priority: 1, split: [{ service: 's', weight: 90 }, { service: 'u', weight: 10 }], max_attempts: 2, resumable: true },
+      { name: 'r2', host: 'svc.example', path_prefix: '/a/b/', route_kind: 'unsafe', timeout_ms: 600, target_latency_ms: 100, priority: 2, service: 'u', max_attempts: 1, public: true }
+    ],
+    services: [{ name: 's', cold_start_s: 3, cold_per_s: 36, engine: { slots: 8, sets: 4, experts: 64, placements: 5, spare: 2, usual: { prompt: 800, answer: 140 } } }, { name: 'u', cold_start_s: 0, cold_per_s: 9 }],
+    limits: { max_header_bytes: 1, max_body_bytes: 2, header_timeout_ms: 3, idle_timeout_ms: 4 },
+    tenants: [{ name: 't1', api_keys: ['k1', 'k2'], priority: 1 }]
+  })
+  t.snapshot(configuration)
+  t.is(decodeConfiguration({ version: 'x', limits: {} }), undefined)
+})
+
+// Guards against a process that starts with settings that are absent or wrong.
+test('settings report every fault', t => {
+  t.snapshot(parsePlatformSettings('[host]\nname = "h"\nip = "10.0.0.1"\n[listen]\ncallers = "nowhere"\n').swap().extract())
+  t.snapshot(parseAgentSettings('[host]\nname = "h"\nip = "10.0.0.1"\n[listen]\nlink_port = 7340\n[worker]\naddress = "10.0.0.1:80"\n').extract())
+})
--- /dev/null
+++ b/test/gateway/decisions.test.ts
@@ -0,0 +1,119 @@
+import test from 'ava'
+import type { EndpointRecord } from '../../src/gateway/model.js'
+import { EventSplitter } from '../../src/gateway/events.js'
+import { CrashesPlugin } from '../../src/plugins/gateway/crashes.js'
+import { EndpointsPlugin, LAPSE_GRACE_MS } from '../../src/plugins/gateway/endpoints.js'
+import { PeersPlugin, SILENCE_MAX_MS } from '../../src/plugins/gateway/peers.js'
+import { RetriesPlugin } from '../../src/plugins/gateway/retries.js'
+import { SlidingWindow } from '../../src/plugins/gateway/window.js'
+
+function createRecord (id: string, changes: Partial<EndpointRecord> = {}): EndpointRecord {
+  return { id, bornMs: 1, service: 's', address: { host: '10.0.0.1', port: Number(id.slice(1)) }, domain: 'a', state: 'ready', slots: 4, coldRemainingMs: 0, ...changes }
+}
+
+function listIds (table: EndpointsPlugin): readonly string[] {
+  return table.listUsable('s').map(({ record }) => record.id)
+}
+
+// Guards against a window that forgets events that a sliding window of the full length still holds.
+test('a window counts every event of its length', t => {
+  const window = SlidingWindow.create(1_000)
+  for (let at = 0; at < 3_000; at += 50) {
+    window.add(at)
+    t.true(window.count(at) >= Math.min(20, at / 50 + 1), `at ${at}`)
+    t.true(window.count(at) <= 22, `at ${at}`)
+  }
+  t.is(window.count(10_000), 0)
+})
+
+// Guards against retries beyond what all gateways together may add.
+test('gateways that share a budget stay within it', t => {
+  const gateways = Array.from({ length: 4 }, () => RetriesPlugin.create())
+  for (const gateway of gateways) gateway.setBounds({ ratio: 0.2, windowMs: 10_000, extra: 40 })
+  let accepted = 0
+  for (let at = 0; at < 10_000; at += 10) {
+    for (const gateway of gateways) {
+      if (at % 100 === 0) gateway.noteRequest('s', at)
+      if (gateway.accept('s', 4, at)) accepted += 1
+    }
+  }
+  t.true(accepted <= 0.2 * 400 + 40, `${accepted} retries`)
+  t.true(accepted > 50, `${accepted} retries`)
+})
+
+// Guards against losing every endpoint when their entries lapsed while the store was away.
+test('entries that lapsed stay for the grace, entries that were removed do not', t => {
+  const table = EndpointsPlugin.create()
+  table.replaceAll([createRecord('e1'), createRecord('e2')], false, 0)
+  t.deepEqual(table.replaceAll([], true, 100).map(({ change }) => change), ['lapsed', 'lapsed'])
+  t.deepEqual(listIds(table), ['e1', 'e2'])
+  table.upsert(createRecord('e1'), 200)
+  t.deepEqual(table.expire(100 + LAPSE_GRACE_MS), [{ id: 'e2', change: 'gone' }])
+  t.deepEqual(listIds(table), ['e1'])
+  table.replaceAll([], false, 5_000)
+  t.deepEqual(listIds(table), [])
+})
+
+// Guards against work for a domain that is out of service, and for endpoints that leave.
+test('only ready endpoints of domains in service are usable', t => {
+  const table = EndpointsPlugin.create()
+  table.replaceAll([createRecord('e1'), createRecord('e2', { domain: 'b' }), createRecord('e3', { state: 'draining' })], false, 0)
+  t.deepEqual(listIds(table), ['e1', 'e2'])
+  table.setEvacuated(new Set(['a']))
+  t.deepEqual(listIds(table), ['e2'])
+  table.setEvacuated(new Set())
+  t.deepEqual(listIds(table), ['e1', 'e2'])
+})
+
+// Guards against repeats at an address whose endpoint was replaced while the store still lists the old start.
+test('a start whose address another one has is over, also when the store lists it again', t => {
+  const table = EndpointsPlugin.create()
+  table.upsert(createRecord('e1'), 0)
+  t.deepEqual(table.upsert(createRecord('e9', { bornMs: 5, address: { host: '10.0.0.1', port: 1 } }), 10), [{ id: 'e1', change: 'gone' }, { id: 'e9', change: 'added' }])
+  t.deepEqual(table.upsert(createRecord('e1'), 20), [])
+  table.noteReplaced('e9')
+  t.deepEqual(table.replaceAll([createRecord('e9', { bornMs: 5 })], false, 30), [])
+  t.deepEqual(table.upsert(createRecord('e9', { bornMs: 6 }), 40), [{ id: 'e9', change: 'added' }])
+  t.is(table.upsert(createRecord('e9', { bornMs: 7 }), 50).at(-1)?.change, 'restarted')
+})
+
+// Guards against an address of a gateway that is gone, and against a late heartbeat of an earlier start.
+test('silent gateways are dropped, earlier starts are ignored', t => {
+  const peers = PeersPlugin.create()
+  const state = { id: 'g1', bornMs: 10, callerAddress: '10.0.0.1:1', domain: 'a', isReady: true, inFlight: { e1: 3 } }
+  t.true(peers.note(state, 0))
+  t.false(peers.note({ ...state, inFlight: { e1: 5 } }, 100))
+  t.is(peers.countInFlight('e1'), 5)
+  peers.note({ ...state, bornMs: 9, isReady: false }, 200)
+  t.is(peers.listReady().length, 1)
+  t.deepEqual(peers.expire(101 + SILENCE_MAX_MS), ['g1'])
+  t.is(peers.countInFlight('e1'), 0)
+  t.is(peers.count(), 1)
+})
+
+// Guards against a request that crashes endpoint after endpoint, and against refusing a harmless one.
+test('a request that crashed two endpoints is refused everywhere until it is forgotten', t => {
+  const first = CrashesPlugin.create()
+  const second = CrashesPlugin.create()
+  first.strike('f', 0)
+  t.false(first.isRefused('f', 1))
+  first.strike('f', 10)
+  t.true(first.isRefused('f', 11))
+  second.merge(first.list(20), 20)
+  t.true(second.isRefused('f', 21))
+  t.false(second.isRefused('f', 100_000))
+  first.strike('g', 0)
+  first.clear('g')
+  t.deepEqual(first.list(1).map(({ fingerprint }) => fingerprint), ['f'])
+})
+
+// Guards against part of an event in a stream that is gone on with elsewhere.
+test('events are passed on whole', t => {
+  const splitter = EventSplitter.create()
+  const parts = ['id: 1\ndata: a\n', '\nid: 2\nda', 'ta: b\n\nid: 3\r\ndata: c\r\n\r\nid: 4']
+  t.snapshot(parts.map(part => {
+    const batch = splitter.add(Buffer.from(part))
+    return batch === undefined ? 'none' : { text: batch.bytes.toString(), lastId: batch.lastId, count: batch.count }
+  }))
+  t.is(splitter.getRest().toString(), 'id: 4')
+})
--- /dev/null
+++ b/test/lockstep/planner.test.ts
@@ -0,0 +1,54 @@
+import test from 'ava'
+import { planLayer } from '../../src/plugins/lockstep/planner.js'
+import type { LayerMap } from '../../src/plugins/lockstep/planner.js'
+import { RecentPopularity } from '../../src/plugins/lockstep/popularity.js'
+import { Random } from '../../src/kernel/random.js'
+
+const RANKS = 16
+const EXPERTS = 64
+const LIMITS = { slots: 5, spare: 2, gainMin: 0.02 }
+
+function buildFirst (): LayerMap {
+  return Array.from({ length: RANKS }, (_, rank) => [rank, rank + 16, rank + 32, rank + 48])
+}
+
+/** Skewed demand: a few experts get most of the tokens. */
+function drawDemand (seed: number): Float64Array {
+  const random = Random.create(seed)
+  const weights = Float64Array.from({ length: EXPERTS }, () => 1 / (1 + random.pickInt(EXPERTS)) ** 1.1)
+  const total = weights.reduce((sum, weight) => sum + weight, 0)
+  return weights.map(weight => weight / total)
+}
+
+// Guards against maps that leave the most loaded rank as it is, lose an expert, or ask for more than a rank can hold or copy.
+test('plans lower the largest load within the limits of each rank', t => {
+  const before = buildFirst()
+  const rows = [1, 2, 3, 4, 5].map(seed => {
+    const plan = planLayer(before, drawDemand(seed), LIMITS)
+    t.is(new Set(plan.map.flat()).size, EXPERTS)
+    plan.map.forEach((experts, rank) => {
+      t.true(experts.length <= LIMITS.slots)
+      t.true(experts.filter(expert => !before[rank]!.includes(expert)).length <= LIMITS.spare)
+    })
+    return { seed, before: plan.skewBefore.toFixed(2), after: plan.skewAfter.toFixed(2), copies: plan.copies }
+  })
+  t.snapshot(rows)
+})
+
+// Guards against copies that cost more than they bring.
+test('an even layer is left alone', t => {
+  t.is(planLayer(buildFirst(), new Float64Array(EXPERTS).fill(1 / EXPERTS), LIMITS).copies, 0)
+})
+
+// Guards against demand that mixes counters of two starts of a rank, and demand that never fades.
+test('demand follows the counters of one start', t => {
+  const popularity = RecentPopularity.create(1, 2)
+  const note = (counts: readonly number[], incarnation: string, atMs: number): readonly string[] => {
+    popularity.noteCounts([{ rank: 0, incarnation, counts }], atMs)
+    return [...popularity.getShares(0)].map(share => share.toFixed(2))
+  }
+  t.deepEqual(note([100, 0], 'a', 0), ['0.50', '0.50'])
+  t.deepEqual(note([200, 0], 'a', 100), ['1.00', '0.00'])
+  t.deepEqual(note([0, 5], 'b', 200), ['1.00', '0.00'])
+  t.deepEqual(note([0, 1_005], 'b', 5_000).map(Number).map(share => share > 0.9), [false, true])
+})
