--- a/test/gateway/upstream.test.ts
+++ b/test/gateway/upstream.test.ts
@@ -15,7 +15,7 @@
     const { parentPort } = require('node:worker_threads')
     const server = createServer(socket => {
       socket.on('error', () => {})
-      socket.once('data', () => socket.write('HTTP/1.1 200 OK\\r\\n\\r\\npart', () => { ${ending === 'reset' ? 'socket.resetAndDestroy()' : 'socket.end()'} }))
+      socket.once('data', () => setTimeout(() => socket.write('HTTP/1.1 200 OK\\r\\n\\r\\npart', () => { ${ending === 'reset' ? 'socket.resetAndDestroy()' : 'socket.end()'} }), 30))
     })
     server.listen(0, '127.0.0.1', () => parentPort.postMessage(server.address().port))`
   const worker = new Worker(code, { eval: true })
