--- a/bench/main.ts
+++ b/bench/main.ts
@@ -8,9 +8,11 @@
 
 const LOADERS: Readonly<Record<string, () => Promise<{ readonly run: Bench }>>> = {
   cold: async () => await import('./cold.js'),
+  experts: async () => await import('./experts.js'),
   drill: async () => await import('./drill.js'),
   overload: async () => await import('./overload.js'),
   path: async () => await import('./path.js'),
+  routing: async () => await import('./routing.js'),
   slopes: async () => await import('./slopes.js'),
   'slopes-kernels': async () => ({ run: (await import('./slopes.js')).runKernels })
 }
--- a/eslint.config.js
+++ b/eslint.config.js
@@ -2,7 +2,7 @@
 import tsdoc from 'eslint-plugin-tsdoc'
 
 export default [
-  { ignores: ['dist/**', 'node_modules/**', 'test/snapshots/**'] },
+  { ignores: ['dist/**', 'target/**', 'node_modules/**', 'test/snapshots/**'] },
   ...neostandard({ ts: true }),
   {
     files: ['**/*.ts'],
--- a/src/edge/signals.ts
+++ b/src/edge/signals.ts
@@ -3,6 +3,15 @@
 /** Exit code after a planned stop that cut off work. */
 export const EXIT_WORK_CUT = 1
 
+/**
+ * Registers the signal that settings changed; without a handler it ends the process.
+ *
+ * @param reload - called on each signal
+ */
+export function registerReload (reload: () => void): void {
+  process.on('SIGHUP', reload)
+}
+
 /**
  * @param leave - starts the planned stop
  * @param cut - ends the process; called on the second signal
--- a/src/gateway/agent.ts
+++ b/src/gateway/agent.ts
@@ -78,6 +78,11 @@
     this.#logger.write('process-started', { role: 'agent', id: this.#settings.host })
   }
 
+  /** Notes that the settings file changed; addresses hold for the life of the process. */
+  reload (): void {
+    this.#logger.write('settings-reloaded', {})
+  }
+
   /** An agent holds nothing; a keeper asks again. */
   stop (): void {
     this.#logger.write('process-stopped', {})
--- a/src/gateway/process.ts
+++ b/src/gateway/process.ts
@@ -123,6 +123,7 @@
     this.#dialect = dialect
     this.#lines = LineWriter.create(count => {
       this.#logger.write('log-lines-dropped', { count })
+      for (let line = 0; line < count; line += 1) this.#metrics.count('log_lines_dropped')
     })
     this.#logger = Logger.create({ processId: settings.host, write: line => { this.#lines.add(line, performance.now()) } })
     this.#metrics = Metrics.create({ role: 'gateway' })
--- a/test/docs/interface.test.ts
+++ b/test/docs/interface.test.ts
@@ -9,7 +9,7 @@
 
 // Guards against metrics, log events and error kinds that the page for operators does not name.
 test('the interface page names every metric, log event and error kind', t => {
-  const metrics = Object.entries({ ...METRICS.entry, ...METRICS.endpoint })
+  const metrics = Object.entries({ ...METRICS.entry, ...METRICS.endpoint, ...METRICS.gateway })
     .map(([name, { type }]) => `heatherdoor_${name}${type === 'counter' ? '_total' : ''}`)
   const names = [...metrics, ...LOG_EVENTS, ...Object.keys(ERROR_ANSWERS)]
   t.deepEqual(names.filter(name => !PAGE.includes(`\`${name}\``)), [])
--- /dev/null
+++ b/test/gateway/exchange.test.ts
@@ -0,0 +1,125 @@
+import test from 'ava'
+import { setTimeout as wait } from 'node:timers/promises'
+import { startHarness } from './harness.js'
+import type { Script } from './harness.js'
+
+const answer: Script = (_request, response, body) => { response.end(`ran ${body}`) }
+const breakOff: Script = request => { request.socket.destroy() }
+const fail: Script = (_request, response) => {
+  response.statusCode = 500
+  response.end('failed')
+}
+const refuse: Script = (_request, response) => {
+  response.statusCode = 503
+  response.setHeader('Heatherdoor-Not-Executed', '1')
+  response.end()
+}
+const misdirect: Script = (_request, response) => {
+  response.statusCode = 421
+  response.end()
+}
+const answerOther: Script = (_request, response) => {
+  response.setHeader('Heatherdoor-Request-Id', 'another')
+  response.end('of another request')
+}
+const stayMute: Script = () => {}
+
+/** Streams events from `first` on; breaks off inside the event after `last` when it is not 4. */
+function stream (last: number): Script {
+  return (request, response) => {
+    response.setHeader('Content-Type', 'text/event-stream')
+    for (let id = Number(request.headers['last-event-id'] ?? 0) + 1; id <= last; id += 1) response.write(`id: ${id}\ndata: x\n\n`)
+    if (last === 4) response.end()
+    else response.write('id: ', () => { setTimeout(() => { request.socket.destroy() }, 20) })
+  }
+}
+
+/** Endpoints are tried in the order of their ids where all are idle. */
+async function run (repeat: Parameters<typeof startHarness>[0], scripts: Parameters<typeof startHarness>[1], changes?: Parameters<typeof startHarness>[2]): Promise<unknown> {
+  const harness = await startHarness(repeat, scripts, changes)
+  const got = await harness.call()
+  harness.close()
+  return { ...got, retryAfter: got.retryAfter === undefined ? 'none' : 'set', received: harness.received }
+}
+
+// Guards against a request that may run only once and runs twice, or is lost though it never ran.
+test('a request that may run only once', async t => {
+  const once = { attemptsMax: 1 }
+  t.snapshot({
+    'endpoint breaks off': await run('at-most-once', { e1: breakOff, e2: answer }, once),
+    'endpoint takes no connection': await run('at-most-once', { e1: undefined, e2: answer }, once),
+    'endpoint refuses': await run('at-most-once', { e1: refuse, e2: answer }, once),
+    'endpoint refuses, two may be tried': await run('at-most-once', { e1: refuse, e2: answer }),
+    'endpoint fails': await run('at-most-once', { e1: fail, e2: answer }),
+    'another start has the address': await run('at-most-once', { e1: misdirect, e2: answer }, once),
+    'answer belongs to another request': await run('at-most-once', { e1: answerOther, e2: answer }),
+    'no endpoint': await run('at-most-once', {})
+  })
+})
+
+// Guards against a failure that a caller sees though another endpoint would have answered.
+test('a request that may run again', async t => {
+  t.snapshot({
+    'endpoint breaks off': await run('idempotent', { e1: breakOff, e2: answer }),
+    'endpoint fails': await run('idempotent', { e1: fail, e2: answer }),
+    'both fail': await run('idempotent', { e1: fail, e2: fail }),
+    'answer belongs to another request': await run('idempotent', { e1: answerOther, e2: answer }),
+    'three fail, two may be tried': await run('idempotent', { e1: breakOff, e2: breakOff, e3: answer })
+  })
+})
+
+// Guards against a stream with a gap or a repeat, and against one that ends early and looks complete.
+test('a stream that breaks', async t => {
+  t.snapshot({
+    'goes on elsewhere': await run('resumable-stream', { e1: stream(2), e2: stream(4) }),
+    'may not be repeated': await run('at-most-once-stream', { e1: stream(2), e2: stream(4) }),
+    'breaks everywhere': await run('resumable-stream', { e1: stream(2), e2: stream(3) })
+  })
+})
+
+// Guards against an answer after the deadline that promises that a request did not run.
+test('a request whose endpoint is mute ends at its deadline', async t => {
+  const harness = await startHarness('idempotent', { e1: stayMute })
+  const startedAtMs = performance.now()
+  const got = await harness.call({ deadlineMs: 200 })
+  const elapsedMs = performance.now() - startedAtMs
+  harness.close()
+  t.is(got.status, 504)
+  t.true(elapsedMs > 190 && elapsedMs < 700, `${elapsedMs} ms`)
+})
+
+// Guards against endpoints that work on for callers who left.
+test('a caller who leaves ends the attempt', async t => {
+  let closed = 0
+  const harness = await startHarness('idempotent', { e1: request => { request.socket.on('close', () => { closed += 1 }) } })
+  await harness.call({ leaveAfterMs: 50 })
+  await wait(150)
+  t.is(closed, 1)
+  t.is(harness.context.listExchanges().length, 0)
+  harness.close()
+})
+
+// Guards against a request that runs though its caller, its path or its size does not allow it.
+test('requests that the configuration does not allow are refused', async t => {
+  const harness = await startHarness('idempotent', { e1: answer })
+  const statuses = {
+    allowed: (await harness.call()).status,
+    unknownKey: (await harness.call({ key: 'k9' })).status,
+    unknownPath: (await harness.call({ path: '/z/' })).status
+  }
+  harness.server.updateStage('refusing')
+  t.deepEqual({ ...statuses, leaving: (await harness.call()).status }, { allowed: 200, unknownKey: 401, unknownPath: 404, leaving: 503 })
+  t.is(harness.received['e1']!.length, 1)
+  harness.close()
+})
+
+// Guards against a failed request whose log does not tell why.
+test('the log tells each attempt and why a request failed', async t => {
+  const harness = await startHarness('at-most-once', { e1: breakOff })
+  await harness.call()
+  harness.close()
+  t.snapshot(harness.lines.map(line => {
+    const { event, result, endpoint, status, mayHaveRun } = JSON.parse(line) as Record<string, unknown>
+    return { event, result, endpoint, status, mayHaveRun }
+  }))
+})
