--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -4,6 +4,7 @@
 import type { LogEvent } from '../kernel/log-events.js'
 import type { Logger, LogFields } from '../edge/log/logger.js'
 import type { Metrics } from '../edge/metrics/metrics.js'
+import type { AdvicePort } from '../plugins/gateway/advice.js'
 import type { CrashesPort } from '../plugins/gateway/crashes.js'
 import type { EndpointsPort, EndpointView } from '../plugins/gateway/endpoints.js'
 import type { PeersPort } from '../plugins/gateway/peers.js'
@@ -32,6 +33,7 @@
   readonly retries: RetriesPort
   readonly crashes: CrashesPort
   readonly placing: PlacingPort
+  readonly advice: AdvicePort
   readonly #logger: Logger
   readonly #probe: CrashProbe
   readonly #exchanges = new Set<Exchange>()
@@ -46,6 +48,7 @@
     this.retries = kernel.port('retries')
     this.crashes = kernel.port('crashes')
     this.placing = kernel.port('placing')
+    this.advice = kernel.port('advice')
     this.#probe = CrashProbe.create((endpoint, fingerprints) => { this.#handleCrash(endpoint, fingerprints) })
   }
 
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -19,9 +19,6 @@
 /** Wait in ms before a request that an endpoint had no room for is tried elsewhere. */
 const REFUSED_BACKOFF_MS = 30
 
-/** Advice to callers in ms when no endpoint can take the request now; spread over as much again. */
-const BUSY_RETRY_AFTER_MS = 250
-
 /** Largest answer kept whole before it is passed on, in bytes. */
 const ANSWER_BYTES_MAX = 8 * 1024 * 1024
 
@@ -71,6 +68,8 @@
   #attempts = 0
   /** Whether some attempt may have run the request. */
   #mayHaveRun = false
+  /** Whether the last endpoint refused because its group has lost a rank. */
+  #isGroupLost = false
   #isHeadSent = false
   #isDone = false
   #lastEventId: string | undefined
@@ -210,7 +209,7 @@
     if (running.splitter !== undefined) {
       this.#endStream(running)
     } else if (head?.notRun === true || head?.misdirected === true) {
-      this.#settle('refused')
+      this.#settle('refused', head.faultyEndpoint === undefined ? `status ${status}` : `lost ${head.faultyEndpoint}`)
       this.#handleRefused(running, head)
     } else if (status >= 500) {
       this.#mayHaveRun = true
@@ -263,6 +262,7 @@
       else this.#fail('overloaded')
       return
     }
+    this.#isGroupLost = head.faultyEndpoint !== undefined
     this.#retryOr('overloaded', REFUSED_BACKOFF_MS)
   }
 
@@ -290,6 +290,7 @@
     const elapsedMs = running.firstEventMs ?? nowMs - running.startedAtMs
     const { id } = running.endpoint.record
     this.#context.placing.noteEnd(id, result, elapsedMs, nowMs)
+    if (result === 'ok') this.#context.advice.noteServed(this.#options.service, nowMs)
     this.#context.metrics.count('attempts', result)
     if (result === 'ok') return
     this.#context.log('attempt-ended', {
@@ -339,13 +340,20 @@
   #refuse (error: ErrorKind): void {
     const { response, request } = this.#options
     const status = chooseStatus(error, this.#mayHaveRun)
-    const retryAfterMs = status === 503 && error !== 'quarantined' ? BUSY_RETRY_AFTER_MS * (1 + this.#context.pickFloat()) : undefined
+    const retryAfterMs = status === 503 ? this.#adviseReturn(error) : undefined
     const body = ERROR_ANSWERS[error].message
     response.writeHead(status, { ...this.#context.dialect.buildRefusal(request.requestId, retryAfterMs), 'Content-Type': 'text/plain', 'Content-Length': String(Buffer.byteLength(body)) })
     response.end(body)
     this.#finish(error, status)
   }
 
+  /** When the caller should come back; a request that crashes endpoints should not. */
+  #adviseReturn (error: ErrorKind): number | undefined {
+    if (error === 'quarantined') return undefined
+    const cause = error === 'no-endpoint' || this.#isGroupLost ? 'lost' : 'full'
+    return this.#context.advice.advise(this.#options.service, cause, this.#context.pickFloat(), this.#context.getNowMs())
+  }
+
   #relay ({ status, headers, body }: KeptAnswer, result: ErrorKind | 'ok'): void {
     const { response, method, service, receivedAtMs } = this.#options
     const hasBody = method !== 'HEAD' && status !== 204 && status !== 304
--- a/src/kernel/ports.ts
+++ b/src/kernel/ports.ts
@@ -2,6 +2,7 @@
 
 import type { Configuration, EndpointSpec, Profile, Service, Team } from './document.js'
 import type { Context } from './plugin.js'
+import type { AdvicePort } from '../plugins/gateway/advice.js'
 import type { CrashesPort } from '../plugins/gateway/crashes.js'
 import type { EndpointsPort } from '../plugins/gateway/endpoints.js'
 import type { PeersPort } from '../plugins/gateway/peers.js'
@@ -173,4 +174,5 @@
   readonly retries: RetriesPort
   readonly crashes: CrashesPort
   readonly placing: PlacingPort
+  readonly advice: AdvicePort
 }
--- /dev/null
+++ b/src/plugins/gateway/advice.ts
@@ -0,0 +1,89 @@
+/**
+ * When a caller who was refused should come back. Answers two loads: more
+ * requests than the endpoints take, where returns must not meet the next
+ * refusal, and a group that has lost a rank, where nothing runs for seconds.
+ */
+
+import { registerPlugin } from '../../kernel/plugin.js'
+import type { Plugin } from '../../kernel/plugin.js'
+import type { Ports } from '../../kernel/ports.js'
+import { SlidingWindow } from './window.js'
+
+/** Window in ms over which the share of refusals is taken. */
+const PRESSURE_WINDOW_MS = 1_000
+
+/** Shortest advice in ms: a place becomes free within about a tenth of a request. */
+const SHORT_MS = 200
+
+/** Advice in ms beyond the shortest when every request is refused: about the length of a request. */
+const PRESSURE_MS = 2_000
+
+/** Advice in ms while a service has lost endpoints: a restart and the forming of a group take seconds. */
+const RECOVERY_MS = 2_000
+
+/** Share by which advice varies, so that callers do not return together. */
+const SPREAD = 0.5
+
+/** Why a request that did not run is refused. */
+export type RefusalCause =
+  /** Endpoints have no room. */
+  | 'full'
+  /** No endpoint is usable, or the group of the endpoint has lost a rank. */
+  | 'lost'
+
+/** Advice to callers who are refused. */
+export interface AdvicePort {
+  noteServed (service: string, nowMs: number): void
+  /**
+   * Notes a refusal and says when to come back.
+   *
+   * @param fraction - random number from 0 to 1
+   * @returns time in ms
+   */
+  advise (service: string, cause: RefusalCause, fraction: number, nowMs: number): number
+}
+
+interface Counts {
+  readonly served: SlidingWindow
+  readonly refused: SlidingWindow
+}
+
+/** Share of refusals by service. */
+export class AdvicePlugin implements Plugin, AdvicePort {
+  readonly name = 'advice'
+  readonly subscribesTo = []
+  readonly ports: Pick<Ports, 'advice'> = { advice: this }
+  readonly #services = new Map<string, Counts>()
+
+  private constructor () {}
+
+  /** @returns advice without counts */
+  static create (): AdvicePlugin {
+    return new AdvicePlugin()
+  }
+
+  handle (): void {}
+
+  noteServed (service: string, nowMs: number): void {
+    this.#get(service).served.add(nowMs)
+  }
+
+  advise (service: string, cause: RefusalCause, fraction: number, nowMs: number): number {
+    const { served, refused } = this.#get(service)
+    refused.add(nowMs)
+    const share = refused.count(nowMs) / (refused.count(nowMs) + served.count(nowMs))
+    const baseMs = cause === 'lost' ? RECOVERY_MS : SHORT_MS + PRESSURE_MS * share
+    return baseMs * (1 + SPREAD * fraction)
+  }
+
+  #get (service: string): Counts {
+    let counts = this.#services.get(service)
+    if (counts === undefined) {
+      counts = { served: SlidingWindow.create(PRESSURE_WINDOW_MS), refused: SlidingWindow.create(PRESSURE_WINDOW_MS) }
+      this.#services.set(service, counts)
+    }
+    return counts
+  }
+}
+
+registerPlugin({ name: 'advice', roles: ['gateway'], create: () => AdvicePlugin.create() })
--- /dev/null
+++ b/test/gateway/advice.test.ts
@@ -0,0 +1,67 @@
+import test from 'ava'
+import { Random } from '../../src/kernel/random.js'
+import { AdvicePlugin } from '../../src/plugins/gateway/advice.js'
+
+const SLOTS = 128
+const SERVICE_MS = 2_000
+const DEADLINE_MS = 8_000
+
+interface Played {
+  readonly served: number
+  readonly refusedTwice: number
+}
+
+/**
+ * Plays a burst of 3 s at nearly twice what the slots take. Callers come back
+ * once, after the advice but at most after a third of the time they have left.
+ */
+function playBurst (seed: number, advise: (nowMs: number, fraction: number) => number, noteServed: (nowMs: number) => void): Played {
+  const random = Random.create(seed)
+  const ends: number[] = []
+  const returns: number[] = []
+  let served = 0
+  let refusedTwice = 0
+  for (let nowMs = 0; nowMs < 12_000; nowMs += 1) {
+    while (ends.length > 0 && ends[0]! <= nowMs) {
+      ends.shift()
+      noteServed(nowMs)
+    }
+    const rate = nowMs >= 2_000 && nowMs < 5_000 ? 0.115 : 0.055
+    const isFirst = nowMs < 9_000 && random.pickFloat() < rate
+    const due = returns.filter(at => at <= nowMs).length
+    returns.splice(0, returns.length, ...returns.filter(at => at > nowMs))
+    for (let arrival = 0; arrival < due + (isFirst ? 1 : 0); arrival += 1) {
+      if (ends.length < SLOTS) {
+        served += 1
+        ends.push(nowMs + SERVICE_MS)
+      } else if (arrival < due) {
+        refusedTwice += 1
+      } else {
+        returns.push(nowMs + Math.min(DEADLINE_MS / 3, advise(nowMs, random.pickFloat())))
+      }
+    }
+  }
+  return { served, refusedTwice }
+}
+
+// Guards against callers who return into the burst that refused them and are lost.
+test('in a burst fewer callers are refused twice than with a fixed short wait', t => {
+  const totals = { fixed: { served: 0, refusedTwice: 0 }, advised: { served: 0, refusedTwice: 0 } }
+  const add = (total: { served: number, refusedTwice: number }, played: Played): void => {
+    total.served += played.served
+    total.refusedTwice += played.refusedTwice
+  }
+  for (let seed = 1; seed <= 10; seed += 1) {
+    add(totals.fixed, playBurst(seed, (_nowMs, fraction) => 250 * (1 + fraction), () => {}))
+    const advice = AdvicePlugin.create()
+    add(totals.advised, playBurst(seed, (nowMs, fraction) => advice.advise('s', 'full', fraction, nowMs), nowMs => { advice.noteServed('s', nowMs) }))
+  }
+  t.snapshot(totals)
+  t.true(totals.advised.refusedTwice < totals.fixed.refusedTwice)
+  t.true(totals.advised.served > totals.fixed.served)
+})
+
+// Guards against callers who are called back before a lost group can have formed again.
+test('while endpoints are lost callers are asked to wait for seconds', t => {
+  t.true(AdvicePlugin.create().advise('s', 'lost', 0, 0) >= 2_000)
+})
