--- a/src/plugins/gateway/peers.ts
+++ b/src/plugins/gateway/peers.ts
@@ -5,7 +5,7 @@
 import type { Ports } from '../../kernel/ports.js'
 
 /** Time in ms without a heartbeat after which a gateway is taken as gone; heartbeats come several times a second. */
-export const SILENCE_MAX_MS = 2_500
+export const SILENCE_MAX_MS = 1_500
 
 /** What a gateway says of itself in a heartbeat. */
 export interface GatewayState {
