--- a/src/gateway/maps.ts
+++ b/src/gateway/maps.ts
@@ -23,6 +23,9 @@
 /** Longest wait in ms for the reply to an order: the engine's own answer may be lost. */
 const ORDER_REPLY_MS = 60
 
+/** Rounds of orders that follow one reading of the ranks; then they are read again. */
+const TURNS_MAX = 6
+
 /** Readings without a reply after which a rank is asked without its agent while a step may be held. */
 const SILENT_READS_MAX = 3
 
@@ -147,8 +150,8 @@
     const nowMs = this.#options.context.getNowMs()
     group.popularity.noteCounts(readings.flatMap(({ reply: { state, counts } }) =>
       state === undefined || counts === undefined ? [] : [{ rank: state.rank, incarnation: `${state.bornMs} ${state.epoch}`, counts }]), nowMs)
-    if (group.keeper.map === undefined) await this.#findMap(group, states, readings, engine)
     const decision = group.keeper.decide(states, nowMs)
+    if (group.keeper.map === undefined) await this.#findMap(group, states, readings, engine)
     await this.#carryOut(name, group, decision, readings)
     if (group.keeper.phase.kind === 'idle' && group.keeper.map !== undefined && nowMs - group.changedAtMs >= CHANGE_PAUSE_MS) this.#plan(name, group, group.keeper.map, engine, nowMs)
   }
@@ -157,12 +160,9 @@
   async #carryOut (name: string, group: Group, first: KeeperDecision, readings: readonly RankAnswer[]): Promise<void> {
     const { context } = this.#options
     const states = new Map(readings.flatMap(({ address, reply: { state }, askedAtMs }) => state === undefined ? [] : [[state.rank, { address, state: { ...state, readAtMs: askedAtMs } }] as const]))
-    for (let decision = first; ; decision = group.keeper.decide([...states.values()].map(({ state }) => state), context.getNowMs())) {
-      if (decision.ended !== undefined) {
-        context.log('map-decided', { group: name, result: decision.ended, epoch: group.epoch })
-        context.metrics.count('map_changes', decision.ended)
-        group.changedAtMs = context.getNowMs()
-      }
+    let decision = first
+    for (let turn = 0; turn < TURNS_MAX; turn += 1) {
+      this.#noteEnded(name, group, decision)
       if (decision.orders.length === 0) return
       const before = group.keeper.phase.kind
       const replies = await Promise.all(decision.orders.map(async ({ rank, epoch, order }) => {
@@ -170,6 +170,7 @@
         if (found === undefined) return undefined
         const askedAtMs = context.getNowMs()
         const reply = await this.#ask(found.address, { kind: 'order', epoch, order }, ORDER_REPLY_MS, group)
+        if (reply?.result === undefined || reply.result === 'no-answer') group.keeper.noteUnanswered({ rank, order })
         if (order.kind === 'prepare' && reply?.result === 'refused') group.keeper.noteRefusedVersion(order.version)
         return reply === undefined ? undefined : { address: found.address, reply, askedAtMs }
       }))
@@ -177,7 +178,17 @@
         if (answered?.reply.state !== undefined) states.set(answered.reply.state.rank, { address: answered.address, state: { ...answered.reply.state, readAtMs: answered.askedAtMs } })
       }
       context.log('map-step', { group: name, phase: before, orders: decision.orders.length, order: decision.orders[0]?.order.kind ?? '', answered: replies.filter(reply => reply !== undefined).length })
+      decision = group.keeper.decide([...states.values()].map(({ state }) => state), context.getNowMs())
     }
+    this.#noteEnded(name, group, decision)
+  }
+
+  #noteEnded (name: string, group: Group, { ended }: KeeperDecision): void {
+    if (ended === undefined) return
+    const { context } = this.#options
+    context.log('map-decided', { group: name, result: ended, epoch: group.epoch })
+    context.metrics.count('map_changes', ended)
+    group.changedAtMs = context.getNowMs()
   }
 
   #plan (name: string, group: Group, map: GroupMap, engine: EngineSpec, nowMs: number): void {
@@ -198,14 +209,14 @@
   /** Learns the map in use: the first one of an epoch is known, others are listed by the ranks. */
   async #findMap (group: Group, states: readonly RankReading[], readings: readonly RankAnswer[], engine: EngineSpec): Promise<void> {
     if (states.every(({ map }) => map === 0)) {
-      group.keeper.noteMap(buildFirstMap(states.length, engine))
+      group.keeper.noteMap(buildFirstMap(states.length, engine), 0)
       return
     }
     const listed = await Promise.all(readings.map(({ address }) => this.#ask(address, { kind: 'read', wantsCounts: false, wantsMap: true }, REPLY_MS, group)))
     const versions = new Set(listed.map(reply => reply?.state?.map))
     if (versions.size !== 1 || listed.some(reply => reply?.experts === undefined)) return
     const byRank = new Map(listed.map(reply => [reply!.state!.rank, reply!.experts!]))
-    group.keeper.noteMap(Array.from({ length: engine.layers }, (_, layer) => states.map(({ rank }) => byRank.get(rank)?.[layer] ?? [])))
+    group.keeper.noteMap(Array.from({ length: engine.layers }, (_, layer) => states.map(({ rank }) => byRank.get(rank)?.[layer] ?? [])), [...versions][0] ?? 0)
   }
 
   async #readRanks (service: string, request: RankRequest): Promise<readonly RankAnswer[]> {
--- a/src/plugins/lockstep/keeper.ts
+++ b/src/plugins/lockstep/keeper.ts
@@ -18,17 +18,20 @@
 /** Steps between the last one begun and the held one; orders reach every rank meanwhile. */
 const LEAD_STEPS = 3
 
+/** The same when orders of the change got no answer: they are sent several times before every rank has them. */
+const LEAD_STEPS_LOSSY = 12
+
 /** Time in ms after which an order without effect is sent again. */
 const RESEND_MS = 45
 
-/** Time in ms after which a preparation is sent again; copying takes that long. */
-const PREPARE_RESEND_MS = 400
+/** Time in ms after which a preparation that was answered is sent again; copying takes less. */
+const PREPARE_RESEND_MS = 1_000
 
 /** Longest time in ms for all ranks to prepare. */
 const PREPARE_MAX_MS = 4_000
 
-/** Longest time in ms from the hold to all ranks being armed. */
-const ARM_MAX_MS = 900
+/** Longest time in ms from the hold to all ranks being armed; the step is some hundred ms ahead. */
+const ARM_MAX_MS = 1_200
 
 /** Ranks that hold a step while it is undone. */
 const GUARDS = 2
@@ -65,6 +68,9 @@
   #stepUsed = 0
   #foreignSinceMs: number | undefined
   #map: GroupMap | undefined
+  #mapVersion = 0
+  /** Whether an order of the present change got no answer. */
+  #isLossy = false
   readonly #sentAtMs = new Map<string, number>()
 
   readonly #sequence: number
@@ -85,14 +91,15 @@
     return this.#phase
   }
 
-  /** Map that the last change of this keeper brought into use; undefined when it made none in this epoch. */
+  /** Map in use; undefined while this keeper does not know it. */
   get map (): GroupMap | undefined {
     return this.#map
   }
 
-  /** Sets the map in use, as the ranks list it. */
-  noteMap (map: GroupMap): void {
+  /** Sets the map in use and its version, as the ranks list them. */
+  noteMap (map: GroupMap, version: number): void {
     this.#map = map
+    this.#mapVersion = version
   }
 
   /** Notes a version that a rank refused because it had a higher one. */
@@ -100,6 +107,12 @@
     this.#versionSeen = Math.max(this.#versionSeen, version + VERSION_SEQUENCES)
   }
 
+  /** Notes an order without an answer; it is sent again at once. */
+  noteUnanswered ({ rank, order }: Pick<AddressedOrder, 'rank' | 'order'>): void {
+    this.#isLossy = true
+    this.#sentAtMs.delete(formatOrderKey(rank, order))
+  }
+
   /**
    * Begins a change.
    *
@@ -110,6 +123,7 @@
   propose (map: GroupMap, nowMs: number): number | undefined {
     if (this.#phase.kind !== 'idle' || this.#foreignSinceMs !== undefined) return undefined
     const version = this.#takeVersion()
+    this.#isLossy = false
     this.#phase = { kind: 'preparing', version, map, sinceMs: nowMs }
     return version
   }
@@ -142,6 +156,8 @@
       this.#foreignSinceMs = undefined
       this.#sentAtMs.clear()
     }
+    // Another keeper's change is listed by the ranks.
+    if (ranks.every(({ map }) => map === ranks[0]?.map && map !== this.#mapVersion)) this.#map = undefined
     for (const { map, prepared, armed, step, held } of ranks) {
       this.#versionSeen = Math.max(this.#versionSeen, map, prepared ?? 0, armed?.version ?? 0)
       this.#stepUsed = Math.max(this.#stepUsed, held ?? 0, armed?.step ?? 0)
@@ -165,7 +181,7 @@
     if (ranks.some(({ held, armed }) => held !== undefined || armed !== undefined) || nowMs - phase.sinceMs > PREPARE_MAX_MS) return this.#end('aborted')
     const missing = ranks.filter(({ prepared }) => prepared !== version)
     if (missing.length > 0) return { orders: this.#address(missing, () => ({ kind: 'prepare', version, map }), PREPARE_RESEND_MS, nowMs) }
-    const step = Math.max(this.#stepUsed, ...ranks.map(rank => rank.step)) + LEAD_STEPS
+    const step = Math.max(this.#stepUsed, ...ranks.map(rank => rank.step)) + (this.#isLossy ? LEAD_STEPS_LOSSY : LEAD_STEPS)
     const holder = (step + this.#sequence) % ranks.length
     this.#stepUsed = step
     this.#phase = { kind: 'holding', version, map, step, holder, sinceMs: nowMs }
@@ -193,21 +209,33 @@
     const holding = ranks.filter(({ rank, held }) => rank === holder && held === step)
     if (holding.length > 0) return { orders: this.#address(holding, () => ({ kind: 'release', step }), RESEND_MS, nowMs) }
     if (ranks.every(rank => rank.map === version)) {
-      this.#map = map
+      this.noteMap(map, version)
       return this.#end('committed')
     }
-    // A rank that lost the version can only have been undone by another keeper, which holds the step.
-    if (ranks.some(rank => rank.map !== version && rank.armed === undefined)) this.#startUndo(ranks, [step], nowMs)
+    if (ranks.every(rank => rank.step > step)) {
+      // Another keeper has brought a later map into use since.
+      this.#map = undefined
+      return this.#end('aborted')
+    }
+    // A rank that lost the version was undone by another keeper, and a hold that stays is another keeper's.
+    const isUndone = ranks.some(rank => rank.map !== version && rank.armed === undefined)
+    const isHeld = ranks.some(({ held }) => held !== undefined) && nowMs - phase.sinceMs >= FOREIGN_HOLD_MS
+    if (isUndone || isHeld) this.#startUndo(ranks, [step], nowMs)
     return { orders: [] }
   }
 
   #undo (phase: Extract<KeeperPhase, { kind: 'undoing' }>, ranks: readonly RankReading[], nowMs: number): KeeperDecision {
     // A rank is known to be safe only by what it said after the undoing began.
     if (ranks.some(({ readAtMs }) => readAtMs < phase.sinceMs)) return { orders: [] }
-    for (const { armed } of ranks) {
-      if (armed === undefined) continue
-      phase.versions.add(armed.version)
-      phase.steps.add(armed.step)
+    const found = ranks.flatMap(({ armed }) => armed === undefined || (phase.versions.has(armed.version) && phase.steps.has(armed.step)) ? [] : [armed])
+    if (found.length > 0) {
+      // The other ranks may have been armed for it since they were read.
+      for (const { version, step } of found) {
+        phase.versions.add(version)
+        phase.steps.add(step)
+      }
+      this.#phase = { ...phase, sinceMs: nowMs + 1 }
+      return { orders: [] }
     }
     const guards = this.#listGuards(ranks)
     if (guards.length > 0) return { orders: guards.flatMap(({ rank, step }) => this.#address([rank], () => ({ kind: 'hold', step }), RESEND_MS, nowMs)) }
@@ -265,10 +293,14 @@
   #address (ranks: readonly RankReading[], build: (rank: RankReading) => RankOrder, resendMs: number, nowMs: number): AddressedOrder[] {
     return ranks.flatMap(state => {
       const order = build(state)
-      const key = `${state.rank} ${order.kind} ${'version' in order ? order.version : order.step}`
+      const key = formatOrderKey(state.rank, order)
       if (nowMs - (this.#sentAtMs.get(key) ?? -Infinity) < resendMs) return []
       this.#sentAtMs.set(key, nowMs)
       return [{ rank: state.rank, epoch: this.#epoch, order }]
     })
   }
 }
+
+function formatOrderKey (rank: number, order: RankOrder): string {
+  return `${rank} ${order.kind} ${'version' in order ? order.version : order.step}`
+}
--- a/test/lockstep/keeper.test.ts
+++ b/test/lockstep/keeper.test.ts
@@ -13,7 +13,7 @@
   const notes: string[] = []
   for (let round = 0; round < rounds; round += 1) {
     const nowMs = round * 10
-    if (keeper.map === undefined) keeper.noteMap(MAP)
+    if (keeper.map === undefined) keeper.noteMap(MAP, group.ranks[0]!.map)
     if (round === 1) keeper.propose(MAP, nowMs)
     const { orders, ended } = keeper.decide(group.readAll(nowMs), nowMs)
     for (const order of orders) group.take(order)
@@ -69,7 +69,7 @@
       if (isFaulty && random.pickInt(2) === 0) node.states[rank] = group.read(rank, round * 10)
       else node.states = group.readAll(round * 10)
       if (new Set(node.states.map(state => state.epoch)).size > 1) return
-      if (node.keeper.map === undefined) node.keeper.noteMap(MAP)
+      if (node.keeper.map === undefined) node.keeper.noteMap(MAP, node.states[0]!.map)
       if (random.pickInt(8) === 0) node.keeper.propose(MAP, round * 10)
       const { orders, ended } = node.keeper.decide(node.states, round * 10)
       if (ended === 'committed') committed += 1
@@ -81,6 +81,7 @@
 
 function deliver (order: AddressedOrder, group: FakeGroup, late: Late[], random: Random | undefined, round: number, node: { readonly keeper: MapKeeper, readonly states: RankReading[] }): Late[] {
   const fate = random?.pickInt(10) ?? 9
+  if (fate <= 3) node.keeper.noteUnanswered(order)
   if (fate === 0) return late
   if (fate <= 3) return [...late, { order, dueRound: round + 1 + (random?.pickInt(120) ?? 0) }]
   if (!group.take(order) && order.order.kind === 'prepare') node.keeper.noteRefusedVersion(order.order.version)
