--- a/src/gateway/maps.ts
+++ b/src/gateway/maps.ts
@@ -231,14 +231,18 @@
     return replies.flatMap(({ address, reply }) => reply?.state === undefined ? [] : [{ address, reply, askedAtMs }])
   }
 
-  /** Asks a rank by its agent; while a step may be held, a rank whose agent is silent is asked itself. */
+  /** Asks a rank by its agent; a rank whose agent is silent is asked itself, but for its counters, which are dear from afar. */
   async #ask (address: Address, request: RankRequest, timeoutMs: number, group: Group | undefined): Promise<RankReply | undefined> {
     const reply = await this.#options.client.ask(address.host, request, timeoutMs)
     const key = `${address.host}:${address.port}`
-    const silent = reply === undefined ? (group?.silentReads.get(key) ?? 0) + 1 : 0
+    const before = group?.silentReads.get(key) ?? 0
+    const silent = reply === undefined ? before + 1 : 0
     group?.silentReads.set(key, silent)
-    if (reply !== undefined || silent < SILENT_READS_MAX || !this.#isChanging()) return reply
-    return await answerRankRequest(this.#options.engine, address, request)
+    if (before >= SILENT_READS_MAX && silent === 0) this.#options.context.log('peer-connected', { agent: key })
+    if (reply !== undefined || silent < SILENT_READS_MAX) return reply
+    const direct = await answerRankRequest(this.#options.engine, address, { ...request, ...(request.kind === 'read' ? { wantsCounts: false } : {}) })
+    if (silent === SILENT_READS_MAX) this.#options.context.log('peer-silent', { agent: key, isWorkerHeard: direct.state !== undefined })
+    return direct
   }
 
   #getGroup (name: string, engine: EngineSpec): Group {
