--- a/src/gateway/maps.ts
+++ b/src/gateway/maps.ts
@@ -41,6 +41,9 @@
 /** Least fall of the skew, mean of all layers, that makes a change worth its orders. */
 const GAIN_MIN = 0.05
 
+/** The same after a change whose orders got lost: the group is held while they are sent again. */
+const GAIN_MIN_LOSSY = 0.4
+
 /** Tokens of a layer that must have been counted before demand is known. */
 const TOKENS_MIN = 2_000
 
@@ -198,7 +201,7 @@
     const plans = map.map((layer, index) => planLayer(layer, group.popularity.getShares(index), limits))
     const before = computeMean(plans.map(plan => plan.skewBefore))
     const after = computeMean(plans.map(plan => plan.skewAfter))
-    if (before - after < GAIN_MIN) return
+    if (before - after < (group.keeper.isLossy ? GAIN_MIN_LOSSY : GAIN_MIN)) return
     const version = group.keeper.propose(plans.map(plan => plan.map), nowMs)
     if (version === undefined) return
     context.log('map-planned', {
--- a/src/plugins/lockstep/keeper.ts
+++ b/src/plugins/lockstep/keeper.ts
@@ -107,6 +107,11 @@
     this.#versionSeen = Math.max(this.#versionSeen, version + VERSION_SEQUENCES)
   }
 
+  /** Whether an order of the last change got no answer; the next change would hold the group for longer. */
+  get isLossy (): boolean {
+    return this.#isLossy
+  }
+
   /** Notes an order without an answer; it is sent again at once. */
   noteUnanswered ({ rank, order }: Pick<AddressedOrder, 'rank' | 'order'>): void {
     this.#isLossy = true
