Share the retry budget with gateways behind a partition and across restarts

The extra is now dealt by all gateways listed or heard, and grows over the first window of a process. The test of restarts fails before.

--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -15,13 +15,6 @@
 import type { Exchange } from './exchange.js'
 import type { Dialect } from './model.js'
 
-/**
- * Requests at a model engine, in shares of its slots, above which another one is
- * refused: it would wait longer than a stream's first event may take, and every
- * stream in flight slows the others.
- */
-const ENGINE_FULL_SHARE = 1.25
-
 /** What a context is created with. */
 export interface GatewayContextOptions {
   readonly kernel: Kernel
@@ -90,25 +83,18 @@
    * @returns the choice; undefined when no endpoint can take a request now
    */
   choose (service: string, exclude: ReadonlySet<string>, nowMs: number): Placement | undefined {
-    const spec = this.routes.findService(service)
     return this.placing.choose({
       candidates: this.endpoints.listUsable(service),
       exclude,
-      coldPerS: spec?.coldPerS ?? 0,
-      gateways: this.peers.count(),
-      fullShare: spec?.engine === undefined ? Infinity : ENGINE_FULL_SHARE,
+      coldPerS: this.routes.findService(service)?.coldPerS ?? 0,
+      gateways: this.peers.countKnown(),
       countElsewhere: endpoint => this.peers.countInFlight(endpoint)
     }, nowMs)
   }
 
-  /** Whether any endpoint of the service may get work, however much it has. */
-  hasEndpoint (service: string): boolean {
-    return this.endpoints.listUsable(service).length > 0
-  }
-
   /** Spends a retry of the budget that all gateways share. */
   acceptRetry (service: string, nowMs: number): boolean {
-    return this.retries.accept(service, this.peers.count(), nowMs)
+    return this.retries.accept(service, this.peers.countKnown(), nowMs)
   }
 
   /** Finds out whether an endpoint crashed that broke an answer off. */
--- a/src/gateway/process.ts
+++ b/src/gateway/process.ts
@@ -315,7 +315,7 @@
     for (;;) {
       if (!isRegistered && !this.#isLeaving) isRegistered = (await this.#store.register({ id: host, address: linkListener })).isRight()
       const listed = await this.#store.listGateways()
-      listed.ifRight(entries => { for (const { id, address } of entries) this.#link.addTarget(id, address) })
+      listed.ifRight(entries => { for (const { id, address } of entries) this.#noteGateway(id, address) })
       const isComplete = isRegistered && listed.isRight()
       await new Promise(resolve => { setTimeout(resolve, isComplete ? DISCOVERY_MS * (0.8 + 0.4 * Math.random()) : TICK_MS * 5) })
     }
@@ -330,6 +330,11 @@
     })
   }
 
+  #noteGateway (id: string, address: Address): void {
+    this.#link.addTarget(id, address)
+    this.#context.peers.noteListed(id)
+  }
+
   #answerDirectory (path: string): { status: number, type?: string, body?: string } {
     const others = this.#context.peers.listReady().map(({ callerAddress }) => callerAddress)
     const own = this.isReady ? [this.#describeState().callerAddress] : []
--- a/src/plugins/gateway/peers.ts
+++ b/src/plugins/gateway/peers.ts
@@ -27,8 +27,13 @@
   /** Removes gateways that are silent. @returns their ids */
   expire (nowMs: number): readonly string[]
   listReady (): readonly GatewayState[]
-  /** Count of live gateways, this one included. */
-  count (): number
+  /** Notes a gateway that the store lists. */
+  noteListed (id: string): void
+  /**
+   * Count of gateways that may be at work, this one included: behind a partition
+   * others go on that are not heard here, and share the same bounds.
+   */
+  countKnown (): number
   /** Requests that other gateways have in flight at an endpoint. */
   countInFlight (endpoint: string): number
 }
@@ -39,13 +44,20 @@
   readonly subscribesTo = []
   readonly ports: Pick<Ports, 'peers'> = { peers: this }
   readonly #heard = new Map<string, { readonly state: GatewayState, readonly atMs: number }>()
+  /** Gateways listed or heard since the start, this one included. */
+  readonly #known = new Set<string>()
   readonly #inFlight = new Map<string, number>()
 
-  private constructor () {}
+  private constructor (self: string) {
+    this.#known.add(self)
+  }
 
-  /** @returns a table without peers */
-  static create (): PeersPlugin {
-    return new PeersPlugin()
+  /**
+   * @param self - name of this gateway
+   * @returns a table without peers
+   */
+  static create (self: string): PeersPlugin {
+    return new PeersPlugin(self)
   }
 
   handle (): void {}
@@ -55,6 +67,7 @@
     if (before !== undefined && before.state.bornMs > state.bornMs) return false
     if (before !== undefined) this.#addLoad(before.state, -1)
     this.#heard.set(state.id, { state, atMs: nowMs })
+    this.#known.add(state.id)
     this.#addLoad(state, 1)
     return before === undefined
   }
@@ -72,8 +85,12 @@
     return [...this.#heard.values()].map(({ state }) => state).filter(({ isReady }) => isReady)
   }
 
-  count (): number {
-    return this.#heard.size + 1
+  noteListed (id: string): void {
+    this.#known.add(id)
+  }
+
+  countKnown (): number {
+    return Math.max(1, this.#known.size)
   }
 
   countInFlight (endpoint: string): number {
@@ -89,4 +106,4 @@
   }
 }
 
-registerPlugin({ name: 'peers', roles: ['gateway'], create: () => PeersPlugin.create() })
+registerPlugin({ name: 'peers', roles: ['gateway'], create: options => PeersPlugin.create(options.self.id) })
--- a/src/plugins/gateway/placing.ts
+++ b/src/plugins/gateway/placing.ts
@@ -39,8 +39,6 @@
   /** Requests that a cold endpoint of the service bears in a second, from all gateways. */
   readonly coldPerS: number
   readonly gateways: number
-  /** Most requests at an endpoint, running and waiting, in shares of its slots; above it the request is not sent. */
-  readonly fullShare: number
   /** Requests that other gateways have in flight at an endpoint. */
   countElsewhere (endpoint: string): number
 }
@@ -105,7 +103,7 @@
     for (const endpoint of pool) {
       const inFlight = this.#get(endpoint.record.id).inFlight + request.countElsewhere(endpoint.record.id)
       const score = this.#rate(endpoint, inFlight, fastestMs)
-      if (score >= bestScore || inFlight >= request.fullShare * endpoint.record.slots) continue
+      if (score >= bestScore) continue
       best = { endpoint, inFlight }
       bestScore = score
     }
--- a/src/plugins/gateway/retries.ts
+++ b/src/plugins/gateway/retries.ts
@@ -41,6 +41,7 @@
   readonly subscribesTo = []
   readonly ports: Pick<Ports, 'retries'> = { retries: this }
   readonly #services = new Map<string, Counts>()
+  #startedAtMs: number | undefined
   #bounds: RetryBounds = { ratio: 0, windowMs: 1_000, extra: 0 }
 
   private constructor () {}
@@ -58,13 +59,17 @@
   }
 
   noteRequest (service: string, nowMs: number): void {
+    this.#startedAtMs ??= nowMs
     this.#get(service).requests.add(nowMs)
   }
 
   accept (service: string, gateways: number, nowMs: number): boolean {
     const { requests, retries } = this.#get(service)
-    const { ratio, extra } = this.#bounds
-    const allowed = USED_SHARE * (ratio * requests.count(nowMs) + extra / Math.max(1, gateways))
+    const { ratio, extra, windowMs } = this.#bounds
+    // A process that was restarted does not know what it has spent in the window before.
+    this.#startedAtMs ??= nowMs
+    const grown = Math.min(1, (nowMs - this.#startedAtMs) / windowMs)
+    const allowed = USED_SHARE * (ratio * requests.count(nowMs) + grown * extra / Math.max(1, gateways))
     if (retries.count(nowMs) + 1 > allowed) return false
     retries.add(nowMs)
     return true
