--- a/src/gateway/rank-link.ts
+++ b/src/gateway/rank-link.ts
@@ -75,6 +75,10 @@
       this.#socket.send(encodeEnvelope(id, request), this.#port, host)
     })
   }
+
+  stop (): void {
+    this.#socket.close()
+  }
 }
 
 /** Answers requests of keepers. */
@@ -109,6 +113,10 @@
       this.#socket.bind(port, host, () => { resolve() })
     })
   }
+
+  stop (): void {
+    this.#socket.close()
+  }
 }
 
 function encodeEnvelope<T> (id: number, content: T): Buffer {
--- /dev/null
+++ b/test/adapter/store.test.ts
@@ -0,0 +1,142 @@
+import test from 'ava'
+import { once } from 'node:events'
+import { createServer } from 'node:http'
+import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { AddressInfo } from 'node:net'
+import { Left, Right } from 'purify-ts'
+import type { Either } from 'purify-ts'
+import { StoreClient } from '../../platform/client.js'
+import { StoreFollower } from '../../src/gateway/store.js'
+import type { ChangeBatch, Listing, StoreFailure } from '../../src/gateway/store.js'
+
+type Answer = (request: IncomingMessage, response: ServerResponse) => void
+
+function reply (status: number, body?: unknown): Answer {
+  return (_request, response) => {
+    response.statusCode = status
+    response.end(body === undefined ? '' : JSON.stringify(body))
+  }
+}
+
+function buildObject (name: string, spec: unknown = {}): unknown {
+  return { metadata: { name, revision: 3, created: 1, finalizers: [], deleting: false }, spec, status: null }
+}
+
+/** A store that gives the answers in turn and notes what it was asked. */
+async function startStore (answers: readonly Answer[]): Promise<{ readonly client: StoreClient, readonly asked: string[], readonly results: string[], close (): void }> {
+  const asked: string[] = []
+  const results: string[] = []
+  const server = createServer((request, response) => {
+    asked.push(`${request.method} ${request.url}`)
+    request.resume()
+    answers[Math.min(asked.length, answers.length) - 1]!(request, response)
+  })
+  server.listen(0, '127.0.0.1')
+  await once(server, 'listening')
+  const { port } = server.address() as AddressInfo
+  const client = StoreClient.create({ address: { host: '127.0.0.1', port }, handleResult: result => { results.push(result) } })
+  return {
+    client,
+    asked,
+    results,
+    close () {
+      client.close()
+      server.close()
+      server.closeAllConnections()
+    }
+  }
+}
+
+// Guards against entries beyond the first page, and against a watch that misses what changed between pages.
+test('a list reads every page and keeps the first revision', async t => {
+  const store = await startStore([
+    reply(200, { items: [buildObject('a'), buildObject('b')], has_more: true, current_rev: 10 }),
+    reply(200, { items: [buildObject('c')], has_more: false, current_rev: 12 })
+  ])
+  const listed = await store.client.list('servers')
+  store.close()
+  t.deepEqual(listed.map(({ items, revision }) => ({ names: items.map(({ name }) => name), revision })).extract(), { names: ['a', 'b', 'c'], revision: 10 })
+  t.deepEqual(store.asked, ['GET /heatherdoor/objects/servers', 'GET /heatherdoor/objects/servers?after=b'])
+})
+
+// Guards against a failure that is taken for an empty answer.
+test('every failure is told apart', async t => {
+  const failures: Readonly<Record<string, Answer>> = {
+    'history-gone': reply(410),
+    busy: reply(429),
+    unavailable: reply(503),
+    malformed: (_request, response) => { response.end('no json') },
+    'no-answer': request => { request.socket.destroy() }
+  }
+  for (const [failure, answer] of Object.entries(failures)) {
+    const store = await startStore([answer])
+    t.is((await store.client.watch('servers', 5, 10)).swap().extract() as string, failure)
+    t.deepEqual(store.results, [failure])
+    store.close()
+  }
+})
+
+// Guards against a watch on a connection that went silent, and against reuse of that connection.
+test('a silent store is found by the time-out and asked again on another connection', async t => {
+  const ports = new Set<number | undefined>()
+  const store = await startStore([
+    request => { ports.add(request.socket.remotePort) },
+    (request, response) => {
+      ports.add(request.socket.remotePort)
+      reply(200, { events: [{ deleted: true, object: buildObject('a') }, { deleted: false, object: buildObject('b') }, { deleted: false, object: 1 }], current_rev: 9 })(request, response)
+    }
+  ])
+  t.is((await store.client.watch('servers', 5, 10)).swap().extract() as string, 'no-answer')
+  const batch = await store.client.watch('servers', 5, 10)
+  store.close()
+  t.deepEqual(batch.map(({ changes, revision }) => ({ kinds: changes.map(({ kind }) => kind), revision })).extract(), { kinds: ['removed', 'written'], revision: 9 })
+  t.is(ports.size, 2)
+})
+
+// Guards against a second start of a host that cannot register because the entry of the first one is there.
+test('a write replaces an entry that exists', async t => {
+  const store = await startStore([reply(409, buildObject('g')), reply(200, buildObject('g'))])
+  t.true((await store.client.write('gateways', 'g', {})).isRight())
+  store.close()
+  t.deepEqual(store.asked, ['POST /heatherdoor/objects/gateways', 'PUT /heatherdoor/objects/gateways/g'])
+})
+
+/** Runs a follower against scripted results and notes what it tells. */
+async function runFollower (results: readonly ('list' | 'change' | 'idle' | StoreFailure)[]): Promise<readonly string[]> {
+  const notes: string[] = []
+  let next = 0
+  const take = (): typeof results[number] => {
+    const result = results[next++]
+    if (result !== undefined) return result
+    follower.stop()
+    return 'idle'
+  }
+  const follower = StoreFollower.create<string>({
+    async list (): Promise<Either<StoreFailure, Listing<string>>> {
+      const result = take()
+      return result === 'list' ? Right({ items: ['a'], revision: 1 }) : Left(result as StoreFailure)
+    },
+    async watch (revision): Promise<Either<StoreFailure, ChangeBatch<string>>> {
+      const result = take()
+      notes.push(`watch ${revision}`)
+      if (result === 'change') return Right({ changes: [{ kind: 'removed', name: 'a' }], revision: revision + 1 })
+      return result === 'idle' ? Right({ changes: [], revision }) : Left(result as StoreFailure)
+    }
+  }, 10, {
+    handleList: (items, wasAway) => { notes.push(`list ${items.join()} away=${wasAway}`) },
+    handleChanges: (changes, wasAway) => { notes.push(`${changes.map(({ kind }) => kind).join()} away=${wasAway}`) },
+    handleState: (state, reason) => { notes.push(`${state} ${reason}`.trim()) }
+  })
+  await follower.run()
+  return notes
+}
+
+// Guards against changes that are missed, against a new list after each cut connection, and against entries that lapsed in an outage and are taken for removed.
+test('a follower goes on from its revision, lists again when the history is gone, and tells outages', async t => {
+  t.snapshot({
+    'one cut connection': await runFollower(['list', 'change', 'no-answer', 'change']),
+    outage: await runFollower(['list', 'unavailable', 'unavailable', 'change', 'idle']),
+    'history gone': await runFollower(['list', 'history-gone', 'list', 'idle']),
+    'start without the store': await runFollower(['no-answer', 'busy', 'list', 'idle'])
+  })
+})
--- /dev/null
+++ b/test/gateway/link.test.ts
@@ -0,0 +1,76 @@
+import test from 'ava'
+import { createSocket } from 'node:dgram'
+import { once } from 'node:events'
+import { setTimeout as wait } from 'node:timers/promises'
+import { answerRankRequest } from '../../src/gateway/agent.js'
+import type { RankEngine } from '../../src/gateway/agent.js'
+import { LineWriter } from '../../src/gateway/lines.js'
+import { GatewayLink } from '../../src/gateway/link.js'
+import type { Heartbeat } from '../../src/gateway/link.js'
+import { RankClient, RankServer } from '../../src/gateway/rank-link.js'
+
+async function findPort (): Promise<number> {
+  const socket = createSocket('udp4')
+  socket.bind(0, '127.0.0.1')
+  await once(socket, 'listening')
+  const { port } = socket.address()
+  socket.close()
+  await once(socket, 'close')
+  return port
+}
+
+const STATE = { id: 'g1', bornMs: 1, callerAddress: '10.0.0.1:1', domain: 'a', isReady: true, inFlight: {} }
+
+// Guards against gateways that only one side knows, and against datagrams of other programs.
+test('a gateway answers heartbeats of one that it did not know', async t => {
+  const [first, second] = [{ host: '127.0.0.1', port: await findPort() }, { host: '127.0.0.1', port: await findPort() }]
+  const heard: Heartbeat[] = []
+  const fail = (reason: string): void => { t.fail(reason) }
+  const a = GatewayLink.create(first, heartbeat => { heard.push(heartbeat) }, fail)
+  const b = GatewayLink.create(second, heartbeat => { heard.push(heartbeat) }, fail)
+  await Promise.all([a.start(), b.start()])
+  const stranger = createSocket('udp4')
+  stranger.send('no heartbeat', second.port, second.host)
+  a.addTarget('g2', second)
+  a.send(STATE, [{ fingerprint: 'f', count: 1 }])
+  await wait(50)
+  b.send({ ...STATE, id: 'g2' }, [])
+  await wait(50)
+  for (const link of [a, b]) link.stop()
+  stranger.close()
+  t.deepEqual(heard.map(({ state, strikes }) => ({ id: state.id, strikes })), [{ id: 'g1', strikes: [{ fingerprint: 'f', count: 1 }] }, { id: 'g2', strikes: [] }])
+})
+
+const ENGINE: RankEngine = {
+  readState: async () => ({ group: 'g', epoch: 1, rank: 0, size: 1, isOpen: true, bornMs: 1, step: 4, map: 0, prepared: undefined, armed: undefined, held: undefined }),
+  readCounts: async () => [1, 2],
+  readMap: async () => [[0]],
+  send: async () => 'accepted'
+}
+
+// Guards against replies that are matched with another request, and against a wait without end for an agent that is gone.
+test('a keeper reads and orders a rank by its agent', async t => {
+  const port = await findPort()
+  const fail = (reason: string): void => { t.fail(reason) }
+  const server = RankServer.create(async request => await answerRankRequest(ENGINE, { host: 'h', port: 1 }, request), fail)
+  await server.start({ host: '127.0.0.1', port })
+  const client = RankClient.create(port, fail)
+  await client.start({ host: '127.0.0.1', port: 0 })
+  const replies = await Promise.all([
+    client.ask('127.0.0.1', { kind: 'read', wantsCounts: true, wantsMap: true }, 500),
+    client.ask('127.0.0.1', { kind: 'order', epoch: 1, order: { kind: 'hold', step: 9 } }, 500),
+    client.ask('127.0.0.2', { kind: 'read', wantsCounts: false, wantsMap: false }, 50)
+  ])
+  client.stop()
+  server.stop()
+  t.snapshot(replies)
+})
+
+// Guards against logs that grow without bound or block the process.
+test('log lines beyond the rate are dropped and counted', async t => {
+  const dropped: number[] = []
+  const lines = LineWriter.create(count => { dropped.push(count) })
+  for (let line = 0; line < 1_000; line += 1) lines.add('', 0)
+  await wait(200)
+  t.deepEqual(dropped, [600])
+})
