--- a/src/gateway/agent.ts
+++ b/src/gateway/agent.ts
@@ -7,6 +7,9 @@
 import { RankServer } from './rank-link.js'
 import type { RankReply, RankRequest } from './rank-link.js'
 
+/** Time in ms for the last log lines to be written. */
+const FLUSH_MS = 50
+
 /** A model worker as agents and keepers use it. */
 export interface RankEngine {
   readState (address: Address): Promise<RankState | undefined>
@@ -83,10 +86,11 @@
     this.#logger.write('settings-reloaded', {})
   }
 
-  /** An agent holds nothing; a keeper asks again. */
-  stop (): void {
+  /** Ends at once: an agent holds nothing, and a keeper asks again. */
+  leave (handleLeft: () => void): void {
     this.#logger.write('process-stopped', {})
     this.#lines.flush()
+    setTimeout(handleLeft, FLUSH_MS)
   }
 
   async #answer (request: RankRequest): Promise<RankReply> {
--- a/src/plugins/gateway/advice.ts
+++ b/src/plugins/gateway/advice.ts
@@ -7,7 +7,7 @@
 import { registerPlugin } from '../../kernel/plugin.js'
 import type { Plugin } from '../../kernel/plugin.js'
 import type { Ports } from '../../kernel/ports.js'
-import { SlidingWindow } from './window.js'
+import { NamedWindows } from './window.js'
 
 /** Window in ms over which the share of refusals is taken. */
 const PRESSURE_WINDOW_MS = 1_000
@@ -43,17 +43,13 @@
   advise (service: string, cause: RefusalCause, fraction: number, nowMs: number): number
 }
 
-interface Counts {
-  readonly served: SlidingWindow
-  readonly refused: SlidingWindow
-}
-
 /** Share of refusals by service. */
 export class AdvicePlugin implements Plugin, AdvicePort {
   readonly name = 'advice'
   readonly subscribesTo = []
   readonly ports: Pick<Ports, 'advice'> = { advice: this }
-  readonly #services = new Map<string, Counts>()
+  readonly #served = NamedWindows.create(PRESSURE_WINDOW_MS)
+  readonly #refused = NamedWindows.create(PRESSURE_WINDOW_MS)
 
   private constructor () {}
 
@@ -65,25 +61,16 @@
   handle (): void {}
 
   noteServed (service: string, nowMs: number): void {
-    this.#get(service).served.add(nowMs)
+    this.#served.get(service).add(nowMs)
   }
 
   advise (service: string, cause: RefusalCause, fraction: number, nowMs: number): number {
-    const { served, refused } = this.#get(service)
-    refused.add(nowMs)
-    const share = refused.count(nowMs) / (refused.count(nowMs) + served.count(nowMs))
+    this.#refused.get(service).add(nowMs)
+    const refused = this.#refused.get(service).count(nowMs)
+    const share = refused / (refused + this.#served.get(service).count(nowMs))
     const baseMs = cause === 'lost' ? RECOVERY_MS : SHORT_MS + PRESSURE_MS * share
     return baseMs * (1 + SPREAD * fraction)
   }
-
-  #get (service: string): Counts {
-    let counts = this.#services.get(service)
-    if (counts === undefined) {
-      counts = { served: SlidingWindow.create(PRESSURE_WINDOW_MS), refused: SlidingWindow.create(PRESSURE_WINDOW_MS) }
-      this.#services.set(service, counts)
-    }
-    return counts
-  }
 }
 
 registerPlugin({ name: 'advice', roles: ['gateway'], create: () => AdvicePlugin.create() })
--- a/src/plugins/gateway/retries.ts
+++ b/src/plugins/gateway/retries.ts
@@ -3,7 +3,7 @@
 import { registerPlugin } from '../../kernel/plugin.js'
 import type { Plugin } from '../../kernel/plugin.js'
 import type { Ports } from '../../kernel/ports.js'
-import { SlidingWindow } from './window.js'
+import { NamedWindows } from './window.js'
 
 /** What the deployment allows; from its settings. */
 export interface RetryBounds {
@@ -30,17 +30,13 @@
   accept (service: string, gateways: number, nowMs: number): boolean
 }
 
-interface Counts {
-  readonly requests: SlidingWindow
-  readonly retries: SlidingWindow
-}
-
 /** Sliding windows of requests and retries by service. */
 export class RetriesPlugin implements Plugin, RetriesPort {
   readonly name = 'retries'
   readonly subscribesTo = []
   readonly ports: Pick<Ports, 'retries'> = { retries: this }
-  readonly #services = new Map<string, Counts>()
+  #requests = NamedWindows.create(1_000)
+  #retries = NamedWindows.create(1_000)
   #startedAtMs: number | undefined
   #bounds: RetryBounds = { ratio: 0, windowMs: 1_000, extra: 0 }
 
@@ -55,34 +51,26 @@
 
   setBounds (bounds: RetryBounds): void {
     this.#bounds = bounds
-    this.#services.clear()
+    this.#requests = NamedWindows.create(bounds.windowMs)
+    this.#retries = NamedWindows.create(bounds.windowMs)
   }
 
   noteRequest (service: string, nowMs: number): void {
     this.#startedAtMs ??= nowMs
-    this.#get(service).requests.add(nowMs)
+    this.#requests.get(service).add(nowMs)
   }
 
   accept (service: string, gateways: number, nowMs: number): boolean {
-    const { requests, retries } = this.#get(service)
+    const retries = this.#retries.get(service)
     const { ratio, extra, windowMs } = this.#bounds
     // A process that was restarted does not know what it has spent in the window before.
     this.#startedAtMs ??= nowMs
     const grown = Math.min(1, (nowMs - this.#startedAtMs) / windowMs)
-    const allowed = USED_SHARE * (ratio * requests.count(nowMs) + grown * extra / Math.max(1, gateways))
+    const allowed = USED_SHARE * (ratio * this.#requests.get(service).count(nowMs) + grown * extra / Math.max(1, gateways))
     if (retries.count(nowMs) + 1 > allowed) return false
     retries.add(nowMs)
     return true
   }
-
-  #get (service: string): Counts {
-    let counts = this.#services.get(service)
-    if (counts === undefined) {
-      counts = { requests: SlidingWindow.create(this.#bounds.windowMs), retries: SlidingWindow.create(this.#bounds.windowMs) }
-      this.#services.set(service, counts)
-    }
-    return counts
-  }
 }
 
 registerPlugin({ name: 'retries', roles: ['gateway'], create: () => RetriesPlugin.create() })
--- a/src/plugins/gateway/window.ts
+++ b/src/plugins/gateway/window.ts
@@ -53,3 +53,31 @@
     }
   }
 }
+
+/** Sliding windows by name, created when they are first used. */
+export class NamedWindows {
+  readonly #lengthMs: number
+  readonly #windows = new Map<string, SlidingWindow>()
+
+  private constructor (lengthMs: number) {
+    this.#lengthMs = lengthMs
+  }
+
+  /**
+   * @param lengthMs - length of each window in ms
+   * @returns no windows
+   */
+  static create (lengthMs: number): NamedWindows {
+    return new NamedWindows(lengthMs)
+  }
+
+  /** @returns the window of the name */
+  get (name: string): SlidingWindow {
+    let window = this.#windows.get(name)
+    if (window === undefined) {
+      window = SlidingWindow.create(this.#lengthMs)
+      this.#windows.set(name, window)
+    }
+    return window
+  }
+}
