Notice the return of a silent store within about a second

After a failed call a watch now waits 0.1 s and the pause is 0.4 s at most; the follower's test fails before.

--- a/src/gateway/store.ts
+++ b/src/gateway/store.ts
@@ -49,7 +49,10 @@
 
 /** First and longest pause in ms after a failed call. */
 const PAUSE_FIRST_MS = 100
-const PAUSE_MAX_MS = 1_000
+const PAUSE_MAX_MS = 400
+
+/** Wait of a watch in ms after a failed call: a long one would notice the return of a silent store only when it ends. */
+const LOST_WAIT_MS = 100
 
 /** Time in ms after the store's return during which removals may be entries that lapsed while it was away. */
 const RETURN_MS = 1_000
@@ -110,7 +113,7 @@
   }
 
   async #watch (revision: number): Promise<number | undefined> {
-    const result = await this.#kind.watch(revision, this.#waitMs)
+    const result = await this.#kind.watch(revision, this.#failures > 0 ? LOST_WAIT_MS : this.#waitMs)
     return result.caseOf({
       Left: failure => {
         if (failure === 'history-gone') return undefined
--- a/test/adapter/store.test.ts
+++ b/test/adapter/store.test.ts
@@ -116,13 +116,13 @@
       const result = take()
       return result === 'list' ? Right({ items: ['a'], revision: 1 }) : Left(result as StoreFailure)
     },
-    async watch (revision): Promise<Either<StoreFailure, ChangeBatch<string>>> {
+    async watch (revision, waitMs): Promise<Either<StoreFailure, ChangeBatch<string>>> {
       const result = take()
-      notes.push(`watch ${revision}`)
+      notes.push(`watch ${revision} for ${waitMs} ms`)
       if (result === 'change') return Right({ changes: [{ kind: 'removed', name: 'a' }], revision: revision + 1 })
       return result === 'idle' ? Right({ changes: [], revision }) : Left(result as StoreFailure)
     }
-  }, 10, {
+  }, 2_000, {
     handleList: (items, wasAway) => { notes.push(`list ${items.join()} away=${wasAway}`) },
     handleChanges: (changes, wasAway) => { notes.push(`${changes.map(({ kind }) => kind).join()} away=${wasAway}`) },
     handleState: (state, reason) => { notes.push(`${state} ${reason}`.trim()) }
