--- a/src/gateway/maps.ts
+++ b/src/gateway/maps.ts
@@ -1,7 +1,7 @@
 /** Keeps the expert maps of the groups in step with demand, at the one gateway that does so. */
 
 import { MapKeeper } from '../plugins/lockstep/keeper.js'
-import type { KeeperDecision } from '../plugins/lockstep/keeper.js'
+import type { KeeperDecision, KeeperPhase } from '../plugins/lockstep/keeper.js'
 import { planLayer } from '../plugins/lockstep/planner.js'
 import { RecentPopularity } from '../plugins/lockstep/popularity.js'
 import type { GroupMap, RankReading } from '../plugins/lockstep/rank.js'
@@ -17,6 +17,9 @@
 /** Pause in ms between two readings while a change is under way. */
 const CHANGE_READ_MS = 10
 
+/** The same once a change only waits for its step; a release without an answer is sent again after as long. */
+const RELEASED_READ_MS = 45
+
 /** Longest wait in ms for a reply of an agent. */
 const REPLY_MS = 80
 
@@ -99,8 +102,7 @@
       if (this.#isLeader()) {
         for (const service of this.#options.context.routes.listServices()) {
           if (service.engine === undefined || service.engine.layers === 0) continue
-          const isChanging = await this.#keepService(service.name, service.engine)
-          if (isChanging) pauseMs = CHANGE_READ_MS
+          pauseMs = Math.min(pauseMs, await this.#keepService(service.name, service.engine))
         }
       } else {
         this.#groups.clear()
@@ -124,8 +126,8 @@
     return nowMs - this.#leaderSinceMs >= LEAD_AFTER_MS
   }
 
-  /** @returns whether a change is under way */
-  async #keepService (service: string, engine: EngineSpec): Promise<boolean> {
+  /** @returns pause in ms until the groups are read again */
+  async #keepService (service: string, engine: EngineSpec): Promise<number> {
     const isChanging = this.#isChanging()
     const readings = await this.#readRanks(service, { kind: 'read', wantsCounts: !isChanging, wantsMap: false })
     const byGroup = new Map<string, RankAnswer[]>()
@@ -134,7 +136,7 @@
       if (name !== undefined) byGroup.set(name, [...byGroup.get(name) ?? [], reading])
     }
     for (const [name, ranks] of byGroup) await this.#keepGroup(name, ranks, engine)
-    return this.#isChanging()
+    return Math.min(...[...this.#groups.values()].map(({ keeper }) => getReadPauseMs(keeper.phase)), READ_MS)
   }
 
   #isChanging (): boolean {
@@ -258,6 +260,16 @@
   }
 }
 
+function getReadPauseMs ({ kind }: KeeperPhase): number {
+  switch (kind) {
+    case 'idle': return READ_MS
+    case 'preparing':
+    case 'holding':
+    case 'undoing': return CHANGE_READ_MS
+    case 'releasing': return RELEASED_READ_MS
+  }
+}
+
 /** @returns states by rank when every rank of the group answered, is open and in one epoch */
 function listWholeGroup (readings: readonly RankAnswer[]): readonly RankReading[] | undefined {
   const states = readings.flatMap(({ reply: { state }, askedAtMs }) => state === undefined ? [] : [{ ...state, readAtMs: askedAtMs }])
--- a/src/plugins/lockstep/keeper.ts
+++ b/src/plugins/lockstep/keeper.ts
@@ -13,12 +13,21 @@
  * by the other keeper does not let the step begin.
  */
 
+import { GroupPace } from './pace.js'
 import type { AddressedOrder, GroupMap, RankOrder, RankReading } from './rank.js'
 
 /** Steps between the last one begun and the held one; orders reach every rank meanwhile. */
 const LEAD_STEPS = 3
 
-/** The same when orders of the change got no answer: they are sent several times before every rank has them. */
+/**
+ * Time in ms of passes up to the held one when orders of the change got no
+ * answer: they are sent several times before every rank has them, and a holder
+ * whose host falls silent meanwhile stops the group only after this time.
+ * Unanswered orders are carried out 2 s later or more, when the step has passed.
+ */
+const LEAD_LOSSY_MS = 1_800
+
+/** Least steps of that lead; the pace is not known in the first moments. */
 const LEAD_STEPS_LOSSY = 12
 
 /** Time in ms after which an order without effect is sent again. */
@@ -71,6 +80,7 @@
   #mapVersion = 0
   /** Whether an order of the present change got no answer. */
   #isLossy = false
+  #pace = GroupPace.create()
   readonly #sentAtMs = new Map<string, number>()
 
   readonly #sequence: number
@@ -158,9 +168,12 @@
       this.#phase = { kind: 'idle' }
       this.#map = undefined
       this.#stepUsed = 0
+      this.#pace = GroupPace.create()
       this.#foreignSinceMs = undefined
       this.#sentAtMs.clear()
     }
+    const newest = ranks.reduce((best, rank) => rank.readAtMs > best.readAtMs || (rank.readAtMs === best.readAtMs && rank.step > best.step) ? rank : best)
+    this.#pace.noteStep(newest.step, newest.readAtMs)
     // Another keeper's change is listed by the ranks.
     if (ranks.every(({ map }) => map === ranks[0]?.map && map !== this.#mapVersion)) this.#map = undefined
     for (const { map, prepared, armed, step, held } of ranks) {
@@ -186,13 +199,17 @@
     if (ranks.some(({ held, armed }) => held !== undefined || armed !== undefined) || nowMs - phase.sinceMs > PREPARE_MAX_MS) return this.#end('aborted')
     const missing = ranks.filter(({ prepared }) => prepared !== version)
     if (missing.length > 0) return { orders: this.#address(missing, () => ({ kind: 'prepare', version, map }), PREPARE_RESEND_MS, nowMs) }
-    const step = Math.max(this.#stepUsed, ...ranks.map(rank => rank.step)) + (this.#isLossy ? LEAD_STEPS_LOSSY : LEAD_STEPS)
+    const step = Math.max(this.#stepUsed, ...ranks.map(rank => rank.step)) + this.#countLeadSteps()
     const holder = (step + this.#sequence) % ranks.length
     this.#stepUsed = step
     this.#phase = { kind: 'holding', version, map, step, holder, sinceMs: nowMs }
     return this.#arm(this.#phase, ranks, nowMs)
   }
 
+  #countLeadSteps (): number {
+    return this.#isLossy ? Math.max(LEAD_STEPS_LOSSY, this.#pace.countSteps(LEAD_LOSSY_MS)) : LEAD_STEPS
+  }
+
   #arm (phase: Extract<KeeperPhase, { kind: 'holding' }>, ranks: readonly RankReading[], nowMs: number): KeeperDecision {
     const { version, step, holder } = phase
     const isHeld = ranks.some(({ rank, held }) => rank === holder && held === step)
--- a/test/lockstep/keeper.test.ts
+++ b/test/lockstep/keeper.test.ts
@@ -100,3 +100,58 @@
   }
   t.true(committed > 400, `${committed} changes`)
 })
+
+/** Time in ms of one pass of a loaded group. */
+const PASS_MS = 50
+
+/** Time in ms for which a host stays silent. */
+const SILENT_MS = 3_000
+
+/** Time in ms without an event after which callers leave a stream. */
+const CALLER_PATIENCE_MS = 2_000
+
+/**
+ * Half of the orders get no answer and are carried out late, and the host of the
+ * rank that holds a step falls silent as soon as it holds.
+ *
+ * @returns longest time in ms between two passes
+ */
+function runSilentHolder (seed: number): number {
+  const random = Random.create(seed)
+  const group = FakeGroup.create(4)
+  const keeper = MapKeeper.create(seed)
+  let late: { readonly order: AddressedOrder, readonly dueMs: number }[] = []
+  let states = group.readAll(0)
+  let silentUntilMs: number | undefined
+  let passedAtMs = 0
+  let longestMs = 0
+  for (let nowMs = 0; nowMs < 12_000; nowMs += 10) {
+    for (const due of late.filter(({ dueMs }) => dueMs <= nowMs)) group.take(due.order)
+    late = late.filter(({ dueMs }) => dueMs > nowMs)
+    if (nowMs % PASS_MS === 0 && group.beginPass()) {
+      longestMs = Math.max(longestMs, nowMs - passedAtMs)
+      passedAtMs = nowMs
+    }
+    const holder = group.ranks.findIndex(rank => rank.held !== undefined)
+    if (holder >= 0) silentUntilMs ??= nowMs + SILENT_MS
+    // A keeper decides only on readings of all ranks.
+    if (silentUntilMs !== undefined && nowMs < silentUntilMs) continue
+    states = group.readAll(nowMs)
+    if (keeper.map === undefined) keeper.noteMap(MAP, states[0]!.map)
+    if (nowMs === 1_000) keeper.propose(MAP, nowMs)
+    for (const order of keeper.decide(states, nowMs).orders) {
+      if (random.pickInt(2) === 0) {
+        group.take(order)
+        continue
+      }
+      keeper.noteUnanswered(order)
+      late.push({ order, dueMs: nowMs + 2_000 + random.pickInt(10_000) })
+    }
+  }
+  return longestMs
+}
+
+// Guards against streams that stand still until their callers leave, because the host of the rank that holds a step cannot be reached.
+test('a silent host of a held step costs no caller its stream while orders get lost', t => {
+  for (let seed = 1; seed <= 50; seed += 1) t.true(runSilentHolder(seed) < CALLER_PATIENCE_MS, `seed ${seed}: ${runSilentHolder(seed)} ms`)
+})
