--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -11,6 +11,7 @@
 import type { Placement, PlacingPort } from '../plugins/gateway/placing.js'
 import type { RetriesPort } from '../plugins/gateway/retries.js'
 import type { RoutesPort } from '../plugins/gateway/routes.js'
+import type { SilencePort } from '../plugins/gateway/silence.js'
 import { CrashProbe } from './crash-probe.js'
 import type { Exchange } from './exchange.js'
 import type { Dialect } from './model.js'
@@ -34,6 +35,7 @@
   readonly crashes: CrashesPort
   readonly placing: PlacingPort
   readonly advice: AdvicePort
+  readonly silence: SilencePort
   readonly #logger: Logger
   readonly #probe: CrashProbe
   readonly #exchanges = new Set<Exchange>()
@@ -49,6 +51,7 @@
     this.crashes = kernel.port('crashes')
     this.placing = kernel.port('placing')
     this.advice = kernel.port('advice')
+    this.silence = kernel.port('silence')
     this.#probe = CrashProbe.create((endpoint, fingerprints) => { this.#handleCrash(endpoint, fingerprints) })
   }
 
@@ -88,10 +91,21 @@
       exclude,
       coldPerS: this.routes.findService(service)?.coldPerS ?? 0,
       gateways: this.peers.countKnown(),
-      countElsewhere: endpoint => this.peers.countInFlight(endpoint)
+      countElsewhere: endpoint => this.peers.countInFlight(endpoint),
+      isSilent: endpoint => this.silence.isSilent(endpoint)
     }, nowMs)
   }
 
+  /** Whether an endpoint is left that was not tried and is not silent. */
+  hasOther (service: string, tried: ReadonlySet<string>): boolean {
+    return this.endpoints.listUsable(service).some(({ record: { id } }) => !tried.has(id) && !this.silence.isSilent(id))
+  }
+
+  /** Notes a sign of life of an endpoint. */
+  noteHeard ({ record: { id, service } }: EndpointView): void {
+    if (this.silence.noteHeard(id, service, this.getNowMs())) this.log('endpoint-heard', { endpoint: id })
+  }
+
   /** Spends a retry of the budget that all gateways share. */
   acceptRetry (service: string, nowMs: number): boolean {
     return this.retries.accept(service, this.peers.countKnown(), nowMs)
@@ -105,10 +119,16 @@
   /** Drops an endpoint whose address another one has. */
   noteMisdirected ({ record }: EndpointView): void {
     this.endpoints.noteReplaced(record.id)
-    this.placing.forget(record.id)
+    this.forget(record.id)
     this.log('endpoint-changed', { endpoint: record.id, change: 'gone', reason: 'misdirected' })
   }
 
+  /** Forgets what was measured of an endpoint that is gone or was started anew. */
+  forget (endpoint: string): void {
+    this.placing.forget(endpoint)
+    this.silence.forget(endpoint)
+  }
+
   addExchange (exchange: Exchange): void {
     this.#exchanges.add(exchange)
     this.metrics.observe('requests_in_flight', this.#exchanges.size)
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -3,10 +3,12 @@
 import type { ServerResponse } from 'node:http'
 import { ERROR_ANSWERS } from '../kernel/errors.js'
 import type { ErrorKind } from '../kernel/errors.js'
+import type { EndpointView } from '../plugins/gateway/endpoints.js'
 import type { AttemptResult, Placement } from '../plugins/gateway/placing.js'
 import { EventSplitter } from './events.js'
 import type { GatewayContext } from './context.js'
-import type { AnswerHead, CallerRequest, RawHeaders, Repeat, Route, TeamRef } from './model.js'
+import type { AnswerHead, CallerRequest, RawHeaders, Route, TeamRef } from './model.js'
+import { chooseStatus, isStream, mayRunAgain } from './repeat.js'
 import { Attempt } from './upstream.js'
 import type { AttemptFailure } from './upstream.js'
 
@@ -19,6 +21,9 @@
 /** Wait in ms before a request that an endpoint had no room for is tried elsewhere. */
 const REFUSED_BACKOFF_MS = 30
 
+/** Part of its time after which a request that may be repeated is tried elsewhere, where the endpoint cannot be asked. */
+const PATIENCE_SHARE = 0.4
+
 /** Largest answer kept whole before it is passed on, in bytes. */
 const ANSWER_BYTES_MAX = 8 * 1024 * 1024
 
@@ -48,6 +53,10 @@
   bytes: number
   splitter: EventSplitter | undefined
   firstEventMs: number | undefined
+  /** Last moment, in monotonic ms, at which the endpoint sent something of the answer. */
+  heardAtMs: number
+  /** Whether the caller reads more slowly than the endpoint sends. */
+  isPaused: boolean
 }
 
 interface KeptAnswer {
@@ -100,10 +109,29 @@
     this.#context.retries.noteRequest(this.#options.service, nowMs)
     this.#timer = setTimeout(() => { this.#expire() }, Math.max(0, this.#deadlineAtMs - nowMs) + ANSWER_GRACE_MS)
     this.#options.response.on('close', () => { this.#handleCallerClosed() })
-    this.#options.response.on('drain', () => { this.#running?.attempt.resume() })
+    this.#options.response.on('drain', () => { this.#resumeReading() })
     this.#place()
   }
 
+  /**
+   * Gives up on a silent endpoint where another one may go on.
+   *
+   * @param nowMs - monotonic time in ms
+   * @returns the endpoint when it should be asked whether it is alive
+   */
+  checkSilence (nowMs: number): EndpointView | undefined {
+    const running = this.#running
+    if (running?.attempt.isSent !== true || running.isPaused) return undefined
+    const { id } = running.endpoint.record
+    const patienceMs = PATIENCE_SHARE * (this.#deadlineAtMs - this.#options.receivedAtMs)
+    const isOverdue = this.#options.route.repeat === 'idempotent' && nowMs - running.heardAtMs > patienceMs
+    if (this.#context.silence.isSilent(id) || isOverdue) {
+      this.#leaveSilent(running, nowMs)
+      return undefined
+    }
+    return this.#context.silence.shouldAsk(id, nowMs - running.heardAtMs, nowMs) ? running.endpoint : undefined
+  }
+
   /** Ends the exchange at a planned stop whose time is over. */
   cut (): void {
     if (!this.#isDone) this.#fail('leaving')
@@ -147,10 +175,29 @@
       handleFailure: failure => { this.#handleFailure(failure) }
     })
     this.#running = {
-      attempt, endpoint, startedAtMs: nowMs, status: 0, head: undefined, headers: [], chunks: [], bytes: 0, splitter: undefined, firstEventMs: undefined
+      attempt, endpoint, startedAtMs: nowMs, status: 0, head: undefined, headers: [], chunks: [], bytes: 0, splitter: undefined, firstEventMs: undefined, heardAtMs: nowMs, isPaused: false
     }
   }
 
+  /** Stays with the silent endpoint when nothing better is left: it may come back. */
+  #leaveSilent (running: RunningAttempt, nowMs: number): void {
+    const { route, service } = this.#options
+    const isBetterLeft = this.#context.hasOther(service, this.#tried)
+    if (!mayRunAgain(route.repeat) || !isBetterLeft || this.#attempts >= route.attemptsMax || !this.#context.acceptRetry(service, nowMs)) return
+    this.#mayHaveRun = true
+    running.attempt.abort()
+    this.#settle('silent', 'endpoint silent')
+    this.#tryAgain('connection-lost', 0)
+  }
+
+  #resumeReading (): void {
+    const running = this.#running
+    if (running === undefined) return
+    running.isPaused = false
+    running.heardAtMs = this.#context.getNowMs()
+    running.attempt.resume()
+  }
+
   #handleHead (status: number, headers: RawHeaders): void {
     const running = this.#running
     if (running === undefined) return
@@ -161,6 +208,7 @@
       this.#handleFailure({ kind: 'broken', reason: isForeign ? 'answer to another request' : `status ${status}` })
       return
     }
+    this.#noteHeard(running)
     running.status = status
     running.headers = headers
     running.head = head
@@ -170,6 +218,7 @@
   #handleData (chunk: Buffer): void {
     const running = this.#running
     if (running === undefined) return
+    this.#noteHeard(running)
     if (running.splitter === undefined) {
       running.bytes += chunk.length
       if (running.bytes <= ANSWER_BYTES_MAX) {
@@ -186,7 +235,14 @@
     this.#lastEventId = batch.lastId ?? this.#lastEventId
     this.#events += batch.count
     this.#sendStreamHead(running)
-    if (!this.#options.response.write(batch.bytes)) running.attempt.pause()
+    if (this.#options.response.write(batch.bytes)) return
+    running.isPaused = true
+    running.attempt.pause()
+  }
+
+  #noteHeard (running: RunningAttempt): void {
+    running.heardAtMs = this.#context.getNowMs()
+    this.#context.noteHeard(running.endpoint)
   }
 
   #noteFirstEvent (running: RunningAttempt): void {
@@ -276,6 +332,10 @@
       this.#fail(error)
       return
     }
+    this.#tryAgain(error, backoffMs)
+  }
+
+  #tryAgain (error: ErrorKind, backoffMs: number): void {
     this.#context.metrics.count(this.#isHeadSent ? 'resumes' : 'retries')
     this.#context.log(this.#isHeadSent ? 'stream-resumed' : 'request-retried', { request: this.#options.request.requestId, error, attempt: this.#attempts + 1, events: this.#events })
     if (backoffMs === 0) this.#place()
@@ -377,17 +437,3 @@
     this.#context.handleFinished(this)
   }
 }
-
-/** A status that promises that the request has not run is only given where that is so. */
-function chooseStatus (error: ErrorKind, mayHaveRun: boolean): number {
-  if (!mayHaveRun) return 503
-  return error === 'deadline-exceeded' ? 504 : 502
-}
-
-function mayRunAgain (repeat: Repeat): boolean {
-  return repeat === 'idempotent' || repeat === 'resumable-stream'
-}
-
-function isStream (repeat: Repeat): boolean {
-  return repeat === 'resumable-stream' || repeat === 'at-most-once-stream'
-}
--- a/src/gateway/process.ts
+++ b/src/gateway/process.ts
@@ -12,6 +12,7 @@
 import type { GatewayState } from '../plugins/gateway/peers.js'
 import type { RankEngine } from './agent.js'
 import { GatewayContext } from './context.js'
+import { EndpointProbe } from './endpoint-probe.js'
 import { LineWriter } from './lines.js'
 import { GatewayLink } from './link.js'
 import type { Address, Dialect, EndpointRecord, GatewayConfiguration } from './model.js'
@@ -110,6 +111,7 @@
   readonly #link: GatewayLink
   readonly #ranks: RankClient
   readonly #maps: MapService
+  readonly #probe: EndpointProbe
   readonly #followers: readonly StoreFollower<unknown>[]
   readonly #evacuated = new Set<string>()
   readonly #servers: Server[] = []
@@ -144,6 +146,7 @@
     }, reason => { this.#logger.write('internal-error', { reason }) })
     this.#ranks = RankClient.create(settings.agentPort, reason => { this.#logger.write('internal-error', { reason }) })
     this.#maps = MapService.create({ context: this.#context, client: this.#ranks, engine, id: host, isReady: () => this.isReady })
+    this.#probe = EndpointProbe.create(this.#context, this.#ranks, engine)
     this.#followers = this.#createFollowers()
   }
 
@@ -265,7 +268,7 @@
 
   #noteChanges (changes: readonly EndpointChange[]): void {
     for (const { id, change } of changes) {
-      if (change === 'gone' || change === 'restarted') this.#context.placing.forget(id)
+      if (change === 'gone' || change === 'restarted') this.#context.forget(id)
       const record = this.#context.endpoints.find(id)?.record
       this.#logger.write('endpoint-changed', { endpoint: id, change, state: record?.state ?? '', domain: record?.domain ?? '', coldMs: record?.coldRemainingMs ?? 0 })
     }
@@ -288,6 +291,7 @@
     const nowMs = performance.now()
     this.#noteChanges(this.#context.endpoints.expire(nowMs))
     for (const gateway of this.#context.peers.expire(nowMs)) this.#logger.write('gateway-lost', { gateway })
+    this.#probe.checkAll(nowMs)
   }
 
   #scheduleHeartbeat (): void {
--- a/src/kernel/ports.ts
+++ b/src/kernel/ports.ts
@@ -9,6 +9,7 @@
 import type { PlacingPort } from '../plugins/gateway/placing.js'
 import type { RetriesPort } from '../plugins/gateway/retries.js'
 import type { RoutesPort } from '../plugins/gateway/routes.js'
+import type { SilencePort } from '../plugins/gateway/silence.js'
 import type { EndpointState, HomeMove, ProcessRef, RequestKey } from '../protocol/messages.js'
 
 /** The configuration in force. */
@@ -175,4 +176,5 @@
   readonly crashes: CrashesPort
   readonly placing: PlacingPort
   readonly advice: AdvicePort
+  readonly silence: SilencePort
 }
--- a/src/plugins/gateway/placing.ts
+++ b/src/plugins/gateway/placing.ts
@@ -29,7 +29,7 @@
 const COLD_SHARE = 0.9
 
 /** How an attempt ended, as far as placing is concerned. */
-export type AttemptResult = 'ok' | 'failed' | 'refused' | 'unreachable' | 'cancelled'
+export type AttemptResult = 'ok' | 'failed' | 'refused' | 'unreachable' | 'silent' | 'cancelled'
 
 /** What a choice is made for. */
 export interface PlacingRequest {
@@ -41,6 +41,8 @@
   readonly gateways: number
   /** Requests that other gateways have in flight at an endpoint. */
   countElsewhere (endpoint: string): number
+  /** Whether an endpoint does not answer although others do. */
+  isSilent (endpoint: string): boolean
 }
 
 /** A choice with the inputs that decided it. */
@@ -95,7 +97,7 @@
   choose (request: PlacingRequest, nowMs: number): Placement | undefined {
     const open = request.candidates.filter(view => this.#acceptsCold(view, request, nowMs))
     const fresh = open.filter(({ record }) => !request.exclude.has(record.id))
-    const reachable = fresh.filter(({ record }) => this.#get(record.id).unreachableUntilMs <= nowMs)
+    const reachable = fresh.filter(({ record }) => this.#get(record.id).unreachableUntilMs <= nowMs && !request.isSilent(record.id))
     const pool = reachable.length > 0 ? reachable : fresh.length > 0 ? fresh : open
     const fastestMs = Math.min(...pool.map(({ record }) => this.#get(record.id).latencyMs || Infinity))
     let best: Placement | undefined
@@ -126,7 +128,7 @@
       return
     }
     record.unreachableInRow = 0
-    if (result === 'cancelled' || result === 'refused') return
+    if (result === 'cancelled' || result === 'refused' || result === 'silent') return
     record.failures += AVERAGE_WEIGHT * ((result === 'failed' ? 1 : 0) - record.failures)
     if (result === 'ok') record.latencyMs = record.latencyMs === 0 ? elapsedMs : record.latencyMs + AVERAGE_WEIGHT * (elapsedMs - record.latencyMs)
   }
--- a/test/gateway/harness.ts
+++ b/test/gateway/harness.ts
@@ -8,7 +8,7 @@
 import { Logger } from '../../src/edge/log/logger.js'
 import { Metrics } from '../../src/edge/metrics/metrics.js'
 import { GatewayContext } from '../../src/gateway/context.js'
-import type { Repeat, Route } from '../../src/gateway/model.js'
+import type { EngineSpec, Repeat, Route } from '../../src/gateway/model.js'
 import { CallerServer } from '../../src/gateway/server.js'
 import { Kernel } from '../../src/kernel/kernel.js'
 import '../../src/plugins/gateway/index.js'
@@ -50,8 +50,9 @@
  * @param repeat - how often requests of the route may run
  * @param scripts - endpoints by id; `undefined` is one that takes no connection
  * @param changes - changes of the route
+ * @param engine - engine of the endpoints; undefined when they have none
  */
-export async function startHarness (repeat: Repeat, scripts: Readonly<Record<string, Script | undefined>>, changes: Partial<Route> = {}): Promise<Harness> {
+export async function startHarness (repeat: Repeat, scripts: Readonly<Record<string, Script | undefined>>, changes: Partial<Route> = {}, engine?: EngineSpec): Promise<Harness> {
   const received: Record<string, string[]> = {}
   const lines: string[] = []
   const metrics = Metrics.create({ role: 'gateway' })
@@ -70,7 +71,7 @@
   context.routes.accept({
     version: 1,
     routes: new Map([['h', [route]]]),
-    services: new Map([['s', { name: 's', coldPerS: 0 }]]),
+    services: new Map([['s', { name: 's', coldPerS: 0, ...(engine === undefined ? {} : { engine }) }]]),
     teams: new Map([['k1', { name: 't1' }]]),
     limits: { headerBytesMax: 16_384, bodyBytesMax: 1_000, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 }
   })
--- /dev/null
+++ b/test/gateway/silence.test.ts
@@ -0,0 +1,79 @@
+import test from 'ava'
+import { EndpointProbe } from '../../src/gateway/endpoint-probe.js'
+import type { EngineSpec, Repeat } from '../../src/gateway/model.js'
+import type { RankState } from '../../src/plugins/lockstep/rank.js'
+import { SilencePlugin } from '../../src/plugins/gateway/silence.js'
+import { startHarness } from './harness.js'
+import type { Harness, Script } from './harness.js'
+
+const ENGINE: EngineSpec = {
+  slots: 8, stride: 5, stepMs: 6, perRequestMs: 1, readPerS: 60_000, promptTokens: 800, answerTokens: 140, layers: 1, experts: 4, slotsPerRank: 2, spare: 1, expertMb: 1, linkMbps: 100, expertShare: 0.5
+}
+const STATE: RankState = { group: 'g', epoch: 1, rank: 0, size: 2, isOpen: true, bornMs: 1, step: 1, map: 0, prepared: undefined, armed: undefined, held: undefined }
+
+/** Streams events up to `last` with pauses of 50 ms; sends nothing more when `last` is not 12. */
+function stream (last: number): Script {
+  return (request, response) => {
+    response.setHeader('Content-Type', 'text/event-stream')
+    let id = Number(request.headers['last-event-id'] ?? 0)
+    const timer = setInterval(() => {
+      id += 1
+      if (id <= last) response.write(`id: ${id}\ndata: x\n\n`)
+      if (id <= last && id < 12) return
+      clearInterval(timer)
+      if (last === 12) response.end()
+    }, 50)
+  }
+}
+
+/** Asks endpoints as a gateway does; `mute` ones answer no question. */
+function watchSilence (harness: Harness, mute: readonly string[]): () => void {
+  const isMute = (port: number): boolean => harness.context.endpoints.listAll().some(({ record }) => record.address.port === port && mute.includes(record.id))
+  const probe = EndpointProbe.create(harness.context, { ask: async () => undefined }, {
+    readState: async ({ port }) => isMute(port) ? undefined : STATE
+  })
+  const timer = setInterval(() => { probe.checkAll(performance.now()) }, 50)
+  return () => { clearInterval(timer) }
+}
+
+/** The first endpoint stops after `last` events; a second request keeps the other endpoint heard. */
+async function run (repeat: Repeat, first: Script, mute: readonly string[], other: Script = stream(12)): Promise<unknown> {
+  const harness = await startHarness(repeat, { e1: first, e2: other }, { attemptsMax: 2 }, ENGINE)
+  const stop = watchSilence(harness, mute)
+  const [got] = await Promise.all([harness.call({ leaveAfterMs: 1_400 }), harness.call({ leaveAfterMs: 1_400 })])
+  stop()
+  harness.close()
+  return { ids: got.body.match(/id: (\d+)/g)?.map(id => Number(id.slice(4))), isComplete: got.isComplete, received: harness.received, events: harness.lines.filter(line => /endpoint-silent|stream-resumed|request-retried/.test(line)).map(line => (JSON.parse(line) as { event: string }).event) }
+}
+
+// Guards against streams that wait at a host that froze or was cut off until their callers leave.
+test('a stream at a silent endpoint goes on at another one', async t => {
+  t.snapshot({
+    'silent in the middle': await run('resumable-stream', stream(4), ['e1']),
+    'silent from the start': await run('resumable-stream', () => {}, ['e1']),
+    'quiet, but answers when asked': await run('resumable-stream', stream(4), []),
+    'may run only once': await run('at-most-once-stream', stream(4), ['e1'])
+  })
+})
+
+// Guards against streams sent to and fro when a whole group stands still or the gateway itself is cut off.
+test('endpoints are not given up when none is heard', async t => {
+  t.snapshot(await run('resumable-stream', stream(4), ['e1', 'e2'], stream(4)))
+})
+
+// Guards against floods of questions, and against an endpoint that stays given up after it is heard again.
+test('signs of life decide when an endpoint is asked and given up', t => {
+  const silence = SilencePlugin.create()
+  silence.noteHeard('e1', 's', 0)
+  silence.noteHeard('e2', 's', 900)
+  t.snapshot({
+    'waits a moment': silence.shouldAsk('e1', 100, 1_000),
+    'another request was answered lately': silence.shouldAsk('e2', 300, 1_000),
+    'waits too long': silence.shouldAsk('e1', 300, 1_000),
+    'asked already': silence.shouldAsk('e1', 400, 1_100),
+    'no answer': silence.noteUnanswered('e1', 's', 1_200),
+    'asked again later': [silence.listDue(1_400), silence.listDue(1_600), silence.listDue(1_700)],
+    'heard again': [silence.noteHeard('e1', 's', 1_800), silence.isSilent('e1')],
+    'nobody else heard': [silence.shouldAsk('e1', 300, 4_000), silence.noteUnanswered('e1', 's', 4_100), silence.isSilent('e1')]
+  })
+})
