--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -36,6 +36,8 @@
   readonly placing: PlacingPort
   readonly advice: AdvicePort
   readonly silence: SilencePort
+  /** Paces of slow endpoints; empty unless this gateway keeps the maps. */
+  paces: Readonly<Record<string, number>> = {}
   readonly #logger: Logger
   readonly #probe: CrashProbe
   readonly #exchanges = new Set<Exchange>()
@@ -92,7 +94,8 @@
       coldPerS: this.routes.findService(service)?.coldPerS ?? 0,
       gateways: this.peers.countKnown(),
       countElsewhere: endpoint => this.peers.countInFlight(endpoint),
-      isSilent: endpoint => this.silence.isSilent(endpoint)
+      isSilent: endpoint => this.silence.isSilent(endpoint),
+      getPace: endpoint => this.paces[endpoint] ?? this.peers.getPace(endpoint)
     }, nowMs)
   }
 
--- a/src/gateway/maps.ts
+++ b/src/gateway/maps.ts
@@ -2,7 +2,7 @@
 
 import { MapKeeper } from '../plugins/lockstep/keeper.js'
 import type { KeeperDecision, KeeperPhase } from '../plugins/lockstep/keeper.js'
-import { planLayer } from '../plugins/lockstep/planner.js'
+import { planLayer, SLOW_PACE } from '../plugins/lockstep/planner.js'
 import { RecentPopularity } from '../plugins/lockstep/popularity.js'
 import type { GroupMap, RankReading } from '../plugins/lockstep/rank.js'
 import { answerRankRequest } from './agent.js'
@@ -106,6 +106,7 @@
         }
       } else {
         this.#groups.clear()
+        this.#options.context.paces = {}
       }
       await new Promise(resolve => { setTimeout(resolve, pauseMs) })
     }
@@ -135,10 +136,21 @@
       const name = reading.reply.state?.group
       if (name !== undefined) byGroup.set(name, [...byGroup.get(name) ?? [], reading])
     }
+    this.#notePaces(readings)
     for (const [name, ranks] of byGroup) await this.#keepGroup(name, ranks, engine)
     return Math.min(...[...this.#groups.values()].map(({ keeper }) => getReadPauseMs(keeper.phase)), READ_MS)
   }
 
+  /** Notes slow ranks: they get fewer experts and fewer requests, here and at the other gateways. */
+  #notePaces (readings: readonly RankAnswer[]): void {
+    const { context } = this.#options
+    const paces = new Map(readings.flatMap(({ address, reply: { state } }) => state === undefined || state.pace < SLOW_PACE ? [] : [[`${address.host}:${address.port}`, state.pace]]))
+    context.paces = Object.fromEntries(context.endpoints.listAll().flatMap(({ record: { id, address } }) => {
+      const pace = paces.get(`${address.host}:${address.port}`)
+      return pace === undefined ? [] : [[id, pace]]
+    }))
+  }
+
   #isChanging (): boolean {
     return [...this.#groups.values()].some(({ keeper }) => keeper.phase.kind !== 'idle')
   }
@@ -158,7 +170,7 @@
     const decision = group.keeper.decide(states, nowMs)
     if (group.keeper.map === undefined) await this.#findMap(group, states, readings, engine)
     await this.#carryOut(name, group, decision, readings)
-    if (group.keeper.phase.kind === 'idle' && group.keeper.map !== undefined && nowMs - group.changedAtMs >= CHANGE_PAUSE_MS) this.#plan(name, group, group.keeper.map, engine, nowMs)
+    if (group.keeper.phase.kind === 'idle' && nowMs - group.changedAtMs >= CHANGE_PAUSE_MS) this.#plan(name, group, states, engine)
   }
 
   /** Follows the decisions as long as replies bring new ones. */
@@ -196,10 +208,12 @@
     group.changedAtMs = context.getNowMs()
   }
 
-  #plan (name: string, group: Group, map: GroupMap, engine: EngineSpec, nowMs: number): void {
+  #plan (name: string, group: Group, states: readonly RankReading[], engine: EngineSpec): void {
     const { context } = this.#options
-    if (group.popularity.getTotal() < TOKENS_MIN) return
-    const limits = { slots: engine.slotsPerRank, spare: engine.spare, gainMin: GAIN_PER_COPY_MIN }
+    const nowMs = context.getNowMs()
+    const { map } = group.keeper
+    if (map === undefined || group.popularity.getTotal() < TOKENS_MIN) return
+    const limits = { slots: engine.slotsPerRank, spare: engine.spare, gainMin: GAIN_PER_COPY_MIN, paces: states.map(({ pace }) => pace) }
     const plans = map.map((layer, index) => planLayer(layer, group.popularity.getShares(index), limits))
     const before = computeMean(plans.map(plan => plan.skewBefore))
     const after = computeMean(plans.map(plan => plan.skewAfter))
@@ -207,7 +221,7 @@
     const version = group.keeper.propose(plans.map(plan => plan.map), nowMs)
     if (version === undefined) return
     context.log('map-planned', {
-      group: name, version, skewBefore: round(before), skewAfter: round(after), copies: plans.reduce((sum, { copies }) => sum + copies, 0), planMs: round(context.getNowMs() - nowMs)
+      group: name, version, slowest: round(Math.max(...states.map(({ pace }) => pace))), skewBefore: round(before), skewAfter: round(after), copies: plans.reduce((sum, { copies }) => sum + copies, 0), planMs: round(context.getNowMs() - nowMs)
     })
   }
 
--- a/src/gateway/process.ts
+++ b/src/gateway/process.ts
@@ -308,7 +308,7 @@
   #describeState (): GatewayState {
     const { host, domain, callerListener } = this.#settings
     return {
-      id: host, bornMs: this.#bornMs, domain, isReady: this.isReady, inFlight: this.#context.placing.listInFlight(), callerAddress: `${callerListener.host}:${callerListener.port}`
+      id: host, bornMs: this.#bornMs, domain, isReady: this.isReady, inFlight: this.#context.placing.listInFlight(), paces: this.#context.paces, callerAddress: `${callerListener.host}:${callerListener.port}`
     }
   }
 
--- a/src/plugins/gateway/peers.ts
+++ b/src/plugins/gateway/peers.ts
@@ -18,6 +18,8 @@
   readonly isReady: boolean
   /** Requests in flight by endpoint. */
   readonly inFlight: Readonly<Record<string, number>>
+  /** Paces of slow endpoints, as the keeper of the maps reads them; a gateway of an older version tells none. */
+  readonly paces?: Readonly<Record<string, number>>
 }
 
 /** Live gateways. */
@@ -36,6 +38,8 @@
   countKnown (): number
   /** Requests that other gateways have in flight at an endpoint. */
   countInFlight (endpoint: string): number
+  /** Pace of an endpoint as other gateways tell it; 1 when none tells. */
+  getPace (endpoint: string): number
 }
 
 /** Last heartbeats of the other gateways. */
@@ -97,6 +101,10 @@
     return this.#inFlight.get(endpoint) ?? 0
   }
 
+  getPace (endpoint: string): number {
+    return Math.max(1, ...[...this.#heard.values()].map(({ state }) => state.paces?.[endpoint] ?? 1))
+  }
+
   #addLoad (state: GatewayState, sign: 1 | -1): void {
     for (const [endpoint, count] of Object.entries(state.inFlight)) {
       const sum = (this.#inFlight.get(endpoint) ?? 0) + sign * count
--- a/src/plugins/gateway/placing.ts
+++ b/src/plugins/gateway/placing.ts
@@ -43,6 +43,8 @@
   countElsewhere (endpoint: string): number
   /** Whether an endpoint does not answer although others do. */
   isSilent (endpoint: string): boolean
+  /** Time that an endpoint needs for a piece of work, in times of a sound one. */
+  getPace (endpoint: string): number
 }
 
 /** A choice with the inputs that decided it. */
@@ -104,7 +106,7 @@
     let bestScore = Infinity
     for (const endpoint of pool) {
       const inFlight = this.#get(endpoint.record.id).inFlight + request.countElsewhere(endpoint.record.id)
-      const score = this.#rate(endpoint, inFlight, fastestMs)
+      const score = this.#rate(endpoint, inFlight, fastestMs) * request.getPace(endpoint.record.id)
       if (score >= bestScore) continue
       best = { endpoint, inFlight }
       bestScore = score
--- a/src/plugins/lockstep/planner.ts
+++ b/src/plugins/lockstep/planner.ts
@@ -1,7 +1,8 @@
 /**
  * Plans where the experts of one layer lie, by copies from the map in force.
- * Answers drifting and shifting demand: every pass lasts as long as the most
- * loaded rank of each layer, so few copies from that rank help most.
+ * Answers drifting and shifting demand, and ranks that turn slow: every pass
+ * lasts as long as the busiest rank of each layer, so few copies from that rank
+ * help most. A slow rank is busy for longer with the same load and gives experts up.
  */
 
 /** Experts by rank in one layer. */
@@ -15,6 +16,8 @@
   readonly spare: number
   /** Fall of the most loaded rank, in mean loads, that a copy must bring. */
   readonly gainMin: number
+  /** Time that each rank needs for a piece of work, in times of a sound rank; 1 where left out. */
+  readonly paces?: readonly number[]
 }
 
 /** A change of one layer; loads are in mean loads of a rank. */
@@ -25,13 +28,15 @@
   readonly skewAfter: number
 }
 
-/** Replacement of one slot's expert by another one. */
-interface Move {
-  readonly rank: number
-  /** Expert that leaves; undefined for a free slot. */
-  readonly out: number | undefined
-  readonly expert: number
-}
+/** One step towards a better map. */
+type Move =
+  /** A rank takes an expert, in the slot of another one or in a free slot. */
+  | { readonly kind: 'copy', readonly rank: number, readonly out: number | undefined, readonly expert: number }
+  /** A slow rank gives an expert up that others hold too. */
+  | { readonly kind: 'drop', readonly rank: number, readonly out: number }
+
+/** Pace from which a rank counts as slow; measured paces vary by some percent. */
+export const SLOW_PACE = 1.1
 
 /** Moves that are tried while none of them alone lowers the largest load: several ranks may be as loaded. */
 const LOOKAHEAD = 8
@@ -54,10 +59,11 @@
     const move = layer.findMove()
     if (move === undefined) break
     layer.applyMove(move)
-    copies += 1
+    if (move.kind === 'copy') copies += 1
     sinceBest += 1
     const skew = layer.computeSkew()
-    if (best.skewAfter - skew < limits.gainMin * (copies - best.copies)) continue
+    const gain = best.skewAfter - skew
+    if (gain <= 0 || gain < limits.gainMin * (copies - best.copies)) continue
     best = { map: layer.copyMap(), copies, skewBefore, skewAfter: skew }
     sinceBest = 0
   }
@@ -67,7 +73,7 @@
 /**
  * @param map - experts by rank
  * @param popularity - share of the tokens by expert; the sum is 1
- * @returns largest load over the mean load
+ * @returns largest time of a rank over the time of the mean load at a sound rank
  */
 export function computeSkew (map: LayerMap, popularity: Float64Array): number {
   return LayerState.create(map, popularity, { slots: 0, spare: 0, gainMin: 0 }).computeSkew()
@@ -83,6 +89,7 @@
   readonly #loads: Float64Array
   readonly #fresh: Uint8Array
   readonly #mean: number
+  readonly #paces: readonly number[]
 
   private constructor (map: LayerMap, popularity: Float64Array, limits: LayerLimits) {
     this.#held = map.map(experts => new Set(experts))
@@ -92,6 +99,7 @@
     this.#copies = new Uint16Array(popularity.length)
     this.#loads = new Float64Array(map.length)
     this.#fresh = new Uint8Array(map.length)
+    this.#paces = map.map((_, rank) => Math.max(1, limits.paces?.[rank] ?? 1))
     this.#mean = popularity.reduce((sum, share) => sum + share, 0) / map.length
     for (const experts of this.#held) for (const expert of experts) this.#copies[expert]! += 1
     this.#held.forEach((experts, rank) => { for (const expert of experts) this.#loads[rank]! += this.#getShare(expert) })
@@ -102,42 +110,50 @@
   }
 
   computeSkew (): number {
-    return this.#mean === 0 ? 1 : Math.max(...this.#loads) / this.#mean
+    return this.#mean === 0 ? 1 : Math.max(...this.#loads.map((_, rank) => this.#getTime(rank))) / this.#mean
   }
 
   copyMap (): LayerMap {
     return this.#held.map(experts => [...experts])
   }
 
-  /** Finds the move of an expert of the most loaded rank that lowers the overload most. */
+  /** Finds the move of an expert of the busiest rank that lowers the overload most. */
   findMove (): Move | undefined {
-    const hot = this.#loads.indexOf(Math.max(...this.#loads))
+    const times = this.#held.map((_, rank) => this.#getTime(rank))
+    const busiest = times.indexOf(Math.max(...times))
     let best: Move | undefined
     let bestGain = 0
-    const rate = (move: Move): void => {
+    for (const move of this.#listMoves(busiest, times)) {
       const gain = this.#computeGain(move)
-      if (gain <= bestGain) return
+      if (gain <= bestGain) continue
       best = move
       bestGain = gain
     }
-    for (const expert of this.#held[hot]!) {
-      for (let rank = 0; rank < this.#held.length; rank += 1) {
-        if (rank === hot || this.#held[rank]!.has(expert) || this.#loads[rank]! >= this.#loads[hot]!) continue
-        for (const out of this.#listRemovable(rank, expert)) rate({ rank, out, expert })
-      }
-    }
     return best
   }
 
-  applyMove ({ rank, out, expert }: Move): void {
+  applyMove (move: Move): void {
+    const { rank, out } = move
     if (out !== undefined) {
       this.#held[rank]!.delete(out)
       this.#shift(out, rank, -1)
       if (!this.#before[rank]!.has(out)) this.#fresh[rank]! -= 1
     }
-    this.#shift(expert, rank, 1)
-    this.#held[rank]!.add(expert)
-    if (!this.#before[rank]!.has(expert)) this.#fresh[rank]! += 1
+    if (move.kind === 'drop') return
+    this.#shift(move.expert, rank, 1)
+    this.#held[rank]!.add(move.expert)
+    if (!this.#before[rank]!.has(move.expert)) this.#fresh[rank]! += 1
+  }
+
+  #listMoves (busiest: number, times: readonly number[]): readonly Move[] {
+    const experts = [...this.#held[busiest]!]
+    const isSlow = this.#paces[busiest]! >= SLOW_PACE
+    const drops = isSlow ? experts.filter(out => this.#copies[out]! > 1).map(out => ({ kind: 'drop' as const, rank: busiest, out })) : []
+    const copies = experts.flatMap(expert => this.#held.flatMap((held, rank) => {
+      if (rank === busiest || held.has(expert) || times[rank]! >= times[busiest]!) return []
+      return this.#listRemovable(rank, expert).map(out => ({ kind: 'copy' as const, rank, out, expert }))
+    }))
+    return [...drops, ...copies]
   }
 
   /** Experts that may make room on a rank; a free slot needs none. */
@@ -148,24 +164,31 @@
     return [...this.#held[rank]!].filter(out => this.#copies[out]! > 1 && (hasSpare || !this.#before[rank]!.has(out)))
   }
 
-  /** Fall of the squared load above the mean, which also counts ranks that tie. */
-  #computeGain ({ rank, out, expert }: Move): number {
+  /** Fall of the squared time above the mean, which also counts ranks that tie. */
+  #computeGain (move: Move): number {
     const changes = new Map<number, number>()
     const add = (at: number, change: number): void => { changes.set(at, (changes.get(at) ?? 0) + change) }
-    const share = this.#getShare(expert)
-    const after = this.#popularity[expert]! / (this.#copies[expert]! + 1)
-    this.#held.forEach((experts, at) => {
-      if (experts.has(expert)) add(at, after - share)
-      if (out !== undefined && at !== rank && experts.has(out)) add(at, this.#popularity[out]! / (this.#copies[out]! - 1) - this.#getShare(out))
-    })
-    add(rank, after - (out === undefined ? 0 : this.#getShare(out)))
+    const { rank, out } = move
+    if (out !== undefined) {
+      this.#held.forEach((experts, at) => { if (at !== rank && experts.has(out)) add(at, this.#popularity[out]! / (this.#copies[out]! - 1) - this.#getShare(out)) })
+      add(rank, -this.#getShare(out))
+    }
+    if (move.kind === 'copy') {
+      const after = this.#popularity[move.expert]! / (this.#copies[move.expert]! + 1)
+      this.#held.forEach((experts, at) => { if (experts.has(move.expert)) add(at, after - this.#getShare(move.expert)) })
+      add(rank, after)
+    }
     let gain = 0
-    for (const [at, change] of changes) gain += this.#rateLoad(this.#loads[at]!) - this.#rateLoad(this.#loads[at]! + change)
+    for (const [at, change] of changes) gain += this.#rateTime(this.#getTime(at)) - this.#rateTime((this.#loads[at]! + change) * this.#paces[at]!)
     return gain
   }
 
-  #rateLoad (load: number): number {
-    return load > this.#mean ? (load - this.#mean) ** 2 : 0
+  #getTime (rank: number): number {
+    return this.#loads[rank]! * this.#paces[rank]!
+  }
+
+  #rateTime (time: number): number {
+    return time > this.#mean ? (time - this.#mean) ** 2 : 0
   }
 
   #shift (expert: number, rank: number, sign: 1 | -1): void {
--- a/src/plugins/lockstep/rank.ts
+++ b/src/plugins/lockstep/rank.ts
@@ -10,6 +10,8 @@
   readonly isOpen: boolean
   /** Start of the rank in Unix ms. */
   readonly bornMs: number
+  /** Time that the rank needs for a piece of work, in times of a sound rank. */
+  readonly pace: number
   /** Last pass that was begun. */
   readonly step: number
   /** Version of the map in use. */
--- a/test/gateway/decisions.test.ts
+++ b/test/gateway/decisions.test.ts
@@ -102,7 +102,8 @@
   const peers = PeersPlugin.create('g0')
   const state = { id: 'g1', bornMs: 10, callerAddress: '10.0.0.1:1', domain: 'a', isReady: true, inFlight: { e1: 3 } }
   t.true(peers.note(state, 0))
-  t.false(peers.note({ ...state, inFlight: { e1: 5 } }, 100))
+  t.false(peers.note({ ...state, inFlight: { e1: 5 }, paces: { e1: 4 } }, 100))
+  t.deepEqual([peers.getPace('e1'), peers.getPace('e2')], [4, 1])
   t.is(peers.countInFlight('e1'), 5)
   peers.note({ ...state, bornMs: 9, isReady: false }, 200)
   t.is(peers.listReady().length, 1)
--- a/test/gateway/link.test.ts
+++ b/test/gateway/link.test.ts
@@ -42,7 +42,7 @@
 })
 
 const ENGINE: RankEngine = {
-  readState: async () => ({ group: 'g', epoch: 1, rank: 0, size: 1, isOpen: true, bornMs: 1, step: 4, map: 0, prepared: undefined, armed: undefined, held: undefined }),
+  readState: async () => ({ group: 'g', epoch: 1, rank: 0, size: 1, isOpen: true, bornMs: 1, pace: 1, step: 4, map: 0, prepared: undefined, armed: undefined, held: undefined }),
   readCounts: async () => [1, 2],
   readMap: async () => [[0]],
   send: async () => 'accepted'
--- /dev/null
+++ b/test/gateway/placing.test.ts
@@ -0,0 +1,73 @@
+import test from 'ava'
+import { PlacingPlugin } from '../../src/plugins/gateway/placing.js'
+import type { PlacingRequest } from '../../src/plugins/gateway/placing.js'
+import type { EndpointView } from '../../src/plugins/gateway/endpoints.js'
+
+function createView (id: string, changes: { readonly domain?: string, readonly coldUntilMs?: number } = {}): EndpointView {
+  return { record: { id, bornMs: 1, service: 's', address: { host: id, port: 1 }, domain: changes.domain ?? 'a', state: 'ready', slots: 8, coldRemainingMs: 0 }, coldUntilMs: changes.coldUntilMs ?? 0 }
+}
+
+function createPlacing (): PlacingPlugin {
+  return PlacingPlugin.create({ self: { id: 'g', role: 'gateway', domain: 'a', host: 'g', address: '', incarnation: 1 }, seed: 1, settings: { clusterSecret: '', seeds: [] } } as unknown as Parameters<typeof PlacingPlugin.create>[0])
+}
+
+function createRequest (candidates: readonly EndpointView[], changes: Partial<PlacingRequest> = {}): PlacingRequest {
+  return { candidates, exclude: new Set(), coldPerS: 0, gateways: 1, countElsewhere: () => 0, isSilent: () => false, getPace: () => 1, ...changes }
+}
+
+/** Places requests that stay in flight and counts them by endpoint. */
+function fill (request: PlacingRequest, count: number): Record<string, number> {
+  const placing = createPlacing()
+  for (let at = 0; at < count; at += 1) {
+    const placement = placing.choose(request, at)
+    if (placement !== undefined) placing.noteStart(placement.endpoint, at)
+  }
+  return { ...placing.listInFlight() }
+}
+
+// Guards against load that piles up at an endpoint that is slow, silent, busy for other gateways or far away while others are free.
+test('requests go where they are served soonest', t => {
+  const views = ['e1', 'e2', 'e3', 'e4'].map(id => createView(id))
+  t.snapshot({
+    'all alike': fill(createRequest(views), 8),
+    'one slow': fill(createRequest(views, { getPace: id => id === 'e1' ? 4 : 1 }), 8),
+    'one silent': fill(createRequest(views, { isSilent: id => id === 'e2' }), 9),
+    'all silent': fill(createRequest(views, { isSilent: () => true }), 4),
+    'one busy elsewhere': fill(createRequest(views, { countElsewhere: id => id === 'e3' ? 3 : 0 }), 8),
+    'one in another domain': fill(createRequest([createView('e1', { domain: 'b' }), createView('e2')]), 3),
+    'one tried already': fill(createRequest(views.slice(0, 2), { exclude: new Set(['e1']) }), 2)
+  })
+})
+
+// Guards against an endpoint that takes no connection and gets every request again at once.
+test('an endpoint that takes no connection is left alone for a growing time', t => {
+  const placing = createPlacing()
+  const views = [createView('e1'), createView('e2')]
+  const tried: number[] = []
+  for (let at = 0; at < 6_000; at += 50) {
+    const placement = placing.choose(createRequest(views), at)!
+    placing.noteStart(placement.endpoint, at)
+    const { id } = placement.endpoint.record
+    if (id === 'e1') tried.push(at)
+    placing.noteEnd(id, id === 'e1' ? 'unreachable' : 'ok', 20, at)
+  }
+  t.snapshot(tried)
+})
+
+// Guards against a cold endpoint that crashes because every gateway sends it its whole rate.
+test('all gateways together keep the rate of a cold endpoint', t => {
+  const gateways = Array.from({ length: 8 }, () => createPlacing())
+  const request = createRequest([createView('e1', { coldUntilMs: 10_000 })], { coldPerS: 36, gateways: 8 })
+  const starts: number[] = []
+  for (let at = 0; at < 4_000; at += 10) {
+    for (const placing of gateways) {
+      const placement = placing.choose(request, at)
+      if (placement === undefined) continue
+      placing.noteStart(placement.endpoint, at)
+      starts.push(at)
+    }
+  }
+  const most = Math.max(...starts.map(from => starts.filter(at => at >= from && at < from + 1_000).length))
+  t.true(most <= 36, `${most} in a second`)
+  t.true(most >= 18, `${most} in a second`)
+})
--- a/test/gateway/silence.test.ts
+++ b/test/gateway/silence.test.ts
@@ -9,7 +9,7 @@
 const ENGINE: EngineSpec = {
   slots: 8, stride: 5, stepMs: 6, perRequestMs: 1, readPerS: 60_000, promptTokens: 800, answerTokens: 140, layers: 1, experts: 4, slotsPerRank: 2, spare: 1, expertMb: 1, linkMbps: 100, expertShare: 0.5
 }
-const STATE: RankState = { group: 'g', epoch: 1, rank: 0, size: 2, isOpen: true, bornMs: 1, step: 1, map: 0, prepared: undefined, armed: undefined, held: undefined }
+const STATE: RankState = { group: 'g', epoch: 1, rank: 0, size: 2, isOpen: true, bornMs: 1, pace: 1, step: 1, map: 0, prepared: undefined, armed: undefined, held: undefined }
 
 /** Streams events up to `last` with pauses of 50 ms; sends nothing more when `last` is not 12. */
 function stream (last: number): Script {
--- a/test/lockstep/group.ts
+++ b/test/lockstep/group.ts
@@ -79,7 +79,7 @@
 
   read (index: number, readAtMs: number): RankReading {
     const { map, prepared, armed, held } = this.ranks[index]!
-    return { group: 'g', epoch: this.epoch, rank: index, size: this.ranks.length, isOpen: true, bornMs: 0, step: this.step, map, prepared, armed: armed === undefined ? undefined : { ...armed }, held, readAtMs }
+    return { group: 'g', epoch: this.epoch, rank: index, size: this.ranks.length, isOpen: true, bornMs: 0, pace: 1, step: this.step, map, prepared, armed: armed === undefined ? undefined : { ...armed }, held, readAtMs }
   }
 
   readAll (readAtMs: number): RankReading[] {
--- a/test/lockstep/planner.test.ts
+++ b/test/lockstep/planner.test.ts
@@ -52,3 +52,22 @@
   t.deepEqual(note([0, 5], 'b', 200), ['1.00', '0.00'])
   t.deepEqual(note([0, 1_005], 'b', 5_000).map(Number).map(share => share > 0.9), [false, true])
 })
+
+// Guards against a whole group that moves at the speed of one slow rank, because it keeps its experts.
+test('a slow rank gives its experts up within a few changes', t => {
+  const paces = Array.from({ length: RANKS }, (_, rank) => rank === 3 ? 4.6 : 1)
+  const rows = [1, 2, 3].map(seed => {
+    const demand = drawDemand(seed)
+    let map = buildFirst()
+    const skews: string[] = []
+    for (let change = 0; change < 4; change += 1) {
+      const plan = planLayer(map, demand, { ...LIMITS, paces })
+      t.is(new Set(plan.map.flat()).size, EXPERTS)
+      plan.map.forEach((experts, rank) => { t.true(experts.filter(expert => !map[rank]!.includes(expert)).length <= LIMITS.spare) })
+      map = plan.map
+      skews.push(`${plan.skewBefore.toFixed(2)} to ${plan.skewAfter.toFixed(2)}`)
+    }
+    return { seed, skews, left: map[3]!.length }
+  })
+  t.snapshot(rows)
+})
