--- a/src/gateway/endpoint-probe.ts
+++ b/src/gateway/endpoint-probe.ts
@@ -6,7 +6,7 @@
 import type { RankClient } from './rank-link.js'
 
 /** Longest wait in ms for an agent; its process shares a small part of a core. */
-const AGENT_REPLY_MS = 150
+const AGENT_REPLY_MS = 100
 
 /** Asks endpoints with engines; others have nothing that may be asked without a slot. */
 export class EndpointProbe {
@@ -53,7 +53,7 @@
 
   async #isAlive ({ record: { address } }: EndpointView): Promise<boolean> {
     const reply = await this.#agents.ask(address.host, { kind: 'read', wantsCounts: false, wantsMap: false }, AGENT_REPLY_MS)
-    if (reply?.state !== undefined) return true
-    return await this.#engine.readState(address) !== undefined
+    // An agent may be down while its endpoint works on.
+    return reply?.state !== undefined || await this.#engine.readState(address) !== undefined
   }
 }
--- a/src/plugins/gateway/peers.ts
+++ b/src/plugins/gateway/peers.ts
@@ -20,6 +20,8 @@
   readonly inFlight: Readonly<Record<string, number>>
   /** Paces of slow endpoints, as the keeper of the maps reads them; a gateway of an older version tells none. */
   readonly paces?: Readonly<Record<string, number>>
+  /** Endpoints that do not answer this gateway although others do. */
+  readonly silent?: readonly string[]
 }
 
 /** Live gateways. */
--- a/src/plugins/gateway/silence.ts
+++ b/src/plugins/gateway/silence.ts
@@ -27,7 +27,10 @@
   /** Notes a question without an answer. @returns whether the endpoint is taken for silent since now */
   noteUnanswered (endpoint: string, service: string, nowMs: number): boolean
   isSilent (endpoint: string): boolean
-  /** Silent endpoints that should be asked again. */
+  /** Notes that another gateway takes an endpoint for silent; it is asked here too, as only paths from there may be cut. */
+  noteSuspected (endpoint: string): void
+  listSilent (): readonly string[]
+  /** Silent and suspected endpoints that should be asked now. */
   listDue (nowMs: number): readonly string[]
   /** Forgets an endpoint that is gone or was started anew. */
   forget (endpoint: string): void
@@ -37,6 +40,7 @@
   heardAtMs: number
   askedAtMs: number
   isSilent: boolean
+  isSuspected: boolean
 }
 
 /** Signs of life by endpoint. */
@@ -62,6 +66,7 @@
     const wasSilent = signs.isSilent
     signs.heardAtMs = nowMs
     signs.isSilent = false
+    signs.isSuspected = false
     const before = (this.#heardLast.get(service) ?? []).filter(heard => heard.endpoint !== endpoint)
     this.#heardLast.set(service, [...before.slice(-1), { endpoint, atMs: nowMs }])
     return wasSilent
@@ -86,9 +91,21 @@
     return this.#signs.get(endpoint)?.isSilent ?? false
   }
 
+  noteSuspected (endpoint: string): void {
+    const signs = this.#get(endpoint)
+    if (!signs.isSilent) signs.isSuspected = true
+  }
+
+  listSilent (): readonly string[] {
+    return [...this.#signs].filter(([, { isSilent }]) => isSilent).map(([endpoint]) => endpoint)
+  }
+
   listDue (nowMs: number): readonly string[] {
-    const due = [...this.#signs].filter(([, { isSilent, askedAtMs }]) => isSilent && nowMs - askedAtMs >= ASK_EVERY_MS)
-    for (const [, signs] of due) signs.askedAtMs = nowMs
+    const due = [...this.#signs].filter(([, { isSilent, isSuspected, askedAtMs }]) => (isSilent || isSuspected) && nowMs - askedAtMs >= ASK_EVERY_MS)
+    for (const [, signs] of due) {
+      signs.askedAtMs = nowMs
+      signs.isSuspected = false
+    }
     return due.map(([endpoint]) => endpoint)
   }
 
@@ -99,7 +116,7 @@
   #get (endpoint: string): Signs {
     let signs = this.#signs.get(endpoint)
     if (signs === undefined) {
-      signs = { heardAtMs: -Infinity, askedAtMs: -Infinity, isSilent: false }
+      signs = { heardAtMs: -Infinity, askedAtMs: -Infinity, isSilent: false, isSuspected: false }
       this.#signs.set(endpoint, signs)
     }
     return signs
--- a/test/gateway/silence.test.ts
+++ b/test/gateway/silence.test.ts
@@ -74,6 +74,7 @@
     'no answer': silence.noteUnanswered('e1', 's', 1_200),
     'asked again later': [silence.listDue(1_400), silence.listDue(1_600), silence.listDue(1_700)],
     'heard again': [silence.noteHeard('e1', 's', 1_800), silence.isSilent('e1')],
+    'suspected elsewhere': [silence.noteHeard('e1', 's', 2_450), silence.noteSuspected('e2'), silence.listDue(2_500), silence.noteUnanswered('e2', 's', 2_600), silence.listSilent(), silence.noteHeard('e2', 's', 2_700), silence.listSilent()],
     'nobody else heard': [silence.shouldAsk('e1', 300, 4_000), silence.noteUnanswered('e1', 's', 4_100), silence.isSilent('e1')]
   })
 })
