--- a/src/gateway/store.ts
+++ b/src/gateway/store.ts
@@ -54,6 +54,9 @@
 /** Wait of a watch in ms after a failed call: a long one would notice the return of a silent store only when it ends. */
 const LOST_WAIT_MS = 100
 
+/** Pause in ms after changes were read: those that follow are read together. Changes must be in force after 2 s. */
+const COLLECT_MS = 250
+
 /** Time in ms after the store's return during which removals may be entries that lapsed while it was away. */
 const RETURN_MS = 1_000
 
@@ -65,6 +68,7 @@
   #isStopped = false
   #failures = 0
   #isLost = false
+  #hasChanges = false
   #awayUntilMs = 0
   #wake: (() => void) | undefined
 
@@ -89,7 +93,8 @@
     let revision: number | undefined
     while (!this.#isStopped) {
       revision = revision === undefined ? await this.#list() : await this.#watch(revision)
-      if (this.#failures > 0) await this.#pause()
+      if (this.#failures > 0) await this.#pause(this.#getRetryPauseMs())
+      else if (this.#hasChanges) await this.#pause(COLLECT_MS)
     }
   }
 
@@ -122,7 +127,8 @@
       },
       Right: batch => {
         const wasAway = this.#noteAnswer()
-        if (batch.changes.length > 0) this.#handlers.handleChanges(batch.changes, wasAway)
+        this.#hasChanges = batch.changes.length > 0
+        if (this.#hasChanges) this.#handlers.handleChanges(batch.changes, wasAway)
         return batch.revision
       }
     })
@@ -148,10 +154,15 @@
     return nowMs < this.#awayUntilMs
   }
 
-  async #pause (): Promise<void> {
+  #getRetryPauseMs (): number {
     const limitMs = Math.min(PAUSE_MAX_MS, PAUSE_FIRST_MS * 2 ** (this.#failures - 1))
+    return limitMs * (0.5 + 0.5 * Math.random())
+  }
+
+  async #pause (pauseMs: number): Promise<void> {
+    if (this.#isStopped) return
     await new Promise<void>(resolve => {
-      const timer = setTimeout(resolve, limitMs * (0.5 + 0.5 * Math.random()))
+      const timer = setTimeout(resolve, pauseMs)
       this.#wake = () => {
         clearTimeout(timer)
         resolve()
--- a/test/adapter/store.test.ts
+++ b/test/adapter/store.test.ts
@@ -140,3 +140,37 @@
     'start without the store': await runFollower(['no-answer', 'busy', 'list', 'idle'])
   })
 })
+
+// Guards against a call for each of many endpoints that register one after the other; every gateway makes it.
+test('changes that follow each other are read together', async t => {
+  const startedAtMs = performance.now()
+  /** One entry is written every 10 ms for half a second. */
+  const countWritten = (): number => Math.min(50, Math.floor((performance.now() - startedAtMs) / 10))
+  const seen: string[] = []
+  let calls = 0
+  const follower = StoreFollower.create<string>({
+    async list () {
+      return Right({ items: [], revision: 0 })
+    },
+    async watch (revision) {
+      calls += 1
+      while (countWritten() <= revision) {
+        if (revision >= 50) return Right({ changes: [], revision })
+        await new Promise(resolve => { setTimeout(resolve, 5) })
+      }
+      const written = countWritten()
+      return Right({ changes: Array.from({ length: written - revision }, (_, at) => ({ kind: 'written' as const, item: `e${revision + at}` })), revision: written })
+    }
+  }, 2_000, {
+    handleList () {},
+    handleChanges (changes) {
+      seen.push(...changes.map(change => change.kind === 'written' ? change.item : change.name))
+      if (seen.length === 50) follower.stop()
+    },
+    handleState () {}
+  })
+  await follower.run()
+  t.is(new Set(seen).size, 50)
+  t.true(performance.now() - startedAtMs < 1_000)
+  t.true(calls <= 5, `${calls} calls`)
+})
