--- a/test/gateway/decisions.test.ts
+++ b/test/gateway/decisions.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava'
 import type { EndpointRecord } from '../../src/gateway/model.js'
+import { Random } from '../../src/kernel/random.js'
 import { EventSplitter } from '../../src/gateway/events.js'
 import { CrashesPlugin } from '../../src/plugins/gateway/crashes.js'
 import { EndpointsPlugin, LAPSE_GRACE_MS } from '../../src/plugins/gateway/endpoints.js'
@@ -129,6 +130,32 @@
   t.deepEqual(first.list(1).map(({ fingerprint }) => fingerprint), ['f'])
 })
 
+/** Time in ms after the third crash from which at most three more retries may reach an endpoint; the users' bound. */
+const POISON_SETTLED_MS = 3_000
+
+// Guards against a request that goes on crashing endpoints because it comes to another gateway each time.
+test('a request that crashes endpoints is stopped when it comes through many gateways', t => {
+  for (let seed = 1; seed <= 50; seed += 1) {
+    const random = Random.create(seed)
+    const gateways = Array.from({ length: 8 }, () => CrashesPlugin.create())
+    const crashes: number[] = []
+    for (let nowMs = 0; nowMs < 20_000; nowMs += 20) {
+      // Heartbeats come every 300 ms, and one in ten is lost.
+      gateways.forEach((gateway, index) => {
+        if ((nowMs + index * 40) % 300 !== 0) return
+        for (const other of gateways) if (other !== gateway && random.pickInt(10) > 0) other.merge(gateway.list(nowMs), nowMs)
+      })
+      const gateway = gateways[random.pickInt(gateways.length)]!
+      if (gateway.isRefused('f', nowMs)) continue
+      gateway.strike('f', nowMs)
+      crashes.push(nowMs)
+    }
+    const third = crashes[2]
+    t.true(crashes.filter(at => third !== undefined && at > third + POISON_SETTLED_MS).length <= 3, `seed ${seed}: crashes at ${crashes.join(', ')}`)
+    t.true(crashes.length <= 2 * gateways.length, `seed ${seed}: ${crashes.length} crashes`)
+  }
+})
+
 // Guards against part of an event in a stream that is gone on with elsewhere.
 test('events are passed on whole', t => {
   const splitter = EventSplitter.create()
