--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -168,7 +168,9 @@
       ...(this.#lastEventId === undefined ? {} : { lastEventId: this.#lastEventId })
     })
     this.#context.selection.noteStart(endpoint, nowMs)
-    this.#context.log('work-started', { request: request.requestId, endpoint: record.id, domain: record.domain, inFlight, attempt: this.#attempts })
+    this.#context.log('work-started', {
+      request: request.requestId, endpoint: record.id, domain: record.domain, inFlight, attempt: this.#attempts, coldMs: Math.max(0, Math.round(endpoint.coldUntilMs - nowMs)), recordAgeMs: Math.round(nowMs - endpoint.updatedAtMs), gateways: this.#context.peers.countKnown()
+    })
     const attempt = Attempt.create({ address: record.address, method, path: request.path, headers: attemptHeaders, body }, {
       handleHead: (status, answerHeaders) => { this.#handleHead(status, answerHeaders) },
       handleData: chunk => { this.#handleData(chunk) },
--- a/src/plugins/gateway/endpoints.ts
+++ b/src/plugins/gateway/endpoints.ts
@@ -22,6 +22,8 @@
   readonly record: EndpointRecord
   /** Monotonic time in ms until which the endpoint is cold. */
   readonly coldUntilMs: number
+  /** Monotonic time in ms at which the record was last updated. */
+  readonly updatedAtMs: number
 }
 
 /** Table of endpoints at a gateway. */
@@ -89,7 +91,7 @@
     if (sameAddress.some(({ bornMs }) => bornMs > record.bornMs)) return []
     const replaced = sameAddress.map(({ id }) => this.#drop(id))
     const known = this.#entries.get(record.id)
-    this.#entries.set(record.id, { record, coldUntilMs: nowMs + record.coldRemainingMs })
+    this.#entries.set(record.id, { record, coldUntilMs: nowMs + record.coldRemainingMs, updatedAtMs: nowMs })
     this.#byService = undefined
     const change = known === undefined ? 'added' : known.record.bornMs === record.bornMs ? 'updated' : 'restarted'
     return [...replaced, { id: record.id, change }]
--- a/test/gateway/selection.test.ts
+++ b/test/gateway/selection.test.ts
@@ -1,15 +1,7 @@
 import test from 'ava'
-import { SelectionPlugin } from '../../src/plugins/gateway/selection.js'
 import type { SelectionRequest } from '../../src/plugins/gateway/selection.js'
 import type { EndpointView } from '../../src/plugins/gateway/endpoints.js'
-
-function createView (id: string, changes: { readonly domain?: string, readonly coldUntilMs?: number } = {}): EndpointView {
-  return { record: { id, bornMs: 1, service: 's', address: { host: id, port: 1 }, domain: changes.domain ?? 'a', state: 'ready', slots: 8, coldRemainingMs: 0 }, coldUntilMs: changes.coldUntilMs ?? 0 }
-}
-
-function createSelection (): SelectionPlugin {
-  return SelectionPlugin.create({ self: { id: 'g', role: 'gateway', domain: 'a', host: 'g', address: '', incarnation: 1 }, seed: 1, settings: { clusterSecret: '', seeds: [] } } as unknown as Parameters<typeof SelectionPlugin.create>[0])
-}
+import { buildView, createSelection } from './views.js'
 
 function createRequest (candidates: readonly EndpointView[], changes: Partial<SelectionRequest> = {}): SelectionRequest {
   return { candidates, exclude: new Set(), coldPerS: 0, gateways: 1, countElsewhere: () => 0, isUnresponsive: () => false, getPace: () => 1, ...changes }
@@ -27,14 +19,14 @@
 
 // Guards against choosing an endpoint that is slow, unresponsive, busy with requests of other gateways or in another failure domain while others are free.
 test('requests go to the endpoint with the shortest expected wait', t => {
-  const views = ['e1', 'e2', 'e3', 'e4'].map(id => createView(id))
+  const views = ['e1', 'e2', 'e3', 'e4'].map(id => buildView(id))
   t.snapshot({
     'all alike': fill(createRequest(views), 8),
     'one slow': fill(createRequest(views, { getPace: id => id === 'e1' ? 4 : 1 }), 8),
     'one unresponsive': fill(createRequest(views, { isUnresponsive: id => id === 'e2' }), 9),
     'all unresponsive': fill(createRequest(views, { isUnresponsive: () => true }), 4),
     'one busy elsewhere': fill(createRequest(views, { countElsewhere: id => id === 'e3' ? 3 : 0 }), 8),
-    'one in another domain': fill(createRequest([createView('e1', { domain: 'b' }), createView('e2')]), 3),
+    'one in another domain': fill(createRequest([buildView('e1', { domain: 'b' }), buildView('e2')]), 3),
     'one tried already': fill(createRequest(views.slice(0, 2), { exclude: new Set(['e1']) }), 2)
   })
 })
@@ -42,7 +34,7 @@
 // Guards against sending every request first to an endpoint that accepts no connections.
 test('an unreachable endpoint is avoided for exponentially growing times', t => {
   const selection = createSelection()
-  const views = [createView('e1'), createView('e2')]
+  const views = [buildView('e1'), buildView('e2')]
   const tried: number[] = []
   for (let at = 0; at < 6_000; at += 50) {
     const selected = selection.choose(createRequest(views), at)!
@@ -57,7 +49,7 @@
 // Guards against a cold endpoint that crashes because every gateway sends it the full rate.
 test('all gateways together stay within the rate of a cold endpoint', t => {
   const gateways = Array.from({ length: 8 }, () => createSelection())
-  const request = createRequest([createView('e1', { coldUntilMs: 10_000 })], { coldPerS: 36, gateways: 8 })
+  const request = createRequest([buildView('e1', { coldUntilMs: 10_000 })], { coldPerS: 36, gateways: 8 })
   const starts: number[] = []
   for (let at = 0; at < 4_000; at += 10) {
     for (const selection of gateways) {
