Give up answers that do not end in bounded memory and time

A splitter joins the parts of an event once instead of at each part. The reports and the platform's client of the product's own deployment get a limit as well.

--- a/src/edge/endpoint/order-sender.ts
+++ b/src/edge/endpoint/order-sender.ts
@@ -11,6 +11,9 @@
 const ORDERS_PATH = '/v1/orders'
 const STATUS_OLD_FENCE = 409
 
+/** Largest response to an order in bytes. */
+const RESPONSE_BYTES_MAX = 4 * 1024 * 1024
+
 /** What an order sender is created with. */
 export interface OrderSenderOptions {
   readonly url: string
@@ -26,7 +29,7 @@
 
   private constructor (options: OrderSenderOptions) {
     this.#options = options
-    this.#agent = new Agent({ connections: 1, ...(options.connector === undefined ? {} : { connect: options.connector }) })
+    this.#agent = new Agent({ connections: 1, maxResponseSize: RESPONSE_BYTES_MAX, ...(options.connector === undefined ? {} : { connect: options.connector }) })
   }
 
   /**
--- a/src/edge/endpoint/report-poller.ts
+++ b/src/edge/endpoint/report-poller.ts
@@ -31,6 +31,9 @@
   expert_counts: z.array(z.array(z.number().min(0))).optional()
 })
 
+/** Largest report in bytes. */
+const REPORT_BYTES_MAX = 4 * 1024 * 1024
+
 /** What a report poller is created with. */
 export interface ReportPollerOptions {
   readonly url: string
@@ -50,7 +53,7 @@
 
   private constructor (options: ReportPollerOptions) {
     this.#options = options
-    this.#agent = new Agent({ connections: 1, ...(options.connector === undefined ? {} : { connect: options.connector }) })
+    this.#agent = new Agent({ connections: 1, maxResponseSize: REPORT_BYTES_MAX, ...(options.connector === undefined ? {} : { connect: options.connector }) })
   }
 
   /**
--- a/src/edge/platform/transport.ts
+++ b/src/edge/platform/transport.ts
@@ -12,6 +12,9 @@
   readonly tls?: () => SecureContextOptions
 }
 
+/** Largest body of a response in bytes; a value has 1 MB at most, and a list several. */
+const RESPONSE_BYTES_MAX = 64 * 1024 * 1024
+
 /** Maximum number of connections to each platform URL, including those of watches. */
 const CONNECTIONS_MAX = 16
 
@@ -143,7 +146,7 @@
       else callback(new ConnectError(error.message), null)
     })
   }
-  return new Agent({ connections: CONNECTIONS_MAX, connect })
+  return new Agent({ connections: CONNECTIONS_MAX, connect, maxResponseSize: RESPONSE_BYTES_MAX })
 }
 
 /** Returns undefined for a body that is not JSON. */
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -12,6 +12,7 @@
 import type { RetriesPort } from '../plugins/gateway/retries.js'
 import type { RoutesPort } from '../plugins/gateway/routes.js'
 import type { LivenessPort } from '../plugins/gateway/liveness.js'
+import { AnswerBuffers } from './answer-buffers.js'
 import { CrashProbe } from './crash-probe.js'
 import type { Exchange } from './exchange.js'
 import type { Dialect } from './model.js'
@@ -36,6 +37,7 @@
   readonly selection: SelectionPort
   readonly retryAfter: RetryAfterPort
   readonly liveness: LivenessPort
+  readonly answerBuffers = AnswerBuffers.create()
   /** Slowdown factors of slow endpoints; empty unless this gateway is the leader, which changes the expert maps. */
   paces: Readonly<Record<string, number>> = {}
   readonly #logger: Logger
--- a/src/gateway/events.ts
+++ b/src/gateway/events.ts
@@ -4,6 +4,9 @@
 const CARRIAGE_RETURN = 0x0d
 const ID_FIELD = Buffer.from('id:')
 
+/** Largest event in bytes. */
+const EVENT_BYTES_MAX = 1024 * 1024
+
 /** Complete events taken from a stream. */
 export interface EventBatch {
   /** Bytes of one or more complete events. */
@@ -13,9 +16,18 @@
   readonly count: number
 }
 
+/** Memory in bytes that a part of an event takes in addition to its own bytes. */
+const PART_OVERHEAD_BYTES = 128
+
+/** Number of bytes before a part in which the blank line at the end of an event may begin. */
+const BLANK_LINE_OVERLAP_BYTES = 2
+
 /** Buffers bytes until events are complete. */
 export class EventSplitter {
-  #remainder: Buffer = Buffer.alloc(0)
+  /** Parts of an incomplete event, joined only when it ends: an event may arrive in very many. */
+  #parts: Buffer[] = []
+  #partsBytes = 0
+  #overlap: Buffer = Buffer.alloc(0)
 
   private constructor () {}
 
@@ -31,23 +43,45 @@
    * @returns the events completed by the chunk; undefined when there are none
    */
   add (chunk: Buffer): EventBatch | undefined {
-    const bytes = this.#remainder.length === 0 ? chunk : Buffer.concat([this.#remainder, chunk])
+    const latest = Buffer.concat([this.#overlap, chunk])
+    this.#addPart(chunk, latest)
+    if (findEventEnd(latest, 0) === undefined) return undefined
+    const bytes = Buffer.concat(this.#parts)
     let end = 0
     let count = 0
     for (let next = findEventEnd(bytes, 0); next !== undefined; next = findEventEnd(bytes, end)) {
       end = next
       count += 1
     }
-    this.#remainder = bytes.subarray(end)
-    if (end === 0) return undefined
+    this.#parts = []
+    this.#partsBytes = 0
+    const remainder = bytes.subarray(end)
+    if (remainder.length > 0) this.#addPart(remainder, remainder)
+    else this.#overlap = Buffer.alloc(0)
     const whole = bytes.subarray(0, end)
     const lastId = findLastId(whole)
     return { bytes: whole, count, ...(lastId === undefined ? {} : { lastId }) }
   }
 
+  /** Whether an event is incomplete. */
+  get isPartial (): boolean {
+    return this.#parts.length > 0
+  }
+
+  /** Whether the bytes after the last complete event are more than any event has. */
+  get isTooLarge (): boolean {
+    return this.#partsBytes > EVENT_BYTES_MAX
+  }
+
   /** @returns bytes after the last complete event */
   getRemainder (): Buffer {
-    return this.#remainder
+    return Buffer.concat(this.#parts)
+  }
+
+  #addPart (part: Buffer, latest: Buffer): void {
+    this.#parts.push(part)
+    this.#partsBytes += part.length + PART_OVERHEAD_BYTES
+    this.#overlap = latest.subarray(-BLANK_LINE_OVERLAP_BYTES)
   }
 }
 
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -9,6 +9,8 @@
 import type { GatewayContext } from './context.js'
 import type { AnswerHead, CallerRequest, RawHeaders, Route, TeamRef } from './model.js'
 import { chooseStatus, isStream, mayRunAgain } from './repeat.js'
+import { createRunningAttempt, isEventOverdue, notePartialEvent } from './running-attempt.js'
+import type { BufferedAnswer, RunningAttempt } from './running-attempt.js'
 import { Attempt } from './upstream.js'
 import type { AttemptFailure } from './upstream.js'
 
@@ -24,9 +26,6 @@
 /** Share of the time limit of an idempotent request without data from its endpoint after which another endpoint is tried; covers endpoints that cannot be probed. */
 const INACTIVITY_TIMEOUT_SHARE = 0.4
 
-/** Largest answer that is buffered, in bytes. */
-const ANSWER_BYTES_MAX = 8 * 1024 * 1024
-
 /** A fully received request that a route allows. */
 export interface ExchangeOptions {
   readonly request: CallerRequest
@@ -42,29 +41,6 @@
   readonly receivedAtMs: number
 }
 
-interface RunningAttempt {
-  readonly attempt: Attempt
-  readonly endpoint: Selection['endpoint']
-  readonly startedAtMs: number
-  status: number
-  head: AnswerHead | undefined
-  headers: RawHeaders
-  chunks: Buffer[]
-  bytes: number
-  splitter: EventSplitter | undefined
-  firstEventMs: number | undefined
-  /** Monotonic time in ms at which the endpoint last sent part of the answer, or at which the attempt started or reading resumed. */
-  lastActivityMs: number
-  /** Whether reading is paused because the caller reads more slowly than the endpoint sends. */
-  isPaused: boolean
-}
-
-interface BufferedAnswer {
-  readonly status: number
-  readonly headers: RawHeaders
-  readonly body: Buffer
-}
-
 /** One request from its receipt to the end of the answer. */
 export class Exchange {
   readonly #options: ExchangeOptions
@@ -114,8 +90,9 @@
   }
 
   /**
-   * Abandons the attempt when another endpoint can take over and its endpoint is unresponsive or, for an
-   * idempotent request, has sent no data for `INACTIVITY_TIMEOUT_SHARE` of the time limit.
+   * Breaks the attempt when an event stays incomplete. Abandons it when another endpoint
+   * can take over and its endpoint is unresponsive or, for an idempotent request, has sent
+   * no data for `INACTIVITY_TIMEOUT_SHARE` of the time limit.
    *
    * @param nowMs - monotonic time in ms
    * @returns the endpoint when it should be probed
@@ -123,6 +100,10 @@
   checkLiveness (nowMs: number): EndpointView | undefined {
     const running = this.#running
     if (running?.attempt.isSent !== true || running.isPaused) return undefined
+    if (isEventOverdue(running, nowMs)) {
+      this.#break(running, 'event incomplete')
+      return undefined
+    }
     const { id } = running.endpoint.record
     const timeoutMs = INACTIVITY_TIMEOUT_SHARE * (this.#deadlineAtMs - this.#options.receivedAtMs)
     const isOverdue = this.#options.route.repeat === 'idempotent' && nowMs - running.lastActivityMs > timeoutMs
@@ -177,9 +158,7 @@
       handleEnd: () => { this.#handleEnd() },
       handleFailure: failure => { this.#handleFailure(failure) }
     })
-    this.#running = {
-      attempt, endpoint, startedAtMs: nowMs, status: 0, head: undefined, headers: [], chunks: [], bytes: 0, splitter: undefined, firstEventMs: undefined, lastActivityMs: nowMs, isPaused: false
-    }
+    this.#running = createRunningAttempt(attempt, endpoint, nowMs)
   }
 
   /** Retries at another endpoint; stays with the unresponsive one when no alternative is left, as it may recover. */
@@ -196,8 +175,10 @@
   #resumeReading (): void {
     const running = this.#running
     if (running === undefined) return
+    const nowMs = this.#context.getNowMs()
     running.isPaused = false
-    running.lastActivityMs = this.#context.getNowMs()
+    running.lastActivityMs = nowMs
+    if (running.partialSinceMs !== undefined) running.partialSinceMs = nowMs
     running.attempt.resume()
   }
 
@@ -207,8 +188,7 @@
     const head = this.#context.dialect.parseAnswer(status, headers)
     const isForOtherRequest = head.requestId !== undefined && head.requestId !== this.#options.request.requestId
     if (isForOtherRequest || status < 200) {
-      running.attempt.abort()
-      this.#handleFailure({ kind: 'broken', reason: isForOtherRequest ? 'answer to another request' : `status ${status}` })
+      this.#break(running, isForOtherRequest ? 'answer to another request' : `status ${status}`)
       return
     }
     this.#noteActivity(running)
@@ -223,16 +203,16 @@
     if (running === undefined) return
     this.#noteActivity(running)
     if (running.splitter === undefined) {
-      running.bytes += chunk.length
-      if (running.bytes <= ANSWER_BYTES_MAX) {
-        running.chunks.push(chunk)
-      } else {
-        running.attempt.abort()
-        this.#handleFailure({ kind: 'broken', reason: 'answer too large' })
-      }
+      running.chunks.push(chunk)
+      this.#context.answerBuffers.add(running, chunk.length, () => { this.#break(running, 'answer too large') })
       return
     }
     const batch = running.splitter.add(chunk)
+    if (running.splitter.isTooLarge) {
+      this.#break(running, 'event too large')
+      return
+    }
+    notePartialEvent(running, batch !== undefined, this.#context.getNowMs())
     if (batch === undefined) return
     if (running.firstEventMs === undefined) this.#noteFirstEvent(running)
     this.#lastEventId = batch.lastId ?? this.#lastEventId
@@ -243,6 +223,13 @@
     running.attempt.pause()
   }
 
+  /** Closes the connection of an attempt whose answer is not one. */
+  #break (running: RunningAttempt, reason: string): void {
+    if (this.#running !== running) return
+    running.attempt.abort()
+    this.#handleFailure({ kind: 'broken', reason })
+  }
+
   #noteActivity (running: RunningAttempt): void {
     running.lastActivityMs = this.#context.getNowMs()
     this.#context.noteActivity(running.endpoint)
@@ -349,6 +336,7 @@
     const running = this.#running
     if (running === undefined) return
     this.#running = undefined
+    this.#context.answerBuffers.remove(running)
     const nowMs = this.#context.getNowMs()
     const elapsedMs = running.firstEventMs ?? nowMs - running.startedAtMs
     const { id } = running.endpoint.record
--- a/src/gateway/upstream.ts
+++ b/src/gateway/upstream.ts
@@ -13,6 +13,12 @@
 /** Connect timeout in ms; TCP would retransmit the first packet only after 1 s. */
 const CONNECT_TIMEOUT_MS = 300
 
+/** Largest head of an answer in bytes; also the limit for its trailers and chunk extensions. */
+const HEAD_BYTES_MAX = 64 * 1024
+
+/** Most informational answers (1xx) before the answer itself. */
+const INFORMATIONAL_MAX = 8
+
 /** Why an attempt ended without a complete answer. */
 export type AttemptFailure =
   /** No byte of the request was sent. */
@@ -51,7 +57,7 @@
   private constructor (options: AttemptOptions, handlers: AttemptHandlers) {
     const { address, method, path, headers, body } = options
     this.#handlers = handlers
-    this.#request = openRequest({ host: address.host, port: address.port, method, path, headers, agent, setHost: false })
+    this.#request = openRequest({ host: address.host, port: address.port, method, path, headers, agent, setHost: false, maxHeaderSize: HEAD_BYTES_MAX })
     this.#timer = setTimeout(() => { this.#fail('connect timeout') }, CONNECT_TIMEOUT_MS)
     this.#request.on('socket', socket => {
       socket.once('connect', () => {
@@ -63,6 +69,11 @@
       // connection closes, so after a reset a truncated answer would look complete.
       socket.prependOnceListener('end', () => { if (socket.remoteAddress === undefined) this.#failUnlessComplete('connection reset') })
     })
+    let informational = 0
+    this.#request.on('information', () => {
+      informational += 1
+      if (informational > INFORMATIONAL_MAX) this.#fail('too many informational answers')
+    })
     this.#request.on('response', response => { this.#handleResponse(response) })
     this.#request.on('error', error => { this.#failUnlessComplete(error.message) })
     this.#request.on('close', () => { this.#failUnlessComplete('connection closed') })
