--- a/bench/admission-model.ts
+++ b/bench/admission-model.ts
@@ -117,6 +117,9 @@
   }
 }
 
+/** Turns of the microtask queue after which the promises of the models have settled. */
+const SETTLE_TURNS = 3
+
 /** Runs actions in the order of their simulated times; actions of the same time run in the order in which they were added. */
 export class EventScheduler {
   #actions: { readonly atMs: number, readonly order: number, readonly act: () => void }[] = []
@@ -150,4 +153,12 @@
       next.act()
     }
   }
+
+  /** Like `run`, and lets promises settle after each action. */
+  async runAsync (untilMs: number): Promise<void> {
+    for (let next = this.#actions.at(-1); next !== undefined && next.atMs <= untilMs; next = this.#actions.at(-1)) {
+      this.run(next.atMs)
+      for (let turn = 0; turn < SETTLE_TURNS; turn += 1) await Promise.resolve()
+    }
+  }
 }
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -8,6 +8,7 @@
 
 const LOADERS: Readonly<Record<string, () => Promise<{ readonly run: Bench }>>> = {
   cold: async () => await import('./cold.js'),
+  'cold-fleet': async () => await import('./cold-fleet.js'),
   experts: async () => await import('./experts.js'),
   drill: async () => await import('./drill.js'),
   overload: async () => await import('./overload.js'),
--- /dev/null
+++ b/src/gateway/admission.ts
@@ -0,0 +1,217 @@
+/** Finds an endpoint that may be sent a request now, and the permit that it needs when it is or may be cold. */
+
+import { assertNever } from '../kernel/errors.js'
+import type { EndpointAccess } from '../plugins/gateway/cold-limits.js'
+import type { PermitRate, PermitReply } from '../plugins/gateway/permits.js'
+import type { Selection } from '../plugins/gateway/selection.js'
+import type { GatewayContext } from './context.js'
+import { Permit } from './permit.js'
+
+/** Time in ms after which an agent counts as silent; agents get only a small share of a core. */
+const PERMIT_TIMEOUT_MS = 75
+
+/** Time in ms after which another gateway counts as not lending; most answer within 2 ms. */
+const SHARE_TIMEOUT_MS = 30
+
+/** Number of shares that are asked of other gateways. */
+const BORROWS_MAX = 4
+
+/** Number of agents that are asked for a permit that applies at once. */
+const ASKS_MAX = 12
+
+/** Asks the agent of an endpoint for a permit; undefined when it does not answer. */
+export type AskPermit = (selection: Selection, rate: PermitRate, waitMaxMs: number, timeoutMs: number) => Promise<PermitReply | undefined>
+
+/** Asks another gateway for one of its shares of an endpoint; undefined when it does not answer. */
+export type AskShare = (owner: string, endpoint: string, timeoutMs: number) => Promise<boolean | undefined>
+
+/** Endpoint that needs a permit or a share, and the rate of its permits. */
+export interface LimitedSelection extends Selection {
+  readonly rate: PermitRate
+}
+
+/** Gateway that may lend a share of an endpoint. */
+export interface Lender {
+  readonly selection: Selection
+  readonly owner: string
+}
+
+/** How an admission ended. */
+export type AdmissionResult =
+  /** The selection counts as started; `permit` is undefined when the endpoint needs none. */
+  | { readonly kind: 'admitted', readonly selection: Selection, readonly access: EndpointAccess['kind'], readonly permit: Permit | undefined }
+  /** Every usable endpoint is at its limit. */
+  | { readonly kind: 'limited' }
+  | { readonly kind: 'no-endpoint' }
+
+/** A request that looks for an endpoint. */
+export interface AdmissionOptions {
+  readonly requestId: string
+  readonly service: string
+  /** Endpoints already tried. */
+  readonly tried: ReadonlySet<string>
+  /** Longest time in ms for which the request can look for an endpoint that grants a permit at once, and then wait for a permit. */
+  readonly waitMaxMs: number
+}
+
+/** Parts of the gateway that an admission uses. */
+export type AdmissionContext = Pick<GatewayContext, 'askPermit' | 'askShare' | 'choose' | 'chooseLender' | 'chooseSoonest' | 'clock' | 'coldLimits' | 'endpoints' | 'getNowMs' | 'log' | 'metrics' | 'selection'>
+
+/** Search of one request for an endpoint. */
+export class Admission {
+  readonly #options: AdmissionOptions
+  readonly #context: AdmissionContext
+  readonly #handle: (result: AdmissionResult) => void
+  readonly #startedAtMs: number
+  #asks = 0
+  #borrows = 0
+  #hasWaited = false
+  #isDone = false
+  #held: Selection | undefined
+  #cancelTimer: (() => void) | undefined
+
+  private constructor (options: AdmissionOptions, context: AdmissionContext, handle: (result: AdmissionResult) => void) {
+    this.#options = options
+    this.#context = context
+    this.#handle = handle
+    this.#startedAtMs = context.getNowMs()
+  }
+
+  /**
+   * @param options - the request
+   * @param context - shared context of the gateway
+   * @param handle - called once with the result, unless the admission is cancelled
+   * @returns an admission that has not started
+   */
+  static create (options: AdmissionOptions, context: AdmissionContext, handle: (result: AdmissionResult) => void): Admission {
+    return new Admission(options, context, handle)
+  }
+
+  start (): void {
+    const { service, tried, waitMaxMs } = this.#options
+    const nowMs = this.#context.getNowMs()
+    const mayAsk = this.#asks === 0 || (this.#asks < ASKS_MAX && nowMs - this.#startedAtMs < waitMaxMs)
+    const selection = mayAsk ? this.#context.choose(service, tried, nowMs) : undefined
+    if (selection === undefined) {
+      this.#borrowOrWait(nowMs)
+      return
+    }
+    const { access } = selection
+    switch (access.kind) {
+      case 'unlimited':
+        this.#admit(selection, undefined)
+        break
+      case 'share':
+        this.#context.coldLimits.spendShare(selection.endpoint.record.id, nowMs)
+        this.#admit(selection, Permit.create(this.#context.clock, 0))
+        break
+      case 'permit':
+        this.#ask(selection, access.rate, 0)
+        break
+      case 'denied':
+      case 'borrow':
+        throw new Error(`endpoint chosen without access: ${access.kind}`)
+      default:
+        assertNever(access)
+    }
+  }
+
+  /** Stops the search; the handler is not called afterwards. */
+  cancel (): void {
+    if (this.#isDone) return
+    this.#isDone = true
+    this.#cancelTimer?.()
+    this.#release()
+  }
+
+  /** Borrows a share, else waits for a permit. */
+  #borrowOrWait (nowMs: number): void {
+    const { service, waitMaxMs } = this.#options
+    const lender = this.#borrows < BORROWS_MAX ? this.#context.chooseLender(service, nowMs) : undefined
+    if (lender !== undefined) {
+      this.#borrow(lender)
+      return
+    }
+    const soonest = this.#hasWaited ? undefined : this.#context.chooseSoonest(service, nowMs)
+    if (soonest === undefined) {
+      this.#finish({ kind: this.#context.endpoints.listUsable(service).length === 0 ? 'no-endpoint' : 'limited' })
+      return
+    }
+    this.#hasWaited = true
+    this.#ask(soonest, soonest.rate, waitMaxMs)
+  }
+
+  #borrow ({ selection, owner }: Lender): void {
+    const { id } = selection.endpoint.record
+    const permit = Permit.create(this.#context.clock, 0)
+    this.#borrows += 1
+    this.#hold(selection)
+    this.#context.askShare(owner, id, SHARE_TIMEOUT_MS).then(isLent => {
+      if (this.#isDone) return
+      this.#context.metrics.count('borrowed_shares', isLent === undefined ? 'silent' : isLent ? 'granted' : 'denied')
+      if (isLent === true) {
+        this.#admit(selection, permit)
+        return
+      }
+      this.#release()
+      this.start()
+    }, (error: unknown) => { this.#context.log('internal-error', { reason: String(error) }) })
+  }
+
+  #ask (selection: Selection, rate: PermitRate, waitMaxMs: number): void {
+    const askedAtMs = this.#context.getNowMs()
+    this.#asks += 1
+    this.#hold(selection)
+    this.#context.askPermit(selection, rate, waitMaxMs, PERMIT_TIMEOUT_MS).then(
+      reply => { if (!this.#isDone) this.#handleReply(selection, reply, askedAtMs) },
+      (error: unknown) => { this.#context.log('internal-error', { reason: String(error) }) }
+    )
+  }
+
+  #handleReply (selection: Selection, reply: PermitReply | undefined, askedAtMs: number): void {
+    const { coldLimits } = this.#context
+    const nowMs = this.#context.getNowMs()
+    const { id } = selection.endpoint.record
+    this.#context.metrics.count('permits', reply?.kind ?? 'silent')
+    if (reply === undefined) {
+      if (coldLimits.noteAgentSilent(id, nowMs)) this.#context.log('agent-silent', { endpoint: id })
+      this.#release()
+      this.start()
+      return
+    }
+    coldLimits.noteAgentAnswer(id)
+    if (reply.kind === 'denied') {
+      coldLimits.noteDenied(id, nowMs + reply.retryMs, nowMs)
+      this.#context.log('permit-denied', { request: this.#options.requestId, endpoint: id, retryMs: Math.round(reply.retryMs), asks: this.#asks })
+      this.#release()
+      this.start()
+      return
+    }
+    // The agent granted the permit after it was asked, so counting from the question never extends it.
+    const permit = Permit.create(this.#context.clock, reply.delayMs - (nowMs - askedAtMs))
+    if (reply.delayMs === 0) this.#admit(selection, permit)
+    else this.#cancelTimer = this.#context.clock.schedule(reply.delayMs, () => { this.#admit(selection, permit) })
+  }
+
+  /** Counts the request at the endpoint, so that simultaneous requests choose others. */
+  #hold (selection: Selection): void {
+    this.#held = selection
+    this.#context.selection.noteStart(selection.endpoint)
+  }
+
+  #release (): void {
+    if (this.#held === undefined) return
+    this.#context.selection.noteEnd(this.#held.endpoint.record.id, 'not-sent', 0, this.#context.getNowMs())
+    this.#held = undefined
+  }
+
+  #admit (selection: Selection, permit: Permit | undefined): void {
+    if (this.#held === undefined) this.#hold(selection)
+    this.#finish({ kind: 'admitted', selection, access: selection.access.kind, permit })
+  }
+
+  #finish (result: AdmissionResult): void {
+    this.#isDone = true
+    this.#handle(result)
+  }
+}
--- a/src/gateway/agent.ts
+++ b/src/gateway/agent.ts
@@ -1,11 +1,15 @@
-/** Process on the host of a model worker: reads its counters, which is cheap from the same host, and forwards orders. */
+/**
+ * Process on the host of a model worker: reads its counters, which is cheap from the
+ * same host, forwards orders, and grants the permits of the worker.
+ */
 
 import { Logger } from '../edge/log/logger.js'
 import type { OrderResult, RankOrder, RankState } from '../plugins/lockstep/rank.js'
+import { PermitBucket } from '../plugins/gateway/permits.js'
 import { LineWriter } from './lines.js'
 import type { Address } from './model.js'
 import { RankServer } from './rank-link.js'
-import type { RankReply, RankRequest } from './rank-link.js'
+import type { AgentReply, AgentRequest, RankReply, RankRequest } from './rank-link.js'
 
 /** Time in ms allowed for writing the last log lines. */
 const FLUSH_MS = 50
@@ -57,6 +61,7 @@
   readonly #lines: LineWriter
   readonly #logger: Logger
   readonly #server: RankServer
+  readonly #permits = PermitBucket.create(performance.now())
 
   private constructor (settings: AgentSettings, engine: RankEngine) {
     this.#settings = settings
@@ -86,14 +91,15 @@
     this.#logger.write('settings-reloaded', {})
   }
 
-  /** Stops at once: an agent has no state, and map coordinators repeat unanswered requests. */
+  /** Stops at once: map coordinators repeat unanswered requests, and the next agent grants no permits that this one may have granted. */
   leave (handleLeaveEnd: () => void): void {
     this.#logger.write('process-stopped', {})
     this.#lines.flush()
     setTimeout(handleLeaveEnd, FLUSH_MS)
   }
 
-  async #answer (request: RankRequest): Promise<RankReply> {
+  async #answer (request: AgentRequest): Promise<AgentReply> {
+    if (request.kind === 'permit') return this.#permits.reserve(request.rate, request.waitMaxMs, performance.now())
     const reply = await answerRankRequest(this.#engine, this.#settings.workerAddress, request)
     if (request.kind === 'order') {
       const { order, epoch } = request
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -6,23 +6,48 @@
 import type { Metrics } from '../edge/metrics/metrics.js'
 import type { RetryAfterPort } from '../plugins/gateway/retry-after.js'
 import type { CrashesPort } from '../plugins/gateway/crashes.js'
+import type { ColdLimitsPort, EndpointAccess } from '../plugins/gateway/cold-limits.js'
 import type { EndpointsPort, EndpointView } from '../plugins/gateway/endpoints.js'
 import type { PeersPort } from '../plugins/gateway/peers.js'
 import type { Selection, SelectionPort } from '../plugins/gateway/selection.js'
 import type { RetriesPort } from '../plugins/gateway/retries.js'
 import type { RoutesPort } from '../plugins/gateway/routes.js'
 import type { LivenessPort } from '../plugins/gateway/liveness.js'
+import type { AskPermit, AskShare, Lender, LimitedSelection } from './admission.js'
+import type { PermitClocks } from './permit.js'
 import { AnswerBuffers } from './answer-buffers.js'
 import { CrashProbe } from './crash-probe.js'
 import type { Exchange } from './exchange.js'
 import type { Dialect } from './model.js'
 
+/** Clocks, timers and random numbers of a gateway. */
+export interface GatewayClock extends PermitClocks {
+  /** @returns a random number from 0 to 1 */
+  pickFloat (): number
+  /** Calls `run` after `delayMs`. @returns cancels the call */
+  schedule (delayMs: number, run: () => void): () => void
+}
+
+/** Clocks, timers and random numbers of the process. */
+export const processClock: GatewayClock = {
+  pickFloat: () => Math.random(),
+  getNowMs: () => performance.now(),
+  getWallMs: () => Date.now(),
+  schedule (delayMs, run) {
+    const timer = setTimeout(run, delayMs)
+    return () => { clearTimeout(timer) }
+  }
+}
+
 /** Dependencies of a context. */
 export interface GatewayContextOptions {
   readonly kernel: Kernel
   readonly dialect: Dialect
   readonly logger: Logger
   readonly metrics: Metrics
+  readonly askPermit: AskPermit
+  readonly askShare: AskShare
+  readonly clock: GatewayClock
 }
 
 /** Shared context of one gateway. */
@@ -35,16 +60,23 @@
   readonly retries: RetriesPort
   readonly crashes: CrashesPort
   readonly selection: SelectionPort
+  readonly coldLimits: ColdLimitsPort
   readonly retryAfter: RetryAfterPort
   readonly liveness: LivenessPort
   readonly answerBuffers = AnswerBuffers.create()
+  readonly askPermit: AskPermit
+  readonly askShare: AskShare
+  readonly clock: GatewayClock
   /** Slowdown factors of slow endpoints; empty unless this gateway is the leader, which changes the expert maps. */
   paces: Readonly<Record<string, number>> = {}
   readonly #logger: Logger
   readonly #crashProbe: CrashProbe
   readonly #exchanges = new Set<Exchange>()
 
-  private constructor ({ kernel, dialect, logger, metrics }: GatewayContextOptions) {
+  private constructor ({ kernel, dialect, logger, metrics, askPermit, askShare, clock }: GatewayContextOptions) {
+    this.askShare = askShare
+    this.askPermit = askPermit
+    this.clock = clock
     this.dialect = dialect
     this.metrics = metrics
     this.#logger = logger
@@ -54,6 +86,7 @@
     this.retries = kernel.getPort('retries')
     this.crashes = kernel.getPort('crashes')
     this.selection = kernel.getPort('selection')
+    this.coldLimits = kernel.getPort('coldLimits')
     this.retryAfter = kernel.getPort('retryAfter')
     this.liveness = kernel.getPort('liveness')
     this.#crashProbe = CrashProbe.create((endpoint, fingerprints) => { this.#handleCrash(endpoint, fingerprints) })
@@ -69,12 +102,12 @@
 
   /** @returns monotonic time in ms */
   getNowMs (): number {
-    return performance.now()
+    return this.clock.getNowMs()
   }
 
   /** @returns a random number from 0 to 1 */
   pickFloat (): number {
-    return Math.random()
+    return this.clock.pickFloat()
   }
 
   log (event: LogEvent, fields: LogFields): void {
@@ -93,14 +126,65 @@
     return this.selection.choose({
       candidates: this.endpoints.listUsable(service),
       exclude,
-      coldPerS: this.routes.findService(service)?.coldPerS ?? 0,
-      gateways: this.peers.countKnown(),
+      getAccess: this.#buildAccess(service, nowMs),
+      fraction: this.pickFloat(),
       countElsewhere: endpoint => this.peers.countInFlight(endpoint),
       isUnresponsive: endpoint => this.liveness.isUnresponsive(endpoint),
       getPace: endpoint => this.paces[endpoint] ?? this.peers.getPace(endpoint)
     }, nowMs)
   }
 
+  /**
+   * Chooses the endpoint whose agent expects to have the next permit; one that did not
+   * answer is asked again when there is no other.
+   *
+   * @param service - name of the service
+   * @param nowMs - monotonic time in ms
+   * @returns the choice; undefined when no endpoint has an agent
+   */
+  chooseSoonest (service: string, nowMs: number): LimitedSelection | undefined {
+    const getAccess = this.#buildAccess(service, nowMs)
+    let soonest: LimitedSelection | undefined
+    let soonestMs = Infinity
+    for (const endpoint of this.endpoints.listUsable(service)) {
+      const access = getAccess(endpoint)
+      if ((access.kind !== 'denied' && access.kind !== 'borrow') || access.rate === undefined) continue
+      const untilMs = access.kind === 'denied' ? access.untilMs : Number.MAX_VALUE
+      if (untilMs >= soonestMs) continue
+      soonest = { endpoint, inFlight: 0, access, rate: access.rate }
+      soonestMs = untilMs
+    }
+    return soonest
+  }
+
+  /**
+   * Picks an endpoint of which another gateway that is alive may have a share left.
+   *
+   * @param service - name of the service
+   * @param nowMs - monotonic time in ms
+   * @returns the endpoint and the owner to ask; undefined when there is none
+   */
+  chooseLender (service: string, nowMs: number): Lender | undefined {
+    const getAccess = this.#buildAccess(service, nowMs)
+    const lenders = this.endpoints.listUsable(service).flatMap(endpoint => {
+      const access = getAccess(endpoint)
+      const owners = access.kind === 'borrow' ? access.owners.filter(owner => this.peers.isAlive(owner)) : []
+      return owners.length === 0 ? [] : [{ endpoint, access, owners }]
+    })
+    const lender = lenders[Math.floor(this.pickFloat() * lenders.length)]
+    if (lender === undefined) return undefined
+    const owner = lender.owners[Math.floor(this.pickFloat() * lender.owners.length)]!
+    return { selection: { endpoint: lender.endpoint, inFlight: 0, access: lender.access }, owner }
+  }
+
+  /** Spends a share of this gateway for another one. @returns false when there is none */
+  lendShare (endpointId: string): boolean {
+    const endpoint = this.endpoints.find(endpointId)
+    if (endpoint === undefined) return false
+    const service = this.routes.findService(endpoint.record.service)
+    return this.coldLimits.lendShare({ endpoint, service, gateways: this.peers.listKnown() }, this.getNowMs())
+  }
+
   /** Whether a usable endpoint is left that was not tried and is not unresponsive. */
   hasAlternative (service: string, tried: ReadonlySet<string>): boolean {
     return this.endpoints.listUsable(service).some(({ record: { id } }) => !tried.has(id) && !this.liveness.isUnresponsive(id))
@@ -132,6 +216,7 @@
   forget (endpoint: string): void {
     this.selection.forget(endpoint)
     this.liveness.forget(endpoint)
+    this.coldLimits.forget(endpoint)
   }
 
   addExchange (exchange: Exchange): void {
@@ -149,6 +234,12 @@
     return [...this.#exchanges]
   }
 
+  #buildAccess (service: string, nowMs: number): (endpoint: EndpointView) => EndpointAccess {
+    const spec = this.routes.findService(service)
+    const gateways = this.peers.listKnown()
+    return endpoint => this.coldLimits.decide({ endpoint, service: spec, gateways }, nowMs)
+  }
+
   #handleCrash (endpoint: EndpointView, fingerprints: readonly string[]): void {
     const nowMs = this.getNowMs()
     this.log('endpoint-crashed', { endpoint: endpoint.record.id, inFlight: fingerprints.length })
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -1,10 +1,12 @@
 /** Handles one request at a gateway: its attempts, retries, stream resumptions and answer. */
 
 import type { ServerResponse } from 'node:http'
-import { ERROR_RESPONSES } from '../kernel/errors.js'
+import { ERROR_RESPONSES, assertNever } from '../kernel/errors.js'
 import type { ErrorKind } from '../kernel/errors.js'
 import type { EndpointView } from '../plugins/gateway/endpoints.js'
-import type { AttemptResult, Selection } from '../plugins/gateway/selection.js'
+import type { AttemptResult } from '../plugins/gateway/selection.js'
+import { Admission } from './admission.js'
+import type { AdmissionResult } from './admission.js'
 import { EventSplitter } from './events.js'
 import type { GatewayContext } from './context.js'
 import type { AnswerHead, CallerRequest, RawHeaders, Route, TeamRef } from './model.js'
@@ -26,6 +28,9 @@
 /** Share of the time limit of an idempotent request without data from its endpoint after which another endpoint is tried; covers endpoints that cannot be probed. */
 const INACTIVITY_TIMEOUT_SHARE = 0.4
 
+/** Share of the latency target of a route for which a request waits for a permit of an endpoint when no other endpoint can take it. */
+const PERMIT_WAIT_SHARE = 0.5
+
 /** A fully received request that a route allows. */
 export interface ExchangeOptions {
   readonly request: CallerRequest
@@ -49,6 +54,7 @@
   readonly #tried = new Set<string>()
   #timer: NodeJS.Timeout | undefined
   #backoff: NodeJS.Timeout | undefined
+  #admission: Admission | undefined
   #running: RunningAttempt | undefined
   #attempts = 0
   /** Whether any attempt may have run the request. */
@@ -120,7 +126,7 @@
   }
 
   #startAttempt (): void {
-    const { service, fingerprint } = this.#options
+    const { request, route, service, fingerprint } = this.#options
     const nowMs = this.#context.getNowMs()
     if (this.#context.crashes.isQuarantined(fingerprint, nowMs)) {
       this.#fail('quarantined')
@@ -130,14 +136,32 @@
       this.#handleDeadline()
       return
     }
-    const selection = this.#context.choose(service, this.#tried, nowMs)
-    if (selection === undefined) this.#fail('no-endpoint')
-    else this.#sendAttempt(selection, nowMs)
+    const waitMaxMs = Math.min(PERMIT_WAIT_SHARE * route.latencyTargetMs, this.#deadlineAtMs - nowMs - ATTEMPT_MIN_MS)
+    this.#admission = Admission.create({ requestId: request.requestId, service, tried: this.#tried, waitMaxMs }, this.#context, result => { this.#handleAdmission(result) })
+    this.#admission.start()
+  }
+
+  #handleAdmission (result: AdmissionResult): void {
+    this.#admission = undefined
+    switch (result.kind) {
+      case 'admitted':
+        this.#sendAttempt(result)
+        break
+      case 'limited':
+        this.#fail('overloaded')
+        break
+      case 'no-endpoint':
+        this.#fail('no-endpoint')
+        break
+      default:
+        assertNever(result)
+    }
   }
 
-  #sendAttempt ({ endpoint, inFlight }: Selection, nowMs: number): void {
+  #sendAttempt ({ selection: { endpoint, inFlight }, access, permit }: Extract<AdmissionResult, { kind: 'admitted' }>): void {
     const { request, method, headers, body, team, route } = this.#options
     const { record } = endpoint
+    const nowMs = this.#context.getNowMs()
     this.#tried.add(record.id)
     this.#attempts += 1
     const attemptHeaders = this.#context.dialect.buildAttempt(headers, {
@@ -148,11 +172,18 @@
       ...(team === undefined ? {} : { team: team.name }),
       ...(this.#lastEventId === undefined ? {} : { lastEventId: this.#lastEventId })
     })
-    this.#context.selection.noteStart(endpoint, nowMs)
     this.#context.log('work-started', {
-      request: request.requestId, endpoint: record.id, domain: record.domain, inFlight, attempt: this.#attempts, coldMs: Math.max(0, Math.round(endpoint.coldUntilMs - nowMs)), recordAgeMs: Math.round(nowMs - endpoint.updatedAtMs), gateways: this.#context.peers.countKnown()
+      request: request.requestId,
+      endpoint: record.id,
+      domain: record.domain,
+      inFlight,
+      attempt: this.#attempts,
+      access,
+      coldMs: Math.max(0, Math.round(endpoint.coldUntilMs - nowMs)),
+      recordAgeMs: Math.round(nowMs - endpoint.updatedAtMs),
+      gateways: this.#context.peers.countKnown()
     })
-    const attempt = Attempt.create({ address: record.address, method, path: request.path, headers: attemptHeaders, body }, {
+    const attempt = Attempt.create({ address: record.address, method, path: request.path, headers: attemptHeaders, body, ...(permit === undefined ? {} : { mayBeSent: () => permit.isValid() }) }, {
       handleHead: (status, answerHeaders) => { this.#handleHead(status, answerHeaders) },
       handleData: chunk => { this.#handleData(chunk) },
       handleEnd: () => { this.#handleEnd() },
@@ -418,6 +449,7 @@
     this.#isDone = true
     clearTimeout(this.#timer)
     clearTimeout(this.#backoff)
+    this.#admission?.cancel()
     const { request, route, service, receivedAtMs, team } = this.#options
     const elapsedMs = this.#context.getNowMs() - receivedAtMs
     this.#context.metrics.count('requests', result)
--- a/src/gateway/process.ts
+++ b/src/gateway/process.ts
@@ -6,15 +6,17 @@
 import { Logger } from '../edge/log/logger.js'
 import { Metrics } from '../edge/metrics/metrics.js'
 import { Kernel } from '../kernel/kernel.js'
+import type { ColdBounds } from '../plugins/gateway/cold-limits.js'
 import type { RetryBounds } from '../plugins/gateway/retries.js'
 import '../plugins/gateway/index.js'
 import type { EndpointChange } from '../plugins/gateway/endpoints.js'
 import type { GatewayState } from '../plugins/gateway/peers.js'
 import type { RankEngine } from './agent.js'
-import { GatewayContext } from './context.js'
+import { GatewayContext, processClock } from './context.js'
 import { EndpointProbe } from './endpoint-probe.js'
 import { LineWriter } from './lines.js'
 import { GatewayLink } from './link.js'
+import type { Heartbeat } from './link.js'
 import type { Address, Dialect, EndpointRecord, GatewayConfiguration } from './model.js'
 import { MapService } from './maps.js'
 import { RankClient } from './rank-link.js'
@@ -57,7 +59,8 @@
   readonly configuration: StoreKind<GatewayConfiguration>
   /** Failure domains that are out of service. */
   readonly evacuations: StoreKind<string>
-  listGateways (): Promise<Either<StoreFailure, readonly GatewayEntry[]>>
+  /** Lists the registered gateways; the list may be seconds out of date unless `mustBeCurrent`. */
+  listGateways (mustBeCurrent: boolean): Promise<Either<StoreFailure, readonly GatewayEntry[]>>
   register (entry: GatewayEntry): Promise<Either<StoreFailure, void>>
   deregister (id: string): Promise<Either<StoreFailure, void>>
   close (): void
@@ -76,6 +79,7 @@
   readonly agentPort: number
   readonly metricsListener: Address
   readonly retries: RetryBounds
+  readonly cold: ColdBounds
   /** Time from the stop signal to the kill, in ms. */
   readonly graceMs: number
   /** How long callers may cache the addresses of the directory, in ms. */
@@ -137,16 +141,24 @@
       seed: Math.floor(Math.random() * 2 ** 31),
       settings: { clusterSecret: '', seeds: [] }
     })
-    this.#context = GatewayContext.create({ kernel, dialect, logger: this.#logger, metrics: this.#metrics })
+    this.#ranks = RankClient.create(settings.agentPort, reason => { this.#logger.write('internal-error', { reason }) })
+    this.#context = GatewayContext.create({
+      kernel,
+      dialect,
+      logger: this.#logger,
+      metrics: this.#metrics,
+      clock: processClock,
+      askPermit: async ({ endpoint }, rate, waitMaxMs, timeoutMs) => await this.#ranks.requestPermit(endpoint.record.address.host, { kind: 'permit', rate, waitMaxMs }, timeoutMs),
+      askShare: async (owner, endpoint, timeoutMs) => await this.#link.requestShare(owner, endpoint, timeoutMs)
+    })
     this.#context.retries.setBounds(settings.retries)
+    this.#context.coldLimits.setBounds(settings.cold)
     this.#callers = CallerServer.create(this.#context)
-    this.#link = GatewayLink.create(linkListener, heartbeat => {
-      const nowMs = performance.now()
-      this.#context.crashes.merge(heartbeat.strikes, nowMs)
-      for (const endpoint of heartbeat.state.silent ?? []) this.#context.liveness.noteSuspected(endpoint)
-      if (this.#context.peers.noteHeartbeat(heartbeat.state, nowMs)) this.#logger.write('gateway-joined', { gateway: heartbeat.state.id, domain: heartbeat.state.domain })
-    }, reason => { this.#logger.write('internal-error', { reason }) })
-    this.#ranks = RankClient.create(settings.agentPort, reason => { this.#logger.write('internal-error', { reason }) })
+    this.#link = GatewayLink.create(linkListener, {
+      handleHeartbeat: heartbeat => { this.#handleHeartbeat(heartbeat) },
+      lendShare: endpoint => this.#context.lendShare(endpoint),
+      handleError: reason => { this.#logger.write('internal-error', { reason }) }
+    })
     this.#maps = MapService.create({ context: this.#context, client: this.#ranks, engine, id: host, isReady: () => this.isReady })
     this.#probe = EndpointProbe.create(this.#context, this.#ranks, engine)
     this.#followers = this.#createFollowers()
@@ -215,6 +227,13 @@
     this.#logger.write('settings-reloaded', {})
   }
 
+  #handleHeartbeat ({ state, strikes }: Heartbeat): void {
+    const nowMs = performance.now()
+    this.#context.crashes.merge(strikes, nowMs)
+    for (const endpoint of state.silent ?? []) this.#context.liveness.noteSuspected(endpoint)
+    if (this.#context.peers.noteHeartbeat(state, nowMs)) this.#logger.write('gateway-joined', { gateway: state.id, domain: state.domain })
+  }
+
   #createFollowers (): readonly StoreFollower<unknown>[] {
     const handleState = (kind: string) => (state: 'lost' | 'found', reason: string): void => {
       this.#logger.write(state === 'lost' ? 'store-lost' : 'store-found', { kind, reason })
@@ -318,11 +337,17 @@
   async #discover (): Promise<void> {
     const { host, linkListener } = this.#settings
     let isRegistered = false
+    let wasListed = false
     for (;;) {
       if (!isRegistered && !this.#isLeaving) isRegistered = (await this.#store.register({ id: host, address: linkListener })).isRight()
-      const listed = await this.#store.listGateways()
+      // A current list, read after the own entry was written, has every gateway that does not find this one in its list.
+      const listed = await this.#store.listGateways(!wasListed)
       listed.ifRight(entries => { for (const { id, address } of entries) this.#noteGateway(id, address) })
       const isComplete = isRegistered && listed.isRight()
+      if (isComplete && !wasListed) {
+        wasListed = true
+        this.#context.coldLimits.noteListed(performance.now())
+      }
       await new Promise(resolve => { setTimeout(resolve, isComplete ? DISCOVERY_INTERVAL_MS * (0.8 + 0.4 * Math.random()) : TICK_INTERVAL_MS * 5) })
     }
   }
--- a/src/gateway/rank-link.ts
+++ b/src/gateway/rank-link.ts
@@ -1,20 +1,32 @@
-/** Carries requests of map coordinators to the agents on the hosts of the ranks, over UDP. */
+/** Carries requests of gateways to the agents on the hosts of the ranks, over UDP: reads, orders and permits. */
 
 import { createSocket } from 'node:dgram'
 import type { RemoteInfo, Socket } from 'node:dgram'
 import { pack, unpack } from 'msgpackr'
 import type { OrderResult, RankOrder, RankState } from '../plugins/lockstep/rank.js'
+import type { PermitRate, PermitReply } from '../plugins/gateway/permits.js'
 import type { Address } from './model.js'
 
 /** Version of the message format; messages of other versions are ignored. */
 const RANK_LINK_VERSION = 1
 
-/** Request to an agent. */
+/** Request of a map coordinator to the agent of a rank. */
 export type RankRequest =
   | { readonly kind: 'read', readonly wantsCounts: boolean, readonly wantsMap: boolean }
   | { readonly kind: 'order', readonly epoch: number, readonly order: RankOrder }
 
-/** Reply of an agent; the state is read after the order is carried out. */
+/** Asks an agent for a permit to send a request to its worker. */
+export interface PermitRequest {
+  readonly kind: 'permit'
+  readonly rate: PermitRate
+  /** Longest time in ms for which the request can wait. */
+  readonly waitMaxMs: number
+}
+
+/** Request to an agent. */
+export type AgentRequest = RankRequest | PermitRequest
+
+/** Reply of an agent to a map coordinator; the state is read after the order is carried out. */
 export interface RankReply {
   /** Undefined when the rank does not answer the agent. */
   readonly state: RankState | undefined
@@ -25,6 +37,12 @@
   readonly result?: OrderResult
 }
 
+/** Reply of an agent. */
+export type AgentReply = RankReply | PermitReply
+
+/** Interval in ms at which a request for a permit is sent again while there is no answer. */
+const PERMIT_RESEND_MS = 25
+
 interface Envelope<T> {
   readonly version: number
   readonly id: number
@@ -35,14 +53,14 @@
 export class RankClient {
   readonly #socket: Socket
   readonly #port: number
-  readonly #pending = new Map<number, (reply: RankReply | undefined) => void>()
+  readonly #pending = new Map<number, (reply: AgentReply | undefined) => void>()
   #nextId = 1
 
   private constructor (port: number, handleError: (reason: string) => void) {
     this.#port = port
     this.#socket = createSocket('udp4')
     this.#socket.on('message', bytes => {
-      const reply = decodeEnvelope<RankReply>(bytes)
+      const reply = decodeEnvelope<AgentReply>(bytes)
       if (reply !== undefined) this.#pending.get(reply.id)?.(reply.content)
     })
     this.#socket.on('error', error => { handleError(error.message) })
@@ -63,16 +81,30 @@
 
   /** Sends a request to the agent on a host. @returns the reply; undefined when none arrived within `timeoutMs` */
   async sendRequest (host: string, request: RankRequest, timeoutMs: number): Promise<RankReply | undefined> {
+    return await this.#exchange(host, request, timeoutMs, Infinity) as RankReply | undefined
+  }
+
+  /** Asks the agent on a host for a permit. @returns the reply; undefined when none arrived within `timeoutMs` */
+  async requestPermit (host: string, request: PermitRequest, timeoutMs: number): Promise<PermitReply | undefined> {
+    // A permit that is reserved twice, because the first reply was lost, is only wasted.
+    return await this.#exchange(host, request, timeoutMs, PERMIT_RESEND_MS) as PermitReply | undefined
+  }
+
+  async #exchange (host: string, request: AgentRequest, timeoutMs: number, resendMs: number): Promise<AgentReply | undefined> {
     const id = this.#nextId++
+    const bytes = encodeEnvelope(id, request)
     return await new Promise(resolve => {
-      const finish = (reply: RankReply | undefined): void => {
+      const finish = (reply: AgentReply | undefined): void => {
         clearTimeout(timer)
+        clearInterval(resendTimer)
         this.#pending.delete(id)
         resolve(reply)
       }
+      const send = (): void => { this.#socket.send(bytes, this.#port, host) }
       const timer = setTimeout(() => { finish(undefined) }, timeoutMs)
+      const resendTimer = resendMs < timeoutMs ? setInterval(send, resendMs) : undefined
       this.#pending.set(id, finish)
-      this.#socket.send(encodeEnvelope(id, request), this.#port, host)
+      send()
     })
   }
 
@@ -81,14 +113,14 @@
   }
 }
 
-/** Answers requests of map coordinators. */
+/** Answers requests of gateways. */
 export class RankServer {
   readonly #socket: Socket
 
-  private constructor (answer: (request: RankRequest) => Promise<RankReply>, handleError: (reason: string) => void) {
+  private constructor (answer: (request: AgentRequest) => Promise<AgentReply>, handleError: (reason: string) => void) {
     this.#socket = createSocket('udp4')
     this.#socket.on('message', (bytes: Buffer, sender: RemoteInfo) => {
-      const request = decodeEnvelope<RankRequest>(bytes)
+      const request = decodeEnvelope<AgentRequest>(bytes)
       if (request === undefined) return
       answer(request.content).then(
         reply => { this.#socket.send(encodeEnvelope(request.id, reply), sender.port, sender.address) },
@@ -103,7 +135,7 @@
    * @param handleError - called with errors of the socket and of `answer`
    * @returns a server that does not listen yet
    */
-  static create (answer: (request: RankRequest) => Promise<RankReply>, handleError: (reason: string) => void): RankServer {
+  static create (answer: (request: AgentRequest) => Promise<AgentReply>, handleError: (reason: string) => void): RankServer {
     return new RankServer(answer, handleError)
   }
 
--- a/src/gateway/upstream.ts
+++ b/src/gateway/upstream.ts
@@ -41,6 +41,8 @@
   readonly path: string
   readonly headers: Record<string, string | string[]>
   readonly body: Buffer
+  /** Whether the request may still be sent, asked once the connection stands. */
+  readonly mayBeSent?: () => boolean
 }
 
 const agent = new Agent({ keepAlive: false, noDelay: true })
@@ -55,14 +57,19 @@
   #response: IncomingMessage | undefined
 
   private constructor (options: AttemptOptions, handlers: AttemptHandlers) {
-    const { address, method, path, headers, body } = options
+    const { address, method, path, headers, body, mayBeSent } = options
     this.#handlers = handlers
     this.#request = openRequest({ host: address.host, port: address.port, method, path, headers, agent, setHost: false, maxHeaderSize: HEAD_BYTES_MAX })
     this.#timer = setTimeout(() => { this.#fail('connect timeout') }, CONNECT_TIMEOUT_MS)
     this.#request.on('socket', socket => {
       socket.once('connect', () => {
-        this.#isConnected = true
         clearTimeout(this.#timer)
+        if (mayBeSent?.() === false) {
+          this.#fail('permit expired')
+          return
+        }
+        this.#isConnected = true
+        this.#request.end(body)
       })
       // Node.js reports a reset that arrives together with data as a normal end; only the
       // missing peer address shows the difference. An answer without a length ends when its
@@ -77,7 +84,6 @@
     this.#request.on('response', response => { this.#handleResponse(response) })
     this.#request.on('error', error => { this.#failUnlessComplete(error.message) })
     this.#request.on('close', () => { this.#failUnlessComplete('connection closed') })
-    this.#request.end(body)
   }
 
   /**
--- a/src/kernel/ports.ts
+++ b/src/kernel/ports.ts
@@ -3,6 +3,7 @@
 import type { Configuration, EndpointSpec, Profile, Service, Team } from './configuration.js'
 import type { Context } from './plugin.js'
 import type { RetryAfterPort } from '../plugins/gateway/retry-after.js'
+import type { ColdLimitsPort } from '../plugins/gateway/cold-limits.js'
 import type { CrashesPort } from '../plugins/gateway/crashes.js'
 import type { EndpointsPort } from '../plugins/gateway/endpoints.js'
 import type { PeersPort } from '../plugins/gateway/peers.js'
@@ -176,6 +177,7 @@
   readonly peers: PeersPort
   readonly retries: RetriesPort
   readonly crashes: CrashesPort
+  readonly coldLimits: ColdLimitsPort
   readonly selection: SelectionPort
   readonly retryAfter: RetryAfterPort
   readonly liveness: LivenessPort
--- a/src/plugins/gateway/peers.ts
+++ b/src/plugins/gateway/peers.ts
@@ -34,10 +34,14 @@
   /** Records a gateway that the store lists. */
   noteListed (id: string): void
   /**
-   * Counts the gateways that may be serving, this one included. Gateways behind a
-   * partition send no heartbeats here but still use their part of the shared limits.
+   * Lists the gateways that may be serving, this one included. Gateways behind a
+   * partition send no heartbeats here but still use their part of the shared limits,
+   * so that none is ever removed.
    */
+  listKnown (): readonly string[]
   countKnown (): number
+  /** Whether heartbeats of a gateway arrive. */
+  isAlive (id: string): boolean
   /** Requests that other gateways have in flight at an endpoint. */
   countInFlight (endpoint: string): number
   /** Slowdown factor of an endpoint as other gateways report it; 1 when none does. */
@@ -52,6 +56,7 @@
   readonly #heartbeats = new Map<string, { readonly state: GatewayState, readonly atMs: number }>()
   /** Gateways listed by the store, or whose heartbeats arrived, since this process started, this one included. */
   readonly #known = new Set<string>()
+  #knownList: readonly string[] | undefined
   readonly #inFlight = new Map<string, number>()
 
   private constructor (self: string) {
@@ -73,7 +78,7 @@
     if (previous !== undefined && previous.state.bornMs > state.bornMs) return false
     if (previous !== undefined) this.#addLoad(previous.state, -1)
     this.#heartbeats.set(state.id, { state, atMs: nowMs })
-    this.#known.add(state.id)
+    this.noteListed(state.id)
     this.#addLoad(state, 1)
     return previous === undefined
   }
@@ -92,11 +97,22 @@
   }
 
   noteListed (id: string): void {
+    if (this.#known.has(id)) return
     this.#known.add(id)
+    this.#knownList = undefined
+  }
+
+  listKnown (): readonly string[] {
+    this.#knownList ??= [...this.#known]
+    return this.#knownList
   }
 
   countKnown (): number {
-    return Math.max(1, this.#known.size)
+    return this.#known.size
+  }
+
+  isAlive (id: string): boolean {
+    return this.#heartbeats.has(id)
   }
 
   countInFlight (endpoint: string): number {
--- a/src/plugins/gateway/selection.ts
+++ b/src/plugins/gateway/selection.ts
@@ -3,11 +3,11 @@
  * only its own requests and the slightly outdated counts of the other gateways.
  */
 
+import type { EndpointAccess } from './cold-limits.js'
 import type { EndpointView } from './endpoints.js'
 import { registerPlugin } from '../../kernel/plugin.js'
 import type { Context, Plugin, PluginOptions } from '../../kernel/plugin.js'
 import type { Ports } from '../../kernel/ports.js'
-import { SlidingWindow } from './window.js'
 
 /** Weight of the latest answer in the moving averages of latency and failures. */
 const AVERAGE_WEIGHT = 0.15
@@ -22,23 +22,25 @@
 const UNREACHABLE_BACKOFF_FIRST_MS = 400
 const UNREACHABLE_BACKOFF_MAX_MS = 3_000
 
-/** Length in ms of the window over which the requests to a cold endpoint are counted. */
-const COLD_WINDOW_MS = 1_000
-
-/** Share of the rate of a cold endpoint that is used, because the windows of the gateways are not aligned. */
-const COLD_SHARE = 0.9
+/**
+ * Load, as a share of its slots, added to an endpoint whose agent denied a permit recently or
+ * that can be used by shares only: it is probably cold, or its host is down. Without it, an
+ * endpoint that is empty because it has just started would be asked first by every request.
+ */
+const LIMITED_PENALTY = 0.6
 
 /** How an attempt ended. */
-export type AttemptResult = 'ok' | 'failed' | 'refused' | 'unreachable' | 'silent' | 'cancelled'
+export type AttemptResult = 'ok' | 'failed' | 'refused' | 'unreachable' | 'silent' | 'cancelled' | 'not-sent'
 
 /** Inputs of a choice. */
 export interface SelectionRequest {
   readonly candidates: readonly EndpointView[]
   /** Endpoints already tried; used again only when no other is left. */
   readonly exclude: ReadonlySet<string>
-  /** Requests per second that a cold endpoint of the service can take, from all gateways together. */
-  readonly coldPerS: number
-  readonly gateways: number
+  /** Whether and how an endpoint may be sent a request. */
+  getAccess (endpoint: EndpointView): EndpointAccess
+  /** Random number from 0 to 1 that decides between equal endpoints; otherwise all gateways would choose the same one. */
+  readonly fraction: number
   /** Requests that other gateways have in flight at an endpoint. */
   countElsewhere (endpoint: string): number
   /** Whether an endpoint is unresponsive although others of its service are active. */
@@ -52,12 +54,13 @@
   readonly endpoint: EndpointView
   /** Requests in flight there as far as this gateway knows, without the new one. */
   readonly inFlight: number
+  readonly access: EndpointAccess
 }
 
 /** Chooses endpoints and measures their attempts. */
 export interface SelectionPort {
   choose (request: SelectionRequest, nowMs: number): Selection | undefined
-  noteStart (endpoint: EndpointView, nowMs: number): void
+  noteStart (endpoint: EndpointView): void
   noteEnd (endpoint: string, result: AttemptResult, elapsedMs: number, nowMs: number): void
   /** Requests that this gateway has in flight, by endpoint. */
   listInFlight (): Readonly<Record<string, number>>
@@ -71,7 +74,6 @@
   failures: number
   unreachableUntilMs: number
   consecutiveUnreachable: number
-  readonly coldStarts: SlidingWindow
 }
 
 /** Chooses endpoints by load, measured latency and failure rate. */
@@ -97,33 +99,35 @@
   handle (_event: unknown, _context: Context): void {}
 
   choose (request: SelectionRequest, nowMs: number): Selection | undefined {
-    const eligible = request.candidates.filter(view => this.#hasColdCapacity(view, request, nowMs))
-    const untried = eligible.filter(({ record }) => !request.exclude.has(record.id))
-    const reachable = untried.filter(({ record }) => this.#get(record.id).unreachableUntilMs <= nowMs && !request.isUnresponsive(record.id))
+    const eligible = request.candidates.map(endpoint => ({ endpoint, access: request.getAccess(endpoint) })).filter(({ access }) => access.kind !== 'denied' && access.kind !== 'borrow')
+    const untried = eligible.filter(({ endpoint: { record } }) => !request.exclude.has(record.id))
+    const reachable = untried.filter(({ endpoint: { record } }) => this.#get(record.id).unreachableUntilMs <= nowMs && !request.isUnresponsive(record.id))
     const pool = reachable.length > 0 ? reachable : untried.length > 0 ? untried : eligible
-    const fastestMs = Math.min(...pool.map(({ record }) => this.#get(record.id).latencyMs || Infinity))
+    const fastestMs = Math.min(...pool.map(({ endpoint: { record } }) => this.#get(record.id).latencyMs || Infinity))
     let best: Selection | undefined
     let bestScore = Infinity
-    for (const endpoint of pool) {
+    const first = Math.floor(request.fraction * pool.length)
+    for (const { endpoint, access } of [...pool.slice(first), ...pool.slice(0, first)]) {
       const inFlight = this.#get(endpoint.record.id).inFlight + request.countElsewhere(endpoint.record.id)
-      const score = this.#computeScore(endpoint, inFlight, fastestMs) * request.getPace(endpoint.record.id)
+      const isLimited = access.kind === 'share' || (access.kind === 'permit' && access.isContended)
+      const load = inFlight + (isLimited ? LIMITED_PENALTY * endpoint.record.slots : 0)
+      const score = this.#computeScore(endpoint, load, fastestMs) * request.getPace(endpoint.record.id)
       if (score >= bestScore) continue
-      best = { endpoint, inFlight }
+      best = { endpoint, inFlight, access }
       bestScore = score
     }
     return best
   }
 
-  noteStart (endpoint: EndpointView, nowMs: number): void {
-    const record = this.#get(endpoint.record.id)
-    record.inFlight += 1
-    record.coldStarts.add(nowMs)
+  noteStart (endpoint: EndpointView): void {
+    this.#get(endpoint.record.id).inFlight += 1
   }
 
   noteEnd (endpoint: string, result: AttemptResult, elapsedMs: number, nowMs: number): void {
     const record = this.#measures.get(endpoint)
     if (record === undefined) return
     record.inFlight = Math.max(0, record.inFlight - 1)
+    if (result === 'not-sent') return
     if (result === 'unreachable') {
       record.unreachableUntilMs = nowMs + Math.min(UNREACHABLE_BACKOFF_MAX_MS, UNREACHABLE_BACKOFF_FIRST_MS * 2 ** record.consecutiveUnreachable)
       record.consecutiveUnreachable += 1
@@ -146,23 +150,17 @@
   }
 
   /** Expected wait relative to an idle endpoint with the lowest latency; lower is better. */
-  #computeScore ({ record }: EndpointView, inFlight: number, fastestMs: number): number {
+  #computeScore ({ record }: EndpointView, load: number, fastestMs: number): number {
     const { latencyMs, failures } = this.#get(record.id)
     const slowdown = latencyMs === 0 || !Number.isFinite(fastestMs) ? 1 : Math.sqrt(latencyMs / fastestMs)
     const remotePenalty = record.domain === this.#domain ? 0 : REMOTE_PENALTY
-    return (inFlight + 1 + remotePenalty) / record.slots * slowdown + FAILURE_PENALTY * failures * failures
-  }
-
-  #hasColdCapacity (view: EndpointView, { coldPerS, gateways }: SelectionRequest, nowMs: number): boolean {
-    if (view.coldUntilMs <= nowMs || coldPerS === 0) return true
-    const share = Math.max(1, Math.floor(COLD_SHARE * coldPerS / gateways))
-    return this.#get(view.record.id).coldStarts.count(nowMs) < share
+    return (load + 1 + remotePenalty) / record.slots * slowdown + FAILURE_PENALTY * failures * failures
   }
 
   #get (id: string): EndpointMeasures {
     let record = this.#measures.get(id)
     if (record === undefined) {
-      record = { inFlight: 0, latencyMs: 0, failures: 0, unreachableUntilMs: 0, consecutiveUnreachable: 0, coldStarts: SlidingWindow.create(COLD_WINDOW_MS) }
+      record = { inFlight: 0, latencyMs: 0, failures: 0, unreachableUntilMs: 0, consecutiveUnreachable: 0 }
       this.#measures.set(id, record)
     }
     return record
--- a/test/gateway/harness.ts
+++ b/test/gateway/harness.ts
@@ -7,7 +7,8 @@
 import { platformDialect } from '../../platform/dialect.js'
 import { Logger } from '../../src/edge/log/logger.js'
 import { Metrics } from '../../src/edge/metrics/metrics.js'
-import { GatewayContext } from '../../src/gateway/context.js'
+import type { AskPermit } from '../../src/gateway/admission.js'
+import { GatewayContext, processClock } from '../../src/gateway/context.js'
 import type { EngineSpec, RepeatPolicy, Route } from '../../src/gateway/model.js'
 import { CallerServer } from '../../src/gateway/server.js'
 import { Kernel } from '../../src/kernel/kernel.js'
@@ -24,6 +25,12 @@
   readonly retryAfter: string | undefined
 }
 
+/** Rate of cold endpoints, and how their agents grant permits. */
+export interface ColdOptions {
+  readonly coldPerS: number
+  readonly askPermit: AskPermit
+}
+
 /** Gateway and endpoints of one test. */
 export interface Harness {
   readonly context: GatewayContext
@@ -51,13 +58,15 @@
  * @param scripts - endpoints by id; `undefined` is one that accepts no connections
  * @param changes - fields of the route to override
  * @param engine - engine of the endpoints; undefined when they have none
+ * @param cold - rate of cold endpoints and their agents; endpoints are never cold without it
  */
-export async function startHarness (repeat: RepeatPolicy, scripts: Readonly<Record<string, Script | undefined>>, changes: Partial<Route> = {}, engine?: EngineSpec): Promise<Harness> {
+export async function startHarness (repeat: RepeatPolicy, scripts: Readonly<Record<string, Script | undefined>>, changes: Partial<Route> = {}, engine?: EngineSpec, cold?: ColdOptions): Promise<Harness> {
   const received: Record<string, string[]> = {}
   const lines: string[] = []
   const metrics = Metrics.create({ role: 'gateway' })
   const kernel = Kernel.create({ self: { id: 'g', role: 'gateway', domain: 'a', host: 'g', address: '', incarnation: 1 }, seed: 1, settings: { clusterSecret: '', seeds: [] } })
-  const context = GatewayContext.create({ kernel, dialect: platformDialect, logger: Logger.create({ processId: 'g', write: line => { lines.push(line) } }), metrics })
+  const context = GatewayContext.create({ kernel, dialect: platformDialect, logger: Logger.create({ processId: 'g', write: line => { lines.push(line) } }), metrics, clock: { ...processClock, pickFloat: () => 0 }, askPermit: cold?.askPermit ?? (async () => undefined), askShare: async () => undefined })
+  context.coldLimits.setBounds({ overshoot: 1.5, slack: 5 })
   context.retries.setBounds({ ratio: 10, windowMs: 10_000, extra: 0 })
   const servers: Server[] = []
   for (const [id, script] of Object.entries(scripts)) {
@@ -71,7 +80,7 @@
   context.routes.accept({
     version: 1,
     routes: new Map([['h', [route]]]),
-    services: new Map([['s', { name: 's', coldPerS: 0, ...(engine === undefined ? {} : { engine }) }]]),
+    services: new Map([['s', { name: 's', coldPerS: cold?.coldPerS ?? 0, ...(engine === undefined ? {} : { engine }) }]]),
     teams: new Map([['k1', { name: 't1' }]]),
     limits: { headerBytesMax: 16_384, bodyBytesMax: 1_000, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 }
   })
--- a/test/gateway/link.test.ts
+++ b/test/gateway/link.test.ts
@@ -26,8 +26,9 @@
   const [first, second] = [{ host: '127.0.0.1', port: await findPort() }, { host: '127.0.0.1', port: await findPort() }]
   const received: Heartbeat[] = []
   const fail = (reason: string): void => { t.fail(reason) }
-  const a = GatewayLink.create(first, heartbeat => { received.push(heartbeat) }, fail)
-  const b = GatewayLink.create(second, heartbeat => { received.push(heartbeat) }, fail)
+  const handlers = { handleHeartbeat: (heartbeat: Heartbeat): void => { received.push(heartbeat) }, lendShare: () => false, handleError: fail }
+  const a = GatewayLink.create(first, handlers)
+  const b = GatewayLink.create(second, handlers)
   await Promise.all([a.start(), b.start()])
   const otherProgram = createSocket('udp4')
   otherProgram.send('no heartbeat', second.port, second.host)
@@ -41,6 +42,21 @@
   t.deepEqual(received.map(({ state, strikes }) => ({ id: state.id, strikes })), [{ id: 'g1', strikes: [{ fingerprint: 'f', count: 1 }] }, { id: 'g2', strikes: [] }])
 })
 
+test('a gateway lends a share once, and a gateway that is gone lends none', async t => {
+  const [first, second] = [{ host: '127.0.0.1', port: await findPort() }, { host: '127.0.0.1', port: await findPort() }]
+  const fail = (reason: string): void => { t.fail(reason) }
+  const lent: string[] = []
+  const borrower = GatewayLink.create(first, { handleHeartbeat: () => {}, lendShare: () => false, handleError: fail })
+  const owner = GatewayLink.create(second, { handleHeartbeat: () => {}, lendShare: endpoint => lent.push(endpoint) === 1, handleError: fail })
+  await Promise.all([borrower.start(), owner.start()])
+  borrower.addTarget('g2', second)
+  const replies = [await borrower.requestShare('g2', 'e1', 500), await borrower.requestShare('g2', 'e1', 500), await borrower.requestShare('g3', 'e1', 50)]
+  owner.stop()
+  replies.push(await borrower.requestShare('g2', 'e1', 50))
+  borrower.stop()
+  t.deepEqual(replies, [true, false, undefined, undefined])
+})
+
 const ENGINE: RankEngine = {
   readState: async () => ({ group: 'g', epoch: 1, rank: 0, size: 1, isOpen: true, bornMs: 1, pace: 1, step: 4, map: 0, prepared: undefined, armed: undefined, held: undefined }),
   readCounts: async () => [1, 2],
@@ -52,7 +68,7 @@
 test('a map coordinator reads a rank and sends it orders through its agent', async t => {
   const port = await findPort()
   const fail = (reason: string): void => { t.fail(reason) }
-  const server = RankServer.create(async request => await answerRankRequest(ENGINE, { host: 'h', port: 1 }, request), fail)
+  const server = RankServer.create(async request => request.kind === 'permit' ? { kind: 'granted', delayMs: request.waitMaxMs } : await answerRankRequest(ENGINE, { host: 'h', port: 1 }, request), fail)
   await server.start({ host: '127.0.0.1', port })
   const client = RankClient.create(port, fail)
   await client.start({ host: '127.0.0.1', port: 0 })
--- a/test/gateway/selection.test.ts
+++ b/test/gateway/selection.test.ts
@@ -1,10 +1,12 @@
 import test from 'ava'
 import type { SelectionRequest } from '../../src/plugins/gateway/selection.js'
 import type { EndpointView } from '../../src/plugins/gateway/endpoints.js'
-import { buildView, createSelection } from './views.js'
+import { ColdLimitsPlugin } from '../../src/plugins/gateway/cold-limits.js'
+import { PermitBucket } from '../../src/plugins/gateway/permits.js'
+import { ENGINE, buildSelf, buildView, createSelection } from './views.js'
 
 function createRequest (candidates: readonly EndpointView[], changes: Partial<SelectionRequest> = {}): SelectionRequest {
-  return { candidates, exclude: new Set(), coldPerS: 0, gateways: 1, countElsewhere: () => 0, isUnresponsive: () => false, getPace: () => 1, ...changes }
+  return { candidates, exclude: new Set(), getAccess: () => ({ kind: 'unlimited' }), fraction: 0, countElsewhere: () => 0, isUnresponsive: () => false, getPace: () => 1, ...changes }
 }
 
 /** Chooses endpoints for requests that stay in flight and counts them by endpoint. */
@@ -12,7 +14,7 @@
   const selection = createSelection()
   for (let at = 0; at < count; at += 1) {
     const selected = selection.choose(request, at)
-    if (selected !== undefined) selection.noteStart(selected.endpoint, at)
+    if (selected !== undefined) selection.noteStart(selected.endpoint)
   }
   return { ...selection.listInFlight() }
 }
@@ -38,7 +40,7 @@
   const tried: number[] = []
   for (let at = 0; at < 6_000; at += 50) {
     const selected = selection.choose(createRequest(views), at)!
-    selection.noteStart(selected.endpoint, at)
+    selection.noteStart(selected.endpoint)
     const { id } = selected.endpoint.record
     if (id === 'e1') tried.push(at)
     selection.noteEnd(id, id === 'e1' ? 'unreachable' : 'ok', 20, at)
@@ -46,17 +48,23 @@
   t.snapshot(tried)
 })
 
+test('gateways that know of no load do not all choose the same endpoint', t => {
+  const views = ['e1', 'e2', 'e3', 'e4'].map(id => buildView(id))
+  const chosen = [0, 0.2, 0.3, 0.6, 0.9].map(fraction => createSelection().choose(createRequest(views, { fraction }), 0)?.endpoint.record.id)
+  t.deepEqual(chosen, ['e1', 'e1', 'e2', 'e3', 'e4'])
+})
+
 // Guards against a cold endpoint that crashes because every gateway sends it the full rate.
 test('all gateways together stay within the rate of a cold endpoint', t => {
-  const gateways = Array.from({ length: 8 }, () => createSelection())
-  const request = createRequest([buildView('e1', { coldUntilMs: 10_000 })], { coldPerS: 36, gateways: 8 })
+  const gateways = Array.from({ length: 8 }, (_value, index) => ColdLimitsPlugin.create(buildSelf(`g${index}`)))
+  const names = gateways.map((_gateway, index) => `g${index}`)
+  const agent = PermitBucket.create(0)
   const starts: number[] = []
+  for (const limits of gateways) limits.setBounds({ overshoot: 1.5, slack: 5 })
   for (let at = 0; at < 4_000; at += 10) {
-    for (const selection of gateways) {
-      const selected = selection.choose(request, at)
-      if (selected === undefined) continue
-      selection.noteStart(selected.endpoint, at)
-      starts.push(at)
+    for (const limits of gateways) {
+      const access = limits.decide({ endpoint: buildView('e1', { coldUntilMs: 10_000 }), service: { name: 's', coldPerS: 36, engine: ENGINE }, gateways: names }, at)
+      if (access.kind === 'permit' && agent.reserve(access.rate, 0, at).kind === 'granted') starts.push(at)
     }
   }
   const most = Math.max(...starts.map(from => starts.filter(at => at >= from && at < from + 1_000).length))
--- a/test/processes/gateway.test.ts
+++ b/test/processes/gateway.test.ts
@@ -102,6 +102,7 @@
       `listen = { callers = "${ip}:${PORTS.callers}", ready = "${ip}:${PORTS.ready}", directory = "${ip}:${PORTS.directory}", link_port = ${PORTS.link}, rank_port = ${PORTS.rank}, metrics_port = ${PORTS.metrics} }`,
       `store = { address = "${this.store.address}" }`,
       'retries = { ratio = 0.2, window_s = 10, extra = 20 }',
+      'cold = { overshoot = 1.5, slack = 5 }',
       `stop = { grace_s = ${GRACE_S} }`,
       'directory = { hold_ms = 1000 }'
     ].join('\n'))
