Deal the shared part of the retry budget in whole retries to gateways that have read the list

With more gateways than extra retries each part is below one, so that none is ever used; a gateway that has not read the list of gateways counts only itself and uses all of them.

--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -197,7 +197,7 @@
 
   /** Spends one retry of the budget shared by all gateways. @returns false when the budget does not allow it */
   acceptRetry (service: string, nowMs: number): boolean {
-    return this.retries.acceptRetry(service, this.peers.countKnown(), nowMs)
+    return this.retries.acceptRetry(service, this.peers.listKnown(), nowMs)
   }
 
   /** Checks whether an endpoint that closed a connection before the end of its answer has crashed. */
--- a/src/gateway/process.ts
+++ b/src/gateway/process.ts
@@ -347,6 +347,7 @@
       if (isComplete && !wasListed) {
         wasListed = true
         this.#context.coldLimits.noteListed(performance.now())
+        this.#context.retries.noteListed(performance.now())
       }
       await new Promise(resolve => { setTimeout(resolve, isComplete ? DISCOVERY_INTERVAL_MS * (0.8 + 0.4 * Math.random()) : TICK_INTERVAL_MS * 5) })
     }
--- a/test/gateway/decisions.test.ts
+++ b/test/gateway/decisions.test.ts
@@ -27,35 +27,66 @@
   t.is(window.count(10_000), 0)
 })
 
+/** Gateways that all know each other and that were listed at a time in ms. */
+function createBudgets (count: number, listedAtMs: number): { readonly gateways: readonly RetriesPlugin[], readonly names: readonly string[] } {
+  const names = Array.from({ length: count }, (_value, index) => `g${index}`)
+  const gateways = names.map(name => RetriesPlugin.create(name))
+  for (const gateway of gateways) {
+    gateway.setBounds({ ratio: 0.2, windowMs: 10_000, extra: 40 })
+    gateway.noteListed(listedAtMs)
+  }
+  return { gateways, names }
+}
+
 // Guards against more retries than the budget that all gateways share.
 test('gateways that share a budget stay within it', t => {
-  const gateways = Array.from({ length: 4 }, () => RetriesPlugin.create())
-  for (const gateway of gateways) gateway.setBounds({ ratio: 0.2, windowMs: 10_000, extra: 40 })
+  const { gateways, names } = createBudgets(4, 0)
   let accepted = 0
   for (let at = 0; at < 10_000; at += 10) {
     for (const gateway of gateways) {
       if (at % 100 === 0) gateway.noteRequest('s', at)
-      if (gateway.acceptRetry('s', 4, at)) accepted += 1
+      if (gateway.acceptRetry('s', names, at)) accepted += 1
     }
   }
   t.true(accepted <= 0.2 * 400 + 40, `${accepted} retries`)
   t.true(accepted > 50, `${accepted} retries`)
 })
 
+test('the shared part of the retry budget is neither exceeded nor lost when there are more gateways than retries', t => {
+  const counts = [1, 4, 34, 40, 41, 100, 610].map(count => {
+    const { gateways, names } = createBudgets(count, 0)
+    let accepted = 0
+    for (const gateway of gateways) while (gateway.acceptRetry('s', names, 10_000)) accepted += 1
+    t.true(accepted <= 40, `${count} gateways: ${accepted} retries`)
+    t.true(accepted >= 20, `${count} gateways: ${accepted} retries`)
+    return [count, accepted]
+  })
+  t.log('gateways, retries:', counts)
+})
+
+test('gateways that have not read the list do not spend the whole shared budget each', t => {
+  const gateways = Array.from({ length: 34 }, (_value, index) => RetriesPlugin.create(`g${index}`))
+  let accepted = 0
+  gateways.forEach((gateway, index) => {
+    gateway.setBounds({ ratio: 0.2, windowMs: 10_000, extra: 40 })
+    for (let at = 0; at < 10_000; at += 10) if (gateway.acceptRetry('s', [`g${index}`], at)) accepted += 1
+  })
+  t.true(accepted <= 40, `${accepted} retries`)
+})
+
 // Guards against spending the budget twice when gateways restart within a window.
 test('restarted gateways do not spend the shared part of the budget again', t => {
   let accepted = 0
   let requests = 0
   for (let restart = 0; restart < 3; restart += 1) {
-    const gateways = Array.from({ length: 4 }, () => RetriesPlugin.create())
-    for (const gateway of gateways) gateway.setBounds({ ratio: 0.2, windowMs: 10_000, extra: 40 })
+    const { gateways, names } = createBudgets(4, 0)
     for (let at = 0; at < 3_000; at += 10) {
       for (const gateway of gateways) {
         if (at % 100 === 0) {
           gateway.noteRequest('s', at)
           requests += 1
         }
-        if (gateway.acceptRetry('s', 4, at)) accepted += 1
+        if (gateway.acceptRetry('s', names, at)) accepted += 1
       }
     }
   }
