Check again that an endpoint is usable after waiting for its permit

A request that waited up to 200 ms for a permit was sent although the endpoint was drained or taken out of service during the wait; the new test shows it (200 from the drained endpoint instead of 503). work-started now tells what allowed a request: permit, share or borrowed-share.

--- a/src/gateway/admission.ts
+++ b/src/gateway/admission.ts
@@ -1,7 +1,6 @@
 /** Finds an endpoint that may be sent a request now, and the permit that it needs when it is or may be cold. */
 
 import { assertNever } from '../kernel/errors.js'
-import type { EndpointAccess } from '../plugins/gateway/cold-limits.js'
 import type { PermitRate, PermitReply } from '../plugins/gateway/permits.js'
 import type { Selection } from '../plugins/gateway/selection.js'
 import type { GatewayContext } from './context.js'
@@ -36,10 +35,13 @@
   readonly owner: string
 }
 
+/** What allows a request to be sent. */
+export type AdmittedAccess = 'unlimited' | 'permit' | 'share' | 'borrowed-share'
+
 /** How an admission ended. */
 export type AdmissionResult =
   /** The selection counts as started; `permit` is undefined when the endpoint needs none. */
-  | { readonly kind: 'admitted', readonly selection: Selection, readonly access: EndpointAccess['kind'], readonly permit: Permit | undefined }
+  | { readonly kind: 'admitted', readonly selection: Selection, readonly access: AdmittedAccess, readonly permit: Permit | undefined }
   /** Every usable endpoint is at its limit. */
   | { readonly kind: 'limited' }
   | { readonly kind: 'no-endpoint' }
@@ -99,11 +101,11 @@
     const { access } = selection
     switch (access.kind) {
       case 'unlimited':
-        this.#admit(selection, undefined)
+        this.#admit(selection, 'unlimited', undefined)
         break
       case 'share':
         this.#context.coldLimits.spendShare(selection.endpoint.record.id, nowMs)
-        this.#admit(selection, Permit.create(this.#context.clock, 0))
+        this.#admit(selection, 'share', Permit.create(this.#context.clock, 0))
         break
       case 'permit':
         this.#ask(selection, access.rate, 0)
@@ -149,12 +151,8 @@
     this.#context.askShare(owner, id, SHARE_TIMEOUT_MS).then(isLent => {
       if (this.#isDone) return
       this.#context.metrics.count('borrowed_shares', isLent === undefined ? 'silent' : isLent ? 'granted' : 'denied')
-      if (isLent === true) {
-        this.#admit(selection, permit)
-        return
-      }
-      this.#release()
-      this.start()
+      if (isLent === true) this.#admitIfUsable(selection, 'borrowed-share', permit)
+      else this.#restart()
     }, (error: unknown) => { this.#context.log('internal-error', { reason: String(error) }) })
   }
 
@@ -174,23 +172,41 @@
     const { id } = selection.endpoint.record
     this.#context.metrics.count('permits', reply?.kind ?? 'silent')
     if (reply === undefined) {
-      if (coldLimits.noteAgentSilent(id, nowMs)) this.#context.log('agent-silent', { endpoint: id })
-      this.#release()
-      this.start()
+      if (this.#isUsable(selection) && coldLimits.noteAgentSilent(id, nowMs)) this.#context.log('agent-silent', { endpoint: id })
+      this.#restart()
+      return
+    }
+    if (!this.#isUsable(selection)) {
+      this.#restart()
       return
     }
     coldLimits.noteAgentAnswer(id)
     if (reply.kind === 'denied') {
       coldLimits.noteDenied(id, nowMs + reply.retryMs, nowMs)
       this.#context.log('permit-denied', { request: this.#options.requestId, endpoint: id, retryMs: Math.round(reply.retryMs), asks: this.#asks })
-      this.#release()
-      this.start()
+      this.#restart()
       return
     }
     // The agent granted the permit after it was asked, so counting from the question never extends it.
     const permit = Permit.create(this.#context.clock, reply.delayMs - (nowMs - askedAtMs))
-    if (reply.delayMs === 0) this.#admit(selection, permit)
-    else this.#cancelTimer = this.#context.clock.schedule(reply.delayMs, () => { this.#admit(selection, permit) })
+    if (reply.delayMs === 0) this.#admit(selection, 'permit', permit)
+    else this.#cancelTimer = this.#context.clock.schedule(reply.delayMs, () => { this.#admitIfUsable(selection, 'permit', permit) })
+  }
+
+  /** Whether the endpoint may still be used; it may have been drained or taken out of service during a wait. */
+  #isUsable ({ endpoint: { record: { id } } }: Selection): boolean {
+    return this.#context.endpoints.listUsable(this.#options.service).some(({ record }) => record.id === id)
+  }
+
+  #admitIfUsable (selection: Selection, access: AdmittedAccess, permit: Permit): void {
+    if (this.#isUsable(selection)) this.#admit(selection, access, permit)
+    else this.#restart()
+  }
+
+  /** Looks for another endpoint. */
+  #restart (): void {
+    this.#release()
+    this.start()
   }
 
   /** Counts the request at the endpoint, so that simultaneous requests choose others. */
@@ -205,9 +221,9 @@
     this.#held = undefined
   }
 
-  #admit (selection: Selection, permit: Permit | undefined): void {
+  #admit (selection: Selection, access: AdmittedAccess, permit: Permit | undefined): void {
     if (this.#held === undefined) this.#hold(selection)
-    this.#finish({ kind: 'admitted', selection, access: selection.access.kind, permit })
+    this.#finish({ kind: 'admitted', selection, access, permit })
   }
 
   #finish (result: AdmissionResult): void {
--- a/test/gateway/admission.test.ts
+++ b/test/gateway/admission.test.ts
@@ -51,6 +51,20 @@
   t.snapshot(result)
 })
 
+test('a request that waited for the permit of an endpoint that was drained meanwhile is not sent to it', async t => {
+  const harness = await startHarness('idempotent', { e1: answer }, {}, ENGINE, {
+    coldPerS: 14,
+    askPermit: async (_selection, _rate, waitMaxMs) => {
+      await wait(1)
+      return waitMaxMs === 0 ? DENIED : { kind: 'granted', delayMs: 100 }
+    }
+  })
+  setTimeout(() => { harness.context.endpoints.remove('e1') }, 50)
+  const { status } = await harness.call()
+  harness.close()
+  t.deepEqual([status, harness.received], [503, { e1: [] }])
+})
+
 test('a permit expires by both clocks, also when the host was suspended', t => {
   let nowMs = 0
   let wallMs = 1_000_000
