Log the parts of the prompt and the progress of the answer with each attempt that fails

The logs could not tell whether the requests that crash have a part in common: they named neither the parts nor whether an answer had begun.

--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -248,6 +248,7 @@
     if (running.firstEventMs === undefined) this.#noteFirstEvent(running)
     this.#lastEventId = batch.lastId ?? this.#lastEventId
     this.#events += batch.count
+    running.events += batch.count
     this.#sendStreamHead(running)
     if (this.#options.response.write(batch.bytes)) return
     running.isPaused = true
@@ -376,7 +377,7 @@
     this.#context.metrics.count('attempts', result)
     if (result === 'ok') return
     this.#context.log('attempt-ended', {
-      request: this.#options.request.requestId, endpoint: id, result, reason, status: running.status, elapsedMs: Math.round(nowMs - running.startedAtMs), events: this.#events
+      request: this.#options.request.requestId, endpoint: id, result, reason, status: running.status, elapsedMs: Math.round(nowMs - running.startedAtMs), events: this.#events, attemptEvents: running.events, parts: (this.#options.request.sharedParts ?? []).join(' ')
     })
   }
 
--- a/src/gateway/model.ts
+++ b/src/gateway/model.ts
@@ -131,6 +131,8 @@
   readonly answerTokensMax?: number
   /** Number of tokens that the caller expects the answer to have. */
   readonly answerTokensHint?: number
+  /** Ids of the parts of the prompt that other requests may share, in order. */
+  readonly sharedParts?: readonly string[]
 }
 
 /** Values that an attempt adds to the headers of the caller. */
--- a/src/gateway/running-attempt.ts
+++ b/src/gateway/running-attempt.ts
@@ -20,6 +20,8 @@
   /** Splits the answer when it is a stream. */
   splitter: EventSplitter | undefined
   firstEventMs: number | undefined
+  /** Events that the endpoint has sent in this attempt. */
+  events: number
   /** Monotonic time in ms since which an event is incomplete; undefined when none is. */
   partialSinceMs: number | undefined
   /** Monotonic time in ms at which the endpoint last sent part of the answer, or at which the attempt started or reading resumed. */
@@ -42,7 +44,7 @@
  */
 export function createRunningAttempt (attempt: Attempt, endpoint: EndpointView, nowMs: number): RunningAttempt {
   return {
-    attempt, endpoint, startedAtMs: nowMs, status: 0, head: undefined, headers: [], chunks: [], splitter: undefined, firstEventMs: undefined, partialSinceMs: undefined, lastActivityMs: nowMs, isPaused: false
+    attempt, endpoint, startedAtMs: nowMs, status: 0, head: undefined, headers: [], chunks: [], splitter: undefined, firstEventMs: undefined, events: 0, partialSinceMs: undefined, lastActivityMs: nowMs, isPaused: false
   }
 }
 
