Block parts of prompts that crash endpoints

Callers saw an entire model service refuse requests for 22 of 34 s: 5 % of one kind of request carried a part of a prompt that crashes each endpoint that begins to answer it, and each crash stops the whole group for about 4 s.

Cause: crashes were attributed to whole requests, by fingerprint. These requests are all different, so none ever got a second strike. Class of fault: the unit that is blamed is not the unit that causes the failure.

Gateways now attribute crashes to the parts that requests share. They exchange what they saw of each crash, drop parts whose answers have begun, and block the fewest parts that explain all crashes; usually one part after one crash. docs/platform.md has the details.

--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -8,6 +8,7 @@
 import type { CrashesPort } from '../plugins/gateway/crashes.js'
 import type { ColdLimitsPort, EndpointAccess } from '../plugins/gateway/cold-limits.js'
 import type { EndpointsPort, EndpointView } from '../plugins/gateway/endpoints.js'
+import type { PartCrashesPort } from '../plugins/gateway/part-crashes.js'
 import type { PeersPort } from '../plugins/gateway/peers.js'
 import type { Selection, SelectionPort } from '../plugins/gateway/selection.js'
 import type { RetriesPort } from '../plugins/gateway/retries.js'
@@ -16,7 +17,8 @@
 import type { AskPermit, AskShare, Lender, LimitedSelection } from './admission.js'
 import type { PermitClocks } from './permit.js'
 import { AnswerBuffers } from './answer-buffers.js'
-import { CrashProbe } from './crash-probe.js'
+import { CrashMonitor } from './crash-monitor.js'
+import type { SendEvidence } from './crash-monitor.js'
 import type { Exchange } from './exchange.js'
 import type { Dialect } from './model.js'
 
@@ -47,6 +49,8 @@
   readonly metrics: Metrics
   readonly askPermit: AskPermit
   readonly askShare: AskShare
+  /** Absent for a gateway without others. */
+  readonly sendEvidence?: SendEvidence
   readonly clock: GatewayClock
 }
 
@@ -59,21 +63,24 @@
   readonly peers: PeersPort
   readonly retries: RetriesPort
   readonly crashes: CrashesPort
+  readonly partCrashes: PartCrashesPort
   readonly selection: SelectionPort
   readonly coldLimits: ColdLimitsPort
   readonly retryAfter: RetryAfterPort
   readonly liveness: LivenessPort
+  readonly crashMonitor: CrashMonitor
   readonly answerBuffers = AnswerBuffers.create()
   readonly askPermit: AskPermit
   readonly askShare: AskShare
   readonly clock: GatewayClock
   /** Slowdown factors of slow endpoints; empty unless this gateway is the leader, which changes the expert maps. */
   paces: Readonly<Record<string, number>> = {}
+  /** Whether the gateway knows what crashed endpoints before it started; until then it sends no requests. */
+  isInformed = true
   readonly #logger: Logger
-  readonly #crashProbe: CrashProbe
   readonly #exchanges = new Set<Exchange>()
 
-  private constructor ({ kernel, dialect, logger, metrics, askPermit, askShare, clock }: GatewayContextOptions) {
+  private constructor ({ kernel, dialect, logger, metrics, askPermit, askShare, sendEvidence, clock }: GatewayContextOptions) {
     this.askShare = askShare
     this.askPermit = askPermit
     this.clock = clock
@@ -85,11 +92,23 @@
     this.peers = kernel.getPort('peers')
     this.retries = kernel.getPort('retries')
     this.crashes = kernel.getPort('crashes')
+    this.partCrashes = kernel.getPort('partCrashes')
     this.selection = kernel.getPort('selection')
     this.coldLimits = kernel.getPort('coldLimits')
     this.retryAfter = kernel.getPort('retryAfter')
     this.liveness = kernel.getPort('liveness')
-    this.#crashProbe = CrashProbe.create((endpoint, fingerprints) => { this.#handleCrash(endpoint, fingerprints) })
+    this.crashMonitor = CrashMonitor.create({
+      self: kernel.self.id,
+      crashes: this.crashes,
+      partCrashes: this.partCrashes,
+      endpoints: this.endpoints,
+      liveness: this.liveness,
+      peers: this.peers,
+      metrics,
+      sendEvidence: sendEvidence ?? (() => {}),
+      getNowMs: () => this.getNowMs(),
+      log: (event, fields) => { this.log(event, fields) }
+    })
   }
 
   /**
@@ -200,11 +219,6 @@
     return this.retries.acceptRetry(service, this.peers.listKnown(), nowMs)
   }
 
-  /** Checks whether an endpoint that closed a connection before the end of its answer has crashed. */
-  checkCrash (endpoint: EndpointView, fingerprint: string): void {
-    this.#crashProbe.check(endpoint, fingerprint)
-  }
-
   /** Drops an endpoint whose address another one now has. */
   noteMisdirected ({ record }: EndpointView): void {
     this.endpoints.noteReplaced(record.id)
@@ -239,13 +253,4 @@
     const gateways = this.peers.listKnown()
     return endpoint => this.coldLimits.decide({ endpoint, service: spec, gateways }, nowMs)
   }
-
-  #handleCrash (endpoint: EndpointView, fingerprints: readonly string[]): void {
-    const nowMs = this.getNowMs()
-    this.log('endpoint-crashed', { endpoint: endpoint.record.id, inFlight: fingerprints.length })
-    for (const fingerprint of fingerprints) {
-      const count = this.crashes.noteCrash(fingerprint, nowMs)
-      this.log(this.crashes.isQuarantined(fingerprint, nowMs) ? 'request-quarantined' : 'request-suspected', { fingerprint, count, endpoint: endpoint.record.id })
-    }
-  }
 }
--- a/src/gateway/crash-probe.ts
+++ b/src/gateway/crash-probe.ts
@@ -9,37 +9,45 @@
 /** Connect timeout in ms. */
 const CONNECT_TIMEOUT_MS = 500
 
-type CrashHandler = (endpoint: EndpointView, fingerprints: readonly string[]) => void
+type CrashHandler<Suspect> = (endpoint: EndpointView, suspects: readonly Suspect[]) => void
+
+interface Check<Suspect> {
+  readonly suspects: Suspect[]
+  readonly verdictHandlers: (() => void)[]
+}
 
 /** Connects to endpoints that closed connections before the end of an answer. */
-export class CrashProbe {
-  readonly #handleCrash: CrashHandler
-  readonly #fingerprints = new Map<string, Set<string>>()
+export class CrashProbe<Suspect> {
+  readonly #handleCrash: CrashHandler<Suspect>
+  readonly #checks = new Map<string, Check<Suspect>>()
 
-  private constructor (handleCrash: CrashHandler) {
+  private constructor (handleCrash: CrashHandler<Suspect>) {
     this.#handleCrash = handleCrash
   }
 
   /**
-   * @param handleCrash - called with an endpoint that refuses connections and the fingerprints of the requests it ran
+   * @param handleCrash - called with an endpoint that refuses connections and the suspects among the requests that it ran
    * @returns a probe
    */
-  static create (handleCrash: CrashHandler): CrashProbe {
+  static create<Suspect> (handleCrash: CrashHandler<Suspect>): CrashProbe<Suspect> {
     return new CrashProbe(handleCrash)
   }
 
   /**
    * @param endpoint - endpoint whose answer ended early
-   * @param fingerprint - fingerprint of the request that ran there
+   * @param suspect - the request that ran there; undefined when it cannot be the cause
+   * @param handleVerdict - called after the crash handler, also when the endpoint has not crashed
    */
-  check (endpoint: EndpointView, fingerprint: string): void {
-    const known = this.#fingerprints.get(endpoint.record.id)
-    if (known !== undefined) {
-      known.add(fingerprint)
-      return
+  check (endpoint: EndpointView, suspect: Suspect | undefined, handleVerdict: () => void): void {
+    const { id } = endpoint.record
+    let check = this.#checks.get(id)
+    if (check === undefined) {
+      check = { suspects: [], verdictHandlers: [] }
+      this.#checks.set(id, check)
+      setTimeout(() => { this.#connect(endpoint) }, COLLECT_MS)
     }
-    this.#fingerprints.set(endpoint.record.id, new Set([fingerprint]))
-    setTimeout(() => { this.#connect(endpoint) }, COLLECT_MS)
+    if (suspect !== undefined) check.suspects.push(suspect)
+    check.verdictHandlers.push(handleVerdict)
   }
 
   #connect (endpoint: EndpointView): void {
@@ -47,9 +55,11 @@
     const socket = connect({ host: address.host, port: address.port, timeout: CONNECT_TIMEOUT_MS })
     const finish = (isCrashed: boolean): void => {
       socket.destroy()
-      const fingerprints = this.#fingerprints.get(id)
-      this.#fingerprints.delete(id)
-      if (isCrashed && fingerprints !== undefined) this.#handleCrash(endpoint, [...fingerprints])
+      const check = this.#checks.get(id)
+      this.#checks.delete(id)
+      if (check === undefined) return
+      if (isCrashed) this.#handleCrash(endpoint, check.suspects)
+      for (const handleVerdict of check.verdictHandlers) handleVerdict()
     }
     socket.once('connect', () => { finish(false) })
     socket.once('error', () => { finish(true) })
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -1,7 +1,7 @@
 /** Handles one request at a gateway: its attempts, retries, stream resumptions and answer. */
 
 import type { ServerResponse } from 'node:http'
-import { ERROR_RESPONSES, assertNever } from '../kernel/errors.js'
+import { assertNever } from '../kernel/errors.js'
 import type { ErrorKind } from '../kernel/errors.js'
 import type { EndpointView } from '../plugins/gateway/endpoints.js'
 import type { AttemptResult } from '../plugins/gateway/selection.js'
@@ -9,10 +9,12 @@
 import type { AdmissionResult } from './admission.js'
 import { EventSplitter } from './events.js'
 import type { GatewayContext } from './context.js'
+import type { MonitoredRequest } from './crash-monitor.js'
 import type { AnswerHead, CallerRequest, RawHeaders, Route, TeamRef } from './model.js'
 import { chooseStatus, isStream, mayRunAgain } from './repeat.js'
-import { createRunningAttempt, isEventOverdue, notePartialEvent } from './running-attempt.js'
+import { createRunningAttempt, hasBegun, isEventOverdue, notePartialEvent } from './running-attempt.js'
 import type { BufferedAnswer, RunningAttempt } from './running-attempt.js'
+import { sendAnswer, sendRefusal } from './responses.js'
 import { Attempt } from './upstream.js'
 import type { AttemptFailure } from './upstream.js'
 
@@ -51,6 +53,7 @@
   readonly #options: ExchangeOptions
   readonly #context: GatewayContext
   readonly #deadlineAtMs: number
+  readonly #monitored: MonitoredRequest
   readonly #tried = new Set<string>()
   #timer: NodeJS.Timeout | undefined
   #backoff: NodeJS.Timeout | undefined
@@ -71,8 +74,10 @@
   private constructor (options: ExchangeOptions, context: GatewayContext) {
     this.#options = options
     this.#context = context
-    this.#lastEventId = options.request.lastEventId
-    const limitMs = Math.min(options.request.deadlineMs ?? Infinity, options.route.timeoutMs)
+    const { request, fingerprint, team } = options
+    this.#lastEventId = request.lastEventId
+    this.#monitored = { requestId: request.requestId, fingerprint, team: team?.name ?? '', parts: request.sharedParts ?? [] }
+    const limitMs = Math.min(request.deadlineMs ?? Infinity, options.route.timeoutMs)
     this.#deadlineAtMs = options.receivedAtMs + limitMs
   }
 
@@ -126,9 +131,9 @@
   }
 
   #startAttempt (): void {
-    const { request, route, service, fingerprint } = this.#options
+    const { request, route, service } = this.#options
     const nowMs = this.#context.getNowMs()
-    if (this.#context.crashes.isQuarantined(fingerprint, nowMs)) {
+    if (!this.#context.crashMonitor.accept(this.#monitored)) {
       this.#fail('quarantined')
       return
     }
@@ -248,7 +253,9 @@
     if (running.firstEventMs === undefined) this.#noteFirstEvent(running)
     this.#lastEventId = batch.lastId ?? this.#lastEventId
     this.#events += batch.count
+    const hadBegun = hasBegun(running)
     running.events += batch.count
+    if (!hadBegun && hasBegun(running)) this.#context.crashMonitor.noteBegun(this.#monitored, running.startedAtMs)
     this.#sendStreamHead(running)
     if (this.#options.response.write(batch.bytes)) return
     running.isPaused = true
@@ -291,12 +298,12 @@
       this.#handleRefused(running, head)
     } else if (status >= 500) {
       this.#mayHaveRun = true
+      this.#context.crashMonitor.noteBegun(this.#monitored, running.startedAtMs)
       this.#settleAttempt('failed')
       this.#failureAnswer = { status, headers: running.headers, body: Buffer.concat(running.chunks) }
       this.#retryOrFail('endpoint-failed', 0)
     } else {
-      this.#settleAttempt('ok')
-      this.#context.crashes.clear(this.#options.fingerprint)
+      this.#noteAnswered(running)
       this.#sendAnswer({ status, headers: running.headers, body: Buffer.concat(running.chunks) }, 'ok')
     }
   }
@@ -306,13 +313,19 @@
       this.#handleFailure({ kind: 'broken', reason: 'stream ended inside an event' })
       return
     }
-    this.#settleAttempt('ok')
-    this.#context.crashes.clear(this.#options.fingerprint)
+    this.#noteAnswered(running)
     this.#sendStreamHead(running)
     this.#options.response.end()
     this.#finish('ok', running.status)
   }
 
+  /** Records a complete answer, which shows that the request is harmless. */
+  #noteAnswered (running: RunningAttempt): void {
+    this.#settleAttempt('ok')
+    this.#context.crashes.clear(this.#options.fingerprint)
+    this.#context.crashMonitor.noteBegun(this.#monitored, running.startedAtMs)
+  }
+
   #handleFailure (failure: AttemptFailure): void {
     const running = this.#running
     if (running === undefined) return
@@ -325,8 +338,9 @@
       case 'broken':
         this.#mayHaveRun = true
         this.#settleAttempt('failed', failure.reason)
-        this.#context.checkCrash(running.endpoint, this.#options.fingerprint)
-        this.#retryOrFail(this.#isHeadSent ? 'stream-broken' : 'connection-lost', 0)
+        this.#context.crashMonitor.checkBroken(running, this.#monitored, () => {
+          if (!this.#isDone) this.#retryOrFail(this.#isHeadSent ? 'stream-broken' : 'connection-lost', 0)
+        })
         break
     }
   }
@@ -424,9 +438,7 @@
     const { response, request } = this.#options
     const status = chooseStatus(error, this.#mayHaveRun)
     const retryAfterMs = status === 503 ? this.#computeRetryAfterMs(error) : undefined
-    const body = ERROR_RESPONSES[error].message
-    response.writeHead(status, { ...this.#context.dialect.buildRefusal(request.requestId, retryAfterMs), 'Content-Type': 'text/plain', 'Content-Length': String(Buffer.byteLength(body)) })
-    response.end(body)
+    sendRefusal(response, this.#context.dialect, request.requestId, error, status, retryAfterMs)
     this.#finish(error, status)
   }
 
@@ -437,13 +449,11 @@
     return this.#context.retryAfter.computeRetryAfterMs(this.#options.service, cause, this.#context.pickFloat(), this.#context.getNowMs())
   }
 
-  #sendAnswer ({ status, headers, body }: BufferedAnswer, result: ErrorKind | 'ok'): void {
+  #sendAnswer (answer: BufferedAnswer, result: ErrorKind | 'ok'): void {
     const { response, method, service, receivedAtMs } = this.#options
-    const hasBody = method !== 'HEAD' && status !== 204 && status !== 304
     this.#context.metrics.observe('first_byte_ms', this.#context.getNowMs() - receivedAtMs, service)
-    response.writeHead(status, [...this.#context.dialect.buildAnswer(headers), ...(hasBody ? ['Content-Length', String(body.length)] : [])])
-    response.end(body)
-    this.#finish(result, status)
+    sendAnswer(response, this.#context.dialect, method, answer)
+    this.#finish(result, answer.status)
   }
 
   #finish (result: ErrorKind | 'ok', status: number): void {
--- a/src/gateway/link.ts
+++ b/src/gateway/link.ts
@@ -1,16 +1,22 @@
-/** Exchanges heartbeats between gateways over UDP (liveness, readiness, load and strikes), and lends shares of limits. */
+/** Exchanges heartbeats (liveness, readiness, load and strikes) and evidence of crashes between gateways over UDP, and lends shares of limits. */
 
 import { createSocket } from 'node:dgram'
 import type { RemoteInfo, Socket } from 'node:dgram'
 import { pack, unpack } from 'msgpackr'
 import { assertNever } from '../kernel/errors.js'
 import type { Strikes } from '../plugins/gateway/crashes.js'
+import type { CrashEvidence } from '../plugins/gateway/part-crashes.js'
 import type { GatewayState } from '../plugins/gateway/peers.js'
+import { isEvidence, isEvidenceMessage } from './evidence-messages.js'
+import type { EvidenceMessage, EvidenceRequest } from './evidence-messages.js'
 import type { Address } from './model.js'
 
 /** Version of the message format; messages of other versions are ignored. */
 const LINK_VERSION = 1
 
+/** Most crashes described in one datagram; one takes up to 2 KB. */
+export const CRASHES_PER_DATAGRAM_MAX = 8
+
 /** Most strikes in one heartbeat, so that it fits into one datagram. */
 const STRIKES_PER_HEARTBEAT_MAX = 16
 
@@ -21,6 +27,8 @@
   /** Address at which the sender receives heartbeats. */
   readonly address: Address
   readonly strikes: readonly Strikes[]
+  /** Evidence that has changed recently, in case a datagram with it was lost; absent from older versions. */
+  readonly evidence?: readonly CrashEvidence[]
 }
 
 /** Asks a gateway for one of its shares of an endpoint. */
@@ -44,6 +52,10 @@
   handleHeartbeat (heartbeat: Heartbeat): void
   /** Lends a share of an endpoint. @returns whether there was one */
   lendShare (endpoint: string): boolean
+  /** Handles evidence; `reply` sends the sender what can be added to it. */
+  handleEvidence (message: Pick<EvidenceMessage, 'purpose' | 'evidence'>, reply: (evidence: readonly CrashEvidence[]) => void): void
+  /** Lists all evidence for a gateway that asks for it; undefined when it should ask another. */
+  listEvidence (): readonly CrashEvidence[] | undefined
   handleError (reason: string): void
 }
 
@@ -90,12 +102,33 @@
   }
 
   /** Sends a heartbeat to every known gateway. */
-  send (state: GatewayState, strikes: readonly Strikes[]): void {
-    const heartbeat: Heartbeat = { version: LINK_VERSION, state, address: this.#self, strikes: strikes.slice(0, STRIKES_PER_HEARTBEAT_MAX) }
+  send (state: GatewayState, strikes: readonly Strikes[], evidence: readonly CrashEvidence[] = []): void {
+    const heartbeat: Heartbeat = { version: LINK_VERSION, state, address: this.#self, strikes: strikes.slice(0, STRIKES_PER_HEARTBEAT_MAX), evidence: evidence.slice(0, CRASHES_PER_DATAGRAM_MAX) }
     const bytes = pack(heartbeat)
     for (const [id, { host, port }] of this.#targets) if (id !== state.id) this.#socket.send(bytes, port, host)
   }
 
+  /** Sends evidence of crashes to every known gateway. */
+  sendEvidence (evidence: readonly CrashEvidence[]): void {
+    for (const { host, port } of this.#targets.values()) this.#postEvidence('news', evidence, { address: host, port })
+  }
+
+  /**
+   * Asks other gateways for all their evidence.
+   *
+   * @param ids - names of gateways; unknown ones are ignored
+   */
+  requestEvidence (ids: readonly string[]): void {
+    const request: EvidenceRequest = { version: LINK_VERSION, kind: 'evidence-request' }
+    const bytes = pack(request)
+    for (const { host, port } of ids.flatMap(id => this.#targets.get(id) ?? [])) this.#socket.send(bytes, port, host)
+  }
+
+  /** @returns names of the gateways that messages are sent to */
+  listTargets (): readonly string[] {
+    return [...this.#targets.keys()]
+  }
+
   /**
    * Asks another gateway for one of its shares of an endpoint.
    *
@@ -125,12 +158,23 @@
     this.#socket.close()
   }
 
+  /** Sends evidence in as many datagrams as it takes; a table without evidence takes one, which tells that there is none. */
+  #postEvidence (purpose: EvidenceMessage['purpose'], evidence: readonly CrashEvidence[], { address, port }: Pick<RemoteInfo, 'address' | 'port'>): void {
+    for (let at = 0; at === 0 || at < evidence.length; at += CRASHES_PER_DATAGRAM_MAX) {
+      const message: EvidenceMessage = { version: LINK_VERSION, kind: 'evidence', purpose, evidence: evidence.slice(at, at + CRASHES_PER_DATAGRAM_MAX) }
+      this.#socket.send(pack(message), port, address)
+    }
+  }
+
   #handleMessage (bytes: Buffer, sender: RemoteInfo): void {
     const message = decodeMessage(bytes)
     if (message === undefined) return
     if (!('kind' in message)) {
       this.#targets.set(message.state.id, message.address)
       this.#handlers.handleHeartbeat(message)
+      if (message.evidence !== undefined && message.evidence.length > 0) {
+        this.#handlers.handleEvidence({ purpose: 'news', evidence: message.evidence }, evidence => { this.#postEvidence('addition', evidence, sender) })
+      }
       return
     }
     switch (message.kind) {
@@ -142,20 +186,30 @@
       case 'share-reply':
         this.#pending.get(message.requestId)?.(message.isLent)
         break
+      case 'evidence-request': {
+        const evidence = this.#handlers.listEvidence()
+        if (evidence !== undefined) this.#postEvidence('table', evidence, sender)
+        break
+      }
+      case 'evidence':
+        this.#handlers.handleEvidence(message, evidence => { this.#postEvidence('addition', evidence, sender) })
+        break
       default:
         assertNever(message)
     }
   }
 }
 
-function decodeMessage (bytes: Buffer): Heartbeat | ShareRequest | ShareReply | undefined {
+type Message = Heartbeat | ShareRequest | ShareReply | EvidenceRequest | EvidenceMessage
+
+function decodeMessage (bytes: Buffer): Message | undefined {
   try {
     const message = unpack(bytes) as Partial<Heartbeat & { kind: string, requestId: number, endpoint: string, isLent: boolean }> | null
     if (message?.version !== LINK_VERSION) return undefined
     const isRequest = message.kind === 'share-request' && typeof message.requestId === 'number' && typeof message.endpoint === 'string'
     const isReply = message.kind === 'share-reply' && typeof message.requestId === 'number' && typeof message.isLent === 'boolean'
-    const isHeartbeat = message.kind === undefined && message.state !== undefined && message.address !== undefined
-    return isRequest || isReply || isHeartbeat ? message as Heartbeat | ShareRequest | ShareReply : undefined
+    const isHeartbeat = message.kind === undefined && message.state !== undefined && message.address !== undefined && (message.evidence === undefined || isEvidence(message.evidence))
+    return isRequest || isReply || isHeartbeat || message.kind === 'evidence-request' || isEvidenceMessage(message) ? message as Message : undefined
   } catch {
     // The datagram is not a message of this protocol. Ignoring it is safe, as heartbeats are repeated and requests time out.
     return undefined
--- a/src/gateway/process.ts
+++ b/src/gateway/process.ts
@@ -13,6 +13,7 @@
 import type { GatewayState } from '../plugins/gateway/peers.js'
 import type { RankEngine } from './agent.js'
 import { GatewayContext, processClock } from './context.js'
+import { EvidenceSync, computeRepeatMs } from './evidence-sync.js'
 import { EndpointProbe } from './endpoint-probe.js'
 import { LineWriter } from './lines.js'
 import { GatewayLink } from './link.js'
@@ -114,6 +115,7 @@
   readonly #context: GatewayContext
   readonly #callers: CallerServer
   readonly #link: GatewayLink
+  readonly #evidenceSync: EvidenceSync
   readonly #ranks: RankClient
   readonly #maps: MapService
   readonly #probe: EndpointProbe
@@ -149,16 +151,14 @@
       metrics: this.#metrics,
       clock: processClock,
       askPermit: async ({ endpoint }, rate, waitMaxMs, timeoutMs) => await this.#ranks.requestPermit(endpoint.record.address.host, { kind: 'permit', rate, waitMaxMs }, timeoutMs),
-      askShare: async (owner, endpoint, timeoutMs) => await this.#link.requestShare(owner, endpoint, timeoutMs)
+      askShare: async (owner, endpoint, timeoutMs) => await this.#link.requestShare(owner, endpoint, timeoutMs),
+      sendEvidence: evidence => { this.#link.sendEvidence(evidence) }
     })
     this.#context.retries.setBounds(settings.retries)
     this.#context.coldLimits.setBounds(settings.cold)
     this.#callers = CallerServer.create(this.#context)
-    this.#link = GatewayLink.create(linkListener, {
-      handleHeartbeat: heartbeat => { this.#handleHeartbeat(heartbeat) },
-      lendShare: endpoint => this.#context.lendShare(endpoint),
-      handleError: reason => { this.#logger.write('internal-error', { reason }) }
-    })
+    this.#link = this.#createLink(linkListener)
+    this.#evidenceSync = EvidenceSync.create({ context: this.#context, link: this.#link })
     this.#maps = MapService.create({ context: this.#context, client: this.#ranks, engine, id: host, isReady: () => this.isReady })
     this.#probe = EndpointProbe.create(this.#context, this.#ranks, engine)
     this.#followers = this.#createFollowers()
@@ -191,7 +191,7 @@
 
   /** Whether the gateway can serve callers. */
   get isReady (): boolean {
-    return !this.#isLeaving && this.#hasEndpoints && this.#context.routes.getVersion() !== undefined
+    return !this.#isLeaving && this.#hasEndpoints && this.#context.isInformed && this.#context.routes.getVersion() !== undefined
   }
 
   get settings (): GatewaySettings {
@@ -227,11 +227,28 @@
     this.#logger.write('settings-reloaded', {})
   }
 
+  #createLink (listener: Address): GatewayLink {
+    return GatewayLink.create(listener, {
+      handleHeartbeat: heartbeat => { this.#handleHeartbeat(heartbeat) },
+      lendShare: endpoint => this.#context.lendShare(endpoint),
+      handleEvidence: ({ purpose, evidence }, reply) => {
+        if (purpose === 'addition') this.#context.crashMonitor.mergeReply(evidence)
+        else this.#context.crashMonitor.merge(evidence, reply)
+        if (purpose === 'table') this.#evidenceSync.noteTable(evidence.length)
+      },
+      // A gateway that has just started knows nothing that it could tell.
+      listEvidence: () => this.#context.isInformed ? this.#context.partCrashes.list(-Infinity, performance.now()) : undefined,
+      handleError: reason => { this.#logger.write('internal-error', { reason }) }
+    })
+  }
+
   #handleHeartbeat ({ state, strikes }: Heartbeat): void {
     const nowMs = performance.now()
     this.#context.crashes.merge(strikes, nowMs)
     for (const endpoint of state.silent ?? []) this.#context.liveness.noteSuspected(endpoint)
-    if (this.#context.peers.noteHeartbeat(state, nowMs)) this.#logger.write('gateway-joined', { gateway: state.id, domain: state.domain })
+    if (!this.#context.peers.noteHeartbeat(state, nowMs)) return
+    this.#logger.write('gateway-joined', { gateway: state.id, domain: state.domain })
+    this.#evidenceSync.noteJoined(state.id)
   }
 
   #createFollowers (): readonly StoreFollower<unknown>[] {
@@ -313,17 +330,24 @@
     this.#noteChanges(this.#context.endpoints.expire(nowMs))
     for (const gateway of this.#context.peers.expire(nowMs)) this.#logger.write('gateway-lost', { gateway })
     this.#probe.checkAll(nowMs)
+    this.#evidenceSync.runHousekeeping()
   }
 
   #scheduleHeartbeat (): void {
     setTimeout(() => {
       this.#sendHeartbeat()
       this.#scheduleHeartbeat()
-    }, HEARTBEAT_INTERVAL_MS + HEARTBEAT_INTERVAL_PER_PEER_MS * this.#link.countTargets())
+    }, this.#computeHeartbeatIntervalMs())
   }
 
   #sendHeartbeat (): void {
-    this.#link.send(this.#describeState(), this.#context.crashes.list(performance.now()))
+    const { crashes, partCrashes } = this.#context
+    const nowMs = performance.now()
+    this.#link.send(this.#describeState(), crashes.list(nowMs), partCrashes.list(nowMs - computeRepeatMs(this.#computeHeartbeatIntervalMs()), nowMs))
+  }
+
+  #computeHeartbeatIntervalMs (): number {
+    return HEARTBEAT_INTERVAL_MS + HEARTBEAT_INTERVAL_PER_PEER_MS * this.#link.countTargets()
   }
 
   #describeState (): GatewayState {
@@ -348,6 +372,7 @@
         wasListed = true
         this.#context.coldLimits.noteListed(performance.now())
         this.#context.retries.noteListed(performance.now())
+        this.#evidenceSync.noteListed()
       }
       await new Promise(resolve => { setTimeout(resolve, isComplete ? DISCOVERY_INTERVAL_MS * (0.8 + 0.4 * Math.random()) : TICK_INTERVAL_MS * 5) })
     }
--- a/src/gateway/running-attempt.ts
+++ b/src/gateway/running-attempt.ts
@@ -30,6 +30,9 @@
   isPaused: boolean
 }
 
+/** Number of events of a stream after which it has gone past its beginning. */
+const BEGUN_EVENTS = 2
+
 /** A complete answer of an endpoint. */
 export interface BufferedAnswer {
   readonly status: number
@@ -48,6 +51,11 @@
   }
 }
 
+/** Whether the answer has gone past its beginning, so that beginning it did not crash the endpoint. */
+export function hasBegun ({ events }: RunningAttempt): boolean {
+  return events >= BEGUN_EVENTS
+}
+
 /** Records whether the stream has an incomplete event after `hasCompleted` tells whether others were completed. */
 export function notePartialEvent (running: RunningAttempt, hasCompleted: boolean, nowMs: number): void {
   const isPartial = running.splitter?.isPartial ?? false
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -8,6 +8,7 @@
 import type { GatewayContext } from './context.js'
 import { Exchange } from './exchange.js'
 import type { Address, CallerRequest, Route, RouteShare } from './model.js'
+import { sendRefusal } from './responses.js'
 
 /** Limits until a configuration is known; its own limits then replace them, except for the size of headers. */
 const HEADER_BYTES_MAX = 64 * 1024
@@ -127,6 +128,10 @@
       this.#refuse(response, request, 'leaving', LEAVING_RETRY_MS)
       return
     }
+    if (!this.#context.isInformed) {
+      this.#refuse(response, request, 'no-configuration', UNCONFIGURED_RETRY_MS)
+      return
+    }
     const { route, team } = decision
     const service = pickService(route, this.#context.pickFloat())
     this.#context.metrics.count('requests_received', service)
@@ -147,11 +152,10 @@
   }
 
   #refuse (response: ServerResponse, request: CallerRequest | undefined, error: ErrorKind, retryAfterMs?: number, version?: number): void {
-    const { status, message } = ERROR_RESPONSES[error]
+    const { status } = ERROR_RESPONSES[error]
     this.#context.metrics.count('requests', error)
     this.#context.log('request-refused', { request: request?.requestId ?? '', result: error, status, version: version ?? 0, path: request?.path ?? '' })
-    response.writeHead(status, { ...this.#context.dialect.buildRefusal(request?.requestId, retryAfterMs), 'Content-Type': 'text/plain', 'Content-Length': String(Buffer.byteLength(message)) })
-    response.end(message)
+    sendRefusal(response, this.#context.dialect, request?.requestId, error, status, retryAfterMs)
   }
 }
 
--- /dev/null
+++ b/src/plugins/gateway/part-crashes.ts
@@ -0,0 +1,314 @@
+/**
+ * Blocks parts of prompts that crash endpoints. Gateways merge what each of them saw of
+ * a crash, so that every crash counts once, and derive the blocked parts from it.
+ */
+
+import { registerPlugin } from '../../kernel/plugin.js'
+import type { Plugin } from '../../kernel/plugin.js'
+import type { Ports } from '../../kernel/ports.js'
+import { explainCrashes } from './explanation.js'
+import type { Explanation } from './explanation.js'
+
+/** Time in ms for which a crash, and the knowledge that a part is harmless, is kept. */
+const EVIDENCE_TTL_MS = 600_000
+
+/** Largest number of crashes that are kept. */
+const CRASHES_MAX = 64
+
+/** Largest number of parts that one crash accuses. */
+const ACCUSED_MAX = 32
+
+/** Largest number of teams that are remembered for a part; two show that it is not one team's own. */
+const TEAMS_MAX = 2
+
+/** Largest number of parts that are remembered as harmless; about 200 bytes each. */
+const HARMLESS_MAX = 20_000
+
+/** Time in ms for which a part is blocked after a crash; doubles with each further one. */
+const BLOCK_FIRST_MS = 30_000
+const BLOCK_MAX_MS = 300_000
+
+/** Time in ms between trials of a part whose block is over, at one gateway and from one gateway to the next. */
+export const TRIAL_INTERVAL_MS = 2_000
+
+/** A request that was in flight at a crash and whose answer had not gone past its beginning. */
+export interface Suspect {
+  readonly fingerprint: string
+  readonly team: string
+  readonly parts: readonly string[]
+  /** Time in ms from the start of the attempt to its end. */
+  readonly ageMs: number
+}
+
+/** A part that a crash accuses, as sent between gateways. */
+export interface Accusation {
+  readonly part: string
+  readonly teams: readonly string[]
+  readonly depth: number
+  readonly ageMs: number
+}
+
+/** What a gateway knows of one crash; merging is idempotent, and the order does not matter. */
+export interface CrashEvidence {
+  /** Endpoint and start of the incarnation that crashed. */
+  readonly crash: string
+  readonly service: string
+  /** Time in ms since the crash. */
+  readonly ageMs: number
+  readonly accused: readonly Accusation[]
+  /** Accused parts with which answers had begun before the crash, and teams whose requests these were. */
+  readonly harmless: readonly { readonly part: string, readonly teams: readonly string[] }[]
+  /** Accused parts with which answers have begun since the crash. */
+  readonly cleared: readonly string[]
+}
+
+/** Whether a request may be sent to an endpoint. */
+export type PartDecision =
+  | { readonly kind: 'allowed' }
+  /** The block of a part is over and this request shows whether it still crashes endpoints. */
+  | { readonly kind: 'trial', readonly part: string, readonly crashes: readonly string[] }
+  | { readonly kind: 'blocked', readonly part: string, readonly crashes: readonly string[], readonly untilMs: number }
+
+/** Request that is about to be sent. */
+export interface PartRequest {
+  readonly parts: readonly string[]
+  readonly team: string
+  /** Position of this gateway among those that may try a part whose block is over. */
+  rankForTrial (part: string): number
+}
+
+/** Result of merging evidence. */
+export interface EvidenceMerge {
+  /** Whether anything was new. */
+  readonly isChanged: boolean
+  /** What this gateway can add about parts that it had not known to be accused. */
+  readonly reply: CrashEvidence | undefined
+}
+
+/** Parts of prompts that crash endpoints. */
+export interface PartCrashesPort {
+  decide (request: PartRequest, nowMs: number): PartDecision
+  /** Records a crash. @returns what to send to the other gateways; undefined when no part is accused */
+  noteCrash (crash: string, service: string, suspects: readonly Suspect[], nowMs: number): CrashEvidence | undefined
+  /** Records that an answer has gone past its beginning, which shows that its parts are harmless. @returns what to send to the other gateways */
+  noteBegun (parts: readonly string[], team: string, startedAtMs: number, nowMs: number): readonly CrashEvidence[]
+  merge (evidence: CrashEvidence, nowMs: number): EvidenceMerge
+  /** Lists the evidence that has changed since a time, latest crash first. */
+  list (changedSinceMs: number, nowMs: number): readonly CrashEvidence[]
+  listBlocked (nowMs: number): readonly string[]
+}
+
+interface AccusedEntry {
+  readonly teams: Set<string>
+  depth: number
+  ageMs: number
+}
+
+interface CrashEntry {
+  readonly id: string
+  readonly service: string
+  atMs: number
+  changedAtMs: number
+  readonly accused: Map<string, AccusedEntry>
+  readonly harmless: Map<string, Set<string>>
+  readonly cleared: Set<string>
+}
+
+/** Crashes, and the parts that are known to be harmless. */
+export class PartCrashesPlugin implements Plugin, PartCrashesPort {
+  readonly name = 'part-crashes'
+  readonly subscribesTo = []
+  readonly ports: Pick<Ports, 'partCrashes'> = { partCrashes: this }
+  readonly #crashes = new Map<string, CrashEntry>()
+  readonly #harmless = new Map<string, { readonly teams: Set<string>, atMs: number }>()
+  readonly #trialsAtMs = new Map<string, number>()
+  #explanations: ReadonlyMap<string, Explanation> = new Map()
+  #isStale = false
+
+  private constructor () {}
+
+  /** @returns a table without crashes */
+  static create (): PartCrashesPlugin {
+    return new PartCrashesPlugin()
+  }
+
+  handle (): void {}
+
+  decide ({ parts, team, rankForTrial }: PartRequest, nowMs: number): PartDecision {
+    if (this.#crashes.size === 0 || parts.length === 0) return { kind: 'allowed' }
+    const explanations = this.#explain(nowMs)
+    const found = parts.flatMap(part => explanations.get(part) ?? []).filter(explanation => this.#appliesTo(explanation, team))
+    let trial: Explanation | undefined
+    for (const explanation of found) {
+      const { part, crashes } = explanation
+      const untilMs = computeBlockEndMs(explanation)
+      const isDue = nowMs >= untilMs + rankForTrial(part) * TRIAL_INTERVAL_MS && nowMs - (this.#trialsAtMs.get(part) ?? -Infinity) >= TRIAL_INTERVAL_MS
+      if (!isDue) return { kind: 'blocked', part, crashes, untilMs }
+      trial ??= explanation
+    }
+    if (trial === undefined) return { kind: 'allowed' }
+    for (const { part } of found) this.#trialsAtMs.set(part, nowMs)
+    return { kind: 'trial', part: trial.part, crashes: trial.crashes }
+  }
+
+  noteCrash (crash: string, service: string, suspects: readonly Suspect[], nowMs: number): CrashEvidence | undefined {
+    const accused = suspects.flatMap(({ parts, team, ageMs }) => parts.map((part, depth): Accusation => ({ part, teams: [team], depth, ageMs })))
+    if (accused.length === 0) return undefined
+    this.merge({ crash, service, ageMs: 0, accused, harmless: [], cleared: [] }, nowMs)
+    const entry = this.#crashes.get(crash)
+    return entry === undefined ? undefined : describeEntry(entry, nowMs)
+  }
+
+  noteBegun (parts: readonly string[], team: string, startedAtMs: number, nowMs: number): readonly CrashEvidence[] {
+    for (const part of parts) this.#noteHarmless(part, team, nowMs)
+    const changed: CrashEvidence[] = []
+    for (const entry of this.#crashes.values()) {
+      const cleared = entry.atMs >= startedAtMs ? [] : parts.filter(part => entry.accused.has(part) && !entry.cleared.has(part))
+      if (cleared.length === 0) continue
+      for (const part of cleared) entry.cleared.add(part)
+      this.#noteChanged(entry, nowMs)
+      changed.push({ crash: entry.id, service: entry.service, ageMs: nowMs - entry.atMs, accused: [], harmless: [], cleared })
+    }
+    return changed
+  }
+
+  merge (evidence: CrashEvidence, nowMs: number): EvidenceMerge {
+    const atMs = nowMs - Math.max(0, evidence.ageMs)
+    if (nowMs - atMs > EVIDENCE_TTL_MS) return { isChanged: false, reply: undefined }
+    const entry = this.#getEntry(evidence, atMs, nowMs)
+    entry.atMs = Math.min(entry.atMs, atMs)
+    let isChanged = false
+    const own: { part: string, teams: readonly string[] }[] = []
+    for (const accusation of evidence.accused) {
+      const isNew = !entry.accused.has(accusation.part)
+      if (!addAccusation(entry, accusation)) continue
+      isChanged = true
+      const known = isNew ? this.#findHarmless(accusation.part, nowMs) : undefined
+      if (known !== undefined && addHarmless(entry, accusation.part, [...known])) own.push({ part: accusation.part, teams: [...known] })
+    }
+    for (const { part, teams } of evidence.harmless) if (addHarmless(entry, part, teams)) isChanged = true
+    for (const part of evidence.cleared) {
+      if (entry.cleared.has(part) || entry.cleared.size >= ACCUSED_MAX) continue
+      entry.cleared.add(part)
+      isChanged = true
+    }
+    if (isChanged) this.#noteChanged(entry, nowMs)
+    return { isChanged, reply: own.length === 0 ? undefined : { crash: entry.id, service: entry.service, ageMs: nowMs - entry.atMs, accused: [], harmless: own, cleared: [] } }
+  }
+
+  list (changedSinceMs: number, nowMs: number): readonly CrashEvidence[] {
+    this.#removeExpired(nowMs)
+    return [...this.#crashes.values()].filter(({ changedAtMs, accused }) => changedAtMs >= changedSinceMs && accused.size > 0)
+      .sort((a, b) => b.atMs - a.atMs).map(entry => describeEntry(entry, nowMs))
+  }
+
+  listBlocked (nowMs: number): readonly string[] {
+    return [...this.#explain(nowMs).keys()]
+  }
+
+  /** Whether a block applies to a team. A part that only one team's requests accuse stays served to the others when it is harmless in theirs. */
+  #appliesTo ({ part, teams, crashes }: Explanation, team: string): boolean {
+    if (teams.length !== 1 || teams.includes(team)) return true
+    const harmless = crashes.flatMap(crash => [...this.#crashes.get(crash)?.harmless.get(part) ?? []])
+    return !harmless.some(other => !teams.includes(other))
+  }
+
+  #explain (nowMs: number): ReadonlyMap<string, Explanation> {
+    this.#removeExpired(nowMs)
+    if (!this.#isStale) return this.#explanations
+    this.#isStale = false
+    this.#explanations = explainCrashes([...this.#crashes.values()].map(({ id, service, atMs, accused, harmless, cleared }) => ({
+      id,
+      service,
+      atMs,
+      accused: [...accused].filter(([part]) => !cleared.has(part)).map(([part, { teams, depth, ageMs }]) => ({ part, teams: [...teams], depth, ageMs, wasHarmless: harmless.has(part) }))
+    })))
+    for (const part of this.#trialsAtMs.keys()) if (!this.#explanations.has(part)) this.#trialsAtMs.delete(part)
+    return this.#explanations
+  }
+
+  #removeExpired (nowMs: number): void {
+    for (const [id, { atMs }] of this.#crashes) {
+      if (nowMs - atMs <= EVIDENCE_TTL_MS) continue
+      this.#crashes.delete(id)
+      this.#isStale = true
+    }
+  }
+
+  #getEntry ({ crash, service }: CrashEvidence, atMs: number, nowMs: number): CrashEntry {
+    let entry = this.#crashes.get(crash)
+    if (entry === undefined) {
+      entry = { id: crash, service, atMs, changedAtMs: nowMs, accused: new Map(), harmless: new Map(), cleared: new Set() }
+      this.#crashes.set(crash, entry)
+      const oldest = this.#crashes.keys().next().value
+      if (this.#crashes.size > CRASHES_MAX && oldest !== undefined) this.#crashes.delete(oldest)
+    }
+    return entry
+  }
+
+  #noteChanged (entry: CrashEntry, nowMs: number): void {
+    entry.changedAtMs = nowMs
+    this.#isStale = true
+  }
+
+  #noteHarmless (part: string, team: string, nowMs: number): void {
+    const known = this.#harmless.get(part) ?? { teams: new Set<string>(), atMs: nowMs }
+    known.atMs = nowMs
+    if (known.teams.size < TEAMS_MAX) known.teams.add(team)
+    this.#harmless.delete(part)
+    this.#harmless.set(part, known)
+    const oldest = this.#harmless.keys().next().value
+    if (this.#harmless.size > HARMLESS_MAX && oldest !== undefined) this.#harmless.delete(oldest)
+  }
+
+  #findHarmless (part: string, nowMs: number): ReadonlySet<string> | undefined {
+    const known = this.#harmless.get(part)
+    return known === undefined || nowMs - known.atMs > EVIDENCE_TTL_MS ? undefined : known.teams
+  }
+}
+
+/** Monotonic time in ms at which the block of a part ends; it is then tried again. */
+function computeBlockEndMs ({ lastCrashAtMs, incidents }: Explanation): number {
+  return lastCrashAtMs + Math.min(BLOCK_MAX_MS, BLOCK_FIRST_MS * 2 ** (incidents - 1))
+}
+
+function describeEntry ({ id, service, atMs, accused, harmless, cleared }: CrashEntry, nowMs: number): CrashEvidence {
+  return {
+    crash: id,
+    service,
+    ageMs: nowMs - atMs,
+    accused: [...accused].map(([part, { teams, depth, ageMs }]) => ({ part, teams: [...teams], depth, ageMs })),
+    harmless: [...harmless].map(([part, teams]) => ({ part, teams: [...teams] })),
+    cleared: [...cleared]
+  }
+}
+
+/** @returns whether the accusation, or one of its teams, was new */
+function addAccusation ({ accused }: CrashEntry, { part, teams, depth, ageMs }: Accusation): boolean {
+  const known = accused.get(part)
+  if (known === undefined) {
+    if (accused.size >= ACCUSED_MAX) return false
+    accused.set(part, { teams: new Set(teams.slice(0, TEAMS_MAX)), depth, ageMs })
+    return true
+  }
+  known.depth = Math.max(known.depth, depth)
+  known.ageMs = Math.max(known.ageMs, ageMs)
+  return addTeams(known.teams, teams)
+}
+
+/** @returns whether the part, or one of its teams, was new */
+function addHarmless ({ harmless }: CrashEntry, part: string, teams: readonly string[]): boolean {
+  const known = harmless.get(part)
+  if (known !== undefined) return addTeams(known, teams)
+  if (harmless.size >= ACCUSED_MAX) return false
+  harmless.set(part, new Set(teams.slice(0, TEAMS_MAX)))
+  return true
+}
+
+function addTeams (known: Set<string>, teams: readonly string[]): boolean {
+  const sizeBefore = known.size
+  for (const team of teams) if (known.size < TEAMS_MAX) known.add(team)
+  return known.size > sizeBefore
+}
+
+registerPlugin({ name: 'part-crashes', roles: ['gateway'], create: () => PartCrashesPlugin.create() })
--- a/test/gateway/harness.ts
+++ b/test/gateway/harness.ts
@@ -49,6 +49,8 @@
   readonly key?: string
   readonly deadlineMs?: number
   readonly leaveAfterMs?: number
+  /** Ids of the parts of the prompt; the last one is the request's own. */
+  readonly parts?: readonly string[]
 }
 
 let nextRequest = 1
@@ -81,7 +83,7 @@
     version: 1,
     routes: new Map([['h', [route]]]),
     services: new Map([['s', { name: 's', coldPerS: cold?.coldPerS ?? 0, ...(engine === undefined ? {} : { engine }) }]]),
-    teams: new Map([['k1', { name: 't1' }]]),
+    teams: new Map([['k1', { name: 't1' }], ['k2', { name: 't2' }]]),
     limits: { headerBytesMax: 16_384, bodyBytesMax: 1_000, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 }
   })
   const server = CallerServer.create(context)
@@ -137,9 +139,9 @@
   return port
 }
 
-async function callGateway (port: number, { path = '/a/b', key = 'k1', deadlineMs = 1_500, leaveAfterMs }: CallOptions): Promise<CallerAnswer> {
+async function callGateway (port: number, { path = '/a/b', key = 'k1', deadlineMs = 1_500, leaveAfterMs, parts }: CallOptions): Promise<CallerAnswer> {
   return await new Promise((resolve, reject) => {
-    const headers = { host: 'h', 'heatherdoor-request-id': `r${nextRequest++}`, authorization: `Bearer ${key}`, 'heatherdoor-deadline-ms': String(deadlineMs) }
+    const headers = { host: 'h', 'heatherdoor-request-id': `r${nextRequest++}`, authorization: `Bearer ${key}`, 'heatherdoor-deadline-ms': String(deadlineMs), ...(parts === undefined ? {} : { 'heatherdoor-prompt-prefix': parts.map(part => `${part}:40`).join(',') }) }
     const request = openRequest({ host: '127.0.0.1', port, method: 'POST', path, headers, agent: false })
     request.on('response', response => {
       let body = ''
