Send no requests into the outage of a group, and let late ones wait behind those on time

Callers saw requests refused twice after a rank of a group had crashed: the group stands still for 3.8 s, gateways sent every request into it, told callers to come back after 2 to 3 s (before its end for those that came early), and when it worked again all came back at once and made late for 4 s whatever arrived meanwhile.

Cause: every gateway treated each refusal on its own; nothing knew that a group stands still or when it works again, and nothing told late requests from those on time.

--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -8,6 +8,7 @@
 import type { CrashesPort } from '../plugins/gateway/crashes.js'
 import type { ColdLimitsPort, EndpointAccess } from '../plugins/gateway/cold-limits.js'
 import type { EndpointsPort, EndpointView } from '../plugins/gateway/endpoints.js'
+import type { OutagesPort } from '../plugins/gateway/outages.js'
 import type { PartCrashesPort } from '../plugins/gateway/part-crashes.js'
 import type { PeersPort } from '../plugins/gateway/peers.js'
 import type { Selection, SelectionPort } from '../plugins/gateway/selection.js'
@@ -19,6 +20,9 @@
 import { AnswerBuffers } from './answer-buffers.js'
 import { CrashMonitor } from './crash-monitor.js'
 import type { SendEvidence } from './crash-monitor.js'
+import { LateLane } from './late-lane.js'
+import { RecoveryQueue } from './recovery.js'
+import type { AskGroup } from './recovery.js'
 import type { Exchange } from './exchange.js'
 import type { Dialect } from './model.js'
 
@@ -51,6 +55,8 @@
   readonly askShare: AskShare
   /** Absent for a gateway without others. */
   readonly sendEvidence?: SendEvidence
+  /** Absent when endpoints cannot be asked about their groups. */
+  readonly askGroup?: AskGroup
   readonly clock: GatewayClock
 }
 
@@ -69,6 +75,9 @@
   readonly retryAfter: RetryAfterPort
   readonly liveness: LivenessPort
   readonly crashMonitor: CrashMonitor
+  readonly outages: OutagesPort
+  readonly recovery: RecoveryQueue
+  readonly lateLane: LateLane
   readonly answerBuffers = AnswerBuffers.create()
   readonly askPermit: AskPermit
   readonly askShare: AskShare
@@ -80,7 +89,7 @@
   readonly #logger: Logger
   readonly #exchanges = new Set<Exchange>()
 
-  private constructor ({ kernel, dialect, logger, metrics, askPermit, askShare, sendEvidence, clock }: GatewayContextOptions) {
+  private constructor ({ kernel, dialect, logger, metrics, askPermit, askShare, sendEvidence, askGroup, clock }: GatewayContextOptions) {
     this.askShare = askShare
     this.askPermit = askPermit
     this.clock = clock
@@ -97,12 +106,16 @@
     this.coldLimits = kernel.getPort('coldLimits')
     this.retryAfter = kernel.getPort('retryAfter')
     this.liveness = kernel.getPort('liveness')
+    this.outages = kernel.getPort('outages')
+    this.recovery = RecoveryQueue.create(this, askGroup ?? (async () => undefined))
+    this.lateLane = LateLane.create(this)
     this.crashMonitor = CrashMonitor.create({
       self: kernel.self.id,
       crashes: this.crashes,
       partCrashes: this.partCrashes,
       endpoints: this.endpoints,
       liveness: this.liveness,
+      noteCrash: (endpoint, atMs) => { this.recovery.noteCrash(endpoint, atMs) },
       peers: this.peers,
       metrics,
       sendEvidence: sendEvidence ?? (() => {}),
@@ -143,7 +156,7 @@
    */
   choose (service: string, exclude: ReadonlySet<string>, nowMs: number): Selection | undefined {
     return this.selection.choose({
-      candidates: this.endpoints.listUsable(service),
+      candidates: this.#listWorking(service, nowMs),
       exclude,
       getAccess: this.#buildAccess(service, nowMs),
       fraction: this.pickFloat(),
@@ -165,7 +178,7 @@
     const getAccess = this.#buildAccess(service, nowMs)
     let soonest: LimitedSelection | undefined
     let soonestMs = Infinity
-    for (const endpoint of this.endpoints.listUsable(service)) {
+    for (const endpoint of this.#listWorking(service, nowMs)) {
       const access = getAccess(endpoint)
       if ((access.kind !== 'denied' && access.kind !== 'borrow') || access.rate === undefined) continue
       const untilMs = access.kind === 'denied' ? access.untilMs : Number.MAX_VALUE
@@ -185,7 +198,7 @@
    */
   chooseLender (service: string, nowMs: number): Lender | undefined {
     const getAccess = this.#buildAccess(service, nowMs)
-    const lenders = this.endpoints.listUsable(service).flatMap(endpoint => {
+    const lenders = this.#listWorking(service, nowMs).flatMap(endpoint => {
       const access = getAccess(endpoint)
       const owners = access.kind === 'borrow' ? access.owners.filter(owner => this.peers.isAlive(owner)) : []
       return owners.length === 0 ? [] : [{ endpoint, access, owners }]
@@ -206,7 +219,7 @@
 
   /** Whether a usable endpoint is left that was not tried and is not unresponsive. */
   hasAlternative (service: string, tried: ReadonlySet<string>): boolean {
-    return this.endpoints.listUsable(service).some(({ record: { id } }) => !tried.has(id) && !this.liveness.isUnresponsive(id))
+    return this.#listWorking(service, this.getNowMs()).some(({ record: { id } }) => !tried.has(id) && !this.liveness.isUnresponsive(id))
   }
 
   /** Records that an endpoint sent data or answered a probe. */
@@ -219,6 +232,12 @@
     return this.retries.acceptRetry(service, this.peers.listKnown(), nowMs)
   }
 
+  /** What the gateway knows of an endpoint, for the log. */
+  describeEndpoint ({ record: { id, domain }, coldUntilMs, updatedAtMs }: EndpointView): LogFields {
+    const nowMs = this.getNowMs()
+    return { endpoint: id, domain, coldMs: Math.max(0, Math.round(coldUntilMs - nowMs)), recordAgeMs: Math.round(nowMs - updatedAtMs), gateways: this.peers.countKnown() }
+  }
+
   /** Drops an endpoint whose address another one now has. */
   noteMisdirected ({ record }: EndpointView): void {
     this.endpoints.noteReplaced(record.id)
@@ -248,6 +267,11 @@
     return [...this.#exchanges]
   }
 
+  /** Lists the usable endpoints without those whose group has lost a rank. */
+  #listWorking (service: string, nowMs: number): readonly EndpointView[] {
+    return this.endpoints.listUsable(service).filter(endpoint => !this.outages.isLost(endpoint, nowMs))
+  }
+
   #buildAccess (service: string, nowMs: number): (endpoint: EndpointView) => EndpointAccess {
     const spec = this.routes.findService(service)
     const gateways = this.peers.listKnown()
--- a/src/gateway/crash-monitor.ts
+++ b/src/gateway/crash-monitor.ts
@@ -13,6 +13,8 @@
 import { hasBegun } from './running-attempt.js'
 import type { RunningAttempt } from './running-attempt.js'
 
+const CRASH_SEPARATOR = '/'
+
 /** Sends evidence to all other gateways. */
 export type SendEvidence = (evidence: readonly CrashEvidence[]) => void
 
@@ -26,6 +28,10 @@
   readonly peers: PeersPort
   readonly metrics: Metrics
   readonly sendEvidence: SendEvidence
+  /** Creates the probe that finds out whether an endpoint has crashed. */
+  readonly createProbe?: (handleCrash: (endpoint: EndpointView, suspects: readonly Suspect[]) => void) => Pick<CrashProbe<Suspect>, 'check'>
+  /** Called with each crash that becomes known. */
+  noteCrash (endpoint: EndpointView, atMs: number): void
   getNowMs (): number
   log (event: LogEvent, fields: LogFields): void
 }
@@ -41,11 +47,12 @@
 /** Attributes crashes of endpoints to requests and to parts of prompts. */
 export class CrashMonitor {
   readonly #options: CrashMonitorOptions
-  readonly #probe: CrashProbe<Suspect>
+  readonly #probe: Pick<CrashProbe<Suspect>, 'check'>
 
   private constructor (options: CrashMonitorOptions) {
     this.#options = options
-    this.#probe = CrashProbe.create((endpoint, suspects) => { this.#handleCrash(endpoint, suspects) })
+    const { createProbe = CrashProbe.create<Suspect> } = options
+    this.#probe = createProbe((endpoint, suspects) => { this.#handleCrash(endpoint, suspects) })
   }
 
   /**
@@ -108,7 +115,10 @@
     for (const item of evidence) {
       const merged = this.#options.partCrashes.merge(item, nowMs)
       if (merged.reply !== undefined) replies.push(merged.reply)
-      if (merged.isChanged) this.#logEvidence(item, 'merged')
+      if (!merged.isChanged) continue
+      this.#logEvidence(item, 'merged')
+      const endpoint = this.#options.endpoints.find(item.crash.split(CRASH_SEPARATOR)[0]!)
+      if (endpoint !== undefined && formatCrash(endpoint) === item.crash) this.#options.noteCrash(endpoint, nowMs - item.ageMs)
     }
     if (replies.length > 0) reply(replies)
   }
@@ -123,7 +133,7 @@
 
   #handleCrash (endpoint: EndpointView, suspects: readonly Suspect[]): void {
     const { crashes, partCrashes, log } = this.#options
-    const { id, bornMs, service } = endpoint.record
+    const { id, service } = endpoint.record
     const nowMs = this.#options.getNowMs()
     const isExpected = !this.#isInService(endpoint)
     log('endpoint-crashed', { endpoint: id, inFlight: suspects.length, isExpected })
@@ -132,8 +142,8 @@
       const count = crashes.noteCrash(fingerprint, nowMs)
       log('request-suspected', { fingerprint, count, endpoint: id })
     }
-    const evidence = partCrashes.noteCrash(`${id}/${bornMs}`, service, suspects, nowMs)
-    if (evidence === undefined) return
+    const evidence = partCrashes.noteCrash(formatCrash(endpoint), service, suspects, nowMs)
+    this.#options.noteCrash(endpoint, nowMs)
     this.#logEvidence(evidence, 'seen')
     this.#options.sendEvidence([evidence])
   }
@@ -158,3 +168,8 @@
     return peers.listReady().filter(({ id }) => id !== self && hashRendezvous(part, id) > own).length
   }
 }
+
+/** Names the crash of an endpoint: each incarnation crashes once. */
+function formatCrash ({ record: { id, bornMs } }: EndpointView): string {
+  return `${id}${CRASH_SEPARATOR}${bornMs}`
+}
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -1,6 +1,5 @@
 /** Handles one request at a gateway: its attempts, retries, stream resumptions and answer. */
 
-import type { ServerResponse } from 'node:http'
 import { assertNever } from '../kernel/errors.js'
 import type { ErrorKind } from '../kernel/errors.js'
 import type { EndpointView } from '../plugins/gateway/endpoints.js'
@@ -10,11 +9,14 @@
 import { EventSplitter } from './events.js'
 import type { GatewayContext } from './context.js'
 import type { MonitoredRequest } from './crash-monitor.js'
-import type { AnswerHead, CallerRequest, RawHeaders, Route, TeamRef } from './model.js'
+import type { ExchangeOptions } from './exchange-options.js'
+import type { AnswerHead, RawHeaders } from './model.js'
 import { chooseStatus, isStream, mayRunAgain } from './repeat.js'
 import { createRunningAttempt, hasBegun, isEventOverdue, notePartialEvent } from './running-attempt.js'
 import type { BufferedAnswer, RunningAttempt } from './running-attempt.js'
-import { sendAnswer, sendRefusal } from './responses.js'
+import { computeRetryAfterMs, sendAnswer, sendRefusal } from './responses.js'
+import { StartGate } from './start-gate.js'
+import { computeUrgency, isLate } from './urgency.js'
 import { Attempt } from './upstream.js'
 import type { AttemptFailure } from './upstream.js'
 
@@ -33,27 +35,13 @@
 /** Share of the latency target of a route for which a request waits for a permit of an endpoint when no other endpoint can take it. */
 const PERMIT_WAIT_SHARE = 0.5
 
-/** A fully received request that a route allows. */
-export interface ExchangeOptions {
-  readonly request: CallerRequest
-  readonly method: string
-  readonly headers: RawHeaders
-  readonly body: Buffer
-  readonly route: Route
-  readonly team: TeamRef | undefined
-  readonly service: string
-  readonly fingerprint: string
-  readonly response: ServerResponse
-  /** Monotonic time in ms at which the head of the request was read. */
-  readonly receivedAtMs: number
-}
-
 /** One request from its receipt to the end of the answer. */
 export class Exchange {
   readonly #options: ExchangeOptions
   readonly #context: GatewayContext
   readonly #deadlineAtMs: number
   readonly #monitored: MonitoredRequest
+  readonly #gate: StartGate
   readonly #tried = new Set<string>()
   #timer: NodeJS.Timeout | undefined
   #backoff: NodeJS.Timeout | undefined
@@ -74,11 +62,12 @@
   private constructor (options: ExchangeOptions, context: GatewayContext) {
     this.#options = options
     this.#context = context
-    const { request, fingerprint, team } = options
+    const { request, fingerprint, team, route, service, receivedAtMs } = options
     this.#lastEventId = request.lastEventId
     this.#monitored = { requestId: request.requestId, fingerprint, team: team?.name ?? '', parts: request.sharedParts ?? [] }
-    const limitMs = Math.min(request.deadlineMs ?? Infinity, options.route.timeoutMs)
-    this.#deadlineAtMs = options.receivedAtMs + limitMs
+    this.#deadlineAtMs = receivedAtMs + Math.min(request.deadlineMs ?? Infinity, route.timeoutMs)
+    const held = { requestId: request.requestId, service, receivedAtMs, deadlineAtMs: this.#deadlineAtMs, priority: team?.priority ?? route.priority }
+    this.#gate = StartGate.create(context, held, { proceed: () => { this.#admit() }, refuse: () => { this.#fail('overloaded') } })
   }
 
   /**
@@ -131,7 +120,6 @@
   }
 
   #startAttempt (): void {
-    const { request, route, service } = this.#options
     const nowMs = this.#context.getNowMs()
     if (!this.#context.crashMonitor.accept(this.#monitored)) {
       this.#fail('quarantined')
@@ -141,8 +129,19 @@
       this.#handleDeadline()
       return
     }
+    this.#gate.enter(this.#isLate(nowMs), !this.#isHeadSent)
+  }
+
+  #isLate (nowMs: number): boolean {
+    const { request: { deadlineMs }, route, receivedAtMs } = this.#options
+    return isLate(route, { deadlineMs, waitedMs: nowMs - receivedAtMs, isResumed: this.#lastEventId !== undefined })
+  }
+
+  #admit (): void {
+    const { request: { requestId }, route, service } = this.#options
+    const nowMs = this.#context.getNowMs()
     const waitMaxMs = Math.min(PERMIT_WAIT_SHARE * route.latencyTargetMs, this.#deadlineAtMs - nowMs - ATTEMPT_MIN_MS)
-    this.#admission = Admission.create({ requestId: request.requestId, service, tried: this.#tried, waitMaxMs }, this.#context, result => { this.#handleAdmission(result) })
+    this.#admission = Admission.create({ requestId, service, tried: this.#tried, waitMaxMs }, this.#context, result => { this.#handleAdmission(result) })
     this.#admission.start()
   }
 
@@ -172,22 +171,12 @@
     const attemptHeaders = this.#context.dialect.buildAttempt(headers, {
       endpointId: record.id,
       deadlineLeftMs: Math.max(1, Math.floor(this.#deadlineAtMs - nowMs)),
-      priority: team?.priority ?? route.priority,
+      priority: computeUrgency(team?.priority ?? route.priority, this.#isLate(nowMs)),
       bodyBytes: body.length,
       ...(team === undefined ? {} : { team: team.name }),
       ...(this.#lastEventId === undefined ? {} : { lastEventId: this.#lastEventId })
     })
-    this.#context.log('work-started', {
-      request: request.requestId,
-      endpoint: record.id,
-      domain: record.domain,
-      inFlight,
-      attempt: this.#attempts,
-      access,
-      coldMs: Math.max(0, Math.round(endpoint.coldUntilMs - nowMs)),
-      recordAgeMs: Math.round(nowMs - endpoint.updatedAtMs),
-      gateways: this.#context.peers.countKnown()
-    })
+    this.#context.log('work-started', { request: request.requestId, attempt: this.#attempts, access, inFlight, ...this.#context.describeEndpoint(endpoint) })
     const attempt = Attempt.create({ address: record.address, method, path: request.path, headers: attemptHeaders, body, ...(permit === undefined ? {} : { mayBeSent: () => permit.isValid() }) }, {
       handleHead: (status, answerHeaders) => { this.#handleHead(status, answerHeaders) },
       handleData: chunk => { this.#handleData(chunk) },
@@ -228,6 +217,7 @@
       return
     }
     this.#noteActivity(running)
+    if (!head.notRun && !head.misdirected) this.#context.recovery.noteWorking(running.endpoint)
     running.status = status
     running.headers = headers
     running.head = head
@@ -322,6 +312,7 @@
   /** Records a complete answer, which shows that the request is harmless. */
   #noteAnswered (running: RunningAttempt): void {
     this.#settleAttempt('ok')
+    this.#context.lateLane.noteAnswered(this.#options.service, this.#context.getNowMs() - running.startedAtMs)
     this.#context.crashes.clear(this.#options.fingerprint)
     this.#context.crashMonitor.noteBegun(this.#monitored, running.startedAtMs)
   }
@@ -355,6 +346,7 @@
       return
     }
     this.#isGroupLost = head.faultyEndpoint !== undefined
+    this.#context.recovery.noteRefused(running.endpoint)
     this.#retryOrFail('overloaded', REFUSED_BACKOFF_MS)
   }
 
@@ -437,18 +429,11 @@
   #refuse (error: ErrorKind): void {
     const { response, request } = this.#options
     const status = chooseStatus(error, this.#mayHaveRun)
-    const retryAfterMs = status === 503 ? this.#computeRetryAfterMs(error) : undefined
+    const retryAfterMs = status === 503 ? computeRetryAfterMs(this.#context, { service: this.#options.service, error, isGroupLost: this.#isGroupLost, deadlineAtMs: this.#deadlineAtMs }) : undefined
     sendRefusal(response, this.#context.dialect, request.requestId, error, status, retryAfterMs)
     this.#finish(error, status)
   }
 
-  /** Time in ms until the caller should retry; undefined for a request that crashes endpoints, which should not be retried. */
-  #computeRetryAfterMs (error: ErrorKind): number | undefined {
-    if (error === 'quarantined') return undefined
-    const cause = error === 'no-endpoint' || this.#isGroupLost ? 'lost' : 'full'
-    return this.#context.retryAfter.computeRetryAfterMs(this.#options.service, cause, this.#context.pickFloat(), this.#context.getNowMs())
-  }
-
   #sendAnswer (answer: BufferedAnswer, result: ErrorKind | 'ok'): void {
     const { response, method, service, receivedAtMs } = this.#options
     this.#context.metrics.observe('first_byte_ms', this.#context.getNowMs() - receivedAtMs, service)
@@ -461,6 +446,7 @@
     clearTimeout(this.#timer)
     clearTimeout(this.#backoff)
     this.#admission?.cancel()
+    this.#gate.leave()
     const { request, route, service, receivedAtMs, team } = this.#options
     const elapsedMs = this.#context.getNowMs() - receivedAtMs
     this.#context.metrics.count('requests', result)
--- a/src/gateway/process.ts
+++ b/src/gateway/process.ts
@@ -41,6 +41,9 @@
 /** Interval in ms of housekeeping: expiring table entries and probing endpoints. */
 const TICK_INTERVAL_MS = 100
 
+/** Timeout in ms for an agent that is asked about the group of its worker. */
+const GROUP_TIMEOUT_MS = 100
+
 /** Shares of the grace period of a planned stop after which connections are closed and new requests are refused. */
 const CLOSING_SHARE = 0.1
 const REFUSING_SHARE = 0.4
@@ -152,6 +155,7 @@
       clock: processClock,
       askPermit: async ({ endpoint }, rate, waitMaxMs, timeoutMs) => await this.#ranks.requestPermit(endpoint.record.address.host, { kind: 'permit', rate, waitMaxMs }, timeoutMs),
       askShare: async (owner, endpoint, timeoutMs) => await this.#link.requestShare(owner, endpoint, timeoutMs),
+      askGroup: async ({ record: { address } }) => (await this.#ranks.sendRequest(address.host, { kind: 'read', wantsCounts: false, wantsMap: false }, GROUP_TIMEOUT_MS))?.state,
       sendEvidence: evidence => { this.#link.sendEvidence(evidence) }
     })
     this.#context.retries.setBounds(settings.retries)
--- a/src/gateway/responses.ts
+++ b/src/gateway/responses.ts
@@ -1,11 +1,35 @@
-/** Writes complete answers to callers. */
+/** Writes complete answers to callers, and decides when refused ones should come back. */
 
 import type { ServerResponse } from 'node:http'
 import { ERROR_RESPONSES } from '../kernel/errors.js'
 import type { ErrorKind } from '../kernel/errors.js'
+import type { GatewayContext } from './context.js'
 import type { Dialect } from './model.js'
 import type { BufferedAnswer } from './running-attempt.js'
 
+/** Largest share of the time left for which callers wait before they come back. */
+const RETRY_AFTER_SHARE_MAX = 1 / 3
+
+/** A request that did not run and is refused. */
+export interface Refusal {
+  readonly service: string
+  readonly error: ErrorKind
+  /** Whether the last endpoint refused because its group has lost a rank. */
+  readonly isGroupLost: boolean
+  /** Monotonic time in ms at which the caller leaves. */
+  readonly deadlineAtMs: number
+}
+
+/** @returns time in ms until the caller should retry; undefined for a request that crashes endpoints, which should not be retried */
+export function computeRetryAfterMs (context: Pick<GatewayContext, 'recovery' | 'retryAfter' | 'getNowMs' | 'pickFloat'>, { service, error, isGroupLost, deadlineAtMs }: Refusal): number | undefined {
+  if (error === 'quarantined') return undefined
+  const nowMs = context.getNowMs()
+  const remainingMs = context.recovery.findRemainingMs(service)
+  const isLost = error === 'no-endpoint' || isGroupLost || remainingMs !== undefined
+  const longestMs = Math.max(0, RETRY_AFTER_SHARE_MAX * (deadlineAtMs - nowMs))
+  return context.retryAfter.computeRetryAfterMs(service, isLost ? { kind: 'lost', remainingMs, longestMs } : { kind: 'full' }, context.pickFloat(), nowMs)
+}
+
 /** Passes on the answer of an endpoint. */
 export function sendAnswer (response: ServerResponse, dialect: Dialect, method: string, { status, headers, body }: BufferedAnswer): void {
   const hasBody = method !== 'HEAD' && status !== 204 && status !== 304
--- /dev/null
+++ b/src/gateway/start-gate.ts
@@ -0,0 +1,69 @@
+/** Decides when the first attempt of a request may start: not into an outage, and behind others when it is late. */
+
+import type { GatewayContext } from './context.js'
+import type { LatePass } from './late-lane.js'
+import type { HeldRequest } from './recovery.js'
+
+/** Time in ms until a service works again for which a request that is still on time is held instead of refused. */
+const HOLD_ON_TIME_MS = 200
+
+/** What happens to a request at the gate. */
+export interface GateHandlers {
+  /** Called when the request may be sent. */
+  proceed (): void
+  /** Called when its service does not work, or has no room, in time. */
+  refuse (): void
+}
+
+/** Gate of one request. */
+export class StartGate {
+  readonly #context: Pick<GatewayContext, 'lateLane' | 'recovery'>
+  readonly #request: HeldRequest
+  readonly #handlers: GateHandlers
+  #cancelHold: (() => void) | undefined
+  #pass: LatePass | undefined
+
+  private constructor (context: Pick<GatewayContext, 'lateLane' | 'recovery'>, request: HeldRequest, handlers: GateHandlers) {
+    this.#context = context
+    this.#request = request
+    this.#handlers = handlers
+  }
+
+  /**
+   * @param context - shared context of the gateway
+   * @param request - the request
+   * @param handlers - called with the decision, possibly more than once when the request is retried
+   */
+  static create (context: Pick<GatewayContext, 'lateLane' | 'recovery'>, request: HeldRequest, handlers: GateHandlers): StartGate {
+    return new StartGate(context, request, handlers)
+  }
+
+  /**
+   * Starts the wait for an attempt.
+   *
+   * @param isLate - whether the latency target of the request has passed
+   * @param mayWait - whether the caller would wait; one that has received part of the answer would leave first
+   */
+  enter (isLate: boolean, mayWait: boolean): void {
+    const remainingMs = this.#context.recovery.findRemainingMs(this.#request.service)
+    if (remainingMs === undefined) {
+      this.#join(isLate && mayWait)
+      return
+    }
+    // A caller that can come back later is refused, so that those that cannot do so again are served first.
+    const mayHold = mayWait && (isLate || remainingMs <= HOLD_ON_TIME_MS)
+    this.#cancelHold = mayHold ? this.#context.recovery.hold(this.#request, () => { this.enter(true, mayWait) }) : undefined
+    if (this.#cancelHold === undefined) this.#handlers.refuse()
+  }
+
+  /** Records that the request has ended. */
+  leave (): void {
+    this.#cancelHold?.()
+    this.#pass?.leave()
+  }
+
+  #join (isPaced: boolean): void {
+    if (!isPaced || this.#pass !== undefined) this.#handlers.proceed()
+    else this.#pass = this.#context.lateLane.enter(this.#request, this.#handlers)
+  }
+}
--- a/src/plugins/gateway/part-crashes.ts
+++ b/src/plugins/gateway/part-crashes.ts
@@ -88,8 +88,8 @@
 /** Parts of prompts that crash endpoints. */
 export interface PartCrashesPort {
   decide (request: PartRequest, nowMs: number): PartDecision
-  /** Records a crash. @returns what to send to the other gateways; undefined when no part is accused */
-  noteCrash (crash: string, service: string, suspects: readonly Suspect[], nowMs: number): CrashEvidence | undefined
+  /** Records a crash. @returns what to send to the other gateways, also when no part is accused */
+  noteCrash (crash: string, service: string, suspects: readonly Suspect[], nowMs: number): CrashEvidence
   /** Records that an answer has gone past its beginning, which shows that its parts are harmless. @returns what to send to the other gateways */
   noteBegun (parts: readonly string[], team: string, startedAtMs: number, nowMs: number): readonly CrashEvidence[]
   merge (evidence: CrashEvidence, nowMs: number): EvidenceMerge
@@ -151,12 +151,11 @@
     return { kind: 'trial', part: trial.part, crashes: trial.crashes }
   }
 
-  noteCrash (crash: string, service: string, suspects: readonly Suspect[], nowMs: number): CrashEvidence | undefined {
+  noteCrash (crash: string, service: string, suspects: readonly Suspect[], nowMs: number): CrashEvidence {
     const accused = suspects.flatMap(({ parts, team, ageMs }) => parts.map((part, depth): Accusation => ({ part, teams: [team], depth, ageMs })))
-    if (accused.length === 0) return undefined
-    this.merge({ crash, service, ageMs: 0, accused, harmless: [], cleared: [] }, nowMs)
-    const entry = this.#crashes.get(crash)
-    return entry === undefined ? undefined : describeEntry(entry, nowMs)
+    const evidence: CrashEvidence = { crash, service, ageMs: 0, accused, harmless: [], cleared: [] }
+    this.merge(evidence, nowMs)
+    return describeEntry(this.#getEntry(evidence, nowMs, nowMs), nowMs)
   }
 
   noteBegun (parts: readonly string[], team: string, startedAtMs: number, nowMs: number): readonly CrashEvidence[] {
@@ -175,9 +174,9 @@
   merge (evidence: CrashEvidence, nowMs: number): EvidenceMerge {
     const atMs = nowMs - Math.max(0, evidence.ageMs)
     if (nowMs - atMs > EVIDENCE_TTL_MS) return { isChanged: false, reply: undefined }
+    let isChanged = !this.#crashes.has(evidence.crash)
     const entry = this.#getEntry(evidence, atMs, nowMs)
     entry.atMs = Math.min(entry.atMs, atMs)
-    let isChanged = false
     const own: { part: string, teams: readonly string[] }[] = []
     for (const accusation of evidence.accused) {
       const isNew = !entry.accused.has(accusation.part)
@@ -198,7 +197,7 @@
 
   list (changedSinceMs: number, nowMs: number): readonly CrashEvidence[] {
     this.#removeExpired(nowMs)
-    return [...this.#crashes.values()].filter(({ changedAtMs, accused }) => changedAtMs >= changedSinceMs && accused.size > 0)
+    return [...this.#crashes.values()].filter(({ changedAtMs }) => changedAtMs >= changedSinceMs)
       .sort((a, b) => b.atMs - a.atMs).map(entry => describeEntry(entry, nowMs))
   }
 
--- a/src/plugins/gateway/retry-after.ts
+++ b/src/plugins/gateway/retry-after.ts
@@ -4,6 +4,7 @@
  * that has lost a rank, which runs nothing for several seconds.
  */
 
+import { assertNever } from '../../kernel/errors.js'
 import { registerPlugin } from '../../kernel/plugin.js'
 import type { Plugin } from '../../kernel/plugin.js'
 import type { Ports } from '../../kernel/ports.js'
@@ -27,9 +28,9 @@
 /** Why a request that did not run is refused. */
 export type RefusalCause =
   /** No endpoint has a free slot. */
-  | 'full'
-  /** No endpoint is usable, or the group of the endpoint has lost a rank. */
-  | 'lost'
+  | { readonly kind: 'full' }
+  /** No endpoint is usable, or the group of the endpoint has lost a rank; `remainingMs` is the time until one is expected to be, and `longestMs` the longest wait that callers honour. */
+  | { readonly kind: 'lost', readonly remainingMs: number | undefined, readonly longestMs: number }
 
 /** Retry delays for refused callers. */
 export interface RetryAfterPort {
@@ -68,8 +69,11 @@
     this.#refused.get(service).add(nowMs)
     const refused = this.#refused.get(service).count(nowMs)
     const share = refused / (refused + this.#served.get(service).count(nowMs))
-    const baseMs = cause === 'lost' ? RECOVERY_WAIT_MS : BASE_WAIT_MS + LOAD_WAIT_MS * share
-    return baseMs * (1 + JITTER * fraction)
+    switch (cause.kind) {
+      case 'full': return (BASE_WAIT_MS + LOAD_WAIT_MS * share) * (1 + JITTER * fraction)
+      case 'lost': return cause.remainingMs === undefined ? Math.min(cause.longestMs, RECOVERY_WAIT_MS * (1 + JITTER * fraction)) : Math.min(cause.longestMs, Math.max(cause.remainingMs + 200, RECOVERY_WAIT_MS * (1 + JITTER * fraction)))
+      default: return assertNever(cause)
+    }
   }
 }
 
--- a/test/gateway/retry-after.test.ts
+++ b/test/gateway/retry-after.test.ts
@@ -54,7 +54,7 @@
   for (let seed = 1; seed <= 10; seed += 1) {
     add(totals.fixed, simulateBurst(seed, (_nowMs, fraction) => 250 * (1 + fraction), () => {}))
     const advice = RetryAfterPlugin.create()
-    add(totals.advised, simulateBurst(seed, (nowMs, fraction) => advice.computeRetryAfterMs('s', 'full', fraction, nowMs), nowMs => { advice.noteServed('s', nowMs) }))
+    add(totals.advised, simulateBurst(seed, (nowMs, fraction) => advice.computeRetryAfterMs('s', { kind: 'full' }, fraction, nowMs), nowMs => { advice.noteServed('s', nowMs) }))
   }
   t.snapshot(totals)
   t.true(totals.advised.refusedTwice < totals.fixed.refusedTwice)
@@ -63,5 +63,5 @@
 
 // Guards against callers that retry before a group that lost a rank can have formed again.
 test('callers are told to wait for seconds while endpoints are lost', t => {
-  t.true(RetryAfterPlugin.create().computeRetryAfterMs('s', 'lost', 0, 0) >= 2_000)
+  t.true(RetryAfterPlugin.create().computeRetryAfterMs('s', { kind: 'lost', remainingMs: undefined, longestMs: Infinity }, 0, 0) >= 2_000)
 })
