Measure from 1 to 610 gateways how many crashes it takes to find a part that crashes endpoints

npm run bench -- parts and test/gateway/prompt-parts.test.ts play the code of the gateways in virtual time, with dense and deep prompts, lost datagrams, gateways that are cut off from half of the others, that restart in a row, and crashes that no request causes.

--- a/bench/main.ts
+++ b/bench/main.ts
@@ -13,6 +13,7 @@
   drill: async () => await import('./drill.js'),
   overload: async () => await import('./overload.js'),
   path: async () => await import('./path.js'),
+  parts: async () => await import('./parts.js'),
   routing: async () => await import('./routing.js'),
   slopes: async () => await import('./slopes.js'),
   'slopes-kernels': async () => ({ run: (await import('./slopes.js')).runKernels })
--- a/test/gateway/prompt-parts.test.ts
+++ b/test/gateway/prompt-parts.test.ts
@@ -4,6 +4,19 @@
 import type { Server } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import { setTimeout as wait } from 'node:timers/promises'
+import { pack } from 'msgpackr'
+import { simulateParts } from '../../bench/parts-model.js'
+import { listCases } from '../../bench/parts.js'
+import { Metrics } from '../../src/edge/metrics/metrics.js'
+import { CrashMonitor } from '../../src/gateway/crash-monitor.js'
+import { CRASHES_PER_DATAGRAM_MAX } from '../../src/gateway/link.js'
+import type { EndpointRecord } from '../../src/gateway/model.js'
+import { createRunningAttempt } from '../../src/gateway/running-attempt.js'
+import { Kernel } from '../../src/kernel/kernel.js'
+import '../../src/plugins/gateway/index.js'
+import { explainCrashes } from '../../src/plugins/gateway/explanation.js'
+import type { AccusedPart } from '../../src/plugins/gateway/explanation.js'
+import { PartCrashesPlugin } from '../../src/plugins/gateway/part-crashes.js'
 import { startHarness } from './harness.js'
 import type { Harness } from './harness.js'
 
@@ -73,3 +86,129 @@
   t.deepEqual(statuses['sound'], new Array(9).fill(200))
   t.deepEqual(statuses['deadly'], [502, ...new Array<number>(7).fill(503)])
 })
+
+const DURATION_MS = 12_000
+
+/** Deadly requests that may reach endpoints once every connected gateway knows the part. */
+const REACHED_MAX = 3
+
+// Guards against a part that crashes several endpoints before all gateways refuse it, and against refusing sound requests for it.
+test('gateways find the part that crashes endpoints from one crash and refuse no sound request', async t => {
+  for (const example of listCases()) {
+    const result = await simulateParts({ ...example, durationMs: DURATION_MS, seed: 1 })
+    const { gateways, deadlyShare, depth, deadlyDepth, fault } = example
+    const { crashes, crashesUntilRefused, reachedAfterwards, soundRefused, allKnowMs } = result
+    const text = `${gateways} gateways, ${100 * deadlyShare} % deadly at ${deadlyDepth} of ${depth + 1}, ${fault}: ${crashesUntilRefused} crashes until refused, ${crashes} in all, ${reachedAfterwards} reached endpoints afterwards, ${soundRefused} sound ones refused, all know after ${allKnowMs?.toFixed(0) ?? '-'} ms`
+    t.log(text)
+    // Gateways that cannot reach each other learn from a crash each.
+    t.true(crashes <= (fault === 'half-cut' ? 2 : 1), text)
+    t.is(soundRefused, 0, text)
+    t.true(reachedAfterwards <= REACHED_MAX, text)
+    t.true(allKnowMs !== undefined, text)
+  }
+})
+
+function createAccusation (part: string, depth: number, changes: Partial<AccusedPart> = {}): AccusedPart {
+  return { part, teams: ['t1'], depth, ageMs: 100, wasHarmless: false, ...changes }
+}
+
+function explain (...crashes: readonly (readonly AccusedPart[])[]): readonly string[] {
+  return [...explainCrashes(crashes.map((accused, index) => ({ id: `c${index}`, service: 's', atMs: 5_000 * index, accused }))).keys()]
+}
+
+test('the fewest parts that explain all crashes are blocked', t => {
+  const harmless = { wasHarmless: true }
+  t.snapshot({
+    'one unknown part': explain([createAccusation('first', 0, harmless), createAccusation('second', 1)]),
+    'two unknown parts': explain([createAccusation('first', 0), createAccusation('second', 1)]),
+    'two unknown parts, one of them in the next crash too': explain([createAccusation('first', 0), createAccusation('second', 1)], [createAccusation('first', 0), createAccusation('third', 1, harmless)]),
+    'a harmless part once': explain([createAccusation('first', 0, harmless)]),
+    'a harmless part twice': explain([createAccusation('first', 0, harmless)], [createAccusation('first', 0, harmless)]),
+    'two parts, each of which crashes endpoints': explain([createAccusation('a', 1)], [createAccusation('b', 1)], [createAccusation('a', 1)]),
+    'no part': explain([], [])
+  })
+})
+
+test('a part is not accused by crashes at the same time unless it was in flight at each', t => {
+  const crashes = (parts: readonly string[]): readonly string[] => [...explainCrashes(parts.map((part, index) => ({ id: `c${index}`, service: 's', atMs: 100 * index, accused: [createAccusation(part, 1)] }))).keys()]
+  t.deepEqual(crashes(['a', 'b']), [])
+  t.deepEqual(crashes(['a', 'a']), ['a'])
+})
+
+/** Tables of two gateways that have seen a crash of requests with `part`. */
+function createTables (): { readonly one: PartCrashesPlugin, readonly other: PartCrashesPlugin, readonly decide: (table: PartCrashesPlugin, team: string, nowMs: number, rank?: number) => string } {
+  const one = PartCrashesPlugin.create()
+  const other = PartCrashesPlugin.create()
+  return { one, other, decide: (table, team, nowMs, rank = 0) => table.decide({ parts: ['part'], team, rankForTrial: () => rank }, nowMs).kind }
+}
+
+test('a crash counts once however many gateways report it', t => {
+  const { one, other } = createTables()
+  const suspect = { fingerprint: 'f', team: 't1', parts: ['part'], ageMs: 1 }
+  const seen = [one.noteCrash('e1/1', 's', [suspect], 1_000), other.noteCrash('e1/1', 's', [suspect], 1_000)]
+  for (const evidence of seen) for (const table of [one, other]) table.merge(evidence, 1_010)
+  t.false(one.merge(seen[1]!, 1_020).isChanged)
+  t.deepEqual([one, other].map(table => table.list(-Infinity, 1_020).length), [1, 1])
+  // The block still ends 30 s after the one crash.
+  const decision = one.decide({ parts: ['part'], team: 't1', rankForTrial: () => 0 }, 1_020)
+  t.is(decision.kind === 'blocked' ? Math.round(decision.untilMs) : undefined, 31_000)
+})
+
+test('a part is tried by one gateway after the other when its block ends, and served everywhere once an answer begins', t => {
+  const { one, other, decide } = createTables()
+  const evidence = one.noteCrash('e1/1', 's', [{ fingerprint: 'f', team: 't1', parts: ['part'], ageMs: 1 }], 0)
+  other.merge(evidence, 0)
+  const before = [decide(one, 't1', 29_000), decide(other, 't1', 30_100, 1), decide(one, 't1', 30_100), decide(one, 't1', 30_200)]
+  for (const cleared of one.noteBegun(['part'], 't1', 30_100, 30_400)) other.merge(cleared, 30_401)
+  t.deepEqual(before, ['blocked', 'blocked', 'trial', 'blocked'])
+  t.deepEqual([decide(one, 't1', 30_410), decide(other, 't1', 30_410)], ['allowed', 'allowed'])
+})
+
+test('a block lasts longer after each crash and ends when the evidence is old', t => {
+  const { one, decide } = createTables()
+  const suspect = { fingerprint: 'f', team: 't1', parts: ['part'], ageMs: 1 }
+  for (const [index, atMs] of [0, 40_000, 110_000].entries()) one.noteCrash(`e${index}/1`, 's', [suspect], atMs)
+  t.deepEqual([decide(one, 't1', 110_000 + 119_000), decide(one, 't1', 110_000 + 121_000)], ['blocked', 'trial'])
+  t.is(decide(one, 't1', 110_000 + 600_001), 'allowed')
+})
+
+// Guards against a team that gets another team's part blocked by sending it beside a part of its own that crashes endpoints.
+test('a part that is harmless for one team stays served to it when only another team has crashes with it', t => {
+  const { one, decide } = createTables()
+  one.noteBegun(['part'], 'victim', 0, 100)
+  for (const index of [1, 2, 3]) one.noteCrash(`e${index}/1`, 's', [{ fingerprint: `f${index}`, team: 'attacker', parts: ['part'], ageMs: 1 }], 5_000 * index)
+  t.deepEqual([decide(one, 'victim', 16_000), decide(one, 'attacker', 16_000)], ['allowed', 'blocked'])
+})
+
+test('evidence, harmless parts and accused parts are bounded', t => {
+  const { one } = createTables()
+  const parts = Array.from({ length: 200 }, (_value, index) => `p${index}`)
+  for (let index = 0; index < 500; index += 1) one.noteCrash(`e${index}/1`, 's', [{ fingerprint: 'f', team: `t${index}`, parts, ageMs: 1 }], index)
+  const evidence = one.list(-Infinity, 1_000)
+  t.is(evidence.length, 64)
+  t.true(evidence.every(({ accused }) => accused.length <= 32 && accused.every(({ teams }) => teams.length <= 2)))
+  t.true(pack(evidence.slice(0, CRASHES_PER_DATAGRAM_MAX)).length < 60_000)
+})
+
+// Guards against accusing the requests of an endpoint that was expected to end.
+test('an endpoint that drains, has left or was unresponsive accuses no part', t => {
+  for (const change of ['drains', 'left', 'unresponsive', 'none'] as const) {
+    const kernel = Kernel.create({ self: { id: 'g', role: 'gateway', domain: 'a', host: 'g', address: '', incarnation: 1 }, seed: 1, settings: { clusterSecret: '', seeds: [] } })
+    const [endpoints, partCrashes, liveness] = [kernel.getPort('endpoints'), kernel.getPort('partCrashes'), kernel.getPort('liveness')]
+    const record: EndpointRecord = { id: 'e', bornMs: 1, service: 's', address: { host: 'h', port: 1 }, domain: 'a', state: 'ready', slots: 4, coldRemainingMs: 0 }
+    endpoints.upsert(record, 0)
+    const monitor = CrashMonitor.create({
+      self: 'g', crashes: kernel.getPort('crashes'), partCrashes, endpoints, liveness, peers: kernel.getPort('peers'), metrics: Metrics.create({ role: 'gateway' }), sendEvidence: () => {}, noteCrash: () => {}, getNowMs: () => 1_000, log: () => {}, createProbe: handleCrash => ({ check: (endpoint, suspect) => { handleCrash(endpoint, suspect === undefined ? [] : [suspect]) } })
+    })
+    const attempt = createRunningAttempt(undefined as never, endpoints.find('e')!, 900)
+    if (change === 'drains') endpoints.upsert({ ...record, state: 'draining' }, 0)
+    if (change === 'left') endpoints.remove('e')
+    if (change === 'unresponsive') {
+      liveness.noteActivity('other', 's', 990)
+      liveness.shouldProbe('e', 500, 990)
+      t.true(liveness.noteUnanswered('e', 's', 1_000))
+    }
+    monitor.checkBroken(attempt, { requestId: 'r', fingerprint: 'f', team: 't', parts: ['part'] }, () => {})
+    t.deepEqual(partCrashes.listBlocked(1_000), change === 'none' ? ['part'] : [], change)
+  }
+})
