Keep the limit that an endpoint names in its answers

An endpoint in need names the requests a second that it takes from all gateways together.

Cause: the header passed through every gateway unread. Class of fault: a limit for all that no component owns.

The adapter decodes the limit. Gateways tell each other at once what an endpoint said, and the permits and shares of the cold limit keep it too; whichever is lower counts. Agents apply what any gateway has told them.

--- a/bench/cold-fleet-model.ts
+++ b/bench/cold-fleet-model.ts
@@ -11,8 +11,9 @@
 import { Kernel } from '../src/kernel/kernel.js'
 import { Random } from '../src/kernel/random.js'
 import '../src/plugins/gateway/index.js'
-import { computeColdBudget } from '../src/plugins/gateway/cold-limits.js'
-import type { ColdBounds } from '../src/plugins/gateway/cold-limits.js'
+import { computeColdBudget } from '../src/plugins/gateway/limit-budgets.js'
+import type { ColdBounds } from '../src/plugins/gateway/limit-budgets.js'
+import type { LimitStatement, SharedStatements } from '../src/plugins/gateway/named-limits.js'
 import { PermitBucket } from '../src/plugins/gateway/permits.js'
 import type { PermitReply } from '../src/plugins/gateway/permits.js'
 import { EventScheduler } from './admission-model.js'
@@ -24,6 +25,13 @@
 const REQUEST_MS = 1_000
 const LATENCY_TARGET_MS = 400
 const DATAGRAM_MS = 1
+/** Time in ms from the start of a request to the head of its answer. */
+const HEAD_MS = 150
+/** Period of a named limit, and time after it was first named from which it is in force, in ms. */
+const PERIOD_MS = 4_000
+const SETTLE_MS = 3_000
+const HEARTBEAT_MS = 200
+const HEARTBEAT_PER_PEER_MS = 12
 const CONNECT_MS = 2
 /** Share of the connections that take up to `SLOW_CONNECT_MS`. */
 const SLOW_SHARE = 0.05
@@ -49,6 +57,8 @@
   readonly endpoints: number
   /** Requests per second that a cold endpoint tolerates. */
   readonly coldPerS: number
+  /** Requests per second that the endpoints name in their answers; undefined when they name none. */
+  readonly namedPerS?: number
   /** Requests per second of all callers. */
   readonly requestsPerS: number
   readonly hasAgents: boolean
@@ -63,6 +73,8 @@
   readonly requests: number
   /** Most requests that any endpoint got in one second. */
   readonly mostInSecond: number
+  /** Most requests that any endpoint got in four seconds, from when its limit is in force. */
+  readonly mostInPeriod: number
   /** Requests that an endpoint got per second, on average. */
   readonly meanPerS: number
   readonly refused: number
@@ -90,6 +102,7 @@
       dialect: platformDialect,
       logger: Logger.create({ processId: id, write: () => {} }),
       metrics,
+      sendLimits: limits => { fleet.broadcastLimits(this, limits) },
       askPermit: async ({ endpoint }, rate, waitMaxMs, timeoutMs) => await new Promise<PermitReply | undefined>(resolve => {
         const settle = (reply: PermitReply | undefined): void => { this.run(() => { resolve(reply) }) }
         fleet.askAgent(endpoint.record.id, rate, waitMaxMs, settle)
@@ -154,6 +167,8 @@
       return
     }
     this.#fleet.noteStart(endpoint)
+    const sentAtMs = this.context.getNowMs()
+    scheduler.scheduleAt(scheduler.nowMs + HEAD_MS, () => { this.run(() => { this.context.noteLimit(this.context.endpoints.find(endpoint)!, this.#fleet.nameLimit(), sentAtMs) }) })
     scheduler.scheduleAt(scheduler.nowMs + REQUEST_MS, () => { this.run(() => { this.context.selection.noteEnd(endpoint, 'ok', REQUEST_MS, this.context.getNowMs()) }) })
   }
 }
@@ -189,11 +204,13 @@
   async run (): Promise<ColdResult> {
     const { durationMs, endpoints } = this.#scenario
     this.#scheduleRequest()
+    this.#scheduleHeartbeat()
     await this.scheduler.runAsync(durationMs)
     const all = [...this.#starts.values()]
     return {
       requests: this.#requests,
-      mostInSecond: Math.max(...all.map(countMostInSecond)),
+      mostInSecond: Math.max(...all.map(starts => countMostWithin(starts, 1_000))),
+      mostInPeriod: Math.max(...all.map(starts => countMostWithin(starts.filter(atMs => atMs >= (starts[0] ?? 0) + HEAD_MS + SETTLE_MS), PERIOD_MS))),
       meanPerS: all.reduce((sum, starts) => sum + starts.length, 0) / endpoints / (durationMs / 1_000),
       refused: this.#refused,
       refusedWhileFree: this.#refusedWhileFree
@@ -221,7 +238,7 @@
 
   noteRefused (): void {
     const { coldPerS, hasAgents } = this.#scenario
-    const { permits } = computeColdBudget(coldPerS, BOUNDS, hasAgents)
+    const { permits } = coldPerS === 0 ? { permits: undefined } : computeColdBudget(coldPerS, BOUNDS, hasAgents)
     this.#refused += 1
     const isFree = permits !== undefined && [...this.#agents.values()].some(agent => {
       // A negative wait is always denied, so nothing is reserved.
@@ -231,6 +248,11 @@
     if (isFree) this.#refusedWhileFree += 1
   }
 
+  nameLimit (): LimitStatement {
+    const { namedPerS } = this.#scenario
+    return namedPerS === undefined ? { kind: 'none' } : { kind: 'rate', perS: namedPerS }
+  }
+
   noteStart (endpoint: string): void {
     this.#starts.get(endpoint)!.push(this.scheduler.nowMs)
   }
@@ -267,6 +289,42 @@
     return gateway
   }
 
+  broadcastLimits (sender: SimulatedGateway, limits: SharedStatements): void {
+    if (this.#scenario.view === 'itself') return
+    for (const receiver of this.#gateways) if (receiver !== sender) this.#sendLimits(receiver, limits)
+  }
+
+  #sendLimits (receiver: SimulatedGateway, limits: SharedStatements): void {
+    if (this.#isDatagramLost()) return
+    this.scheduler.scheduleAt(this.scheduler.nowMs + DATAGRAM_MS, () => {
+      receiver.run(() => { receiver.context.mergeLimits(limits) })
+    })
+  }
+
+  /** Gateways tell those that know them what endpoints said. */
+  #scheduleHeartbeat (): void {
+    const { gateways, view, namedPerS } = this.#scenario
+    if (namedPerS === undefined || view === 'itself') return
+    this.scheduler.scheduleAt(this.scheduler.nowMs + HEARTBEAT_MS + HEARTBEAT_PER_PEER_MS * gateways, () => {
+      for (const sender of this.#gateways) {
+        const limits = Object.entries(sender.context.namedLimits.list('own', sender.context.getNowMs()))
+        for (const receiver of limits.length === 0 ? [] : this.#gateways) {
+          if (receiver !== sender) this.#sendLimits(receiver, Object.fromEntries(limits))
+        }
+      }
+      this.#scheduleHeartbeat()
+    })
+  }
+
+  /** A gateway that starts sends nothing before another one has told it the limits. */
+  #restartGateway (index: number, atMs: number): void {
+    const started = this.#startGateway(index, 'all', atMs)
+    this.#gateways[index] = started
+    const teller = this.#gateways[(index + 1) % this.#gateways.length]!
+    started.suspend(2 * DATAGRAM_MS)
+    if (teller !== started) this.#sendLimits(started, teller.context.namedLimits.list('all', teller.context.getNowMs()))
+  }
+
   #scheduleFaults (): void {
     const { fault, durationMs, gateways } = this.#scenario
     if (fault === 'gateways-suspended') {
@@ -275,7 +333,7 @@
     for (let atMs = RESTART_INTERVAL_MS; atMs < durationMs; atMs += RESTART_INTERVAL_MS) {
       this.scheduler.scheduleAt(atMs, () => {
         if (fault === 'agents-restart') for (const id of this.#agents.keys()) this.#agents.set(id, PermitBucket.create(atMs))
-        if (fault === 'gateways-restart') for (let index = 0; index < gateways; index += 2) this.#gateways[index] = this.#startGateway(index, 'all', atMs)
+        if (fault === 'gateways-restart') for (let index = 0; index < gateways; index += 2) this.#restartGateway(index, atMs)
       })
     }
   }
@@ -291,12 +349,12 @@
   }
 }
 
-/** @returns the largest number of times within one second */
-function countMostInSecond (times: readonly number[]): number {
+/** @returns the largest number of times within a period in ms */
+function countMostWithin (times: readonly number[], periodMs: number): number {
   let most = 0
   let first = 0
   times.forEach((atMs, index) => {
-    while (times[first]! <= atMs - 1_000) first += 1
+    while (times[first]! <= atMs - periodMs) first += 1
     most = Math.max(most, index - first + 1)
   })
   return most
@@ -310,6 +368,11 @@
   return await SimulatedFleet.create(scenario).run()
 }
 
+/** @returns the number of requests that may reach an endpoint that names its limit in four seconds */
+export function computeNamedBound (namedPerS: number): number {
+  return 1.5 * namedPerS * PERIOD_MS / 1_000 + 5
+}
+
 /** @returns the number of requests that may reach an endpoint of a scenario in one second */
 export function computeBound ({ coldPerS }: ColdScenario): number {
   return coldPerS * BOUNDS.overshoot + BOUNDS.slack
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -11,6 +11,7 @@
   'cold-fleet': async () => await import('./cold-fleet.js'),
   experts: async () => await import('./experts.js'),
   drill: async () => await import('./drill.js'),
+  limits: async () => await import('./limits.js'),
   overload: async () => await import('./overload.js'),
   path: async () => await import('./path.js'),
   parts: async () => await import('./parts.js'),
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -8,6 +8,7 @@
 import type { CrashesPort } from '../plugins/gateway/crashes.js'
 import type { ColdLimitsPort, EndpointAccess } from '../plugins/gateway/cold-limits.js'
 import type { EndpointsPort, EndpointView } from '../plugins/gateway/endpoints.js'
+import type { LimitStatement, NamedLimitsPort, SharedStatements } from '../plugins/gateway/named-limits.js'
 import type { OutagesPort } from '../plugins/gateway/outages.js'
 import type { PartCrashesPort } from '../plugins/gateway/part-crashes.js'
 import type { PeersPort } from '../plugins/gateway/peers.js'
@@ -55,6 +56,8 @@
   readonly askShare: AskShare
   /** Absent for a gateway without others. */
   readonly sendEvidence?: SendEvidence
+  /** Absent for a gateway without others. */
+  readonly sendLimits?: (limits: SharedStatements) => void
   /** Absent when endpoints cannot be asked about their groups. */
   readonly askGroup?: AskGroup
   readonly clock: GatewayClock
@@ -72,6 +75,7 @@
   readonly partCrashes: PartCrashesPort
   readonly selection: SelectionPort
   readonly coldLimits: ColdLimitsPort
+  readonly namedLimits: NamedLimitsPort
   readonly retryAfter: RetryAfterPort
   readonly liveness: LivenessPort
   readonly crashMonitor: CrashMonitor
@@ -87,10 +91,12 @@
   /** Whether the gateway knows what crashed endpoints before it started; until then it sends no requests. */
   isInformed = true
   readonly #logger: Logger
+  readonly #sendLimits: (limits: SharedStatements) => void
   readonly #exchanges = new Set<Exchange>()
 
-  private constructor ({ kernel, dialect, logger, metrics, askPermit, askShare, sendEvidence, askGroup, clock }: GatewayContextOptions) {
+  private constructor ({ kernel, dialect, logger, metrics, askPermit, askShare, sendLimits, sendEvidence, askGroup, clock }: GatewayContextOptions) {
     this.askShare = askShare
+    this.#sendLimits = sendLimits ?? (() => {})
     this.askPermit = askPermit
     this.clock = clock
     this.dialect = dialect
@@ -104,6 +110,7 @@
     this.partCrashes = kernel.getPort('partCrashes')
     this.selection = kernel.getPort('selection')
     this.coldLimits = kernel.getPort('coldLimits')
+    this.namedLimits = kernel.getPort('namedLimits')
     this.retryAfter = kernel.getPort('retryAfter')
     this.liveness = kernel.getPort('liveness')
     this.outages = kernel.getPort('outages')
@@ -214,7 +221,8 @@
     const endpoint = this.endpoints.find(endpointId)
     if (endpoint === undefined) return false
     const service = this.routes.findService(endpoint.record.service)
-    return this.coldLimits.lendShare({ endpoint, service, gateways: this.peers.listKnown() }, this.getNowMs())
+    const nowMs = this.getNowMs()
+    return this.coldLimits.lendShare({ endpoint, service, gateways: this.peers.listKnown(), named: this.namedLimits.describe(endpointId, nowMs) }, nowMs)
   }
 
   /** Whether a usable endpoint is left that was not tried and is not unresponsive. */
@@ -227,6 +235,28 @@
     if (this.liveness.noteActivity(id, service, this.getNowMs())) this.log('endpoint-heard', { endpoint: id })
   }
 
+  /**
+   * Records what an answer says about the rate that its endpoint takes.
+   *
+   * @param sentAtMs - monotonic time in ms at which the attempt started
+   */
+  noteLimit ({ record: { id } }: EndpointView, limit: LimitStatement, sentAtMs: number): void {
+    const nowMs = this.getNowMs()
+    const change = this.namedLimits.noteAnswer(id, limit, sentAtMs, nowMs)
+    if (change === 'none') return
+    const statement = this.namedLimits.describe(id, nowMs)
+    if (change !== 'unreadable' && statement !== undefined) this.#sendLimits({ [id]: statement })
+    this.log('endpoint-limited', { endpoint: id, change, ...(limit.kind === 'rate' ? { perS: limit.perS } : limit.kind === 'unreadable' ? { text: limit.text } : {}) })
+  }
+
+  /** Adopts what another gateway was told about the rates that endpoints take. */
+  mergeLimits (limits: SharedStatements): void {
+    const nowMs = this.getNowMs()
+    for (const [endpoint, statement] of Object.entries(limits)) {
+      if (this.namedLimits.merge(endpoint, statement, nowMs)) this.log('endpoint-limited', { endpoint, change: 'told', perS: statement.perS ?? 'none', ageMs: Math.round(statement.ageMs) })
+    }
+  }
+
   /** Spends one retry of the budget shared by all gateways. @returns false when the budget does not allow it */
   acceptRetry (service: string, nowMs: number): boolean {
     return this.retries.acceptRetry(service, this.peers.listKnown(), nowMs)
@@ -250,6 +280,7 @@
     this.selection.forget(endpoint)
     this.liveness.forget(endpoint)
     this.coldLimits.forget(endpoint)
+    this.namedLimits.forget(endpoint)
   }
 
   addExchange (exchange: Exchange): void {
@@ -275,6 +306,6 @@
   #buildAccess (service: string, nowMs: number): (endpoint: EndpointView) => EndpointAccess {
     const spec = this.routes.findService(service)
     const gateways = this.peers.listKnown()
-    return endpoint => this.coldLimits.decide({ endpoint, service: spec, gateways }, nowMs)
+    return endpoint => this.coldLimits.decide({ endpoint, service: spec, gateways, named: this.namedLimits.describe(endpoint.record.id, nowMs) }, nowMs)
   }
 }
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -217,6 +217,7 @@
       return
     }
     this.#noteActivity(running)
+    if (!head.misdirected) this.#context.noteLimit(running.endpoint, head.limit, running.startedAtMs)
     if (!head.notRun && !head.misdirected) this.#context.recovery.noteWorking(running.endpoint)
     running.status = status
     running.headers = headers
--- a/src/gateway/link.ts
+++ b/src/gateway/link.ts
@@ -7,6 +7,8 @@
 import type { Strikes } from '../plugins/gateway/crashes.js'
 import type { CrashEvidence } from '../plugins/gateway/part-crashes.js'
 import type { GatewayState } from '../plugins/gateway/peers.js'
+import { isSharedStatements } from '../plugins/gateway/named-limits.js'
+import type { SharedStatements } from '../plugins/gateway/named-limits.js'
 import { isEvidence, isEvidenceMessage } from './evidence-messages.js'
 import type { EvidenceMessage, EvidenceRequest } from './evidence-messages.js'
 import type { Address } from './model.js'
@@ -47,6 +49,13 @@
   readonly isLent: boolean
 }
 
+/** Tells other gateways what endpoints said about the rates that they take. */
+interface LimitsMessage {
+  readonly version: number
+  readonly kind: 'limits'
+  readonly limits: SharedStatements
+}
+
 /** Callbacks of a link. */
 export interface LinkHandlers {
   handleHeartbeat (heartbeat: Heartbeat): void
@@ -56,6 +65,9 @@
   handleEvidence (message: Pick<EvidenceMessage, 'purpose' | 'evidence'>, reply: (evidence: readonly CrashEvidence[]) => void): void
   /** Lists all evidence for a gateway that asks for it; undefined when it should ask another. */
   listEvidence (): readonly CrashEvidence[] | undefined
+  handleLimits (limits: SharedStatements): void
+  /** Lists all limits for a gateway that has just started. */
+  listLimits (): SharedStatements
   handleError (reason: string): void
 }
 
@@ -113,6 +125,11 @@
     for (const { host, port } of this.#targets.values()) this.#postEvidence('news', evidence, { address: host, port })
   }
 
+  /** Sends what an endpoint said about the rate that it takes to every known gateway. */
+  sendLimits (limits: SharedStatements): void {
+    for (const { host, port } of this.#targets.values()) this.#postLimits(limits, { address: host, port })
+  }
+
   /**
    * Asks other gateways for all their evidence.
    *
@@ -158,6 +175,11 @@
     this.#socket.close()
   }
 
+  #postLimits (limits: SharedStatements, { address, port }: Pick<RemoteInfo, 'address' | 'port'>): void {
+    const message: LimitsMessage = { version: LINK_VERSION, kind: 'limits', limits }
+    this.#socket.send(pack(message), port, address)
+  }
+
   /** Sends evidence in as many datagrams as it takes; a table without evidence takes one, which tells that there is none. */
   #postEvidence (purpose: EvidenceMessage['purpose'], evidence: readonly CrashEvidence[], { address, port }: Pick<RemoteInfo, 'address' | 'port'>): void {
     for (let at = 0; at === 0 || at < evidence.length; at += CRASHES_PER_DATAGRAM_MAX) {
@@ -172,6 +194,7 @@
     if (!('kind' in message)) {
       this.#targets.set(message.state.id, message.address)
       this.#handlers.handleHeartbeat(message)
+      if (message.state.limits !== undefined) this.#handlers.handleLimits(message.state.limits)
       if (message.evidence !== undefined && message.evidence.length > 0) {
         this.#handlers.handleEvidence({ purpose: 'news', evidence: message.evidence }, evidence => { this.#postEvidence('addition', evidence, sender) })
       }
@@ -188,9 +211,14 @@
         break
       case 'evidence-request': {
         const evidence = this.#handlers.listEvidence()
-        if (evidence !== undefined) this.#postEvidence('table', evidence, sender)
+        if (evidence === undefined) break
+        this.#postLimits(this.#handlers.listLimits(), sender)
+        this.#postEvidence('table', evidence, sender)
         break
       }
+      case 'limits':
+        this.#handlers.handleLimits(message.limits)
+        break
       case 'evidence':
         this.#handlers.handleEvidence(message, evidence => { this.#postEvidence('addition', evidence, sender) })
         break
@@ -200,16 +228,16 @@
   }
 }
 
-type Message = Heartbeat | ShareRequest | ShareReply | EvidenceRequest | EvidenceMessage
+type Message = Heartbeat | ShareRequest | ShareReply | LimitsMessage | EvidenceRequest | EvidenceMessage
 
 function decodeMessage (bytes: Buffer): Message | undefined {
   try {
-    const message = unpack(bytes) as Partial<Heartbeat & { kind: string, requestId: number, endpoint: string, isLent: boolean }> | null
+    const message = unpack(bytes) as Partial<Heartbeat & { kind: string, limits: unknown, requestId: number, endpoint: string, isLent: boolean }> | null
     if (message?.version !== LINK_VERSION) return undefined
     const isRequest = message.kind === 'share-request' && typeof message.requestId === 'number' && typeof message.endpoint === 'string'
     const isReply = message.kind === 'share-reply' && typeof message.requestId === 'number' && typeof message.isLent === 'boolean'
-    const isHeartbeat = message.kind === undefined && message.state !== undefined && message.address !== undefined && (message.evidence === undefined || isEvidence(message.evidence))
-    return isRequest || isReply || isHeartbeat || message.kind === 'evidence-request' || isEvidenceMessage(message) ? message as Message : undefined
+    const isHeartbeat = message.kind === undefined && message.state !== undefined && message.address !== undefined && (message.evidence === undefined || isEvidence(message.evidence)) && (message.state.limits === undefined || isSharedStatements(message.state.limits))
+    return isRequest || isReply || isHeartbeat || message.kind === 'evidence-request' || isEvidenceMessage(message) || (message.kind === 'limits' && isSharedStatements(message.limits)) ? message as Message : undefined
   } catch {
     // The datagram is not a message of this protocol. Ignoring it is safe, as heartbeats are repeated and requests time out.
     return undefined
--- a/src/gateway/model.ts
+++ b/src/gateway/model.ts
@@ -1,5 +1,7 @@
 /** Data model of a gateway: endpoints, routes, teams and limits, as decoded by the adapter of a platform. */
 
+import type { LimitStatement } from '../plugins/gateway/named-limits.js'
+
 /** Address that a process listens on. */
 export interface Address {
   readonly host: string
@@ -153,6 +155,8 @@
   readonly notRun: boolean
   /** Whether the address belongs to another endpoint or incarnation than the request was meant for. */
   readonly misdirected: boolean
+  /** Rate that the endpoint says it takes. */
+  readonly limit: LimitStatement
   /** Lost endpoint because of which this one refused. */
   readonly faultyEndpoint?: string
 }
--- a/src/gateway/permit.ts
+++ b/src/gateway/permit.ts
@@ -1,6 +1,6 @@
 /** Permit to send one request to an endpoint that is or may be cold; it expires quickly, so that requests cannot pile up behind it. */
 
-import { PERMIT_VALID_MS } from '../plugins/gateway/cold-limits.js'
+import { PERMIT_VALID_MS } from '../plugins/gateway/limit-budgets.js'
 
 /** Clocks by which a permit expires. */
 export interface PermitClocks {
--- a/src/gateway/process.ts
+++ b/src/gateway/process.ts
@@ -6,7 +6,7 @@
 import { Logger } from '../edge/log/logger.js'
 import { Metrics } from '../edge/metrics/metrics.js'
 import { Kernel } from '../kernel/kernel.js'
-import type { ColdBounds } from '../plugins/gateway/cold-limits.js'
+import type { ColdBounds } from '../plugins/gateway/limit-budgets.js'
 import type { RetryBounds } from '../plugins/gateway/retries.js'
 import '../plugins/gateway/index.js'
 import type { EndpointChange } from '../plugins/gateway/endpoints.js'
@@ -156,6 +156,7 @@
       askPermit: async ({ endpoint }, rate, waitMaxMs, timeoutMs) => await this.#ranks.requestPermit(endpoint.record.address.host, { kind: 'permit', rate, waitMaxMs }, timeoutMs),
       askShare: async (owner, endpoint, timeoutMs) => await this.#link.requestShare(owner, endpoint, timeoutMs),
       askGroup: async ({ record: { address } }) => (await this.#ranks.sendRequest(address.host, { kind: 'read', wantsCounts: false, wantsMap: false }, GROUP_TIMEOUT_MS))?.state,
+      sendLimits: limits => { this.#link.sendLimits(limits) },
       sendEvidence: evidence => { this.#link.sendEvidence(evidence) }
     })
     this.#context.retries.setBounds(settings.retries)
@@ -240,6 +241,8 @@
         else this.#context.crashMonitor.merge(evidence, reply)
         if (purpose === 'table') this.#evidenceSync.noteTable(evidence.length)
       },
+      handleLimits: limits => { this.#context.mergeLimits(limits) },
+      listLimits: () => this.#context.namedLimits.list('all', performance.now()),
       // A gateway that has just started knows nothing that it could tell.
       listEvidence: () => this.#context.isInformed ? this.#context.partCrashes.list(-Infinity, performance.now()) : undefined,
       handleError: reason => { this.#logger.write('internal-error', { reason }) }
@@ -357,7 +360,7 @@
   #describeState (): GatewayState {
     const { host, domain, callerListener } = this.#settings
     return {
-      id: host, bornMs: this.#bornMs, domain, isReady: this.isReady, inFlight: this.#context.selection.listInFlight(), paces: this.#context.paces, silent: this.#context.liveness.listUnresponsive(), callerAddress: `${callerListener.host}:${callerListener.port}`
+      id: host, bornMs: this.#bornMs, domain, isReady: this.isReady, inFlight: this.#context.selection.listInFlight(), paces: this.#context.paces, silent: this.#context.liveness.listUnresponsive(), limits: this.#context.namedLimits.list('own', performance.now()), callerAddress: `${callerListener.host}:${callerListener.port}`
     }
   }
 
--- a/src/plugins/gateway/cold-limits.ts
+++ b/src/plugins/gateway/cold-limits.ts
@@ -1,11 +1,13 @@
 /**
- * Limits the requests that all gateways together send to an endpoint that is cold.
+ * Limits the requests that all gateways together send to an endpoint that is cold, or
+ * that names the rate that it takes. Whichever limit is lower counts.
  *
  * Endpoints of a service with agents need a permit of their agent for every request,
  * because news of a cold start arrives after the requests that overload the endpoint.
  * The rest of the limit is divided into whole shares that are dealt to gateways, which
  * lend them to each other; they are used while an agent does not answer. Endpoints
  * without an agent are limited by shares alone, from when they are known to be cold.
+ * A limit that an endpoint names is kept in the same ways, from when it is known.
  */
 
 import type { ServiceSpec } from '../../gateway/model.js'
@@ -13,21 +15,15 @@
 import type { Plugin, PluginOptions } from '../../kernel/plugin.js'
 import type { Ports } from '../../kernel/ports.js'
 import type { EndpointView } from './endpoints.js'
+import { NAMED_WINDOW_MS, PERMIT_VALID_MS, computeColdBudget, computeNamedBudget } from './limit-budgets.js'
+import type { ColdBounds } from './limit-budgets.js'
+import type { SharedStatement } from './named-limits.js'
 import type { PermitRate } from './permits.js'
 import { dealShares } from './shares.js'
 import { SlidingWindow } from './window.js'
 
-/** Longest time in ms from the moment at which a permit or share applies until the request is sent. */
-export const PERMIT_VALID_MS = 250
-
-/** Share of the rate of a cold endpoint at which its agent grants permits, because of the burst. */
-const PERMITS_SHARE = 0.9
-
-/** Permits that an agent may grant at once; with fewer, requests that arrive together would wait. */
-const PERMITS_BURST_MAX = 3
-
-/** A share allows one request in this time in ms: the second of the limit, and the time until the request is sent. */
-const SHARE_WINDOW_MS = 1_000 + PERMIT_VALID_MS
+/** A share of the limit of a cold endpoint allows one request in this time in ms: the second of the limit, and the time until the request is sent. */
+const COLD_WINDOW_MS = 1_000 + PERMIT_VALID_MS
 
 /** Time in ms for which an agent that did not answer is not asked again. */
 const AGENT_SILENT_MS = 1_000
@@ -41,20 +37,6 @@
 /** Number of windows of spent shares from which empty ones are removed. */
 const SPENT_MAX = 1_000
 
-/** Limit on the requests that reach a cold endpoint in any second: `rate * overshoot + slack`. */
-export interface ColdBounds {
-  readonly overshoot: number
-  readonly slack: number
-}
-
-/** Division of the limit of an endpoint. */
-export interface ColdBudget {
-  /** Permits of its agent; undefined when the service has no agents. */
-  readonly permits: PermitRate | undefined
-  /** Number of shares that are dealt to the gateways. */
-  readonly shares: number
-}
-
 /** Whether and how an endpoint may be sent a request. */
 export type EndpointAccess =
   | { readonly kind: 'unlimited' }
@@ -78,6 +60,8 @@
   readonly service: ServiceSpec | undefined
   /** Names of all known gateways, this one included. */
   readonly gateways: readonly string[]
+  /** What the endpoint last said about the rate that it takes. */
+  readonly named: SharedStatement | undefined
 }
 
 /** Access to endpoints that are or may be cold. */
@@ -106,6 +90,12 @@
   readonly owners: readonly string[]
 }
 
+/** Limits whose shares are counted separately, since their periods differ. */
+type LimitKind = 'cold' | 'named'
+
+/** Numbers of shares of the limits in force. */
+type ShareCounts = Partial<Readonly<Record<LimitKind, number>>>
+
 interface AgentState {
   deniedAtMs: number
   deniedUntilMs: number
@@ -123,8 +113,8 @@
   #sharesFromMs = Infinity
   readonly #agents = new Map<string, AgentState>()
   /** Requests by share; kept when an endpoint restarts, since the limit spans its restart. */
-  readonly #spent = new Map<string, SlidingWindow>()
-  /** Shares by endpoint and gateway, and the numbers of shares and gateways that they were dealt for. */
+  readonly #spent = new Map<string, Readonly<Record<LimitKind, SlidingWindow>>>()
+  /** Shares by endpoint and limit, and the numbers of shares and gateways that they were dealt for. */
   readonly #dealt = new Map<string, DealtShares>()
 
   private constructor (self: string) {
@@ -150,36 +140,42 @@
     this.#sharesFromMs = Math.min(this.#sharesFromMs, nowMs + SHARES_SETTLE_MS)
   }
 
-  decide ({ endpoint, service, gateways }: AccessRequest, nowMs: number): EndpointAccess {
+  decide ({ endpoint, service, gateways, named }: AccessRequest, nowMs: number): EndpointAccess {
     const coldPerS = service?.coldPerS ?? 0
-    if (coldPerS === 0) return { kind: 'unlimited' }
     const hasAgents = service?.engine !== undefined
-    if (!hasAgents && endpoint.coldUntilMs <= nowMs) return { kind: 'unlimited' }
+    const isCold = coldPerS > 0 && (hasAgents || endpoint.coldUntilMs > nowMs)
+    const namedPerS = named?.perS ?? undefined
+    if (!isCold && namedPerS === undefined) return { kind: 'unlimited' }
     const { id } = endpoint.record
-    const { access, shares } = this.#getBudget(coldPerS, hasAgents)
+    const cold = isCold ? this.#getBudget(coldPerS, hasAgents) : undefined
+    const access = hasAgents ? buildPermitAccess(cold, named) : undefined
     const agent = this.#agents.get(id)
     if (access === undefined || (agent !== undefined && agent.silentUntilMs > nowMs)) {
-      const dealt = this.#dealShares(id, shares, gateways)
-      return this.#hasShare(id, dealt, nowMs) ? { kind: 'share' } : { kind: 'borrow', owners: dealt.owners, rate: access?.rate }
+      const shares = listShares(cold?.shares, namedPerS, hasAgents)
+      return this.#hasShare(id, shares, gateways, nowMs) ? { kind: 'share' } : { kind: 'borrow', owners: this.#listOwners(id, shares, gateways), rate: access?.rate }
     }
     if (agent !== undefined && agent.deniedUntilMs > nowMs) return { kind: 'denied', untilMs: agent.deniedUntilMs, rate: access.rate }
     return agent !== undefined && nowMs - agent.deniedAtMs < CONTENDED_MS ? { ...access, isContended: true } : access
   }
 
   spendShare (endpoint: string, nowMs: number): void {
-    let window = this.#spent.get(endpoint)
-    if (window === undefined) {
+    let windows = this.#spent.get(endpoint)
+    if (windows === undefined) {
       this.#pruneSpent(nowMs)
-      window = SlidingWindow.create(SHARE_WINDOW_MS)
-      this.#spent.set(endpoint, window)
+      windows = { cold: SlidingWindow.create(COLD_WINDOW_MS), named: SlidingWindow.create(NAMED_WINDOW_MS) }
+      this.#spent.set(endpoint, windows)
     }
-    window.add(nowMs)
+    windows.cold.add(nowMs)
+    windows.named.add(nowMs)
   }
 
-  lendShare ({ endpoint, service, gateways }: AccessRequest, nowMs: number): boolean {
+  lendShare ({ endpoint, service, gateways, named }: AccessRequest, nowMs: number): boolean {
     const { id } = endpoint.record
-    const { shares } = this.#getBudget(service?.coldPerS ?? 0, service?.engine !== undefined)
-    if (!this.#hasShare(id, this.#dealShares(id, shares, gateways), nowMs)) return false
+    const coldPerS = service?.coldPerS ?? 0
+    const hasAgents = service?.engine !== undefined
+    const shares = listShares(coldPerS > 0 ? this.#getBudget(coldPerS, hasAgents).shares : undefined, named?.perS ?? undefined, hasAgents)
+    // A gateway that knows of no limit sends without shares, so it has none to lend.
+    if (Object.keys(shares).length === 0 || !this.#hasShare(id, shares, gateways, nowMs)) return false
     this.spendShare(id, nowMs)
     return true
   }
@@ -203,7 +199,7 @@
 
   forget (endpoint: string): void {
     this.#agents.delete(endpoint)
-    this.#dealt.delete(endpoint)
+    for (const kind of LIMIT_KINDS) this.#dealt.delete(formatDealtKey(endpoint, kind))
   }
 
   #getBudget (coldPerS: number, hasAgents: boolean): { readonly access: PermitAccess | undefined, readonly shares: number } {
@@ -214,22 +210,35 @@
     return this.#budget
   }
 
-  #hasShare (endpoint: string, { own }: DealtShares, nowMs: number): boolean {
-    return nowMs >= this.#sharesFromMs && (this.#spent.get(endpoint)?.count(nowMs) ?? 0) < own
+  #hasShare (endpoint: string, shares: ShareCounts, gateways: readonly string[], nowMs: number): boolean {
+    return nowMs >= this.#sharesFromMs && LIMIT_KINDS.every(kind => {
+      const count = shares[kind]
+      return count === undefined || (this.#spent.get(endpoint)?.[kind].count(nowMs) ?? 0) < this.#dealShares(endpoint, kind, count, gateways).own
+    })
+  }
+
+  /** Lists the other gateways that have shares of every limit in force. */
+  #listOwners (endpoint: string, shares: ShareCounts, gateways: readonly string[]): readonly string[] {
+    const lists = LIMIT_KINDS.flatMap(kind => {
+      const count = shares[kind]
+      return count === undefined ? [] : [this.#dealShares(endpoint, kind, count, gateways).owners]
+    })
+    return lists.reduce((all, owners) => all.filter(owner => owners.includes(owner)))
   }
 
   #pruneSpent (nowMs: number): void {
     if (this.#spent.size < SPENT_MAX) return
-    for (const [endpoint, window] of this.#spent) if (window.count(nowMs) === 0) this.#spent.delete(endpoint)
+    for (const [endpoint, { named }] of this.#spent) if (named.count(nowMs) === 0) this.#spent.delete(endpoint)
   }
 
-  #dealShares (endpoint: string, shares: number, gateways: readonly string[]): DealtShares {
-    const known = this.#dealt.get(endpoint)
+  #dealShares (endpoint: string, kind: LimitKind, shares: number, gateways: readonly string[]): DealtShares {
+    const key = formatDealtKey(endpoint, kind)
+    const known = this.#dealt.get(key)
     // Gateways are only ever added, so that their number identifies the list.
     if (known?.shares === shares && known.gateways === gateways.length) return known
     const counts = dealShares(endpoint, gateways, shares)
     const dealt = { shares, gateways: gateways.length, own: counts.get(this.#self) ?? 0, owners: [...counts.keys()].filter(gateway => gateway !== this.#self) }
-    this.#dealt.set(endpoint, dealt)
+    this.#dealt.set(key, dealt)
     return dealt
   }
 
@@ -243,22 +252,25 @@
   }
 }
 
-/**
- * Divides the limit of an endpoint so that permits and shares together stay within it
- * in every second, however long each request takes from its permit to its sending.
- *
- * @param coldPerS - requests per second that a cold endpoint tolerates
- * @param bounds - limit relative to that rate
- * @param hasAgents - whether the endpoints of the service have agents
- */
-export function computeColdBudget (coldPerS: number, { overshoot, slack }: ColdBounds, hasAgents: boolean): ColdBudget {
-  const limit = Math.floor(coldPerS * overshoot + slack)
-  if (!hasAgents) return { permits: undefined, shares: limit }
-  const validS = 1 + PERMIT_VALID_MS / 1_000
-  const perS = Math.min(PERMITS_SHARE * coldPerS, (limit - 1) / validS)
-  if (perS <= 0) return { permits: undefined, shares: limit }
-  const burst = Math.max(1, Math.min(PERMITS_BURST_MAX, Math.floor(limit - perS * validS)))
-  return { permits: { perS, burst }, shares: Math.max(0, Math.floor(limit - burst - perS * validS)) }
+const LIMIT_KINDS = ['cold', 'named'] as const
+
+function formatDealtKey (endpoint: string, kind: LimitKind): string {
+  return `${kind} ${endpoint}`
+}
+
+function listShares (coldShares: number | undefined, namedPerS: number | undefined, hasAgents: boolean): ShareCounts {
+  return {
+    ...(coldShares === undefined ? {} : { cold: coldShares }),
+    ...(namedPerS === undefined ? {} : { named: computeNamedBudget(namedPerS, hasAgents).shares })
+  }
+}
+
+/** Combines the permits of the limits in force; undefined when one of them has only shares. */
+function buildPermitAccess (cold: { readonly access: PermitAccess | undefined } | undefined, named: SharedStatement | undefined): PermitAccess | undefined {
+  if (named === undefined) return cold?.access
+  if (cold !== undefined && cold.access === undefined) return undefined
+  const rates = [...cold?.access === undefined ? [] : [cold.access.rate], ...named.perS === null ? [] : [computeNamedBudget(named.perS, true).permits]]
+  return { kind: 'permit', rate: { perS: Math.min(...rates.map(({ perS }) => perS)), burst: Math.min(...rates.map(({ burst }) => burst)), named }, isContended: false }
 }
 
 registerPlugin({ name: 'cold-limits', roles: ['gateway'], create: options => ColdLimitsPlugin.create(options) })
--- a/src/plugins/gateway/peers.ts
+++ b/src/plugins/gateway/peers.ts
@@ -1,5 +1,6 @@
 /** Tracks which other gateways are alive and how many requests they have in flight at each endpoint. */
 
+import type { SharedStatements } from './named-limits.js'
 import { registerPlugin } from '../../kernel/plugin.js'
 import type { Plugin } from '../../kernel/plugin.js'
 import type { Ports } from '../../kernel/ports.js'
@@ -20,6 +21,8 @@
   readonly inFlight: Readonly<Record<string, number>>
   /** Slowdown factors of slow endpoints, as the leader reads them from the ranks; absent from older versions. */
   readonly paces?: Readonly<Record<string, number>>
+  /** What endpoints said about the rates that they take; absent from older versions. */
+  readonly limits?: SharedStatements
   /** Endpoints that are unresponsive to this gateway although others of their service are active. */
   readonly silent?: readonly string[]
 }
--- a/test/adapter/dialect.test.ts
+++ b/test/adapter/dialect.test.ts
@@ -23,8 +23,8 @@
 
 // Guards against responses that lose their signature, and against a refusal that counts as a run.
 test('responses are decoded and forwarded', t => {
-  t.deepEqual(platformDialect.parseAnswer(503, ['Heatherdoor-Not-Executed', '1', 'At-Server', 'e2']), { notRun: true, misdirected: false, faultyEndpoint: 'e2' })
-  t.deepEqual(platformDialect.parseAnswer(421, ['Heatherdoor-Request-Id', 'r1']), { notRun: false, misdirected: true, requestId: 'r1' })
+  t.deepEqual(platformDialect.parseAnswer(503, ['Heatherdoor-Not-Executed', '1', 'At-Server', 'e2']), { notRun: true, misdirected: false, limit: { kind: 'none' }, faultyEndpoint: 'e2' })
+  t.deepEqual(platformDialect.parseAnswer(421, ['Heatherdoor-Request-Id', 'r1']), { notRun: false, misdirected: true, limit: { kind: 'none' }, requestId: 'r1' })
   t.deepEqual(platformDialect.buildAnswer(['Heatherdoor-Response-Signature', 's', 'Content-Length', '5', 'Keep-Alive', 'timeout=5', 'X-A', 'b']), ['Heatherdoor-Response-Signature', 's', 'X-A', 'b'])
   t.deepEqual(platformDialect.buildRefusal('r1', 250), { 'heatherdoor-request-id': 'r1', 'Retry-After': '0.250' })
 })
@@ -59,3 +59,12 @@
   t.snapshot(parseGatewaySettings('[host]\nname = "h"\nip = "10.0.0.1"\n[listen]\ncallers = "nowhere"\n').swap().extract())
   t.snapshot(parseAgentSettings('[host]\nname = "h"\nip = "10.0.0.1"\n[listen]\nlink_port = 7340\n[worker]\naddress = "10.0.0.1:80"\n').extract())
 })
+
+// Guards against a limit that keeps every request away from an endpoint, or ends the process, because it makes no sense.
+test('only a positive decimal number is a limit', t => {
+  const parse = (text: string): unknown => platformDialect.parseAnswer(200, ['Server-Limit', text]).limit
+  t.deepEqual(['1.5', '0.25', ' 12 ', '999999999'].map(parse), [1.5, 0.25, 12, 999_999_999].map(perS => ({ kind: 'rate', perS })))
+  for (const text of ['', '0', '0.0', '-1', '+1', 'NaN', 'Infinity', '1e9', '0x10', '1,5', '1.5.2', '9'.repeat(400), 'x'.repeat(60_000)]) {
+    t.deepEqual(parse(text), { kind: 'unreadable', text: text.slice(0, 40) }, text.slice(0, 40))
+  }
+})
--- a/test/gateway/cold.test.ts
+++ b/test/gateway/cold.test.ts
@@ -2,7 +2,7 @@
 import { computeBound, simulateColdFleet } from '../../bench/cold-fleet-model.js'
 import type { ColdResult, ColdScenario } from '../../bench/cold-fleet-model.js'
 import { listCases } from '../../bench/cold-fleet.js'
-import { computeColdBudget } from '../../src/plugins/gateway/cold-limits.js'
+import { computeColdBudget } from '../../src/plugins/gateway/limit-budgets.js'
 import { PermitBucket } from '../../src/plugins/gateway/permits.js'
 import { dealShares } from '../../src/plugins/gateway/shares.js'
 
--- a/test/gateway/selection.test.ts
+++ b/test/gateway/selection.test.ts
@@ -63,7 +63,7 @@
   for (const limits of gateways) limits.setBounds({ overshoot: 1.5, slack: 5 })
   for (let at = 0; at < 4_000; at += 10) {
     for (const limits of gateways) {
-      const access = limits.decide({ endpoint: buildView('e1', { coldUntilMs: 10_000 }), service: { name: 's', coldPerS: 36, engine: ENGINE }, gateways: names }, at)
+      const access = limits.decide({ endpoint: buildView('e1', { coldUntilMs: 10_000 }), service: { name: 's', coldPerS: 36, engine: ENGINE }, gateways: names, named: undefined }, at)
       if (access.kind === 'permit' && agent.reserve(access.rate, 0, at).kind === 'granted') starts.push(at)
     }
   }
