Send the strikes that matter most first

A heartbeat has room for 16 strikes and sent the oldest.

Strikes are sent by count, then the latest first. The new test fails before: the first of 40 strikes sent was the oldest.

--- a/src/plugins/gateway/crashes.ts
+++ b/src/plugins/gateway/crashes.ts
@@ -28,7 +28,7 @@
   clear (fingerprint: string): void
   /** Adopts the higher counts reported by another gateway. */
   merge (strikes: readonly Strikes[], nowMs: number): void
-  /** Strikes to send to the other gateways. */
+  /** Strikes to send to the other gateways, the most and then the latest first: a message has room for some of them only. */
   list (nowMs: number): readonly Strikes[]
 }
 
@@ -69,10 +69,10 @@
   }
 
   list (nowMs: number): readonly Strikes[] {
-    return [...this.#strikes.keys()].flatMap(fingerprint => {
+    return [...this.#strikes.keys()].reverse().flatMap(fingerprint => {
       const found = this.#find(fingerprint, nowMs)
       return found === undefined ? [] : [{ fingerprint, count: found.count }]
-    })
+    }).sort((a, b) => b.count - a.count)
   }
 
   #set (fingerprint: string, count: number, atMs: number): void {
--- a/test/gateway/decisions.test.ts
+++ b/test/gateway/decisions.test.ts
@@ -197,3 +197,11 @@
   }))
   t.is(splitter.getRemainder().toString(), 'id: 4')
 })
+
+// Guards against a request that keeps crashing endpoints because the strikes of others fill every heartbeat.
+test('the strikes that matter most are sent first', t => {
+  const crashes = CrashesPlugin.create()
+  for (let index = 0; index < 40; index += 1) crashes.noteCrash(`f${index}`, index)
+  crashes.noteCrash('f3', 50)
+  t.deepEqual(crashes.list(60).slice(0, 3), [{ fingerprint: 'f3', count: 2 }, { fingerprint: 'f39', count: 1 }, { fingerprint: 'f38', count: 1 }])
+})
