Ask for the state of a group at most every 200 ms after refusals

Endpoints that are full refuse many requests, and each refusal asked an agent whether the group stands still as soon as the question before it was answered.

--- a/src/gateway/recovery.ts
+++ b/src/gateway/recovery.ts
@@ -20,6 +20,9 @@
 const EARLY_POLL_INTERVAL_MS = 240
 const POLL_SOON_MS = 500
 
+/** Shortest time in ms between questions after refusals; endpoints that are full refuse many requests. */
+const REFUSED_ASK_INTERVAL_MS = 200
+
 /** Asks what an endpoint reports of its group; undefined when nobody answers. */
 export type AskGroup = (endpoint: EndpointView) => Promise<GroupState | undefined>
 
@@ -85,7 +88,8 @@
     const layers = this.#context.routes.findService(service)?.engine?.layers ?? 0
     if (layers === 0 || this.#asking.has(service)) return
     this.#asking.add(service)
-    this.#ask(endpoint).finally(() => { this.#asking.delete(service) }).catch((error: unknown) => { this.#context.log('internal-error', { reason: String(error) }) })
+    this.#context.clock.schedule(REFUSED_ASK_INTERVAL_MS, () => { this.#asking.delete(service) })
+    this.#ask(endpoint).catch((error: unknown) => { this.#context.log('internal-error', { reason: String(error) }) })
   }
 
   /** Records that an endpoint works, which ends the outage of its group. */
