Do not give up an event because the gateway itself stood still

An event that stays incomplete for 1 s counts as given up by its endpoint. After the gateway had stood still for longer, its first check came before it read the rest of the event from the socket.

Now 3 checks in a row must find the event incomplete.

--- a/src/gateway/crash-monitor.ts
+++ b/src/gateway/crash-monitor.ts
@@ -75,7 +75,7 @@
     if (decision.kind === 'allowed') return true
     const { part, crashes: ids } = decision
     metrics.count('part_decisions', decision.kind)
-    log(decision.kind === 'trial' ? 'part-tried' : 'request-quarantined', { request: requestId, part, crashes: ids.join(' '), ...(decision.kind === 'blocked' ? { untilMs: Math.round(decision.untilMs - nowMs) } : {}) })
+    log(decision.kind === 'trial' ? 'part-tried' : 'request-quarantined', { request: requestId, part, crashes: ids.join(' '), ...(decision.kind === 'blocked' ? { remainingMs: Math.round(decision.untilMs - nowMs) } : {}) })
     return decision.kind === 'trial'
   }
 
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -12,7 +12,7 @@
 import type { ExchangeOptions } from './exchange-options.js'
 import type { AnswerHead, RawHeaders } from './model.js'
 import { chooseStatus, isStream, mayRunAgain } from './repeat.js'
-import { createRunningAttempt, hasBegun, isEventOverdue, notePartialEvent } from './running-attempt.js'
+import { checkEventOverdue, createRunningAttempt, hasBegun, notePartialEvent } from './running-attempt.js'
 import type { BufferedAnswer, RunningAttempt } from './running-attempt.js'
 import { computeRetryAfterMs, sendAnswer, sendRefusal } from './responses.js'
 import { StartGate } from './start-gate.js'
@@ -100,7 +100,7 @@
   checkLiveness (nowMs: number): EndpointView | undefined {
     const running = this.#running
     if (running?.attempt.isSent !== true || running.isPaused) return undefined
-    if (isEventOverdue(running, nowMs)) {
+    if (checkEventOverdue(running, nowMs)) {
       this.#break(running, 'event incomplete')
       return undefined
     }
--- a/src/gateway/late-lane.ts
+++ b/src/gateway/late-lane.ts
@@ -28,17 +28,17 @@
   leave (): void
 }
 
-/** What happens to a late request. */
-export interface LateHandlers {
+/** Called with the decision on whether a request may start. */
+export interface StartHandlers {
   proceed (): void
-  /** Called when the request cannot be served in the time that is left. */
+  /** Called when the request cannot be served in time. */
   refuse (): void
 }
 
 interface Waiter {
   readonly request: HeldRequest
   readonly untilMs: number
-  readonly handlers: LateHandlers
+  readonly handlers: StartHandlers
 }
 
 interface Lane {
@@ -79,7 +79,7 @@
    * @param handlers - one of them is called, possibly at once
    * @returns the pass, to leave when the request ends
    */
-  enter (request: HeldRequest, handlers: LateHandlers): LatePass {
+  enter (request: HeldRequest, handlers: StartHandlers): LatePass {
     const lane = this.#getLane(request.service)
     let state: 'waiting' | 'sent' | 'left' = 'waiting'
     const waiter: Waiter = {
--- a/src/gateway/running-attempt.ts
+++ b/src/gateway/running-attempt.ts
@@ -8,6 +8,9 @@
 /** Time in ms for which an event of a stream may be incomplete; endpoints write events as a whole. */
 const PARTIAL_EVENT_MAX_MS = 1_000
 
+/** Checks that must have found an event incomplete: after the gateway itself stood still, the rest of the event waits unread in its socket. */
+const PARTIAL_CHECKS_MIN = 3
+
 /** An attempt and what its endpoint has answered so far. */
 export interface RunningAttempt {
   readonly attempt: Attempt
@@ -24,6 +27,8 @@
   events: number
   /** Monotonic time in ms since which an event is incomplete; undefined when none is. */
   partialSinceMs: number | undefined
+  /** Checks since then that found it incomplete. */
+  partialChecks: number
   /** Monotonic time in ms at which the endpoint last sent part of the answer, or at which the attempt started or reading resumed. */
   lastActivityMs: number
   /** Whether reading is paused because the caller reads more slowly than the endpoint sends. */
@@ -47,7 +52,7 @@
  */
 export function createRunningAttempt (attempt: Attempt, endpoint: EndpointView, nowMs: number): RunningAttempt {
   return {
-    attempt, endpoint, startedAtMs: nowMs, status: 0, head: undefined, headers: [], chunks: [], splitter: undefined, firstEventMs: undefined, events: 0, partialSinceMs: undefined, lastActivityMs: nowMs, isPaused: false
+    attempt, endpoint, startedAtMs: nowMs, status: 0, head: undefined, headers: [], chunks: [], splitter: undefined, firstEventMs: undefined, events: 0, partialSinceMs: undefined, partialChecks: 0, lastActivityMs: nowMs, isPaused: false
   }
 }
 
@@ -59,11 +64,16 @@
 /** Records whether the stream has an incomplete event after `hasCompleted` tells whether others were completed. */
 export function notePartialEvent (running: RunningAttempt, hasCompleted: boolean, nowMs: number): void {
   const isPartial = running.splitter?.isPartial ?? false
-  if (hasCompleted || !isPartial) running.partialSinceMs = undefined
+  if (hasCompleted || !isPartial) {
+    running.partialSinceMs = undefined
+    running.partialChecks = 0
+  }
   if (isPartial) running.partialSinceMs ??= nowMs
 }
 
-/** Whether an event has been incomplete for so long that the endpoint is not sending one. */
-export function isEventOverdue ({ partialSinceMs }: RunningAttempt, nowMs: number): boolean {
-  return partialSinceMs !== undefined && nowMs - partialSinceMs > PARTIAL_EVENT_MAX_MS
+/** Counts a check. @returns whether an event has been incomplete for so long that the endpoint is not sending one */
+export function checkEventOverdue (running: RunningAttempt, nowMs: number): boolean {
+  if (running.partialSinceMs === undefined) return false
+  running.partialChecks += 1
+  return nowMs - running.partialSinceMs > PARTIAL_EVENT_MAX_MS && running.partialChecks >= PARTIAL_CHECKS_MIN
 }
--- a/src/gateway/start-gate.ts
+++ b/src/gateway/start-gate.ts
@@ -1,29 +1,21 @@
 /** Decides when the first attempt of a request may start: not into an outage, and behind others when it is late. */
 
 import type { GatewayContext } from './context.js'
-import type { LatePass } from './late-lane.js'
+import type { LatePass, StartHandlers } from './late-lane.js'
 import type { HeldRequest } from './recovery.js'
 
 /** Time in ms until a service works again for which a request that is still on time is held instead of refused. */
 const HOLD_ON_TIME_MS = 200
 
-/** What happens to a request at the gate. */
-export interface GateHandlers {
-  /** Called when the request may be sent. */
-  proceed (): void
-  /** Called when its service does not work, or has no room, in time. */
-  refuse (): void
-}
-
 /** Gate of one request. */
 export class StartGate {
   readonly #context: Pick<GatewayContext, 'lateLane' | 'recovery'>
   readonly #request: HeldRequest
-  readonly #handlers: GateHandlers
+  readonly #handlers: StartHandlers
   #cancelHold: (() => void) | undefined
   #pass: LatePass | undefined
 
-  private constructor (context: Pick<GatewayContext, 'lateLane' | 'recovery'>, request: HeldRequest, handlers: GateHandlers) {
+  private constructor (context: Pick<GatewayContext, 'lateLane' | 'recovery'>, request: HeldRequest, handlers: StartHandlers) {
     this.#context = context
     this.#request = request
     this.#handlers = handlers
@@ -34,7 +26,7 @@
    * @param request - the request
    * @param handlers - called with the decision, possibly more than once when the request is retried
    */
-  static create (context: Pick<GatewayContext, 'lateLane' | 'recovery'>, request: HeldRequest, handlers: GateHandlers): StartGate {
+  static create (context: Pick<GatewayContext, 'lateLane' | 'recovery'>, request: HeldRequest, handlers: StartHandlers): StartGate {
     return new StartGate(context, request, handlers)
   }
 
--- a/src/plugins/gateway/outages.ts
+++ b/src/plugins/gateway/outages.ts
@@ -110,20 +110,20 @@
   }
 
   noteWorking (endpoint: EndpointView, nowMs: number): GroupChange {
-    for (const [key, outage] of this.#groups) if (includes(outage, endpoint)) return this.#end(key, outage, nowMs)
+    for (const [key, outage] of this.#groups) if (hasEndpoint(outage, endpoint)) return this.#end(key, outage, nowMs)
     return { kind: 'unchanged' }
   }
 
   find (usable: readonly EndpointView[], nowMs: number): Outage | undefined {
     if (this.#groups.size === 0 || usable.length === 0 || !usable.every(endpoint => this.isLost(endpoint, nowMs))) return undefined
-    const outages = [...this.#groups.values()].filter(outage => usable.some(endpoint => includes(outage, endpoint)))
+    const outages = [...this.#groups.values()].filter(outage => usable.some(endpoint => hasEndpoint(outage, endpoint)))
     return { expectedAtMs: Math.min(...outages.map(({ expectedAtMs }) => expectedAtMs)) }
   }
 
   isLost (endpoint: EndpointView, nowMs: number): boolean {
     for (const [key, outage] of this.#groups) {
       if (nowMs > Math.max(outage.expectedAtMs, outage.reportedAtMs) + OVERDUE_MAX_MS) this.#groups.delete(key)
-      else if (includes(outage, endpoint)) return true
+      else if (hasEndpoint(outage, endpoint)) return true
     }
     return false
   }
@@ -136,7 +136,7 @@
   }
 }
 
-function includes ({ service, endpoints }: GroupOutage, { record }: EndpointView): boolean {
+function hasEndpoint ({ service, endpoints }: GroupOutage, { record }: EndpointView): boolean {
   return endpoints === 'all' ? record.service === service : endpoints.has(record.id)
 }
 
--- a/test/gateway/callers.test.ts
+++ b/test/gateway/callers.test.ts
@@ -5,8 +5,11 @@
 import { startHarness } from './harness.js'
 import type { Harness, Script } from './harness.js'
 
-/** Time in ms that a test waits for the answers to arrive. */
-const RESPONSE_WAIT_MS = 400
+/** Time in ms that a test waits after the expected answers for further ones and for the end of the connection. */
+const FURTHER_WAIT_MS = 400
+
+/** Longest time in ms that a test waits for the expected answers. */
+const ANSWERS_WAIT_MAX_MS = 10_000
 
 /** Answers with the request as the endpoint received it. */
 const echo: Script = (request, response, body) => {
@@ -23,7 +26,7 @@
 }
 
 /** Sends parts with pauses in between and returns the answers, whether the connection was closed, and the requests that reached the endpoint. */
-async function exchange (parts: readonly string[], script: Script = echo, { closesSending = false }: { readonly closesSending?: boolean } = {}): Promise<unknown> {
+async function exchange (parts: readonly string[], script: Script = echo, { closesSending = false, answers: expected = 1 }: { readonly closesSending?: boolean, readonly answers?: number } = {}): Promise<unknown> {
   const harness = await startHarness('idempotent', { e1: script }, { attemptsMax: 1 })
   const { socket, read } = openSocket(harness, closesSending)
   let isClosed = false
@@ -34,8 +37,12 @@
     await wait(30)
   }
   if (closesSending) socket.end()
-  await wait(RESPONSE_WAIT_MS)
-  const answers = read().split(/(?=HTTP\/1\.1 \d{3})/).filter(Boolean).map(answer => {
+  const listAnswers = (): readonly string[] => read().split(/(?=HTTP\/1\.1 \d{3})/).filter(Boolean)
+  const endsAtMs = performance.now() + ANSWERS_WAIT_MAX_MS
+  const hasAll = (): boolean => isClosed || listAnswers().length >= expected
+  while (!hasAll() && performance.now() < endsAtMs) await wait(20)
+  await wait(FURTHER_WAIT_MS)
+  const answers = listAnswers().map(answer => {
     const [head = '', body = ''] = answer.split('\r\n\r\n')
     return { status: head.split('\r\n')[0], body }
   })
@@ -69,7 +76,7 @@
     length: await exchange([formatRequest('r1', ['Content-Length: 4', 'X-Kept: yes'], 'body')]),
     chunks: await exchange([formatRequest('r2', ['Transfer-Encoding: chunked']), '2\r\nbo\r\n', '2\r\ndy\r\n', '0\r\n\r\n']),
     'hop headers': await exchange([formatRequest('r3', ['Content-Length: 0', 'Connection: keep-alive, X-Hop', 'X-Hop: 1', 'TE: trailers', 'Keep-Alive: timeout=5'])]),
-    'body on request': await exchange([formatRequest('r4', ['Content-Length: 4', 'Expect: 100-continue']), 'body']),
+    'body on request': await exchange([formatRequest('r4', ['Content-Length: 4', 'Expect: 100-continue']), 'body'], echo, { answers: 2 }),
     'body too large': await exchange([formatRequest('r5', ['Content-Length: 2000'], 'x'.repeat(2_000))])
   })
 })
@@ -78,8 +85,8 @@
 test('several requests on one connection are answered in order', async t => {
   const slowFirst: Script = (request, response) => { setTimeout(() => { response.end(String(request.url)) }, request.url === '/a/1' ? 150 : 0) }
   t.snapshot({
-    pipelined: await exchange([formatRequest('r1', ['Content-Length: 0'], '', '/a/1') + formatRequest('r2', ['Content-Length: 0'], '', '/a/2')], slowFirst),
-    'one after the other': await exchange([formatRequest('r1', ['Content-Length: 0'], '', '/a/2'), formatRequest('r2', ['Content-Length: 0'], '', '/a/2')], slowFirst),
+    pipelined: await exchange([formatRequest('r1', ['Content-Length: 0'], '', '/a/1') + formatRequest('r2', ['Content-Length: 0'], '', '/a/2')], slowFirst, { answers: 2 }),
+    'one after the other': await exchange([formatRequest('r1', ['Content-Length: 0'], '', '/a/2'), formatRequest('r2', ['Content-Length: 0'], '', '/a/2')], slowFirst, { answers: 2 }),
     'sending side closed': await exchange([formatRequest('r1', ['Content-Length: 0'], '', '/a/1')], slowFirst, { closesSending: true })
   })
 })
--- a/test/gateway/exchange.test.ts
+++ b/test/gateway/exchange.test.ts
@@ -135,3 +135,23 @@
     return { event, result, endpoint, status, mayHaveRun }
   }))
 })
+
+// Guards against a stream that is resumed although its endpoint is well, because the gateway itself had stood still.
+test('an event that was incomplete while the gateway stood still is not given up', async t => {
+  let finish = (): void => {}
+  const harness = await startHarness('resumable-stream', {
+    e1: (_request, response) => {
+      response.setHeader('Content-Type', 'text/event-stream')
+      response.write('id: 1\ndata: x\n\nid: 2')
+      finish = () => { response.end('\ndata: y\n\n') }
+    },
+    e2: stream(4)
+  })
+  const answer = harness.call()
+  await wait(200)
+  for (const exchange of harness.context.listExchanges()) exchange.checkLiveness(performance.now() + 4_000)
+  finish()
+  const { body, isComplete } = await answer
+  harness.close()
+  t.deepEqual([body, isComplete, harness.received['e2']], ['id: 1\ndata: x\n\nid: 2\ndata: y\n\n', true, []])
+})
