Give up the place of a late request that ends while it starts

A late request that finds no endpoint ends before it has its pass, so its place among the late requests in flight was never given up. After a few of them no other late request could start on that gateway: each waited 1.5 s and was refused. Found while reading the change; no run showed it.

The new test fails before: 1 of 3 requests is sent.

--- a/src/gateway/start-gate.ts
+++ b/src/gateway/start-gate.ts
@@ -14,6 +14,7 @@
   readonly #handlers: StartHandlers
   #cancelHold: (() => void) | undefined
   #pass: LatePass | undefined
+  #hasLeft = false
 
   private constructor (context: Pick<GatewayContext, 'lateLane' | 'recovery'>, request: HeldRequest, handlers: StartHandlers) {
     this.#context = context
@@ -50,12 +51,18 @@
 
   /** Records that the request has ended. */
   leave (): void {
+    this.#hasLeft = true
     this.#cancelHold?.()
     this.#pass?.leave()
   }
 
   #join (isPaced: boolean): void {
-    if (!isPaced || this.#pass !== undefined) this.#handlers.proceed()
-    else this.#pass = this.#context.lateLane.enter(this.#request, this.#handlers)
+    if (!isPaced || this.#pass !== undefined) {
+      this.#handlers.proceed()
+      return
+    }
+    this.#pass = this.#context.lateLane.enter(this.#request, this.#handlers)
+    // A request that cannot be sent to any endpoint ends while it enters.
+    if (this.#hasLeft) this.#pass.leave()
   }
 }
--- a/test/gateway/recovery.test.ts
+++ b/test/gateway/recovery.test.ts
@@ -172,3 +172,21 @@
   const base = { deadlineMs: 7_500, waitedMs: 10, isResumed: false }
   t.deepEqual([base, { ...base, deadlineMs: undefined }, { ...base, deadlineMs: 5_900 }, { ...base, waitedMs: 500 }, { ...base, isResumed: true }].map(times => isLate(route, times)), [false, false, true, true, true])
 })
+
+// Guards against late requests that find no endpoint and keep their place for good, until no other late request may start.
+test('a late request that ends while it starts gives up its place', async t => {
+  const gateway = SimulatedGateway.create()
+  for (const endpoint of gateway.endpoints.listUsable('s')) for (let count = 0; count < 5; count += 1) gateway.selection.noteStart(endpoint)
+  let sent = 0
+  for (let count = 0; count < 3; count += 1) {
+    const gate: StartGate = StartGate.create({ recovery: gateway.recovery, lateLane: gateway.lane }, gateway.createRequest(), {
+      proceed: () => {
+        sent += 1
+        gate.leave()
+      },
+      refuse: () => {}
+    })
+    gate.enter(true, true)
+  }
+  t.is(sent, 3)
+})
