--- a/src/plugins/gateway/retry-after.ts
+++ b/src/plugins/gateway/retry-after.ts
@@ -25,6 +25,9 @@
 /** Largest random extension of a wait, as a share of it, so that callers do not retry all at once. */
 const JITTER = 0.5
 
+/** Time in ms after the expected end of an outage at which the first callers come back. */
+const RETURN_MARGIN_MS = 200
+
 /** Why a request that did not run is refused. */
 export type RefusalCause =
   /** No endpoint has a free slot. */
@@ -71,7 +74,7 @@
     const share = refused / (refused + this.#served.get(service).count(nowMs))
     switch (cause.kind) {
       case 'full': return (BASE_WAIT_MS + LOAD_WAIT_MS * share) * (1 + JITTER * fraction)
-      case 'lost': return cause.remainingMs === undefined ? Math.min(cause.longestMs, RECOVERY_WAIT_MS * (1 + JITTER * fraction)) : Math.min(cause.longestMs, Math.max(cause.remainingMs + 200, RECOVERY_WAIT_MS * (1 + JITTER * fraction)))
+      case 'lost': return cause.remainingMs === undefined ? Math.min(cause.longestMs, RECOVERY_WAIT_MS * (1 + JITTER * fraction)) : Math.min(cause.longestMs, Math.max(cause.remainingMs + RETURN_MARGIN_MS, RECOVERY_WAIT_MS * (1 + JITTER * fraction)))
       default: return assertNever(cause)
     }
   }
