Send no requests to an endpoint that has said in an answer that it leaves

Cause: nothing read the header with which an endpoint announces its leave in its answers.

All choices use listAvailable: first attempts, retries, resumes, shares, permits that are granted after a wait, held and late requests; a connection that has just been opened asks once more before the request is sent. Requests that were sent before are answered.

--- a/src/gateway/admission.ts
+++ b/src/gateway/admission.ts
@@ -57,7 +57,7 @@
 }
 
 /** Parts of the gateway that an admission uses. */
-export type AdmissionContext = Pick<GatewayContext, 'askPermit' | 'askShare' | 'choose' | 'chooseLender' | 'chooseSoonest' | 'clock' | 'coldLimits' | 'endpoints' | 'getNowMs' | 'log' | 'metrics' | 'selection'>
+export type AdmissionContext = Pick<GatewayContext, 'askPermit' | 'askShare' | 'choose' | 'chooseLender' | 'chooseSoonest' | 'clock' | 'coldLimits' | 'getNowMs' | 'listAvailable' | 'log' | 'metrics' | 'selection'>
 
 /** Search of one request for an endpoint. */
 export class Admission {
@@ -136,7 +136,7 @@
     }
     const soonest = this.#hasWaited ? undefined : this.#context.chooseSoonest(service, nowMs)
     if (soonest === undefined) {
-      this.#finish({ kind: this.#context.endpoints.listUsable(service).length === 0 ? 'no-endpoint' : 'limited' })
+      this.#finish({ kind: this.#context.listAvailable(service).length === 0 ? 'no-endpoint' : 'limited' })
       return
     }
     this.#hasWaited = true
@@ -195,7 +195,7 @@
 
   /** Whether the endpoint may still be used; it may have been drained or taken out of service during a wait. */
   #isUsable ({ endpoint: { record: { id } } }: Selection): boolean {
-    return this.#context.endpoints.listUsable(this.#options.service).some(({ record }) => record.id === id)
+    return this.#context.listAvailable(this.#options.service).some(({ record }) => record.id === id)
   }
 
   #admitIfUsable (selection: Selection, access: AdmittedAccess, permit: Permit): void {
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -9,6 +9,7 @@
 import type { ColdLimitsPort, EndpointAccess } from '../plugins/gateway/cold-limits.js'
 import type { EndpointsPort, EndpointView } from '../plugins/gateway/endpoints.js'
 import type { LimitStatement, NamedLimitsPort, SharedStatements } from '../plugins/gateway/named-limits.js'
+import type { Announcement, NoticesPort } from '../plugins/gateway/notices.js'
 import type { OutagesPort } from '../plugins/gateway/outages.js'
 import type { PartCrashesPort } from '../plugins/gateway/part-crashes.js'
 import type { PeersPort } from '../plugins/gateway/peers.js'
@@ -76,6 +77,7 @@
   readonly selection: SelectionPort
   readonly coldLimits: ColdLimitsPort
   readonly namedLimits: NamedLimitsPort
+  readonly notices: NoticesPort
   readonly retryAfter: RetryAfterPort
   readonly liveness: LivenessPort
   readonly crashMonitor: CrashMonitor
@@ -111,6 +113,7 @@
     this.selection = kernel.getPort('selection')
     this.coldLimits = kernel.getPort('coldLimits')
     this.namedLimits = kernel.getPort('namedLimits')
+    this.notices = kernel.getPort('notices')
     this.retryAfter = kernel.getPort('retryAfter')
     this.liveness = kernel.getPort('liveness')
     this.outages = kernel.getPort('outages')
@@ -225,6 +228,16 @@
     return this.coldLimits.lendShare({ endpoint, service, gateways: this.peers.listKnown(), named: this.namedLimits.describe(endpointId, nowMs) }, nowMs)
   }
 
+  /** Lists the endpoints that the store lists as usable and that have not said that they take no requests. */
+  listAvailable (service: string): readonly EndpointView[] {
+    return this.endpoints.listUsable(service).filter(endpoint => this.isAvailable(endpoint))
+  }
+
+  /** Whether an endpoint takes requests, as far as it has said. */
+  isAvailable ({ record }: EndpointView): boolean {
+    return this.notices.describe(record).kind === 'open'
+  }
+
   /** Whether a usable endpoint is left that was not tried and is not unresponsive. */
   hasAlternative (service: string, tried: ReadonlySet<string>): boolean {
     return this.#listWorking(service, this.getNowMs()).some(({ record: { id } }) => !tried.has(id) && !this.liveness.isUnresponsive(id))
@@ -235,6 +248,13 @@
     if (this.liveness.noteActivity(id, service, this.getNowMs())) this.log('endpoint-heard', { endpoint: id })
   }
 
+  /** Records what an answer announces about its endpoint. */
+  noteAnnouncement ({ record }: EndpointView, announcement: Announcement): void {
+    for (const change of this.notices.noteAnswer(record, announcement)) {
+      this.log('endpoint-announced', { endpoint: record.id, change, born: record.bornMs, state: this.endpoints.find(record.id)?.record.state ?? 'unlisted' })
+    }
+  }
+
   /**
    * Records what an answer says about the rate that its endpoint takes.
    *
@@ -281,6 +301,7 @@
     this.liveness.forget(endpoint)
     this.coldLimits.forget(endpoint)
     this.namedLimits.forget(endpoint)
+    this.notices.forgetUndated(endpoint)
   }
 
   addExchange (exchange: Exchange): void {
@@ -298,9 +319,9 @@
     return [...this.#exchanges]
   }
 
-  /** Lists the usable endpoints without those whose group has lost a rank. */
+  /** Lists the available endpoints without those whose group has lost a rank. */
   #listWorking (service: string, nowMs: number): readonly EndpointView[] {
-    return this.endpoints.listUsable(service).filter(endpoint => !this.outages.isLost(endpoint, nowMs))
+    return this.listAvailable(service).filter(endpoint => !this.outages.isLost(endpoint, nowMs))
   }
 
   #buildAccess (service: string, nowMs: number): (endpoint: EndpointView) => EndpointAccess {
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -11,6 +11,7 @@
 import type { MonitoredRequest } from './crash-monitor.js'
 import type { ExchangeOptions } from './exchange-options.js'
 import type { AnswerHead, RawHeaders } from './model.js'
+import type { Permit } from './permit.js'
 import { chooseStatus, isStream, mayRunAgain } from './repeat.js'
 import { checkEventOverdue, createRunningAttempt, hasBegun, notePartialEvent } from './running-attempt.js'
 import type { BufferedAnswer, RunningAttempt } from './running-attempt.js'
@@ -177,7 +178,7 @@
       ...(this.#lastEventId === undefined ? {} : { lastEventId: this.#lastEventId })
     })
     this.#context.log('work-started', { request: request.requestId, attempt: this.#attempts, access, inFlight, ...this.#context.describeEndpoint(endpoint) })
-    const attempt = Attempt.create({ address: record.address, method, path: request.path, headers: attemptHeaders, body, ...(permit === undefined ? {} : { mayBeSent: () => permit.isValid() }) }, {
+    const attempt = Attempt.create({ address: record.address, method, path: request.path, headers: attemptHeaders, body, findObstacle: () => this.#findObstacle(endpoint, permit) }, {
       handleHead: (status, answerHeaders) => { this.#handleHead(status, answerHeaders) },
       handleData: chunk => { this.#handleData(chunk) },
       handleEnd: () => { this.#handleEnd() },
@@ -186,6 +187,12 @@
     this.#running = createRunningAttempt(attempt, endpoint, nowMs)
   }
 
+  /** Why a request may not be sent any more, although its endpoint was chosen. */
+  #findObstacle (endpoint: EndpointView, permit: Permit | undefined): string | undefined {
+    if (permit?.isValid() === false) return 'permit expired'
+    return this.#context.isAvailable(endpoint) ? undefined : 'endpoint takes no requests'
+  }
+
   /** Retries at another endpoint; stays with the unresponsive one when no alternative is left, as it may recover. */
   #abandonUnresponsive (running: RunningAttempt, nowMs: number): void {
     const { route, service } = this.#options
@@ -217,7 +224,10 @@
       return
     }
     this.#noteActivity(running)
-    if (!head.misdirected) this.#context.noteLimit(running.endpoint, head.limit, running.startedAtMs)
+    if (!head.misdirected) {
+      this.#context.noteLimit(running.endpoint, head.limit, running.startedAtMs)
+      this.#context.noteAnnouncement(running.endpoint, head)
+    }
     if (!head.notRun && !head.misdirected) this.#context.recovery.noteWorking(running.endpoint)
     running.status = status
     running.headers = headers
--- a/src/gateway/late-lane.ts
+++ b/src/gateway/late-lane.ts
@@ -20,7 +20,7 @@
 const AVERAGE_WEIGHT = 0.05
 
 /** Parts of the gateway that a lane uses. */
-export type LateLaneContext = Pick<GatewayContext, 'clock' | 'endpoints' | 'getNowMs' | 'log' | 'peers' | 'selection'>
+export type LateLaneContext = Pick<GatewayContext, 'clock' | 'getNowMs' | 'listAvailable' | 'log' | 'peers' | 'selection'>
 
 /** A late request that waits or is in flight. */
 export interface LatePass {
@@ -134,9 +134,9 @@
   /** Number of late requests that this gateway may have in flight: its part of what is left of the slots. */
   #countRoom (service: string, lane: Lane): number {
     const own = this.#context.selection.listInFlight()
-    const usable = this.#context.endpoints.listUsable(service)
-    const slots = usable.reduce((sum, { record }) => sum + record.slots, 0)
-    const load = usable.reduce((sum, { record: { id } }) => sum + (own[id] ?? 0) + this.#context.peers.countInFlight(id), 0)
+    const available = this.#context.listAvailable(service)
+    const slots = available.reduce((sum, { record }) => sum + record.slots, 0)
+    const load = available.reduce((sum, { record: { id } }) => sum + (own[id] ?? 0) + this.#context.peers.countInFlight(id), 0)
     return Math.max(1, (LOAD_MAX * slots - load + lane.inFlight) / (this.#context.peers.listReady().length + 1))
   }
 
--- a/src/gateway/model.ts
+++ b/src/gateway/model.ts
@@ -157,6 +157,8 @@
   readonly misdirected: boolean
   /** Rate that the endpoint says it takes. */
   readonly limit: LimitStatement
+  /** Whether the endpoint says that it leaves. */
+  readonly isLeaving: boolean
   /** Lost endpoint because of which this one refused. */
   readonly faultyEndpoint?: string
 }
--- a/src/gateway/recovery.ts
+++ b/src/gateway/recovery.ts
@@ -37,7 +37,7 @@
 }
 
 /** Parts of the gateway that a `RecoveryQueue` uses. */
-export type RecoveryContext = Pick<GatewayContext, 'clock' | 'endpoints' | 'getNowMs' | 'log' | 'outages' | 'pickFloat' | 'routes'>
+export type RecoveryContext = Pick<GatewayContext, 'clock' | 'endpoints' | 'getNowMs' | 'listAvailable' | 'log' | 'outages' | 'pickFloat' | 'routes'>
 
 interface Waiter {
   readonly request: HeldRequest
@@ -67,10 +67,10 @@
     return new RecoveryQueue(context, askGroup)
   }
 
-  /** @returns time in ms until the service is expected to work; undefined unless all its endpoints are lost */
+  /** @returns time in ms until the service is expected to work; undefined unless all endpoints that take requests are lost */
   findRemainingMs (service: string): number | undefined {
     const nowMs = this.#context.getNowMs()
-    const outage = this.#context.outages.find(this.#context.endpoints.listUsable(service), nowMs)
+    const outage = this.#context.outages.find(this.#context.listAvailable(service), nowMs)
     return outage === undefined ? undefined : Math.max(0, outage.expectedAtMs - nowMs)
   }
 
--- a/src/gateway/upstream.ts
+++ b/src/gateway/upstream.ts
@@ -41,8 +41,8 @@
   readonly path: string
   readonly headers: Record<string, string | string[]>
   readonly body: Buffer
-  /** Whether the request may still be sent, asked once the connection stands. */
-  readonly mayBeSent?: () => boolean
+  /** Why the request may no longer be sent, asked once the connection stands. */
+  readonly findObstacle?: () => string | undefined
 }
 
 const agent = new Agent({ keepAlive: false, noDelay: true })
@@ -57,15 +57,16 @@
   #response: IncomingMessage | undefined
 
   private constructor (options: AttemptOptions, handlers: AttemptHandlers) {
-    const { address, method, path, headers, body, mayBeSent } = options
+    const { address, method, path, headers, body, findObstacle } = options
     this.#handlers = handlers
     this.#request = openRequest({ host: address.host, port: address.port, method, path, headers, agent, setHost: false, maxHeaderSize: HEAD_BYTES_MAX })
     this.#timer = setTimeout(() => { this.#fail('connect timeout') }, CONNECT_TIMEOUT_MS)
     this.#request.on('socket', socket => {
       socket.once('connect', () => {
         clearTimeout(this.#timer)
-        if (mayBeSent?.() === false) {
-          this.#fail('permit expired')
+        const obstacle = findObstacle?.()
+        if (obstacle !== undefined) {
+          this.#fail(obstacle)
           return
         }
         this.#isConnected = true
--- a/src/kernel/ports.ts
+++ b/src/kernel/ports.ts
@@ -6,6 +6,7 @@
 import type { ColdLimitsPort } from '../plugins/gateway/cold-limits.js'
 import type { CrashesPort } from '../plugins/gateway/crashes.js'
 import type { NamedLimitsPort } from '../plugins/gateway/named-limits.js'
+import type { NoticesPort } from '../plugins/gateway/notices.js'
 import type { OutagesPort } from '../plugins/gateway/outages.js'
 import type { PartCrashesPort } from '../plugins/gateway/part-crashes.js'
 import type { EndpointsPort } from '../plugins/gateway/endpoints.js'
@@ -184,6 +185,7 @@
   readonly partCrashes: PartCrashesPort
   readonly outages: OutagesPort
   readonly namedLimits: NamedLimitsPort
+  readonly notices: NoticesPort
   readonly selection: SelectionPort
   readonly retryAfter: RetryAfterPort
   readonly liveness: LivenessPort
--- a/src/plugins/gateway/endpoints.ts
+++ b/src/plugins/gateway/endpoints.ts
@@ -4,6 +4,7 @@
 import { registerPlugin } from '../../kernel/plugin.js'
 import type { Plugin } from '../../kernel/plugin.js'
 import type { Ports } from '../../kernel/ports.js'
+import { formatIncarnation } from './notices.js'
 
 /** Time in ms after a store outage during which entries that lapsed in the outage are expected to be written again. */
 export const LAPSE_GRACE_MS = 2_000
@@ -157,8 +158,4 @@
   }
 }
 
-function formatIncarnation ({ id, bornMs }: EndpointRecord): string {
-  return `${id} ${bornMs}`
-}
-
 registerPlugin({ name: 'endpoints', roles: ['gateway'], create: () => EndpointsPlugin.create() })
--- a/test/gateway/recovery.test.ts
+++ b/test/gateway/recovery.test.ts
@@ -45,6 +45,7 @@
         }
       },
       endpoints: this.endpoints,
+      listAvailable: (service: string) => this.endpoints.listUsable(service),
       outages: this.outages,
       peers: this.#kernel.getPort('peers'),
       routes,
