Send no requests to an endpoint during the pause that it names when it refuses

Cause: nothing read the Retry-After of an endpoint.

Zero, negative and unreadable values and dates are logged and ignored. Callers are refused at once when no endpoint takes requests, with a Retry-After from the end of the first pause.

--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -235,7 +235,19 @@
 
   /** Whether an endpoint takes requests, as far as it has said. */
   isAvailable ({ record }: EndpointView): boolean {
-    return this.notices.describe(record).kind === 'open'
+    return this.notices.describe(record, this.getNowMs()).kind === 'open'
+  }
+
+  /** @returns time in ms until the first endpoint of a service ends its pause; undefined unless none takes requests and one pauses */
+  findPauseMs (service: string): number | undefined {
+    const nowMs = this.getNowMs()
+    let untilMs = Infinity
+    for (const { record } of this.endpoints.listUsable(service)) {
+      const availability = this.notices.describe(record, nowMs)
+      if (availability.kind === 'open') return undefined
+      if (availability.kind === 'paused') untilMs = Math.min(untilMs, availability.untilMs)
+    }
+    return untilMs === Infinity ? undefined : untilMs - nowMs
   }
 
   /** Whether a usable endpoint is left that was not tried and is not unresponsive. */
@@ -250,8 +262,11 @@
 
   /** Records what an answer announces about its endpoint. */
   noteAnnouncement ({ record }: EndpointView, announcement: Announcement): void {
-    for (const change of this.notices.noteAnswer(record, announcement)) {
-      this.log('endpoint-announced', { endpoint: record.id, change, born: record.bornMs, state: this.endpoints.find(record.id)?.record.state ?? 'unlisted' })
+    const { pause } = announcement
+    for (const change of this.notices.noteAnswer(record, announcement, this.getNowMs())) {
+      this.log('endpoint-announced', {
+        endpoint: record.id, change, born: record.bornMs, state: this.endpoints.find(record.id)?.record.state ?? 'unlisted', ...(pause.kind === 'time' ? { pauseMs: Math.round(pause.ms) } : pause.kind === 'ignored' ? { text: pause.text } : {})
+      })
     }
   }
 
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -358,7 +358,8 @@
     }
     this.#isGroupLost = head.faultyEndpoint !== undefined
     this.#context.recovery.noteRefused(running.endpoint)
-    this.#retryOrFail('overloaded', REFUSED_BACKOFF_MS)
+    if (this.#context.listAvailable(this.#options.service).length === 0) this.#fail('no-endpoint')
+    else this.#retryOrFail('overloaded', REFUSED_BACKOFF_MS)
   }
 
   /** Retries when the request may be repeated or has certainly not run; otherwise sends the error. */
--- a/src/gateway/model.ts
+++ b/src/gateway/model.ts
@@ -1,6 +1,7 @@
 /** Data model of a gateway: endpoints, routes, teams and limits, as decoded by the adapter of a platform. */
 
 import type { LimitStatement } from '../plugins/gateway/named-limits.js'
+import type { PauseStatement } from '../plugins/gateway/notices.js'
 
 /** Address that a process listens on. */
 export interface Address {
@@ -159,6 +160,8 @@
   readonly limit: LimitStatement
   /** Whether the endpoint says that it leaves. */
   readonly isLeaving: boolean
+  /** For how long the endpoint, which has refused the request, wants no others. */
+  readonly pause: PauseStatement
   /** Lost endpoint because of which this one refused. */
   readonly faultyEndpoint?: string
 }
--- a/src/gateway/responses.ts
+++ b/src/gateway/responses.ts
@@ -21,9 +21,11 @@
 }
 
 /** @returns time in ms until the caller should retry; undefined for a request that crashes endpoints, which should not be retried */
-export function computeRetryAfterMs (context: Pick<GatewayContext, 'recovery' | 'retryAfter' | 'getNowMs' | 'pickFloat'>, { service, error, isGroupLost, deadlineAtMs }: Refusal): number | undefined {
+export function computeRetryAfterMs (context: Pick<GatewayContext, 'findPauseMs' | 'recovery' | 'retryAfter' | 'getNowMs' | 'pickFloat'>, { service, error, isGroupLost, deadlineAtMs }: Refusal): number | undefined {
   if (error === 'quarantined') return undefined
   const nowMs = context.getNowMs()
+  const pauseMs = context.findPauseMs(service)
+  if (pauseMs !== undefined) return context.retryAfter.computeRetryAfterMs(service, { kind: 'paused', remainingMs: pauseMs }, context.pickFloat(), nowMs)
   const remainingMs = context.recovery.findRemainingMs(service)
   const isLost = error === 'no-endpoint' || isGroupLost || remainingMs !== undefined
   const longestMs = Math.max(0, RETRY_AFTER_SHARE_MAX * (deadlineAtMs - nowMs))
--- a/src/plugins/gateway/retry-after.ts
+++ b/src/plugins/gateway/retry-after.ts
@@ -34,6 +34,8 @@
   | { readonly kind: 'full' }
   /** No endpoint is usable, or the group of the endpoint has lost a rank; `remainingMs` is the time until one is expected to be, and `longestMs` the longest wait that callers honour. */
   | { readonly kind: 'lost', readonly remainingMs: number | undefined, readonly longestMs: number }
+  /** Every endpoint has named a pause or leaves; the first pause ends after `remainingMs`. */
+  | { readonly kind: 'paused', readonly remainingMs: number }
 
 /** Retry delays for refused callers. */
 export interface RetryAfterPort {
@@ -75,6 +77,7 @@
     switch (cause.kind) {
       case 'full': return (BASE_WAIT_MS + LOAD_WAIT_MS * share) * (1 + JITTER * fraction)
       case 'lost': return cause.remainingMs === undefined ? Math.min(cause.longestMs, RECOVERY_WAIT_MS * (1 + JITTER * fraction)) : Math.min(cause.longestMs, Math.max(cause.remainingMs + RETURN_MARGIN_MS, RECOVERY_WAIT_MS * (1 + JITTER * fraction)))
+      case 'paused': return cause.remainingMs + BASE_WAIT_MS * (1 + JITTER * fraction)
       default: return assertNever(cause)
     }
   }
