Break off a stream when the endpoint that should go on with it answers with an error

Callers lost every connection to a gateway: a stream had begun and broke off, the next endpoint answered its resume with a status that is neither 200 nor at least 500 (404, 409, 301, 204), and the gateway wrote the head of that answer after that of the stream. writeHead throws there, outside of any handler, so the whole process ended with ERR_HTTP_HEADERS_SENT.

Change: such an answer counts as a failed attempt of the stream; it is retried within its limits, else the stream ends incomplete.

The test ended with the uncaught exception before; now all of 14 statuses give an incomplete stream whose events are whole.

--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -303,6 +303,10 @@
       this.#settleAttempt('failed')
       this.#failureAnswer = { status, headers: running.headers, body: Buffer.concat(running.chunks) }
       this.#retryOrFail('endpoint-failed', 0)
+    } else if (this.#isHeadSent) {
+      this.#mayHaveRun = true
+      this.#settleAttempt('failed', `status ${status} to the rest of a stream`)
+      this.#retryOrFail('stream-broken', 0)
     } else {
       this.#noteAnswered(running)
       this.#sendAnswer({ status, headers: running.headers, body: Buffer.concat(running.chunks) }, 'ok')
