Pass on only events that belong to the stream, each once

Callers could find another answer in the middle of their stream: the bytes of a stream without a length are all body, so an earlier refusal or a second answer that the endpoint wrote after its events ended with a blank line and was passed on as an event. An endpoint that started again instead of going on sent events twice. A stream that broke right after its first events was closed before they were sent.

Change: each block of a stream is classified: comments, events with a higher id than the last one (over all attempts), and foreign bytes, at which the attempt breaks and the rest is resumed elsewhere. Ids are needed where streams can be resumed, else from the first event with one on. A stream that is broken off closes after its events. What a caller receives of a stream is one class, StreamAnswer.

--- a/src/gateway/events.ts
+++ b/src/gateway/events.ts
@@ -1,5 +1,7 @@
 /** Splits an event stream into complete events, so that callers never receive a partial one when a stream breaks. */
 
+import type { EventOrder } from './event-order.js'
+
 const LINE_FEED = 0x0a
 const CARRIAGE_RETURN = 0x0d
 const ID_FIELD = Buffer.from('id:')
@@ -13,6 +15,7 @@
   readonly bytes: Buffer
   /** Identifier of the last event that has one; undefined when none has. */
   readonly lastId?: string
+  /** Number of events; blocks of comments are none. */
   readonly count: number
 }
 
@@ -28,19 +31,26 @@
   #parts: Buffer[] = []
   #partsBytes = 0
   #overlap: Buffer = Buffer.alloc(0)
+  #isForeign = false
+  readonly #order: EventOrder
 
-  private constructor () {}
+  private constructor (order: EventOrder) {
+    this.#order = order
+  }
 
-  /** @returns a splitter at the start of a stream */
-  static create (): EventSplitter {
-    return new EventSplitter()
+  /**
+   * @param order - order of the events of the stream, which goes on from earlier attempts
+   * @returns a splitter at the start of an answer
+   */
+  static create (order: EventOrder): EventSplitter {
+    return new EventSplitter(order)
   }
 
   /**
    * Adds bytes of the stream.
    *
    * @param chunk - bytes as received
-   * @returns the events completed by the chunk; undefined when there are none
+   * @returns the events completed by the chunk, up to the first that is foreign; undefined when there are none
    */
   add (chunk: Buffer): EventBatch | undefined {
     const latest = Buffer.concat([this.#overlap, chunk])
@@ -50,19 +60,28 @@
     let end = 0
     let count = 0
     for (let next = findEventEnd(bytes, 0); next !== undefined; next = findEventEnd(bytes, end)) {
+      const kind = this.#order.classify(bytes.subarray(end, next))
+      this.#isForeign = kind === 'foreign'
+      if (this.#isForeign) break
       end = next
-      count += 1
+      if (kind === 'event') count += 1
     }
     this.#parts = []
     this.#partsBytes = 0
     const remainder = bytes.subarray(end)
     if (remainder.length > 0) this.#addPart(remainder, remainder)
     else this.#overlap = Buffer.alloc(0)
+    if (end === 0) return undefined
     const whole = bytes.subarray(0, end)
     const lastId = findLastId(whole)
     return { bytes: whole, count, ...(lastId === undefined ? {} : { lastId }) }
   }
 
+  /** Whether a block that does not belong to the stream follows what was passed on. */
+  get isForeign (): boolean {
+    return this.#isForeign
+  }
+
   /** Whether an event is incomplete. */
   get isPartial (): boolean {
     return this.#parts.length > 0
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -6,7 +6,7 @@
 import type { AttemptResult } from '../plugins/gateway/selection.js'
 import { Admission } from './admission.js'
 import type { AdmissionResult } from './admission.js'
-import { EventSplitter } from './events.js'
+import type { EventBatch } from './events.js'
 import type { GatewayContext } from './context.js'
 import type { MonitoredRequest } from './crash-monitor.js'
 import type { ExchangeOptions } from './exchange-options.js'
@@ -17,6 +17,7 @@
 import type { BufferedAnswer, RunningAttempt } from './running-attempt.js'
 import { computeRetryAfterMs, sendAnswer, sendRefusal } from './responses.js'
 import { StartGate } from './start-gate.js'
+import { StreamAnswer } from './stream-answer.js'
 import { computeUrgency, isLate } from './urgency.js'
 import { Attempt } from './upstream.js'
 import type { AttemptFailure } from './upstream.js'
@@ -43,6 +44,7 @@
   readonly #deadlineAtMs: number
   readonly #monitored: MonitoredRequest
   readonly #gate: StartGate
+  readonly #stream: StreamAnswer
   readonly #tried = new Set<string>()
   #timer: NodeJS.Timeout | undefined
   #backoff: NodeJS.Timeout | undefined
@@ -53,10 +55,7 @@
   #mayHaveRun = false
   /** Whether the last refusal was because the group of the endpoint has lost a rank. */
   #isGroupLost = false
-  #isHeadSent = false
   #isDone = false
-  #lastEventId: string | undefined
-  #events = 0
   /** Complete error answer of an endpoint, sent to the caller when no retry succeeds. */
   #failureAnswer: BufferedAnswer | undefined
 
@@ -64,7 +63,7 @@
     this.#options = options
     this.#context = context
     const { request, fingerprint, team, route, service, receivedAtMs } = options
-    this.#lastEventId = request.lastEventId
+    this.#stream = StreamAnswer.create({ response: options.response, dialect: context.dialect, isResumable: route.repeat === 'resumable-stream', lastEventId: request.lastEventId })
     this.#monitored = { requestId: request.requestId, fingerprint, team: team?.name ?? '', parts: request.sharedParts ?? [] }
     this.#deadlineAtMs = receivedAtMs + Math.min(request.deadlineMs ?? Infinity, route.timeoutMs)
     const held = { requestId: request.requestId, service, receivedAtMs, deadlineAtMs: this.#deadlineAtMs, priority: team?.priority ?? route.priority }
@@ -130,12 +129,12 @@
       this.#handleDeadline()
       return
     }
-    this.#gate.enter(this.#isLate(nowMs), !this.#isHeadSent)
+    this.#gate.enter(this.#isLate(nowMs), !this.#stream.hasBegun)
   }
 
   #isLate (nowMs: number): boolean {
     const { request: { deadlineMs }, route, receivedAtMs } = this.#options
-    return isLate(route, { deadlineMs, waitedMs: nowMs - receivedAtMs, isResumed: this.#lastEventId !== undefined })
+    return isLate(route, { deadlineMs, waitedMs: nowMs - receivedAtMs, isResumed: this.#stream.lastEventId !== undefined })
   }
 
   #admit (): void {
@@ -175,7 +174,7 @@
       priority: computeUrgency(team?.priority ?? route.priority, this.#isLate(nowMs)),
       bodyBytes: body.length,
       ...(team === undefined ? {} : { team: team.name }),
-      ...(this.#lastEventId === undefined ? {} : { lastEventId: this.#lastEventId })
+      ...(this.#stream.lastEventId === undefined ? {} : { lastEventId: this.#stream.lastEventId })
     })
     this.#context.log('work-started', { request: request.requestId, attempt: this.#attempts, access, inFlight, ...this.#context.describeEndpoint(endpoint) })
     const attempt = Attempt.create({ address: record.address, method, path: request.path, headers: attemptHeaders, body, findObstacle: () => this.#findObstacle(endpoint, permit) }, {
@@ -232,7 +231,7 @@
     running.status = status
     running.headers = headers
     running.head = head
-    if (status === 200 && isStream(this.#options.route.repeat)) running.splitter = EventSplitter.create()
+    if (status === 200 && isStream(this.#options.route.repeat)) running.splitter = this.#stream.createSplitter()
   }
 
   #handleData (chunk: Buffer): void {
@@ -250,15 +249,17 @@
       return
     }
     notePartialEvent(running, batch !== undefined, this.#context.getNowMs())
-    if (batch === undefined) return
+    if (batch !== undefined) this.#passOn(running, batch)
+    if (running.splitter.isForeign) this.#break(running, 'foreign event')
+  }
+
+  #passOn (running: RunningAttempt, batch: EventBatch): void {
     if (running.firstEventMs === undefined) this.#noteFirstEvent(running)
-    this.#lastEventId = batch.lastId ?? this.#lastEventId
-    this.#events += batch.count
     const hadBegun = hasBegun(running)
     running.events += batch.count
     if (!hadBegun && hasBegun(running)) this.#context.crashMonitor.noteBegun(this.#monitored, running.startedAtMs)
-    this.#sendStreamHead(running)
-    if (this.#options.response.write(batch.bytes)) return
+    this.#stream.begin(running.status, running.headers)
+    if (this.#stream.write(batch)) return
     running.isPaused = true
     running.attempt.pause()
   }
@@ -277,17 +278,10 @@
 
   #noteFirstEvent (running: RunningAttempt): void {
     running.firstEventMs = this.#context.getNowMs() - running.startedAtMs
-    if (this.#isHeadSent) return
+    if (this.#stream.hasBegun) return
     this.#context.metrics.observe('first_byte_ms', this.#context.getNowMs() - this.#options.receivedAtMs, this.#options.service)
   }
 
-  #sendStreamHead (running: RunningAttempt): void {
-    if (this.#isHeadSent) return
-    this.#isHeadSent = true
-    const { response } = this.#options
-    response.writeHead(running.status, this.#context.dialect.buildAnswer(running.headers))
-  }
-
   #handleEnd (): void {
     const running = this.#running
     if (running === undefined) return
@@ -303,7 +297,7 @@
       this.#settleAttempt('failed')
       this.#failureAnswer = { status, headers: running.headers, body: Buffer.concat(running.chunks) }
       this.#retryOrFail('endpoint-failed', 0)
-    } else if (this.#isHeadSent) {
+    } else if (this.#stream.hasBegun) {
       this.#mayHaveRun = true
       this.#settleAttempt('failed', `status ${status} to the rest of a stream`)
       this.#retryOrFail('stream-broken', 0)
@@ -319,8 +313,8 @@
       return
     }
     this.#noteAnswered(running)
-    this.#sendStreamHead(running)
-    this.#options.response.end()
+    this.#stream.begin(running.status, running.headers)
+    this.#stream.end()
     this.#finish('ok', running.status)
   }
 
@@ -345,7 +339,7 @@
         this.#mayHaveRun = true
         this.#settleAttempt('failed', failure.reason)
         this.#context.crashMonitor.checkBroken(running, this.#monitored, () => {
-          if (!this.#isDone) this.#retryOrFail(this.#isHeadSent ? 'stream-broken' : 'connection-lost', 0)
+          if (!this.#isDone) this.#retryOrFail(this.#stream.hasBegun ? 'stream-broken' : 'connection-lost', 0)
         })
         break
     }
@@ -380,8 +374,8 @@
   }
 
   #retry (error: ErrorKind, backoffMs: number): void {
-    this.#context.metrics.count(this.#isHeadSent ? 'resumes' : 'retries')
-    this.#context.log(this.#isHeadSent ? 'stream-resumed' : 'request-retried', { request: this.#options.request.requestId, error, attempt: this.#attempts + 1, events: this.#events })
+    this.#context.metrics.count(this.#stream.hasBegun ? 'resumes' : 'retries')
+    this.#context.log(this.#stream.hasBegun ? 'stream-resumed' : 'request-retried', { request: this.#options.request.requestId, error, attempt: this.#attempts + 1, events: this.#stream.events })
     if (backoffMs === 0) this.#startAttempt()
     else this.#backoff = setTimeout(() => { this.#startAttempt() }, backoffMs)
   }
@@ -399,7 +393,7 @@
     this.#context.metrics.count('attempts', result)
     if (result === 'ok') return
     this.#context.log('attempt-ended', {
-      request: this.#options.request.requestId, endpoint: id, result, reason, status: running.status, elapsedMs: Math.round(nowMs - running.startedAtMs), events: this.#events, attemptEvents: running.events, parts: (this.#options.request.sharedParts ?? []).join(' ')
+      request: this.#options.request.requestId, endpoint: id, result, reason, status: running.status, elapsedMs: Math.round(nowMs - running.startedAtMs), events: this.#stream.events, attemptEvents: running.events, parts: (this.#options.request.sharedParts ?? []).join(' ')
     })
   }
 
@@ -417,7 +411,7 @@
   #handleCallerClosed (): void {
     if (this.#isDone) return
     const { request, route } = this.#options
-    this.#context.log('caller-gone', { request: request.requestId, events: this.#events, sent: this.#attempts })
+    this.#context.log('caller-gone', { request: request.requestId, events: this.#stream.events, sent: this.#attempts })
     const running = this.#running
     if (running !== undefined && (mayRunAgain(route.repeat) || isStream(route.repeat) || !running.attempt.isSent)) {
       running.attempt.abort()
@@ -431,9 +425,8 @@
   /** Sends the error answer of the endpoint if there is one, otherwise one of the gateway. */
   #fail (error: ErrorKind): void {
     if (this.#isDone) return
-    if (this.#isHeadSent) {
-      // Omitting the last chunk shows the caller that the answer is incomplete.
-      this.#options.response.destroy()
+    if (this.#stream.hasBegun) {
+      this.#stream.breakOff()
       this.#finish(error, 0)
     } else if (this.#failureAnswer !== undefined) {
       this.#sendAnswer(this.#failureAnswer, error)
@@ -468,7 +461,7 @@
     this.#context.metrics.count('requests', result)
     this.#context.metrics.observe('request_ms', elapsedMs, service)
     this.#context.log(result === 'ok' ? 'request-finished' : 'request-refused', {
-      request: request.requestId, route: route.name, service, team: team?.name ?? '', status, result, elapsedMs: Math.round(elapsedMs), attempts: this.#attempts, events: this.#events, mayHaveRun: this.#mayHaveRun
+      request: request.requestId, route: route.name, service, team: team?.name ?? '', status, result, elapsedMs: Math.round(elapsedMs), attempts: this.#attempts, events: this.#stream.events, mayHaveRun: this.#mayHaveRun
     })
     this.#context.removeExchange(this)
   }
--- /dev/null
+++ b/src/gateway/stream-answer.ts
@@ -0,0 +1,90 @@
+/** The event stream that a caller receives: one answer, whose events may come from several attempts. */
+
+import type { ServerResponse } from 'node:http'
+import { EventOrder } from './event-order.js'
+import { EventSplitter } from './events.js'
+import type { EventBatch } from './events.js'
+import type { Dialect, RawHeaders } from './model.js'
+
+/** Longest time in ms for which a stream that is broken off waits until its events are sent; a caller that reads nothing has left. */
+const FLUSH_MAX_MS = 2_000
+
+/** What a stream is created with. */
+export interface StreamAnswerOptions {
+  readonly response: ServerResponse
+  readonly dialect: Pick<Dialect, 'buildAnswer'>
+  /** Whether the stream can be resumed, which needs an id for each event. */
+  readonly isResumable: boolean
+  /** Event after which the caller resumes the stream; undefined at its start. */
+  readonly lastEventId: string | undefined
+}
+
+/** A stream that is sent to a caller. */
+export class StreamAnswer {
+  readonly #options: StreamAnswerOptions
+  readonly #order: EventOrder
+  #lastEventId: string | undefined
+  #events = 0
+  #hasBegun = false
+
+  private constructor (options: StreamAnswerOptions) {
+    this.#options = options
+    this.#lastEventId = options.lastEventId
+    this.#order = EventOrder.create(options.isResumable, options.lastEventId)
+  }
+
+  /**
+   * @param options - response and rules of the stream
+   * @returns a stream of which nothing has been sent
+   */
+  static create (options: StreamAnswerOptions): StreamAnswer {
+    return new StreamAnswer(options)
+  }
+
+  /** Whether the head has been sent, after which no other answer is possible. */
+  get hasBegun (): boolean {
+    return this.#hasBegun
+  }
+
+  /** Number of events sent. */
+  get events (): number {
+    return this.#events
+  }
+
+  /** Event after which the stream would be resumed. */
+  get lastEventId (): string | undefined {
+    return this.#lastEventId
+  }
+
+  /** @returns a splitter for the answer of the next attempt */
+  createSplitter (): EventSplitter {
+    return EventSplitter.create(this.#order)
+  }
+
+  /** Sends the head of the first attempt unless it was sent. */
+  begin (status: number, headers: RawHeaders): void {
+    if (this.#hasBegun) return
+    this.#hasBegun = true
+    this.#options.response.writeHead(status, this.#options.dialect.buildAnswer(headers))
+  }
+
+  /** Sends events. @returns false when the caller reads more slowly than they arrive */
+  write ({ bytes, count, lastId }: EventBatch): boolean {
+    this.#lastEventId = lastId ?? this.#lastEventId
+    this.#events += count
+    return this.#options.response.write(bytes)
+  }
+
+  end (): void {
+    this.#options.response.end()
+  }
+
+  /** Closes the connection after the events so far; the missing last chunk shows the caller that the answer is incomplete. */
+  breakOff (): void {
+    const { response } = this.#options
+    const timer = setTimeout(() => { response.destroy() }, FLUSH_MAX_MS)
+    response.once('close', () => { clearTimeout(timer) })
+    if (response.socket === null) response.destroy()
+    else response.socket.destroySoon()
+  }
+}
