Give up an endpoint only when others are heard after its probe was sent

Two endpoints that fall silent 31 ms apart are probed in different rounds, so the first was given up on the strength of what the second had sent before it fell silent as well, and its stream moved to the second.

Change: an unanswered probe counts once another endpoint of the service is heard after that probe was sent; the check runs with the probes, every 100 ms. Of two silent endpoints none is given up, whatever the offset.

--- a/src/gateway/endpoint-probe.ts
+++ b/src/gateway/endpoint-probe.ts
@@ -31,6 +31,7 @@
 
   /** Probes every endpoint at which a request has waited longer than usual, and unresponsive or suspected ones. */
   checkAll (nowMs: number): void {
+    for (const id of this.#context.liveness.decideUnanswered()) this.#context.log('endpoint-silent', { endpoint: id, domain: this.#context.endpoints.find(id)?.record.domain ?? '' })
     for (const exchange of this.#context.listExchanges()) {
       const endpoint = exchange.checkLiveness(nowMs)
       if (endpoint !== undefined) this.#probe(endpoint)
@@ -47,7 +48,7 @@
     if (this.#context.routes.findService(service)?.engine === undefined) return
     this.#isAlive(endpoint).then(isAlive => {
       if (isAlive) this.#context.noteActivity(endpoint)
-      else if (this.#context.liveness.noteUnanswered(id, service, this.#context.getNowMs())) this.#context.log('endpoint-silent', { endpoint: id, domain: endpoint.record.domain })
+      else this.#context.liveness.noteUnanswered(id, service)
     }, (error: unknown) => { this.#context.log('internal-error', { reason: String(error) }) })
   }
 
--- a/src/plugins/gateway/liveness.ts
+++ b/src/plugins/gateway/liveness.ts
@@ -15,17 +15,22 @@
 /** Shortest time in ms between two probes of one endpoint. */
 const PROBE_INTERVAL_MS = 500
 
-/** Time in ms within which another endpoint of the service must have been active for an unanswered probe to count; otherwise the gateway itself may be disconnected. */
-const OTHERS_ACTIVE_WITHIN_MS = 400
-
 /** Tracks endpoints that do not respond although others do. */
 export interface LivenessPort {
   /** Records that an endpoint sent data or answered a probe. @returns whether it was unresponsive before */
   noteActivity (endpoint: string, service: string, nowMs: number): boolean
   /** Whether to probe an endpoint at which a request has waited for `waitedMs`; when true, the probe counts as sent. */
   shouldProbe (endpoint: string, waitedMs: number, nowMs: number): boolean
-  /** Records an unanswered probe. @returns whether it makes the endpoint unresponsive */
-  noteUnanswered (endpoint: string, service: string, nowMs: number): boolean
+  /** Records an unanswered probe. */
+  noteUnanswered (endpoint: string, service: string): void
+  /**
+   * Decides on endpoints with an unanswered probe: one is unresponsive when another of its
+   * service was active after the probe was sent. Otherwise the gateway itself may be disconnected,
+   * or all endpoints may be silent.
+   *
+   * @returns endpoints that were not unresponsive before
+   */
+  decideUnanswered (): readonly string[]
   isUnresponsive (endpoint: string): boolean
   /** Records that an endpoint is unresponsive to another gateway; it is probed from here too, since only the network path from there may be broken. */
   noteSuspected (endpoint: string): void
@@ -40,6 +45,8 @@
   lastActivityMs: number
   probedAtMs: number
   isUnresponsive: boolean
+  /** Service of the endpoint while its last probe is unanswered. */
+  unansweredService: string | undefined
   /** Whether it is unresponsive to another gateway and not yet probed from here. */
   isSuspected: boolean
 }
@@ -67,6 +74,7 @@
     const wasUnresponsive = activity.isUnresponsive
     activity.lastActivityMs = nowMs
     activity.isUnresponsive = false
+    activity.unansweredService = undefined
     activity.isSuspected = false
     const before = (this.#lastActiveEndpoints.get(service) ?? []).filter(active => active.endpoint !== endpoint)
     this.#lastActiveEndpoints.set(service, [...before.slice(-1), { endpoint, atMs: nowMs }])
@@ -80,12 +88,19 @@
     return true
   }
 
-  noteUnanswered (endpoint: string, service: string, nowMs: number): boolean {
+  noteUnanswered (endpoint: string, service: string): void {
     const activity = this.#get(endpoint)
-    const areOthersActive = (this.#lastActiveEndpoints.get(service) ?? []).some(active => active.endpoint !== endpoint && nowMs - active.atMs < OTHERS_ACTIVE_WITHIN_MS)
-    if (activity.isUnresponsive || activity.lastActivityMs > activity.probedAtMs || !areOthersActive) return false
-    activity.isUnresponsive = true
-    return true
+    if (!activity.isUnresponsive && activity.lastActivityMs <= activity.probedAtMs) activity.unansweredService = service
+  }
+
+  decideUnanswered (): readonly string[] {
+    const decided = [...this.#activity].filter(([endpoint, { unansweredService, probedAtMs }]) =>
+      unansweredService !== undefined && (this.#lastActiveEndpoints.get(unansweredService) ?? []).some(active => active.endpoint !== endpoint && active.atMs > probedAtMs))
+    for (const [, activity] of decided) {
+      activity.isUnresponsive = true
+      activity.unansweredService = undefined
+    }
+    return decided.map(([endpoint]) => endpoint)
   }
 
   isUnresponsive (endpoint: string): boolean {
@@ -117,7 +132,7 @@
   #get (endpoint: string): EndpointActivity {
     let activity = this.#activity.get(endpoint)
     if (activity === undefined) {
-      activity = { lastActivityMs: -Infinity, probedAtMs: -Infinity, isUnresponsive: false, isSuspected: false }
+      activity = { lastActivityMs: -Infinity, probedAtMs: -Infinity, isUnresponsive: false, unansweredService: undefined, isSuspected: false }
       this.#activity.set(endpoint, activity)
     }
     return activity
--- a/test/gateway/liveness.test.ts
+++ b/test/gateway/liveness.test.ts
@@ -71,10 +71,27 @@
     'another request was answered recently': liveness.shouldProbe('e2', 300, 1_000),
     'waits too long': liveness.shouldProbe('e1', 300, 1_000),
     'probed already': liveness.shouldProbe('e1', 400, 1_100),
-    'no answer to the probe': liveness.noteUnanswered('e1', 's', 1_200),
+    'no answer to the probe': [liveness.noteUnanswered('e1', 's'), liveness.decideUnanswered(), liveness.isUnresponsive('e1')],
+    'another is heard after the probe': [liveness.noteActivity('e2', 's', 1_250), liveness.decideUnanswered(), liveness.isUnresponsive('e1')],
     'probed again later': [liveness.listDueProbes(1_400), liveness.listDueProbes(1_600), liveness.listDueProbes(1_700)],
     'active again': [liveness.noteActivity('e1', 's', 1_800), liveness.isUnresponsive('e1')],
-    'suspected by another gateway': [liveness.noteActivity('e1', 's', 2_450), liveness.noteSuspected('e2'), liveness.listDueProbes(2_500), liveness.noteUnanswered('e2', 's', 2_600), liveness.listUnresponsive(), liveness.noteActivity('e2', 's', 2_700), liveness.listUnresponsive()],
-    'no other endpoint active': [liveness.shouldProbe('e1', 300, 4_000), liveness.noteUnanswered('e1', 's', 4_100), liveness.isUnresponsive('e1')]
+    'suspected by another gateway': [liveness.noteActivity('e1', 's', 2_450), liveness.noteSuspected('e2'), liveness.listDueProbes(2_500), liveness.noteUnanswered('e2', 's'), liveness.noteActivity('e1', 's', 2_600), liveness.decideUnanswered(), liveness.listUnresponsive(), liveness.noteActivity('e2', 's', 2_700), liveness.listUnresponsive()],
+    'no other endpoint active': [liveness.shouldProbe('e1', 300, 4_000), liveness.noteUnanswered('e1', 's'), liveness.decideUnanswered(), liveness.isUnresponsive('e1')]
   })
 })
+
+// Guards against giving up the first of several endpoints that fall silent together because another was heard a little later.
+test('only what other endpoints send after a probe shows that its endpoint does not respond', t => {
+  for (const laterMs of [0, 31, 100, 200, 390]) {
+    const liveness = LivenessPlugin.create()
+    liveness.noteActivity('e1', 's', 1_000)
+    liveness.noteActivity('e2', 's', 1_000 + laterMs)
+    const probedAtMs = Math.max(1_000 + laterMs, 1_250) + 1
+    t.true(liveness.shouldProbe('e1', probedAtMs - 1_000, probedAtMs))
+    liveness.noteUnanswered('e1', 's')
+    t.deepEqual(liveness.decideUnanswered(), [], `last heard ${laterMs} ms apart`)
+    liveness.noteActivity('e2', 's', probedAtMs + 50)
+    t.deepEqual(liveness.decideUnanswered(), ['e1'])
+    t.true(liveness.isUnresponsive('e1'))
+  }
+})
--- a/test/gateway/prompt-parts.test.ts
+++ b/test/gateway/prompt-parts.test.ts
@@ -204,9 +204,10 @@
     if (change === 'drains') endpoints.upsert({ ...record, state: 'draining' }, 0)
     if (change === 'left') endpoints.remove('e')
     if (change === 'unresponsive') {
-      liveness.noteActivity('other', 's', 990)
       liveness.shouldProbe('e', 500, 990)
-      t.true(liveness.noteUnanswered('e', 's', 1_000))
+      liveness.noteUnanswered('e', 's')
+      liveness.noteActivity('other', 's', 995)
+      t.deepEqual(liveness.decideUnanswered(), ['e'])
     }
     monitor.checkBroken(attempt, { requestId: 'r', fingerprint: 'f', team: 't', parts: ['part'] }, () => {})
     t.deepEqual(partCrashes.listBlocked(1_000), change === 'none' ? ['part'] : [], change)
