Wait at a planned stop for requests that are still being read and answers that are being sent

Cause: the stop ended as soon as no request was at an endpoint. A request whose body was still arriving, or an answer that had not left the process, was not counted, so that its caller found the connection closed.

Change: the server counts requests from their head to the end of the answer. When there are none the listener closes; the process ends when the connections are gone, at the latest 0.5 s later or at the end of the grace period.

--- a/src/gateway/process.ts
+++ b/src/gateway/process.ts
@@ -51,6 +51,9 @@
 /** Share of the grace period after which the process ends even if requests are in flight. */
 const END_SHARE = 0.93
 
+/** Time in ms after the listener is closed for which a connection without a request may still send one. */
+const LINGER_MS = 500
+
 /** A gateway as the store lists it. */
 export interface GatewayEntry {
   readonly id: string
@@ -128,7 +131,6 @@
   readonly #bornMs = Date.now()
   #hasEndpoints = false
   #isLeaving = false
-  #leaveStartedAtMs: number | undefined
 
   private constructor ({ settings, dialect, engine, openStore }: GatewayOptions) {
     this.#settings = settings
@@ -207,18 +209,25 @@
   leave (handleLeaveEnd: () => void): void {
     if (this.#isLeaving) return
     this.#isLeaving = true
-    this.#leaveStartedAtMs = performance.now()
     const { graceMs } = this.#settings
     this.#logger.write('process-leaving', { deadlineMs: graceMs, inFlight: this.#context.listExchanges().length })
     this.#sendHeartbeat()
     this.#store.deregister(this.#settings.host).catch((error: unknown) => { this.#logger.write('internal-error', { reason: String(error) }) })
     setTimeout(() => { this.#callers.updateStage('closing-connections') }, graceMs * CLOSING_SHARE)
     setTimeout(() => { this.#callers.updateStage('refusing') }, graceMs * REFUSING_SHARE)
+    const endsAtMs = performance.now() + graceMs * END_SHARE
+    const closesAtMs = performance.now() + graceMs * (REFUSING_SHARE + CLOSING_SHARE)
+    let closedAtMs: number | undefined
     const timer = setInterval(() => {
-      const elapsedMs = performance.now() - (this.#leaveStartedAtMs ?? 0)
-      const inFlight = this.#context.listExchanges().length
-      if (elapsedMs < graceMs * END_SHARE && (inFlight > 0 || elapsedMs < graceMs * (REFUSING_SHARE + CLOSING_SHARE))) return
+      const nowMs = performance.now()
+      if (closedAtMs === undefined && nowMs >= closesAtMs && this.#callers.openRequests === 0) {
+        closedAtMs = nowMs
+        this.#callers.updateStage('closed')
+      }
+      const isDone = closedAtMs !== undefined && this.#callers.openRequests === 0 && (this.#callers.openConnections === 0 || nowMs - closedAtMs >= LINGER_MS)
+      if (!isDone && nowMs < endsAtMs) return
       clearInterval(timer)
+      const inFlight = this.#context.listExchanges().length
       if (inFlight > 0) this.#logger.write('work-cut', { count: inFlight })
       for (const exchange of this.#context.listExchanges()) exchange.abort()
       this.#logger.write('process-stopped', {})
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -25,14 +25,16 @@
 /** Retry delay for callers in ms when this process is stopping; other gateways are available at once. */
 const LEAVING_RETRY_MS = 0
 
-/** Stage of a planned stop. */
-export type LeaveStage = 'serving' | 'closing-connections' | 'refusing'
+/** Stage of a planned stop; the listener is closed in the last one. */
+export type LeaveStage = 'serving' | 'closing-connections' | 'refusing' | 'closed'
 
 /** Receives requests of callers and starts an exchange for each. */
 export class CallerServer {
   readonly #context: GatewayContext
   readonly #server: Server
   #stage: LeaveStage = 'serving'
+  #openRequests = 0
+  #openConnections = 0
 
   private constructor (context: GatewayContext) {
     this.#context = context
@@ -44,6 +46,10 @@
       connectionsCheckingInterval: SLOW_CALLER_CHECK_INTERVAL_MS,
       noDelay: true
     }, (request, response) => { this.#handleRequest(request, response) })
+    this.#server.on('connection', socket => {
+      this.#openConnections += 1
+      socket.once('close', () => { this.#openConnections -= 1 })
+    })
   }
 
   /**
@@ -74,6 +80,16 @@
   updateStage (stage: LeaveStage): void {
     this.#stage = stage
     if (stage === 'refusing') this.#server.closeIdleConnections()
+    if (stage === 'closed') this.#server.close()
+  }
+
+  /** Number of requests whose head was read and whose answer has not been sent completely. */
+  get openRequests (): number {
+    return this.#openRequests
+  }
+
+  get openConnections (): number {
+    return this.#openConnections
   }
 
   /** Closes the listener and every connection. */
@@ -84,6 +100,8 @@
 
   #handleRequest (message: IncomingMessage, response: ServerResponse): void {
     const receivedAtMs = this.#context.getNowMs()
+    this.#openRequests += 1
+    response.once('close', () => { this.#openRequests -= 1 })
     if (this.#stage !== 'serving') response.setHeader('Connection', 'close')
     const request = this.#context.dialect.parseRequest(message.url ?? '', message.rawHeaders)
     if (request === undefined) {
@@ -124,7 +142,7 @@
       default:
         assertNever(decision)
     }
-    if (this.#stage === 'refusing') {
+    if (this.#stage === 'refusing' || this.#stage === 'closed') {
       this.#refuse(response, request, 'leaving', LEAVING_RETRY_MS)
       return
     }
--- a/test/processes/gateway-cluster.ts
+++ b/test/processes/gateway-cluster.ts
@@ -19,6 +19,9 @@
 /** Ports below the ephemeral range, the same for all hosts: each has its own loopback address. */
 const PORTS = { callers: 7101, ready: 7102, directory: 7103, link: 7104, rank: 7105, metrics: 7106 }
 
+/** Port on which gateways accept callers. */
+export const CALLER_PORT = PORTS.callers
+
 /** Last number of the address of the endpoint's host. */
 const ENDPOINT_HOST = 200
 
--- /dev/null
+++ b/test/processes/planned-stop.test.ts
@@ -0,0 +1,98 @@
+import test from 'ava'
+import { once } from 'node:events'
+import { connect } from 'node:net'
+import type { Socket } from 'node:net'
+import { setTimeout as wait } from 'node:timers/promises'
+import { CALLER_PORT, GRACE_MS, TestCluster, waitFor } from './gateway-cluster.js'
+
+/** Time in ms after its last byte for which a request may be unread when its connection ends. */
+const UNREAD_MAX_MS = 200
+
+const HEAD = 'Host: h\r\nHeatherdoor-Deadline-Ms: 3000\r\n'
+
+let nextRequest = 1
+
+/** Sends requests on one connection as long as it is open. @returns answers, and requests that ended without one although there was time to read them */
+async function sendUntilClosed (ip: string, delayMs: number): Promise<{ readonly answered: number, readonly cut: readonly string[] }> {
+  const cut: string[] = []
+  let answered = 0
+  const socket = connect({ host: ip, port: CALLER_PORT, noDelay: true })
+  socket.on('error', () => {})
+  let received = ''
+  socket.on('data', bytes => { received += String(bytes) })
+  while (!socket.destroyed && socket.writable) {
+    const id = `s${nextRequest++}`
+    const sentAtMs = performance.now()
+    received = ''
+    socket.write(`POST /a/b HTTP/1.1\r\n${HEAD}Heatherdoor-Request-Id: ${id}\r\nX-Delay: ${delayMs}\r\nContent-Length: 4\r\n\r\nbody`)
+    while (!isAnswered(received) && !socket.destroyed && !socket.readableEnded) await wait(2)
+    if (isAnswered(received)) answered += 1
+    else if (performance.now() - sentAtMs > UNREAD_MAX_MS || received.length > 0) cut.push(id)
+    if (/^connection: close/im.test(received)) break
+  }
+  socket.destroy()
+  return { answered, cut }
+}
+
+function isAnswered (text: string): boolean {
+  const [head, body] = text.split('\r\n\r\n', 2) as [string, string | undefined]
+  const length = /^content-length: (\d+)/im.exec(head)?.[1]
+  return body !== undefined && length !== undefined && body.length >= Number(length)
+}
+
+async function openSlowly (ip: string): Promise<{ readonly socket: Socket, finish (): Promise<string> }> {
+  const socket = connect({ host: ip, port: CALLER_PORT })
+  let received = ''
+  socket.on('data', bytes => { received += String(bytes) })
+  socket.on('error', () => {})
+  await once(socket, 'connect')
+  socket.write(`POST /a/b HTTP/1.1\r\n${HEAD}Heatherdoor-Request-Id: slow${nextRequest++}\r\nContent-Length: 8\r\n\r\nbody`)
+  return {
+    socket,
+    async finish () {
+      socket.write('body')
+      if (!socket.destroyed) await once(socket, 'close')
+      return received
+    }
+  }
+}
+
+// Guards against a planned stop that ends while a request is being read, so that its caller gets no answer.
+test('a request whose body is still being read when a planned stop could end is answered', async t => {
+  const cluster = await TestCluster.create()
+  t.teardown(() => { cluster.stop() })
+  const gateway = cluster.startGateway('g1')
+  await waitFor(t, 'ready', 20_000, async () => await cluster.isReady(gateway))
+  const exited = once(gateway.child, 'exit')
+  gateway.child.kill('SIGTERM')
+  await wait(GRACE_MS * 0.45)
+  const slow = await openSlowly(gateway.ip)
+  await wait(GRACE_MS * 0.2)
+  t.true(isAnswered(await slow.finish()))
+  t.deepEqual(await exited, [0, null])
+})
+
+// Guards against requests that are cut off without an answer while callers use a gateway until it is gone.
+test('callers that use a stopping gateway until it is gone get an answer to each request that it read', async t => {
+  const cluster = await TestCluster.create()
+  t.teardown(() => { cluster.stop() })
+  const gateway = cluster.startGateway('g1')
+  await waitFor(t, 'ready', 20_000, async () => await cluster.isReady(gateway))
+  const exited = once(gateway.child, 'exit')
+  const callers = Array.from({ length: 20 }, async (_value, index) => {
+    const results = []
+    while (gateway.child.exitCode === null) {
+      results.push(await sendUntilClosed(gateway.ip, index % 4 === 0 ? 150 : 0))
+      await wait(5)
+    }
+    return results
+  })
+  await wait(500)
+  const signalledAtMs = performance.now()
+  gateway.child.kill('SIGTERM')
+  const results = (await Promise.all(callers)).flat()
+  await exited
+  t.true(performance.now() - signalledAtMs < GRACE_MS)
+  t.log(`${results.reduce((sum, { answered }) => sum + answered, 0)} requests answered`)
+  t.deepEqual(results.flatMap(({ cut }) => cut), [])
+})
