Do not pass on a refusal that does not say that the request did not run

Cause: callers conclude from 408, 429 and 503 that their request did not run. An earlier refusal written once more was not affected: it bears the id of another request, and no connection to an endpoint is used twice.

Change: such an answer becomes a failure of the gateway (502), which promises nothing. Requests that may run again are answered as before.

--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -291,6 +291,10 @@
     } else if (head?.notRun === true || head?.misdirected === true) {
       this.#settleAttempt('refused', head.faultyEndpoint === undefined ? `status ${status}` : `group lost ${head.faultyEndpoint}`)
       this.#handleRefused(running, head)
+    } else if (head?.claimsNotRun === true && !mayRunAgain(this.#options.route.repeat)) {
+      this.#mayHaveRun = true
+      this.#settleAttempt('failed', `status ${status} without a statement that it did not run`)
+      this.#fail(this.#stream.hasBegun ? 'stream-broken' : 'endpoint-failed')
     } else if (status >= 500) {
       this.#mayHaveRun = true
       this.#context.crashMonitor.noteBegun(this.#monitored, running.startedAtMs)
--- a/src/gateway/model.ts
+++ b/src/gateway/model.ts
@@ -154,6 +154,8 @@
   readonly requestId?: string
   /** Whether the endpoint guarantees that the request did not run. */
   readonly notRun: boolean
+  /** Whether its status tells the caller that the request did not run, which is true only with `notRun`. */
+  readonly claimsNotRun: boolean
   /** Whether the address belongs to another endpoint or incarnation than the request was meant for. */
   readonly misdirected: boolean
   /** Rate that the endpoint says it takes. */
--- a/test/adapter/dialect.test.ts
+++ b/test/adapter/dialect.test.ts
@@ -23,8 +23,8 @@
 
 // Guards against responses that lose their signature, and against a refusal that counts as a run.
 test('responses are decoded and forwarded', t => {
-  t.deepEqual(platformDialect.parseAnswer(503, ['Heatherdoor-Not-Executed', '1', 'At-Server', 'e2']), { notRun: true, misdirected: false, limit: { kind: 'none' }, isLeaving: false, pause: { kind: 'none' }, faultyEndpoint: 'e2' })
-  t.deepEqual(platformDialect.parseAnswer(421, ['Heatherdoor-Request-Id', 'r1']), { notRun: false, misdirected: true, limit: { kind: 'none' }, isLeaving: false, pause: { kind: 'none' }, requestId: 'r1' })
+  t.deepEqual(platformDialect.parseAnswer(503, ['Heatherdoor-Not-Executed', '1', 'At-Server', 'e2']), { notRun: true, claimsNotRun: true, misdirected: false, limit: { kind: 'none' }, isLeaving: false, pause: { kind: 'none' }, faultyEndpoint: 'e2' })
+  t.deepEqual(platformDialect.parseAnswer(421, ['Heatherdoor-Request-Id', 'r1']), { notRun: false, claimsNotRun: true, misdirected: true, limit: { kind: 'none' }, isLeaving: false, pause: { kind: 'none' }, requestId: 'r1' })
   t.deepEqual(platformDialect.buildAnswer(['Heatherdoor-Response-Signature', 's', 'Content-Length', '5', 'Keep-Alive', 'timeout=5', 'X-A', 'b']), ['Heatherdoor-Response-Signature', 's', 'X-A', 'b'])
   t.deepEqual(platformDialect.buildRefusal('r1', 250), { 'heatherdoor-request-id': 'r1', 'Retry-After': '0.250' })
 })
--- a/test/gateway/exchange.test.ts
+++ b/test/gateway/exchange.test.ts
@@ -155,3 +155,27 @@
   harness.close()
   t.deepEqual([body, isComplete, harness.received['e2']], ['id: 1\ndata: x\n\nid: 2\ndata: y\n\n', true, []])
 })
+
+// Guards against telling a caller that its request did not run on the word of an endpoint that has not said so.
+test('an endpoint that refuses without saying that the request did not run may have run it', async t => {
+  const results: Record<string, unknown> = {}
+  for (const status of [408, 429, 503]) {
+    const refuseUnclearly: Script = (_request, response) => {
+      response.statusCode = status
+      response.end('busy')
+    }
+    const ofOtherRequest: Script = (request, response, body) => {
+      response.setHeader('Heatherdoor-Not-Executed', '1')
+      response.setHeader('Heatherdoor-Request-Id', 'another')
+      refuseUnclearly(request, response, body)
+    }
+    for (const repeat of ['at-most-once', 'at-most-once-stream', 'idempotent'] as const) {
+      const alone = await run(repeat, { e1: refuseUnclearly }) as { readonly status: number }
+      results[`${status} ${repeat}`] = alone.status
+      results[`${status} ${repeat}, of another request`] = (await run(repeat, { e1: ofOtherRequest }) as { readonly status: number }).status
+      const two = await run(repeat, { e1: refuseUnclearly, e2: answer }) as { readonly received: Readonly<Record<string, readonly string[]>> }
+      results[`${status} ${repeat}, another endpoint`] = two.received['e2']!.length
+    }
+  }
+  t.snapshot(results)
+})
