Judge streams by their events: do not cut slow ones, and resume those that only trickle

Blocks of comments counted as progress, so a stream that sent nothing else was kept until its deadline, and its caller left after 2 s.

Change: a stream has stalled when bytes arrive but an event stays incomplete for 1 s, or only comments follow an event for 1.5 s. It is then resumed at another endpoint when that is allowed, else it goes on until its deadline. Comments before the first event show that the request waits.

Tests that failed before: an event in two parts 1.5 s apart was cut (both for a stream that may run once and with one endpoint), a stream with comments was not resumed.

--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -13,7 +13,7 @@
 import type { AnswerHead, RawHeaders } from './model.js'
 import type { Permit } from './permit.js'
 import { chooseStatus, isStream, mayRunAgain } from './repeat.js'
-import { checkEventOverdue, createRunningAttempt, hasBegun, notePartialEvent } from './running-attempt.js'
+import { checkStalled, createRunningAttempt, hasBegun, noteReadingResumed, noteStreamBytes } from './running-attempt.js'
 import type { BufferedAnswer, RunningAttempt } from './running-attempt.js'
 import { computeRetryAfterMs, sendAnswer, sendRefusal } from './responses.js'
 import { StartGate } from './start-gate.js'
@@ -90,9 +90,9 @@
   }
 
   /**
-   * Breaks the attempt when an event stays incomplete. Abandons it when another endpoint
-   * can take over and its endpoint is unresponsive or, for an idempotent request, has sent
-   * no data for `INACTIVITY_TIMEOUT_SHARE` of the time limit.
+   * Abandons the attempt when another endpoint can take over and the stream has stalled,
+   * its endpoint is unresponsive or, for an idempotent request, has sent no data for
+   * `INACTIVITY_TIMEOUT_SHARE` of the time limit.
    *
    * @param nowMs - monotonic time in ms
    * @returns the endpoint when it should be probed
@@ -100,15 +100,15 @@
   checkLiveness (nowMs: number): EndpointView | undefined {
     const running = this.#running
     if (running?.attempt.isSent !== true || running.isPaused) return undefined
-    if (checkEventOverdue(running, nowMs)) {
-      this.#break(running, 'event incomplete')
+    if (checkStalled(running, nowMs)) {
+      this.#abandon(running, 'stream stalled', nowMs)
       return undefined
     }
     const { id } = running.endpoint.record
     const timeoutMs = INACTIVITY_TIMEOUT_SHARE * (this.#deadlineAtMs - this.#options.receivedAtMs)
     const isOverdue = this.#options.route.repeat === 'idempotent' && nowMs - running.lastActivityMs > timeoutMs
     if (this.#context.liveness.isUnresponsive(id) || isOverdue) {
-      this.#abandonUnresponsive(running, nowMs)
+      this.#abandon(running, 'endpoint unresponsive', nowMs)
       return undefined
     }
     return this.#context.liveness.shouldProbe(id, nowMs - running.lastActivityMs, nowMs) ? running.endpoint : undefined
@@ -192,14 +192,14 @@
     return this.#context.isAvailable(endpoint) ? undefined : 'endpoint takes no requests'
   }
 
-  /** Retries at another endpoint; stays with the unresponsive one when no alternative is left, as it may recover. */
-  #abandonUnresponsive (running: RunningAttempt, nowMs: number): void {
+  /** Retries at another endpoint; stays with this one when no alternative is left, as it may recover. */
+  #abandon (running: RunningAttempt, reason: string, nowMs: number): void {
     const { route, service } = this.#options
     const hasAlternative = this.#context.hasAlternative(service, this.#tried)
     if (!mayRunAgain(route.repeat) || !hasAlternative || this.#attempts >= route.attemptsMax || !this.#context.acceptRetry(service, nowMs)) return
     this.#mayHaveRun = true
     running.attempt.abort()
-    this.#settleAttempt('silent', 'endpoint unresponsive')
+    this.#settleAttempt('silent', reason)
     this.#retry('connection-lost', 0)
   }
 
@@ -207,9 +207,7 @@
     const running = this.#running
     if (running === undefined) return
     const nowMs = this.#context.getNowMs()
-    running.isPaused = false
-    running.lastActivityMs = nowMs
-    if (running.partialSinceMs !== undefined) running.partialSinceMs = nowMs
+    noteReadingResumed(running, nowMs)
     running.attempt.resume()
   }
 
@@ -248,7 +246,7 @@
       this.#break(running, 'event too large')
       return
     }
-    notePartialEvent(running, batch !== undefined, this.#context.getNowMs())
+    noteStreamBytes(running, batch?.count ?? 0, this.#context.getNowMs())
     if (batch !== undefined) this.#passOn(running, batch)
     if (running.splitter.isForeign) this.#break(running, 'foreign event')
   }
--- a/src/gateway/running-attempt.ts
+++ b/src/gateway/running-attempt.ts
@@ -8,8 +8,11 @@
 /** Time in ms for which an event of a stream may be incomplete; endpoints write events as a whole. */
 const PARTIAL_EVENT_MAX_MS = 1_000
 
-/** Checks that must have found an event incomplete: after the gateway itself stood still, the rest of the event waits unread in its socket. */
-const PARTIAL_CHECKS_MIN = 3
+/** Time in ms after an event for which an endpoint may send comments, but no event; callers leave after 2 s. */
+const COMMENTS_MAX_MS = 1_500
+
+/** Checks that must have found a stream stalled: after the gateway itself stood still, the next event waits unread in its socket. */
+const STALL_CHECKS_MIN = 3
 
 /** An attempt and what its endpoint has answered so far. */
 export interface RunningAttempt {
@@ -27,8 +30,12 @@
   events: number
   /** Monotonic time in ms since which an event is incomplete; undefined when none is. */
   partialSinceMs: number | undefined
-  /** Checks since then that found it incomplete. */
-  partialChecks: number
+  /** Monotonic time in ms of the last event. */
+  lastEventMs: number
+  /** Whether comments have followed it. */
+  hasComments: boolean
+  /** Checks since the last event that found bytes after it. */
+  stallChecks: number
   /** Monotonic time in ms at which the endpoint last sent part of the answer, or at which the attempt started or reading resumed. */
   lastActivityMs: number
   /** Whether reading is paused because the caller reads more slowly than the endpoint sends. */
@@ -52,7 +59,7 @@
  */
 export function createRunningAttempt (attempt: Attempt, endpoint: EndpointView, nowMs: number): RunningAttempt {
   return {
-    attempt, endpoint, startedAtMs: nowMs, status: 0, head: undefined, headers: [], chunks: [], splitter: undefined, firstEventMs: undefined, events: 0, partialSinceMs: undefined, partialChecks: 0, lastActivityMs: nowMs, isPaused: false
+    attempt, endpoint, startedAtMs: nowMs, status: 0, head: undefined, headers: [], chunks: [], splitter: undefined, firstEventMs: undefined, events: 0, partialSinceMs: undefined, lastEventMs: nowMs, hasComments: false, stallChecks: 0, lastActivityMs: nowMs, isPaused: false
   }
 }
 
@@ -61,19 +68,38 @@
   return events >= BEGUN_EVENTS
 }
 
-/** Records whether the stream has an incomplete event after `hasCompleted` tells whether others were completed. */
-export function notePartialEvent (running: RunningAttempt, hasCompleted: boolean, nowMs: number): void {
+/** Records bytes of a stream that completed `events` events. */
+export function noteStreamBytes (running: RunningAttempt, events: number, nowMs: number): void {
   const isPartial = running.splitter?.isPartial ?? false
-  if (hasCompleted || !isPartial) {
-    running.partialSinceMs = undefined
-    running.partialChecks = 0
+  if (events > 0) {
+    running.lastEventMs = nowMs
+    running.hasComments = false
+    running.stallChecks = 0
+  } else if (!isPartial) {
+    running.hasComments = true
   }
+  if (events > 0 || !isPartial) running.partialSinceMs = undefined
   if (isPartial) running.partialSinceMs ??= nowMs
 }
 
-/** Counts a check. @returns whether an event has been incomplete for so long that the endpoint is not sending one */
-export function checkEventOverdue (running: RunningAttempt, nowMs: number): boolean {
-  if (running.partialSinceMs === undefined) return false
-  running.partialChecks += 1
-  return nowMs - running.partialSinceMs > PARTIAL_EVENT_MAX_MS && running.partialChecks >= PARTIAL_CHECKS_MIN
+/** Starts the times anew after a pause in reading. */
+export function noteReadingResumed (running: RunningAttempt, nowMs: number): void {
+  running.isPaused = false
+  running.lastActivityMs = nowMs
+  running.lastEventMs = nowMs
+  if (running.partialSinceMs !== undefined) running.partialSinceMs = nowMs
+}
+
+/**
+ * Counts a check of a stream.
+ *
+ * @returns whether its endpoint sends bytes but makes no progress. Comments before the first event show that the request waits.
+ */
+export function checkStalled (running: RunningAttempt, nowMs: number): boolean {
+  const { partialSinceMs, hasComments, events, lastEventMs } = running
+  if (partialSinceMs === undefined && !hasComments) return false
+  running.stallChecks += 1
+  const isEventOverdue = partialSinceMs !== undefined && nowMs - partialSinceMs > PARTIAL_EVENT_MAX_MS
+  const isOnlyCommenting = hasComments && events > 0 && nowMs - lastEventMs > COMMENTS_MAX_MS
+  return (isEventOverdue || isOnlyCommenting) && running.stallChecks >= STALL_CHECKS_MIN
 }
