--- a/src/plugins/lockstep/planner.ts
+++ b/src/plugins/lockstep/planner.ts
@@ -83,10 +83,11 @@
 /** Working state of one layer during planning. */
 class LayerState {
   readonly #held: Set<number>[]
+  /** Ranks by expert. */
+  readonly #holders: Set<number>[]
   readonly #heldBefore: ReadonlySet<number>[]
   readonly #popularity: Float64Array
   readonly #limits: LayerLimits
-  readonly #replicaCounts: Uint16Array
   readonly #loads: Float64Array
   readonly #newCounts: Uint8Array
   readonly #mean: number
@@ -97,12 +98,12 @@
     this.#heldBefore = map.map(experts => new Set(experts))
     this.#popularity = popularity
     this.#limits = limits
-    this.#replicaCounts = new Uint16Array(popularity.length)
     this.#loads = new Float64Array(map.length)
     this.#newCounts = new Uint8Array(map.length)
     this.#paces = map.map((_, rank) => Math.max(1, limits.paces?.[rank] ?? 1))
     this.#mean = popularity.reduce((sum, share) => sum + share, 0) / map.length
-    for (const experts of this.#held) for (const expert of experts) this.#replicaCounts[expert]! += 1
+    this.#holders = Array.from(popularity, () => new Set())
+    this.#held.forEach((experts, rank) => { for (const expert of experts) this.#holders[expert]!.add(rank) })
     this.#held.forEach((experts, rank) => { for (const expert of experts) this.#loads[rank]! += this.#getShare(expert) })
   }
 
@@ -149,7 +150,7 @@
   #listMoves (busiest: number, times: readonly number[]): readonly Move[] {
     const experts = [...this.#held[busiest]!]
     const isSlow = this.#paces[busiest]! >= SLOW_PACE
-    const drops = isSlow ? experts.filter(evicted => this.#replicaCounts[evicted]! > 1).map(evicted => ({ kind: 'drop' as const, rank: busiest, evicted })) : []
+    const drops = isSlow ? experts.filter(evicted => this.#countReplicas(evicted) > 1).map(evicted => ({ kind: 'drop' as const, rank: busiest, evicted })) : []
     const copies = experts.flatMap(expert => this.#held.flatMap((held, rank) => {
       if (rank === busiest || held.has(expert) || times[rank]! >= times[busiest]!) return []
       return this.#listEvictable(rank, expert).map(evicted => ({ kind: 'copy' as const, rank, evicted, expert }))
@@ -162,7 +163,7 @@
     const isNew = !this.#heldBefore[rank]!.has(expert)
     const mayCopy = !isNew || this.#newCounts[rank]! < this.#limits.spare
     if (this.#held[rank]!.size < this.#limits.slots) return mayCopy ? [undefined] : []
-    return [...this.#held[rank]!].filter(evicted => this.#replicaCounts[evicted]! > 1 && (mayCopy || !this.#heldBefore[rank]!.has(evicted)))
+    return [...this.#held[rank]!].filter(evicted => this.#countReplicas(evicted) > 1 && (mayCopy || !this.#heldBefore[rank]!.has(evicted)))
   }
 
   /** Computes the reduction of the summed squares of times above the mean, which also fall while another rank is equally busy. */
@@ -171,12 +172,13 @@
     const add = (at: number, change: number): void => { changes.set(at, (changes.get(at) ?? 0) + change) }
     const { rank, evicted } = move
     if (evicted !== undefined) {
-      this.#held.forEach((experts, at) => { if (at !== rank && experts.has(evicted)) add(at, this.#popularity[evicted]! / (this.#replicaCounts[evicted]! - 1) - this.#getShare(evicted)) })
+      const change = this.#popularity[evicted]! / (this.#countReplicas(evicted) - 1) - this.#getShare(evicted)
+      for (const at of this.#holders[evicted]!) if (at !== rank) add(at, change)
       add(rank, -this.#getShare(evicted))
     }
     if (move.kind === 'copy') {
-      const after = this.#popularity[move.expert]! / (this.#replicaCounts[move.expert]! + 1)
-      this.#held.forEach((experts, at) => { if (experts.has(move.expert)) add(at, after - this.#getShare(move.expert)) })
+      const after = this.#popularity[move.expert]! / (this.#countReplicas(move.expert) + 1)
+      for (const at of this.#holders[move.expert]!) add(at, after - this.#getShare(move.expert))
       add(rank, after)
     }
     let gain = 0
@@ -194,13 +196,18 @@
 
   #updateShares (expert: number, rank: number, sign: 1 | -1): void {
     const before = this.#getShare(expert)
-    this.#replicaCounts[expert]! += sign
-    const after = this.#replicaCounts[expert]! === 0 ? 0 : this.#getShare(expert)
-    this.#held.forEach((experts, at) => { if (at !== rank && experts.has(expert)) this.#loads[at]! += after - before })
+    if (sign === 1) this.#holders[expert]!.add(rank)
+    else this.#holders[expert]!.delete(rank)
+    const after = this.#countReplicas(expert) === 0 ? 0 : this.#getShare(expert)
+    for (const at of this.#holders[expert]!) if (at !== rank) this.#loads[at]! += after - before
     this.#loads[rank]! += sign === 1 ? after : -before
   }
 
   #getShare (expert: number): number {
-    return this.#popularity[expert]! / this.#replicaCounts[expert]!
+    return this.#popularity[expert]! / this.#countReplicas(expert)
+  }
+
+  #countReplicas (expert: number): number {
+    return this.#holders[expert]!.size
   }
 }
