Change the expert maps of large groups: read counters in turn as increases, and send maps a few at a time

A change sent the whole map to all ranks at once (2.9 MB within 60 ms), and one order without an answer out of 192 counted as orders getting lost, which puts the step 1.8 s ahead. So hardly any map changed.

Change: counters are read from as many ranks at a time as 120,000 numbers allow, in turn, as increases since the last reading of that rank; readings with counters have 250 ms, and a read is sent again after half of its time. Prepare orders go out a few at a time. Orders count as getting lost when more than 5 % are unanswered. Layers are planned one at a time with the event loop free between.

A property test found that a restarted agent reused the ids of its readings; they begin at random now.

--- a/src/gateway/agent.ts
+++ b/src/gateway/agent.ts
@@ -6,6 +6,7 @@
 import { Logger } from '../edge/log/logger.js'
 import type { OrderResult, RankOrder, RankState } from '../plugins/lockstep/rank.js'
 import { PermitBucket } from '../plugins/gateway/permits.js'
+import { CounterSnapshots } from './counter-deltas.js'
 import { LineWriter } from './lines.js'
 import type { Address } from './model.js'
 import { RankServer } from './rank-link.js'
@@ -36,8 +37,9 @@
  * @param engine - client of model workers
  * @param address - address of the worker
  * @param request - request of the map coordinator
+ * @param snapshots - readings that were given out before; counters are sent in full without them
  */
-export async function answerRankRequest (engine: RankEngine, address: Address, request: RankRequest): Promise<RankReply> {
+export async function answerRankRequest (engine: RankEngine, address: Address, request: RankRequest, snapshots?: CounterSnapshots): Promise<RankReply> {
   switch (request.kind) {
     case 'read': {
       const [state, counts, experts] = await Promise.all([
@@ -45,7 +47,7 @@
         request.wantsCounts ? engine.readCounts(address) : undefined,
         request.wantsMap ? engine.readMap(address) : undefined
       ])
-      return { state, ...(counts === undefined ? {} : { counts }), ...(experts === undefined ? {} : { experts }) }
+      return { state, ...(counts === undefined ? {} : snapshots?.encode(counts, request.countsSince) ?? { counts }), ...(experts === undefined ? {} : { experts }) }
     }
     case 'order': {
       const result = await engine.send(address, request.epoch, request.order)
@@ -58,6 +60,7 @@
 export class AgentProcess {
   readonly #settings: AgentSettings
   readonly #engine: RankEngine
+  readonly #snapshots = CounterSnapshots.create(Math.floor(Math.random() * Number.MAX_SAFE_INTEGER / 2))
   readonly #lines: LineWriter
   readonly #logger: Logger
   readonly #server: RankServer
@@ -100,7 +103,7 @@
 
   async #answer (request: AgentRequest): Promise<AgentReply> {
     if (request.kind === 'permit') return this.#permits.reserve(request.rate, request.waitMaxMs, performance.now())
-    const reply = await answerRankRequest(this.#engine, this.#settings.workerAddress, request)
+    const reply = await answerRankRequest(this.#engine, this.#settings.workerAddress, request, this.#snapshots)
     if (request.kind === 'order') {
       const { order, epoch } = request
       this.#logger.write('order-answered', {
--- a/src/gateway/maps.ts
+++ b/src/gateway/maps.ts
@@ -3,11 +3,13 @@
 import { MapCoordinator } from '../plugins/lockstep/coordinator.js'
 import type { CoordinatorDecision, CoordinatorPhase } from '../plugins/lockstep/coordinator.js'
 import { planLayer, SLOW_PACE } from '../plugins/lockstep/planner.js'
+import type { LayerPlan } from '../plugins/lockstep/planner.js'
 import { RecentPopularity } from '../plugins/lockstep/popularity.js'
 import type { GroupMap, RankReading } from '../plugins/lockstep/rank.js'
 import { answerRankRequest } from './agent.js'
 import type { RankEngine } from './agent.js'
 import type { GatewayContext } from './context.js'
+import { CounterSums } from './counter-deltas.js'
 import type { Address, EngineSpec } from './model.js'
 import type { RankClient, RankReply, RankRequest } from './rank-link.js'
 
@@ -23,6 +25,26 @@
 /** Timeout in ms for a reply of an agent. */
 const REPLY_TIMEOUT_MS = 80
 
+/**
+ * Most counters that are read at a time, which take about a byte each, 3 at the first reading of a
+ * rank. Large groups report in turn: all replies at once would fill the link of the leader, and a
+ * counter misses nothing by being read later.
+ */
+const COUNTERS_PER_READING_MAX = 120_000
+const FIRST_READING_WEIGHT = 3
+
+/** Timeout in ms for the replies of a reading with counters, which take a while on a slow link; no rank waits for them. */
+const COUNTERS_TIMEOUT_MS = 250
+
+/** Timeout in ms for the reply to a prepare order, which carries the whole map; no rank waits for it. */
+const PREPARE_REPLY_TIMEOUT_MS = 250
+
+/** Most numbers of maps in prepare orders that are sent at a time; they take about 3 bytes each. */
+const PREPARE_NUMBERS_MAX = 40_000
+
+/** Shortest interval in ms, for each rank, at which the ranks are read while they copy experts. */
+const PREPARE_READ_INTERVAL_PER_RANK_MS = 0.3
+
 /** Timeout in ms for the reply to an order; the answer of the engine to the agent may be lost. */
 const ORDER_TIMEOUT_MS = 60
 
@@ -61,6 +83,8 @@
 interface RankAnswer {
   readonly address: Address
   readonly reply: RankReply
+  /** Tokens counted since the rank started, by layer and expert; undefined when they were not read. */
+  readonly counts: readonly number[] | undefined
   /** When the request was sent, in monotonic ms. */
   readonly sentAtMs: number
 }
@@ -68,7 +92,7 @@
 /** Dependencies of a map service. */
 export interface MapServiceOptions {
   readonly context: GatewayContext
-  readonly client: RankClient
+  readonly client: Pick<RankClient, 'sendRequest'>
   readonly engine: RankEngine
   /** Id of this gateway; the ready gateway with the lowest id is the leader. */
   readonly id: string
@@ -81,6 +105,9 @@
   readonly #groups = new Map<string, Group>()
   /** Last known addresses of ranks by service, kept because the store may stop listing a rank while its group holds a step. */
   readonly #addresses = new Map<string, Map<string, Address>>()
+  readonly #sums = CounterSums.create()
+  /** Position of the next rank whose counters are read, by service. */
+  readonly #nextCounters = new Map<string, number>()
   #leaderSinceMs: number | undefined
 
   private constructor (options: MapServiceOptions) {
@@ -98,20 +125,26 @@
   /** Runs for the life of the process. */
   async run (): Promise<void> {
     for (;;) {
-      let pauseMs = READ_INTERVAL_MS
-      if (this.#isLeader()) {
-        for (const service of this.#options.context.routes.listServices()) {
-          if (service.engine === undefined || service.engine.layers === 0) continue
-          pauseMs = Math.min(pauseMs, await this.#updateService(service.name, service.engine))
-        }
-      } else {
-        this.#groups.clear()
-        this.#options.context.paces = {}
-      }
+      const pauseMs = await this.update()
       await new Promise(resolve => { setTimeout(resolve, pauseMs) })
     }
   }
 
+  /** Reads the groups and carries out their next orders while this gateway is the leader. @returns time in ms until the next update */
+  async update (): Promise<number> {
+    let pauseMs = READ_INTERVAL_MS
+    if (this.#isLeader()) {
+      for (const service of this.#options.context.routes.listServices()) {
+        if (service.engine === undefined || service.engine.layers === 0) continue
+        pauseMs = Math.min(pauseMs, await this.#updateService(service.name, service.engine))
+      }
+    } else {
+      this.#groups.clear()
+      this.#options.context.paces = {}
+    }
+    return pauseMs
+  }
+
   /** Whether this gateway has had the lowest id of the ready ones for `LEADER_DELAY_MS`. */
   #isLeader (): boolean {
     const { context, id } = this.#options
@@ -130,7 +163,7 @@
   /** Reads the ranks of a service and updates its groups. @returns time in ms until the next reading */
   async #updateService (service: string, engine: EngineSpec): Promise<number> {
     const isChanging = this.#isChanging()
-    const readings = await this.#readRanks(service, { kind: 'read', wantsCounts: !isChanging, wantsMap: false })
+    const readings = await this.#readRanks(service, isChanging ? 0 : engine.layers * engine.experts)
     const byGroup = new Map<string, RankAnswer[]>()
     for (const reading of readings) {
       const name = reading.reply.state?.group
@@ -138,7 +171,7 @@
     }
     this.#notePaces(readings)
     for (const [name, ranks] of byGroup) await this.#updateGroup(name, ranks, engine)
-    return Math.min(...[...this.#groups.values()].map(({ coordinator }) => getReadIntervalMs(coordinator.phase)), READ_INTERVAL_MS)
+    return Math.min(...[...this.#groups.values()].map(({ coordinator }) => getReadIntervalMs(coordinator.phase, readings.length)), READ_INTERVAL_MS)
   }
 
   /** Records slow ranks, which get fewer experts, and fewer requests from all gateways. */
@@ -165,12 +198,12 @@
       this.#options.context.log('group-changed', { group: name, epoch, size: states.length })
     }
     const nowMs = this.#options.context.getNowMs()
-    group.popularity.noteCounts(readings.flatMap(({ reply: { state, counts } }) =>
+    group.popularity.noteCounts(readings.flatMap(({ reply: { state }, counts }) =>
       state === undefined || counts === undefined ? [] : [{ rank: state.rank, incarnation: `${state.bornMs} ${state.epoch}`, counts }]), nowMs)
     const decision = group.coordinator.decide(states, nowMs)
     if (group.coordinator.map === undefined) await this.#readMap(group, states, readings, engine)
     await this.#sendOrders(name, group, decision, readings)
-    if (group.coordinator.phase.kind === 'idle' && nowMs - group.changedAtMs >= CHANGE_PAUSE_MS) this.#plan(name, group, states, engine)
+    if (group.coordinator.phase.kind === 'idle' && nowMs - group.changedAtMs >= CHANGE_PAUSE_MS) await this.#plan(name, group, states, engine)
   }
 
   /** Sends the orders of a decision, and those of the decisions that the replies lead to. */
@@ -182,15 +215,15 @@
       this.#noteEnded(name, group, decision)
       if (decision.orders.length === 0) return
       const before = group.coordinator.phase.kind
-      const replies = await Promise.all(decision.orders.map(async ({ rank, epoch, order }) => {
+      const replies = await mapInLanes(decision.orders, countOrderLanes(decision.orders), async ({ rank, epoch, order }) => {
         const found = states.get(rank)
         if (found === undefined) return undefined
         const sentAtMs = context.getNowMs()
-        const reply = await this.#sendRequest(found.address, { kind: 'order', epoch, order }, ORDER_TIMEOUT_MS, group)
+        const reply = await this.#sendRequest(found.address, { kind: 'order', epoch, order }, order.kind === 'prepare' ? PREPARE_REPLY_TIMEOUT_MS : ORDER_TIMEOUT_MS, group)
         if (reply?.result === undefined || reply.result === 'no-answer') group.coordinator.noteUnanswered({ rank, order })
         if (order.kind === 'prepare' && reply?.result === 'refused') group.coordinator.noteRefusedVersion(order.version)
-        return reply === undefined ? undefined : { address: found.address, reply, sentAtMs }
-      }))
+        return reply === undefined ? undefined : { address: found.address, reply, counts: undefined, sentAtMs }
+      })
       for (const answered of replies) {
         if (answered?.reply.state !== undefined) states.set(answered.reply.state.rank, { address: answered.address, state: { ...answered.reply.state, readAtMs: answered.sentAtMs } })
       }
@@ -208,13 +241,18 @@
     group.changedAtMs = context.getNowMs()
   }
 
-  #plan (name: string, group: Group, states: readonly RankReading[], engine: EngineSpec): void {
+  async #plan (name: string, group: Group, states: readonly RankReading[], engine: EngineSpec): Promise<void> {
     const { context } = this.#options
     const nowMs = context.getNowMs()
     const { map } = group.coordinator
     if (map === undefined || group.popularity.getTotal() < TOKENS_MIN) return
     const limits = { slots: engine.slotsPerRank, spare: engine.spare, gainMin: GAIN_PER_COPY_MIN, paces: states.map(({ pace }) => pace) }
-    const plans = map.map((layer, index) => planLayer(layer, group.popularity.getShares(index), limits))
+    const plans: LayerPlan[] = []
+    for (const [index, layer] of map.entries()) {
+      plans.push(planLayer(layer, group.popularity.getShares(index), limits))
+      // Planning a large layer takes milliseconds, in which no request is served.
+      await new Promise(resolve => { setImmediate(resolve) })
+    }
     const before = computeMean(plans.map(plan => plan.skewBefore))
     const after = computeMean(plans.map(plan => plan.skewAfter))
     if (before - after < (group.coordinator.isLossy ? GAIN_MIN_LOSSY : GAIN_MIN)) return
@@ -238,7 +276,8 @@
     group.coordinator.noteMap(Array.from({ length: engine.layers }, (_, layer) => states.map(({ rank }) => byRank.get(rank)?.[layer] ?? [])), [...versions][0] ?? 0)
   }
 
-  async #readRanks (service: string, request: RankRequest): Promise<readonly RankAnswer[]> {
+  /** Reads the states of all ranks, and from some of them their `counters`, unless that is 0. */
+  async #readRanks (service: string, counters: number): Promise<readonly RankAnswer[]> {
     const addresses = this.#addresses.get(service) ?? new Map<string, Address>()
     this.#addresses.set(service, addresses)
     for (const { record } of this.#options.context.endpoints.listAll()) {
@@ -246,8 +285,28 @@
     }
     const group = [...this.#groups.values()][0]
     const sentAtMs = this.#options.context.getNowMs()
-    const replies = await Promise.all([...addresses.values()].map(async address => ({ address, reply: await this.#sendRequest(address, request, REPLY_TIMEOUT_MS, group) })))
-    return replies.flatMap(({ address, reply }) => reply?.state === undefined ? [] : [{ address, reply, sentAtMs }])
+    const counted = counters === 0 ? new Set<string>() : this.#pickCounted(service, [...addresses.keys()], counters)
+    const replies = await Promise.all([...addresses].map(async ([key, address]) => {
+      const wantsCounts = counted.has(key)
+      const countsSince = wantsCounts ? this.#sums.findId(key) : undefined
+      const reply = await this.#sendRequest(address, { kind: 'read', wantsCounts, wantsMap: false, ...(countsSince === undefined ? {} : { countsSince }) }, counters === 0 ? REPLY_TIMEOUT_MS : COUNTERS_TIMEOUT_MS, group)
+      const counts = reply?.counts === undefined ? undefined : this.#sums.decode(key, { ...reply, counts: reply.counts })
+      return { address, reply, counts }
+    }))
+    return replies.flatMap(({ address, reply, counts }) => reply?.state === undefined ? [] : [{ address, reply, counts, sentAtMs }])
+  }
+
+  /** Picks the ranks whose counters are read next, in turn. */
+  #pickCounted (service: string, keys: readonly string[], counters: number): ReadonlySet<string> {
+    const from = this.#nextCounters.get(service) ?? 0
+    const picked = new Set<string>()
+    for (let cost = 0; cost < COUNTERS_PER_READING_MAX && picked.size < keys.length;) {
+      const key = keys[(from + picked.size) % keys.length]!
+      picked.add(key)
+      cost += counters * (this.#sums.findId(key) === undefined ? FIRST_READING_WEIGHT : 1)
+    }
+    this.#nextCounters.set(service, from + picked.size)
+    return picked
   }
 
   /** Sends a request to a rank through its agent, or directly when the agent is unresponsive; counters are then left out, as reading them remotely is expensive. */
@@ -274,10 +333,26 @@
   }
 }
 
-function getReadIntervalMs ({ kind }: CoordinatorPhase): number {
+/** Number of orders that are sent at a time. */
+function countOrderLanes (orders: CoordinatorDecision['orders']): number {
+  const numbers = Math.max(...orders.map(({ order }) => order.kind === 'prepare' ? order.map.reduce((sum, ranks) => sum + ranks.reduce((count, experts) => count + experts.length, 0), 0) : 0))
+  return numbers === 0 ? orders.length : Math.max(1, Math.floor(PREPARE_NUMBERS_MAX / numbers))
+}
+
+/** Maps items with at most `lanes` calls at a time; results are in the order of the items. */
+async function mapInLanes<T, R> (items: readonly T[], lanes: number, map: (item: T) => Promise<R>): Promise<readonly R[]> {
+  const results: R[] = []
+  const remaining = items.entries()
+  await Promise.all(Array.from({ length: Math.min(lanes, items.length) }, async () => {
+    for (const [index, item] of remaining) results[index] = await map(item)
+  }))
+  return results
+}
+
+function getReadIntervalMs ({ kind }: CoordinatorPhase, ranks: number): number {
   switch (kind) {
     case 'idle': return READ_INTERVAL_MS
-    case 'preparing':
+    case 'preparing': return Math.max(CHANGE_READ_INTERVAL_MS, PREPARE_READ_INTERVAL_PER_RANK_MS * ranks)
     case 'holding':
     case 'undoing': return CHANGE_READ_INTERVAL_MS
     case 'releasing': return RELEASE_READ_INTERVAL_MS
--- a/src/gateway/rank-link.ts
+++ b/src/gateway/rank-link.ts
@@ -5,6 +5,7 @@
 import { pack, unpack } from 'msgpackr'
 import type { OrderResult, RankOrder, RankState } from '../plugins/lockstep/rank.js'
 import type { PermitRate, PermitReply } from '../plugins/gateway/permits.js'
+import type { EncodedCounters } from './counter-deltas.js'
 import type { Address } from './model.js'
 
 /** Version of the message format; messages of other versions are ignored. */
@@ -12,7 +13,8 @@
 
 /** Request of a map coordinator to the agent of a rank. */
 export type RankRequest =
-  | { readonly kind: 'read', readonly wantsCounts: boolean, readonly wantsMap: boolean }
+  /** `countsSince` is the reading of the counters that the gateway has, if any. */
+  | { readonly kind: 'read', readonly wantsCounts: boolean, readonly wantsMap: boolean, readonly countsSince?: number }
   | { readonly kind: 'order', readonly epoch: number, readonly order: RankOrder }
 
 /** Asks an agent for a permit to send a request to its worker. */
@@ -27,11 +29,9 @@
 export type AgentRequest = RankRequest | PermitRequest
 
 /** Reply of an agent to a map coordinator; the state is read after the order is carried out. */
-export interface RankReply {
+export interface RankReply extends Partial<EncodedCounters> {
   /** Undefined when the rank does not answer the agent. */
   readonly state: RankState | undefined
-  /** Tokens counted since the rank started, by layer and expert. */
-  readonly counts?: readonly number[]
   /** Experts of this rank by layer. */
   readonly experts?: readonly (readonly number[])[]
   readonly result?: OrderResult
@@ -43,6 +43,9 @@
 /** Interval in ms at which a request for a permit is sent again while there is no answer. */
 const PERMIT_RESEND_MS = 25
 
+/** Share of its timeout after which a read is sent again; a single lost datagram would void the reading of a whole group. */
+const READ_RESEND_SHARE = 0.5
+
 interface Envelope<T> {
   readonly version: number
   readonly id: number
@@ -81,7 +84,7 @@
 
   /** Sends a request to the agent on a host. @returns the reply; undefined when none arrived within `timeoutMs` */
   async sendRequest (host: string, request: RankRequest, timeoutMs: number): Promise<RankReply | undefined> {
-    return await this.#exchange(host, request, timeoutMs, Infinity) as RankReply | undefined
+    return await this.#exchange(host, request, timeoutMs, request.kind === 'read' ? READ_RESEND_SHARE * timeoutMs : Infinity) as RankReply | undefined
   }
 
   /** Asks the agent on a host for a permit. @returns the reply; undefined when none arrived within `timeoutMs` */
--- a/src/plugins/lockstep/coordinator.ts
+++ b/src/plugins/lockstep/coordinator.ts
@@ -28,6 +28,9 @@
  */
 const LEAD_LOSSY_MS = 1_800
 
+/** Share of the orders of a change that got no answer from which orders count as getting lost; in a large group a single one always does. */
+const LOSSY_SHARE = 0.05
+
 /** Least steps of that lead; the step rate is not known at first. */
 const LEAD_STEPS_LOSSY = 12
 
@@ -83,8 +86,9 @@
   #decidedAtMs = 0
   #map: GroupMap | undefined
   #mapVersion = 0
-  /** Whether an order of the current change got no answer. */
-  #isLossy = false
+  /** Orders of the current change, and those of them that got no answer. */
+  #orders = 0
+  #unanswered = 0
   #stepRate = StepRate.create()
   readonly #sentAtMs = new Map<string, number>()
 
@@ -122,14 +126,14 @@
     this.#highestVersion = Math.max(this.#highestVersion, version + VERSION_SEQUENCES)
   }
 
-  /** Whether an order of the latest change got no answer; while orders get lost, a change holds the group for longer. */
+  /** Whether orders of the latest change got no answer; while orders get lost, a change holds the group for longer. */
   get isLossy (): boolean {
-    return this.#isLossy
+    return this.#unanswered > LOSSY_SHARE * this.#orders
   }
 
   /** Notes an order without an answer, so that it is sent again at once. */
   noteUnanswered ({ rank, order }: Pick<AddressedOrder, 'rank' | 'order'>): void {
-    this.#isLossy = true
+    this.#unanswered += 1
     this.#sentAtMs.delete(formatOrderKey(rank, order))
   }
 
@@ -143,7 +147,8 @@
   propose (map: GroupMap, nowMs: number): number | undefined {
     if (this.#phase.kind !== 'idle' || this.#foreignHoldSinceMs !== undefined) return undefined
     const version = this.#takeVersion()
-    this.#isLossy = false
+    this.#orders = 0
+    this.#unanswered = 0
     this.#phase = { kind: 'preparing', version, map, sinceMs: nowMs }
     return version
   }
@@ -216,7 +221,7 @@
   }
 
   #countLeadSteps (): number {
-    return this.#isLossy ? Math.max(LEAD_STEPS_LOSSY, this.#stepRate.countSteps(LEAD_LOSSY_MS)) : LEAD_STEPS
+    return this.isLossy ? Math.max(LEAD_STEPS_LOSSY, this.#stepRate.countSteps(LEAD_LOSSY_MS)) : LEAD_STEPS
   }
 
   #arm (phase: Extract<CoordinatorPhase, { kind: 'holding' }>, ranks: readonly RankReading[], nowMs: number): CoordinatorDecision {
@@ -327,6 +332,7 @@
       const key = formatOrderKey(state.rank, order)
       if (nowMs - (this.#sentAtMs.get(key) ?? -Infinity) < resendMs) return []
       this.#sentAtMs.set(key, nowMs)
+      this.#orders += 1
       return [{ rank: state.rank, epoch: this.#epoch, order }]
     })
   }
