--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -247,11 +247,11 @@
       return
     }
     noteStreamBytes(running, batch?.count ?? 0, this.#context.getNowMs())
-    if (batch !== undefined) this.#passOn(running, batch)
+    if (batch !== undefined) this.#writeEvents(running, batch)
     if (running.splitter.isForeign) this.#break(running, 'foreign event')
   }
 
-  #passOn (running: RunningAttempt, batch: EventBatch): void {
+  #writeEvents (running: RunningAttempt, batch: EventBatch): void {
     if (running.firstEventMs === undefined) this.#noteFirstEvent(running)
     const hadBegun = hasBegun(running)
     running.events += batch.count
--- a/src/gateway/maps.ts
+++ b/src/gateway/maps.ts
@@ -215,7 +215,7 @@
       this.#noteEnded(name, group, decision)
       if (decision.orders.length === 0) return
       const before = group.coordinator.phase.kind
-      const replies = await mapInLanes(decision.orders, countOrderLanes(decision.orders), async ({ rank, epoch, order }) => {
+      const replies = await runInLanes(decision.orders, countOrderLanes(decision.orders), async ({ rank, epoch, order }) => {
         const found = states.get(rank)
         if (found === undefined) return undefined
         const sentAtMs = context.getNowMs()
@@ -339,12 +339,12 @@
   return numbers === 0 ? orders.length : Math.max(1, Math.floor(PREPARE_NUMBERS_MAX / numbers))
 }
 
-/** Maps items with at most `lanes` calls at a time; results are in the order of the items. */
-async function mapInLanes<T, R> (items: readonly T[], lanes: number, map: (item: T) => Promise<R>): Promise<readonly R[]> {
+/** Runs a call for each item, at most `lanes` at a time; results are in the order of the items. */
+async function runInLanes<T, R> (items: readonly T[], lanes: number, run: (item: T) => Promise<R>): Promise<readonly R[]> {
   const results: R[] = []
   const remaining = items.entries()
   await Promise.all(Array.from({ length: Math.min(lanes, items.length) }, async () => {
-    for (const [index, item] of remaining) results[index] = await map(item)
+    for (const [index, item] of remaining) results[index] = await run(item)
   }))
   return results
 }
--- a/test/processes/gateway-cluster.ts
+++ b/test/processes/gateway-cluster.ts
@@ -123,7 +123,11 @@
       `stop = { grace_s = ${GRACE_S} }`,
       'directory = { hold_ms = 1000 }'
     ].join('\n'))
-    const child = spawn(process.execPath, [GATEWAY_PROGRAM], { env: { ...process.env, HEATHERDOOR_BOOT: path }, stdio: ['ignore', 'pipe', 'inherit'] })
+    return this.#spawnGateway(name, ip)
+  }
+
+  #spawnGateway (name: string, ip: string): Gateway {
+    const child = spawn(process.execPath, [GATEWAY_PROGRAM], { env: { ...process.env, HEATHERDOOR_BOOT: join(this.#folder, `${name}.toml`) }, stdio: ['ignore', 'pipe', 'inherit'] })
     const lines: string[] = []
     child.stdout?.on('data', chunk => { lines.push(...String(chunk).split('\n').filter(Boolean)) })
     const gateway = { name, ip, child, lines }
@@ -131,6 +135,14 @@
     return gateway
   }
 
+  /** Kills a gateway and starts it again under the same name and address. */
+  async restartGateway (gateway: Gateway): Promise<Gateway> {
+    const exited = once(gateway.child, 'exit')
+    gateway.child.kill('SIGKILL')
+    await exited
+    return this.#spawnGateway(gateway.name, gateway.ip)
+  }
+
   /** Starts the agent beside the endpoint. */
   startAgent (): ChildProcess {
     const path = join(this.#folder, 'agent.toml')
@@ -160,8 +172,8 @@
     return addresses.map(address => this.#gateways.find(gateway => address === `${gateway.ip}:${PORTS.callers}`)?.name ?? address).sort()
   }
 
-  async request ({ ip }: Gateway, delayMs: number): Promise<Answer> {
-    return await call(ip, PORTS.callers, '/a/b', { host: 'h', 'heatherdoor-request-id': `r${Math.random()}`, 'heatherdoor-deadline-ms': '3000', 'x-delay': String(delayMs) })
+  async request ({ ip }: Gateway, delayMs: number, headers: Readonly<Record<string, string>> = {}): Promise<Answer> {
+    return await call(ip, PORTS.callers, '/a/b', { host: 'h', 'heatherdoor-request-id': `r${Math.random()}`, 'heatherdoor-deadline-ms': '3000', 'x-delay': String(delayMs), ...headers })
   }
 
   stop (): void {
