Take the pace of watching the store from the bounds of the deployment

Each gateway watched at the pace that the bounds of the smallest fleets demand, also where they are twice as long.

Change: settings store.notice_ms and store.apply_ms (from the platform's bounds) give the longest wait of a watch, the pause that collects changes and the longest delay after failures. The smallest fleets keep their times (2,000, 250 and 400 ms); grown ones have 3,000, 375 and 600, large ones 4,000, 500 and 800 ms.

--- a/src/gateway/process.ts
+++ b/src/gateway/process.ts
@@ -22,11 +22,8 @@
 import { MapService } from './maps.js'
 import { RankClient } from './rank-link.js'
 import { CallerServer } from './server.js'
-import { StoreFollower } from './store.js'
-import type { Change, StoreFailure, StoreKind } from './store.js'
-
-/** Longest wait of a watch in ms. A dead connection is noticed only after the wait, and a change must be in force 2 s after it was written. */
-const WATCH_WAIT_MS = 2_000
+import { StoreFollower, computeFollowerTimes } from './store.js'
+import type { Change, FollowerBounds, StoreFailure, StoreKind } from './store.js'
 
 /** Longest wait of the watch for evacuations in ms; these must be in force 5 s after they were written. */
 const EVACUATION_WAIT_MS = 4_000
@@ -87,6 +84,7 @@
   readonly metricsListener: Address
   readonly retries: RetryBounds
   readonly cold: ColdBounds
+  readonly store: FollowerBounds
   /** Time from the stop signal to the kill, in ms. */
   readonly graceMs: number
   /** How long callers may cache the addresses of the directory, in ms. */
@@ -271,7 +269,8 @@
     const handleState = (kind: string) => (state: 'lost' | 'found', reason: string): void => {
       this.#logger.write(state === 'lost' ? 'store-lost' : 'store-found', { kind, reason })
     }
-    const endpoints = StoreFollower.create(this.#store.endpoints, WATCH_WAIT_MS, {
+    const times = computeFollowerTimes(this.#settings.store)
+    const endpoints = StoreFollower.create(this.#store.endpoints, times, {
       handleList: (items, wasUnavailable) => {
         this.#hasEndpoints = true
         this.#noteChanges(this.#context.endpoints.replaceAll(items, wasUnavailable, performance.now()))
@@ -279,12 +278,12 @@
       handleChanges: (changes, wasUnavailable) => { this.#applyEndpointChanges(changes, wasUnavailable) },
       handleState: handleState('endpoints')
     })
-    const configuration = StoreFollower.create(this.#store.configuration, WATCH_WAIT_MS, {
+    const configuration = StoreFollower.create(this.#store.configuration, times, {
       handleList: items => { for (const item of items) this.#applyConfiguration(item) },
       handleChanges: changes => { for (const change of changes) if (change.kind === 'written') this.#applyConfiguration(change.item) },
       handleState: handleState('configuration')
     })
-    const evacuations = StoreFollower.create(this.#store.evacuations, EVACUATION_WAIT_MS, {
+    const evacuations = StoreFollower.create(this.#store.evacuations, { ...times, waitMs: EVACUATION_WAIT_MS }, {
       handleList: items => {
         this.#evacuated.clear()
         for (const domain of items) this.#evacuated.add(domain)
--- a/src/gateway/store.ts
+++ b/src/gateway/store.ts
@@ -47,23 +47,52 @@
   handleState (state: 'lost' | 'found', reason: string): void
 }
 
-/** First and longest delay in ms before a failed call is repeated. */
+/** First delay in ms before a failed call is repeated. */
 const RETRY_DELAY_FIRST_MS = 100
-const RETRY_DELAY_MAX_MS = 400
 
 /** Wait of a watch in ms after a failed call: a long wait would delay noticing that the store is back. */
 const LOST_WAIT_MS = 100
 
-/** Pause in ms after a batch of changes, so that the ones that follow are read together. Changes must be in force within 2 s. */
-const COLLECT_MS = 250
-
 /** Time in ms after an outage of the store during which removed entries may have lapsed because of it. */
 const RECOVERY_MS = 1_000
 
+/** Time in ms that is left to notice a dead connection once a watch should have returned: the timeout of the call and a retry. */
+const NOTICE_MARGIN_MS = 1_000
+
+/** Shortest wait of a watch in ms. */
+const WAIT_MIN_MS = 500
+
+/** Parts of the time within which a change must be in force that may be spent on collecting changes, and on waiting for a store that fails. */
+const COLLECT_SHARE = 1 / 8
+const RETRY_SHARE = 1 / 5
+
+/** What the operators' bounds demand of a follower. */
+export interface FollowerBounds {
+  /** Time in ms within which a dead connection must be noticed. */
+  readonly noticeMs: number
+  /** Time in ms within which a change must be in force. */
+  readonly applyMs: number
+}
+
+/** Times of a follower in ms; the longer they are, the fewer calls it makes. */
+export interface FollowerTimes {
+  /** Longest wait of one watch. */
+  readonly waitMs: number
+  /** Pause after a batch of changes, so that the ones that follow are read together. */
+  readonly collectMs: number
+  /** Longest delay before a failed call is repeated. */
+  readonly retryMaxMs: number
+}
+
+/** @returns the longest times that keep the bounds */
+export function computeFollowerTimes ({ noticeMs, applyMs }: FollowerBounds): FollowerTimes {
+  return { waitMs: Math.max(WAIT_MIN_MS, noticeMs - NOTICE_MARGIN_MS), collectMs: COLLECT_SHARE * applyMs, retryMaxMs: RETRY_SHARE * applyMs }
+}
+
 /** Follows the entries of one kind: lists them, then watches for changes. */
 export class StoreFollower<T> {
   readonly #kind: StoreKind<T>
-  readonly #waitMs: number
+  readonly #times: FollowerTimes
   readonly #handlers: FollowerHandlers<T>
   #isStopped = false
   #failures = 0
@@ -72,20 +101,20 @@
   #recoveringUntilMs = 0
   #wake: (() => void) | undefined
 
-  private constructor (kind: StoreKind<T>, waitMs: number, handlers: FollowerHandlers<T>) {
+  private constructor (kind: StoreKind<T>, times: FollowerTimes, handlers: FollowerHandlers<T>) {
     this.#kind = kind
-    this.#waitMs = waitMs
+    this.#times = times
     this.#handlers = handlers
   }
 
   /**
    * @param kind - access to the entries
-   * @param waitMs - longest wait of one watch in ms
+   * @param times - how long it waits
    * @param handlers - called with entries, changes and outages
    * @returns a follower that has not started
    */
-  static create<T> (kind: StoreKind<T>, waitMs: number, handlers: FollowerHandlers<T>): StoreFollower<T> {
-    return new StoreFollower(kind, waitMs, handlers)
+  static create<T> (kind: StoreKind<T>, times: FollowerTimes, handlers: FollowerHandlers<T>): StoreFollower<T> {
+    return new StoreFollower(kind, times, handlers)
   }
 
   /** Lists the entries and watches for changes until stopped. */
@@ -94,7 +123,7 @@
     while (!this.#isStopped) {
       revision = revision === undefined ? await this.#list() : await this.#watch(revision)
       if (this.#failures > 0) await this.#pause(this.#getRetryDelayMs())
-      else if (this.#hasChanges) await this.#pause(COLLECT_MS)
+      else if (this.#hasChanges) await this.#pause(this.#times.collectMs)
     }
   }
 
@@ -118,7 +147,7 @@
   }
 
   async #watch (revision: number): Promise<number | undefined> {
-    const result = await this.#kind.watch(revision, this.#failures > 0 ? LOST_WAIT_MS : this.#waitMs)
+    const result = await this.#kind.watch(revision, this.#failures > 0 ? LOST_WAIT_MS : this.#times.waitMs)
     return result.caseOf({
       Left: failure => {
         if (failure === 'history-gone') return undefined
@@ -155,7 +184,7 @@
   }
 
   #getRetryDelayMs (): number {
-    const limitMs = Math.min(RETRY_DELAY_MAX_MS, RETRY_DELAY_FIRST_MS * 2 ** (this.#failures - 1))
+    const limitMs = Math.min(this.#times.retryMaxMs, RETRY_DELAY_FIRST_MS * 2 ** (this.#failures - 1))
     return limitMs * (0.5 + 0.5 * Math.random())
   }
 
--- a/test/adapter/store.test.ts
+++ b/test/adapter/store.test.ts
@@ -6,9 +6,12 @@
 import { Left, Right } from 'purify-ts'
 import type { Either } from 'purify-ts'
 import { StoreClient } from '../../platform/client.js'
-import { StoreFollower } from '../../src/gateway/store.js'
+import { StoreFollower, computeFollowerTimes } from '../../src/gateway/store.js'
 import type { ChangeBatch, Listing, StoreFailure } from '../../src/gateway/store.js'
 
+/** Times of the smallest fleets. */
+const TIMES = computeFollowerTimes({ noticeMs: 3_000, applyMs: 2_000 })
+
 type ResponseHandler = (request: IncomingMessage, response: ServerResponse) => void
 
 function reply (status: number, body?: unknown): ResponseHandler {
@@ -122,7 +125,7 @@
       if (result === 'change') return Right({ changes: [{ kind: 'removed', name: 'a' }], revision: revision + 1 })
       return result === 'idle' ? Right({ changes: [], revision }) : Left(result as StoreFailure)
     }
-  }, 2_000, {
+  }, TIMES, {
     handleList: (items, wasAway) => { notes.push(`list ${items.join()} away=${wasAway}`) },
     handleChanges: (changes, wasAway) => { notes.push(`${changes.map(({ kind }) => kind).join()} away=${wasAway}`) },
     handleState: (state, reason) => { notes.push(`${state} ${reason}`.trim()) }
@@ -161,7 +164,7 @@
       const written = countWritten()
       return Right({ changes: Array.from({ length: written - revision }, (_, at) => ({ kind: 'written' as const, item: `e${revision + at}` })), revision: written })
     }
-  }, 2_000, {
+  }, TIMES, {
     handleList () {},
     handleChanges (changes) {
       seen.push(...changes.map(change => change.kind === 'written' ? change.item : change.name))
@@ -174,3 +177,14 @@
   t.true(performance.now() - startedAtMs < 1_000)
   t.true(calls <= 5, `${calls} calls`)
 })
+
+// Guards against calls to the store that keep their pace although the bounds of a larger fleet are longer, and against times that exceed a bound.
+test('a follower waits as long as the bounds allow', t => {
+  const bounds = [{ noticeMs: 3_000, applyMs: 2_000 }, { noticeMs: 4_000, applyMs: 3_000 }, { noticeMs: 5_000, applyMs: 4_000 }, { noticeMs: 0, applyMs: 0 }]
+  t.snapshot(bounds.map(bound => ({ ...bound, ...computeFollowerTimes(bound) })))
+  for (const { noticeMs, applyMs } of bounds.slice(0, 3)) {
+    const { waitMs, collectMs, retryMaxMs } = computeFollowerTimes({ noticeMs, applyMs })
+    t.true(waitMs + 700 + 100 <= noticeMs)
+    t.true(collectMs + retryMaxMs < applyMs / 2)
+  }
+})
--- a/test/processes/gateway-cluster.ts
+++ b/test/processes/gateway-cluster.ts
@@ -117,7 +117,7 @@
     writeFileSync(path, [
       `host = { name = "${name}", ip = "${ip}", failure_domain = "a" }`,
       `listen = { callers = "${ip}:${PORTS.callers}", ready = "${ip}:${PORTS.ready}", directory = "${ip}:${PORTS.directory}", link_port = ${PORTS.link}, rank_port = ${PORTS.rank}, metrics_port = ${PORTS.metrics} }`,
-      `store = { address = "${this.store.address}" }`,
+      `store = { address = "${this.store.address}", notice_ms = 3000, apply_ms = 2000 }`,
       'retries = { ratio = 0.2, window_s = 10, extra = 20 }',
       'cold = { overshoot = 1.5, slack = 5 }',
       `stop = { grace_s = ${GRACE_S} }`,
