--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -303,6 +303,12 @@
     return { endpoint: id, domain, coldMs: Math.max(0, Math.round(coldUntilMs - nowMs)), recordAgeMs: Math.round(nowMs - updatedAtMs), gateways: this.peers.countKnown() }
   }
 
+  /** How many endpoints of a service the store lists as usable and how many of them take requests, for the log. */
+  describeService (service: string): LogFields {
+    const pauseMs = this.findPauseMs(service)
+    return { usable: this.endpoints.listUsable(service).length, available: this.listAvailable(service).length, ...(pauseMs === undefined ? {} : { pauseMs: Math.round(pauseMs) }) }
+  }
+
   /** Drops an endpoint whose address another one now has. */
   noteMisdirected ({ record }: EndpointView): void {
     this.endpoints.noteReplaced(record.id)
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -7,6 +7,7 @@
 import { Admission } from './admission.js'
 import type { AdmissionResult } from './admission.js'
 import type { EventBatch } from './events.js'
+import type { LogFields } from '../edge/log/logger.js'
 import type { GatewayContext } from './context.js'
 import type { MonitoredRequest } from './crash-monitor.js'
 import type { ExchangeOptions } from './exchange-options.js'
@@ -442,7 +443,7 @@
     const status = chooseStatus(error, this.#mayHaveRun)
     const retryAfterMs = status === 503 ? computeRetryAfterMs(this.#context, { service: this.#options.service, error, isGroupLost: this.#isGroupLost, deadlineAtMs: this.#deadlineAtMs }) : undefined
     sendRefusal(response, this.#context.dialect, request.requestId, error, status, retryAfterMs)
-    this.#finish(error, status)
+    this.#finish(error, status, status === 503 ? { retryAfterMs: Math.round(retryAfterMs ?? 0), ...this.#context.describeService(this.#options.service) } : {})
   }
 
   #sendAnswer (answer: BufferedAnswer, result: ErrorKind | 'ok'): void {
@@ -452,7 +453,7 @@
     this.#finish(result, answer.status)
   }
 
-  #finish (result: ErrorKind | 'ok', status: number): void {
+  #finish (result: ErrorKind | 'ok', status: number, refusal: LogFields = {}): void {
     this.#isDone = true
     clearTimeout(this.#timer)
     clearTimeout(this.#backoff)
@@ -463,7 +464,7 @@
     this.#context.metrics.count('requests', result)
     this.#context.metrics.observe('request_ms', elapsedMs, service)
     this.#context.log(result === 'ok' ? 'request-finished' : 'request-refused', {
-      request: request.requestId, route: route.name, service, team: team?.name ?? '', status, result, elapsedMs: Math.round(elapsedMs), attempts: this.#attempts, events: this.#stream.events, mayHaveRun: this.#mayHaveRun
+      request: request.requestId, route: route.name, service, team: team?.name ?? '', status, result, elapsedMs: Math.round(elapsedMs), attempts: this.#attempts, events: this.#stream.events, mayHaveRun: this.#mayHaveRun, ...refusal
     })
     this.#context.removeExchange(this)
   }
--- a/test/gateway/pause.test.ts
+++ b/test/gateway/pause.test.ts
@@ -50,6 +50,9 @@
   t.true(elapsedMs < 60, `refused after ${elapsedMs} ms`)
   t.true(Number(retryAfter) >= 0.85 && Number(retryAfter) < 1.6, `Retry-After ${retryAfter}`)
   t.deepEqual([harness.received['e1']!.length, harness.received['e2']!.length], [1, 1])
+  const { usable, available, pauseMs } = JSON.parse(harness.lines.findLast(line => line.includes('"request-refused"'))!) as Record<string, number>
+  t.deepEqual([usable, available], [2, 0])
+  t.true(pauseMs! > 850 && pauseMs! <= 1_000)
 })
 
 test('requests of a paused endpoint spread over the others', async t => {
