--- a/src/gateway/maps.ts
+++ b/src/gateway/maps.ts
@@ -33,8 +33,8 @@
 const COUNTERS_PER_READING_MAX = 120_000
 const FIRST_READING_WEIGHT = 3
 
-/** Timeout in ms for the replies of a reading with counters, which take a while on a slow link; no rank waits for them. */
-const COUNTERS_TIMEOUT_MS = 250
+/** Counters for which a reading gets one more ms: a fifth of what the slowest links carry. */
+const COUNTERS_PER_MS = 700
 
 /** Timeout in ms for the reply to a prepare order, which carries the whole map; no rank waits for it. */
 const PREPARE_REPLY_TIMEOUT_MS = 250
@@ -285,11 +285,12 @@
     }
     const group = [...this.#groups.values()][0]
     const sentAtMs = this.#options.context.getNowMs()
+    // No rank waits for a reading with counters, which take a while on a slow link.
     const counted = counters === 0 ? new Set<string>() : this.#pickCounted(service, [...addresses.keys()], counters)
     const replies = await Promise.all([...addresses].map(async ([key, address]) => {
       const wantsCounts = counted.has(key)
       const countsSince = wantsCounts ? this.#sums.findId(key) : undefined
-      const reply = await this.#sendRequest(address, { kind: 'read', wantsCounts, wantsMap: false, ...(countsSince === undefined ? {} : { countsSince }) }, counters === 0 ? REPLY_TIMEOUT_MS : COUNTERS_TIMEOUT_MS, group)
+      const reply = await this.#sendRequest(address, { kind: 'read', wantsCounts, wantsMap: false, ...(countsSince === undefined ? {} : { countsSince }) }, REPLY_TIMEOUT_MS + counters * counted.size / COUNTERS_PER_MS, group)
       const counts = reply?.counts === undefined ? undefined : this.#sums.decode(key, { ...reply, counts: reply.counts })
       return { address, reply, counts }
     }))
--- a/src/plugins/gateway/notices.ts
+++ b/src/plugins/gateway/notices.ts
@@ -77,6 +77,7 @@
   }
 
   describe (incarnation: Incarnation, nowMs: number): Availability {
+    if (this.#leaving.size === 0 && this.#pausedUntilMs.size === 0) return { kind: 'open' }
     const key = formatIncarnation(incarnation)
     if (this.#leaving.has(key)) return { kind: 'leaving' }
     const untilMs = this.#pausedUntilMs.get(key)
