--- a/test/processes/gateway-cluster.ts
+++ b/test/processes/gateway-cluster.ts
@@ -85,6 +85,8 @@
   readonly #prefix = `127.${1 + Math.floor(Math.random() * 250)}.${Math.floor(Math.random() * 250)}`
   /** Requests of callers that reached the endpoint, and when, in Unix ms. */
   readonly arrivals: { readonly requestId: string, readonly atMs: number }[] = []
+  /** Headers that the endpoint adds to its answers. */
+  endpointHeaders: Readonly<Record<string, string>> = {}
   readonly #agents: ChildProcess[] = []
   readonly #endpoint = createServer((request, response) => {
     if (request.url?.startsWith('/heatherdoor/') === true) {
@@ -95,6 +97,7 @@
     this.arrivals.push({ requestId: String(request.headers['heatherdoor-request-id']), atMs: Date.now() })
     response.setHeader('Heatherdoor-Request-Id', String(request.headers['heatherdoor-request-id']))
     response.setHeader('Heatherdoor-Response-Signature', 'signed')
+    for (const [name, value] of Object.entries(this.endpointHeaders)) response.setHeader(name, value)
     setTimeout(() => { response.end('ran') }, Number(request.headers['x-delay'] ?? 0))
   })
 
