Do not keep the counters of agents that are gone

A reading is dropped when its agent is not listed any more and does not answer.

The new test failed before (the request referred to the old reading), and passes now.

--- a/src/gateway/counter-deltas.ts
+++ b/src/gateway/counter-deltas.ts
@@ -61,6 +61,11 @@
     return new CounterSums()
   }
 
+  /** Forgets an agent that is gone; a reading of a large group takes tens of KB. */
+  forget (agent: string): void {
+    this.#latest.delete(agent)
+  }
+
   /** @returns id of the latest reading of an agent; undefined when there is none */
   findId (agent: string): number | undefined {
     return this.#latest.get(agent)?.id
--- a/src/gateway/maps.ts
+++ b/src/gateway/maps.ts
@@ -280,8 +280,12 @@
   async #readRanks (service: string, counters: number): Promise<readonly RankAnswer[]> {
     const addresses = this.#addresses.get(service) ?? new Map<string, Address>()
     this.#addresses.set(service, addresses)
+    const listed = new Set<string>()
     for (const { record } of this.#options.context.endpoints.listAll()) {
-      if (record.service === service) addresses.set(`${record.address.host}:${record.address.port}`, record.address)
+      if (record.service !== service) continue
+      const key = `${record.address.host}:${record.address.port}`
+      addresses.set(key, record.address)
+      listed.add(key)
     }
     const group = [...this.#groups.values()][0]
     const sentAtMs = this.#options.context.getNowMs()
@@ -291,6 +295,7 @@
       const wantsCounts = counted.has(key)
       const countsSince = wantsCounts ? this.#sums.findId(key) : undefined
       const reply = await this.#sendRequest(address, { kind: 'read', wantsCounts, wantsMap: false, ...(countsSince === undefined ? {} : { countsSince }) }, REPLY_TIMEOUT_MS + counters * counted.size / COUNTERS_PER_MS, group)
+      if (reply === undefined && !listed.has(key)) this.#sums.forget(key)
       const counts = reply?.counts === undefined ? undefined : this.#sums.decode(key, { ...reply, counts: reply.counts })
       return { address, reply, counts }
     }))
--- a/test/gateway/maps.test.ts
+++ b/test/gateway/maps.test.ts
@@ -8,6 +8,7 @@
 import type { RankReply, RankRequest } from '../../src/gateway/rank-link.js'
 import { FakeGroup } from '../lockstep/group.js'
 import { startHarness } from './harness.js'
+import type { Harness } from './harness.js'
 
 const RANKS = 192
 const ENGINE: EngineSpec = {
@@ -22,6 +23,9 @@
 
 const STEP_MS = 25
 
+/** Time in ms after which a gateway with the lowest id acts as the leader. */
+const LEADER_DELAY_MS = 1_500
+
 /** Interval in ms at which other experts are in demand. */
 const SHIFT_MS = 4_000
 
@@ -31,6 +35,12 @@
 /** Agents of a group behind the link of the leader, on which datagrams queue. */
 class FakeAgents {
   readonly group = FakeGroup.create(RANKS)
+  /** Tokens of the expert most in demand. */
+  tokensPerMs = 5
+  /** Hosts whose agents do not answer. */
+  readonly silent = new Set<string>()
+  /** Reading that the last request for counters of each host refers to. */
+  readonly requestedSince = new Map<string, number | undefined>()
   /** Bytes sent and received by the leader. */
   bytes = 0
   readonly #freeAtMs = { out: 0, in: 0 }
@@ -47,6 +57,8 @@
 
   async sendRequest (host: string, request: RankRequest, timeoutMs: number): Promise<RankReply | undefined> {
     const rank = Number(host.slice(1))
+    if (this.silent.has(host)) return undefined
+    if (request.kind === 'read' && request.wantsCounts) this.requestedSince.set(host, request.countsSince)
     const sentAtMs = performance.now()
     const arrivesAtMs = this.#transmit('out', pack(request).length, sentAtMs)
     await wait(arrivesAtMs - sentAtMs + ROUND_TRIP_MS)
@@ -72,7 +84,7 @@
     const shift = 101 * Math.floor(nowMs / SHIFT_MS)
     for (let at = 0; at < this.#counts.length; at += 1) {
       const layer = Math.floor(at / ENGINE.experts)
-      this.#counts[at]! += (nowMs - this.#countedAtMs) * 5 / (1 + (at * 37 + layer * 11 + shift) % ENGINE.experts) ** 0.9
+      this.#counts[at]! += (nowMs - this.#countedAtMs) * this.tokensPerMs / (1 + (at * 37 + layer * 11 + shift) % ENGINE.experts) ** 0.9
     }
     this.#countedAtMs = nowMs
     this.#latest = Array.from(this.#counts, Math.floor)
@@ -91,15 +103,21 @@
   return pack(others).length + counts.reduce((sum, count) => sum + (count < 128 ? 1 : count < 256 ? 2 : count < 65_536 ? 3 : 5), 0)
 }
 
-// Guards against maps that never change because the readings or orders of a large group fill the link of the leader.
-test('the maps of 192 ranks change although the link of the leader is slow and datagrams get lost', async t => {
-  const agents = FakeAgents.create()
+/** Starts the service of a gateway that becomes the leader after `LEADER_DELAY_MS`. */
+async function startService (agents: FakeAgents): Promise<{ readonly harness: Harness, readonly service: MapService }> {
   const harness = await startHarness('idempotent', {}, {}, ENGINE)
   for (let rank = 0; rank < RANKS; rank += 1) {
     harness.context.endpoints.upsert({ id: `e${rank}`, bornMs: 1, service: 's', address: { host: `h${rank}`, port: 1 }, domain: 'a', state: 'ready', slots: 4, coldRemainingMs: 0 }, 0)
   }
   const unused = async (): Promise<never> => { throw new Error('asked directly') }
   const service = MapService.create({ context: harness.context, client: agents, engine: { readState: async () => undefined, readCounts: unused, readMap: unused, send: async () => 'no-answer' }, id: 'g', isReady: () => true })
+  return { harness, service }
+}
+
+// Guards against maps that never change because the readings or orders of a large group fill the link of the leader.
+test('the maps of 192 ranks change although the link of the leader is slow and datagrams get lost', async t => {
+  const agents = FakeAgents.create()
+  const { harness, service } = await startService(agents)
   const steps = setInterval(() => { agents.group.beginStep() }, STEP_MS)
   let turnMaxMs = 0
   const startedAtMs = performance.now()
@@ -122,13 +140,14 @@
 
 // Guards against demand that is computed from increases which refer to another reading.
 test('counters are right whatever replies get lost or arrive late, and whichever process restarts', t => {
-  const step = fc.record({ agent: fc.integer({ min: 0, max: 1 }), reader: fc.integer({ min: 0, max: 1 }), event: fc.constantFrom('reply', 'reply', 'reply', 'lost', 'late', 'rank restarts', 'agent restarts', 'reader restarts') })
+  const step = fc.record({ agent: fc.integer({ min: 0, max: 1 }), reader: fc.integer({ min: 0, max: 1 }), event: fc.constantFrom('reply', 'reply', 'reply', 'lost', 'late', 'rank restarts', 'agent restarts', 'agent gone', 'reader restarts') })
   fc.assert(fc.property(fc.array(step, { maxLength: 60 }), steps => {
     const agents = [0, 1].map(() => ({ snapshots: CounterSnapshots.create(1), counts: [5, 0, 70] }))
     const readers = [0, 1].map(() => CounterSums.create())
     const late: (() => void)[] = []
     let firstId = 1
     for (const { agent: index, reader, event } of steps) {
+      if (event === 'agent gone') readers[reader]!.forget(`a${index}`)
       const agent = agents[index]!
       agent.counts = agent.counts.map((count, at) => count + at)
       if (event === 'rank restarts') agent.counts = [0, 0, 1]
@@ -148,3 +167,29 @@
   }), { seed: 1, numRuns: 2_000 })
   t.pass()
 })
+
+// Guards against a leader that keeps the counters of every agent that it has ever read.
+test('the reading of an agent that is gone is not kept', async t => {
+  const agents = FakeAgents.create()
+  // Without demand no map changes, during which no counters are read.
+  agents.tokensPerMs = 0
+  const { harness, service } = await startService(agents)
+  t.teardown(() => { harness.close() })
+  const update = async (): Promise<void> => {
+    await service.update()
+    agents.requestedSince.clear()
+    for (let turn = 0; turn < 30 && !agents.requestedSince.has('h0'); turn += 1) await service.update()
+  }
+  await service.update()
+  await wait(LEADER_DELAY_MS)
+  await update()
+  await update()
+  t.true(agents.requestedSince.get('h0') !== undefined)
+  agents.silent.add('h0')
+  harness.context.endpoints.remove('e0')
+  await service.update()
+  agents.silent.delete('h0')
+  await update()
+  t.true(agents.requestedSince.has('h0'))
+  t.is(agents.requestedSince.get('h0'), undefined)
+})
