Read an event once, and send only ids that are whole numbers

Cause: EventOrder.classify read the id with a pattern whose ^ and $ also match at a carriage return and decided whether it may be sent, while findLastId searched line feeds, trimmed, and its result was sent.

Change: event-block.ts decodes an event once, by the specification of server-sent events; blank-lines.ts finds the ends of blocks with the same line ends; an EventId is the only id that StreamAnswer, the resume and the adapter take, and the adapter decides what is one.

--- a/src/gateway/event-order.ts
+++ b/src/gateway/event-order.ts
@@ -1,61 +1,81 @@
 /** Checks that the events of a stream belong to it and come once: their ids increase, over all attempts of the stream. */
 
-import { isHeaderValue } from './sendable.js'
-
-const FIELDS_ID = /^id: ?(.*?)\r?$/gm
-const DIGITS = /^\d{1,15}$/
-
-/** Block of lines that only keeps the connection in use. */
-const ONLY_COMMENTS = /^(:[^\n]*\n|\r?\n)*$/
+import { assertNever } from '../kernel/errors.js'
+import { decodeBlock } from './event-block.js'
+import type { EventBlock } from './event-block.js'
+import type { EventId, ParseEventId } from './event-id.js'
 
 /** What a block of lines in a stream is. */
 export type BlockKind =
   | 'event'
   /** It holds no event, so that it is no progress. */
   | 'comment'
-  /** It belongs to another answer, or has come before. */
+  /** It belongs to another answer or has come before. */
   | 'foreign'
 
+/** What the order of a stream is created with. */
+export interface EventOrderOptions {
+  /** Whether the stream may be resumed, which needs an id for each event. */
+  readonly isResumable: boolean
+  readonly parseId: ParseEventId
+}
+
 /** Order of the events of one stream. */
 export class EventOrder {
+  readonly #isResumable: boolean
+  readonly #parseId: ParseEventId
   #needsIds: boolean
-  #lastId: number | undefined
+  #lastId: EventId | undefined
 
-  private constructor (needsIds: boolean, lastId: string | undefined) {
-    this.#needsIds = needsIds
-    this.#noteId(lastId)
+  private constructor ({ isResumable, parseId }: EventOrderOptions) {
+    this.#isResumable = isResumable
+    this.#parseId = parseId
+    this.#needsIds = isResumable
   }
 
   /**
-   * @param needsIds - whether each event has an id; a stream whose events have none cannot be resumed
-   * @param lastId - id after which the stream goes on; undefined at its start
-   * @returns the order of a stream
+   * @param options - rules of the stream
+   * @returns the order of a stream at its start
    */
-  static create (needsIds: boolean, lastId: string | undefined): EventOrder {
-    return new EventOrder(needsIds, lastId)
+  static create (options: EventOrderOptions): EventOrder {
+    return new EventOrder(options)
+  }
+
+  /** Id of the last event. */
+  get lastId (): EventId | undefined {
+    return this.#lastId
+  }
+
+  /** Goes on with the answer of the next attempt. @param lastId - event after which the stream is resumed */
+  resume (lastId: EventId | undefined): void {
+    this.#lastId = lastId
   }
 
   /**
    * Classifies the next block of a stream, and counts it when it is an event.
    *
-   * @param block - bytes up to and with a blank line
+   * @param bytes - bytes up to and with a blank line
+   * @returns what it is
    */
-  classify (block: Buffer): BlockKind {
-    const text = block.toString('latin1')
-    if (ONLY_COMMENTS.test(text)) return 'comment'
-    // The last field with an id counts, as for a stream that is resumed.
-    const id = [...text.matchAll(FIELDS_ID)].at(-1)?.[1]
-    if (id === undefined) return this.#needsIds ? 'foreign' : 'event'
-    // A stream whose events have ids may be resumed after any of them, which sends the id in a header.
-    if (this.#needsIds && !isHeaderValue(id)) return 'foreign'
-    if (this.#lastId !== undefined && DIGITS.test(id) && Number(id) <= this.#lastId) return 'foreign'
-    this.#needsIds = true
-    this.#noteId(id)
-    return 'event'
+  classify (bytes: Buffer): BlockKind {
+    const block = decodeBlock(bytes)
+    switch (block.kind) {
+      case 'comment':
+        return 'comment'
+      case 'event':
+        return this.#classifyEvent(block)
+      default:
+        return assertNever(block)
+    }
   }
 
-  /** Ids that are not numbers cannot be compared. */
-  #noteId (id: string | undefined): void {
-    this.#lastId = id !== undefined && DIGITS.test(id) ? Number(id) : undefined
+  #classifyEvent ({ id: text }: Extract<EventBlock, { kind: 'event' }>): BlockKind {
+    if (text === undefined) return this.#needsIds ? 'foreign' : 'event'
+    const id = this.#parseId(text)
+    if (this.#isResumable && id === undefined) return 'foreign'
+    if (id !== undefined && this.#lastId !== undefined && id <= this.#lastId) return 'foreign'
+    this.#needsIds = true
+    this.#lastId = id
+    return 'event'
   }
 }
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -14,7 +14,7 @@
 import type { AnswerHead, RawHeaders } from './model.js'
 import { FinalAnswer } from './final-answer.js'
 import { isStream, mayRunAgain } from './repeat.js'
-import { assembleAnswer, checkStalled, createRunningAttempt, hasBegun, noteReadingResumed, noteStreamBytes } from './running-attempt.js'
+import { assembleAnswer, checkSilence, createRunningAttempt, hasBegun, noteReadingResumed, noteStreamBytes } from './running-attempt.js'
 import type { RunningAttempt } from './running-attempt.js'
 import { settleAttempt } from './settle-attempt.js'
 import { StartGate } from './start-gate.js'
@@ -32,9 +32,6 @@
 /** Backoff in ms before a request that an endpoint refused is sent to another one. */
 const REFUSED_BACKOFF_MS = 30
 
-/** Share of the time limit of an idempotent request without data from its endpoint after which another endpoint is tried; covers endpoints that cannot be probed. */
-const INACTIVITY_TIMEOUT_SHARE = 0.4
-
 /** Share of the latency target of a route for which a request waits for a permit of an endpoint when no other endpoint can take it. */
 const PERMIT_WAIT_SHARE = 0.5
 
@@ -62,7 +59,7 @@
     this.#options = options
     this.#context = context
     const { request, fingerprint, team, route, service, receivedAtMs } = options
-    this.#stream = StreamAnswer.create({ response: options.response, isResumable: route.repeat === 'resumable-stream', lastEventId: request.lastEventId })
+    this.#stream = StreamAnswer.create({ response: options.response, isResumable: route.repeat === 'resumable-stream', lastEventId: request.lastEventId, parseEventId: text => context.dialect.parseEventId(text) })
     this.#monitored = { requestId: request.requestId, fingerprint, team: team?.name ?? '', parts: request.sharedParts ?? [] }
     this.#deadlineAtMs = receivedAtMs + Math.min(request.deadlineMs ?? Infinity, route.timeoutMs)
     this.#final = FinalAnswer.create({ exchange: options, context, stream: this.#stream, deadlineAtMs: this.#deadlineAtMs })
@@ -97,9 +94,7 @@
   }
 
   /**
-   * Abandons the attempt when another endpoint can take over and the stream has stalled,
-   * its endpoint is unresponsive or, for an idempotent request, has sent no data for
-   * `INACTIVITY_TIMEOUT_SHARE` of the time limit.
+   * Abandons the attempt when its endpoint is silent and another one can take over.
    *
    * @param nowMs - monotonic time in ms
    * @returns the endpoint when it should be probed
@@ -107,18 +102,13 @@
   checkLiveness (nowMs: number): EndpointView | undefined {
     const running = this.#running
     if (running?.attempt.isSent !== true || running.isPaused) return undefined
-    if (checkStalled(running, nowMs)) {
-      this.#abandon(running, 'stream stalled', nowMs)
-      return undefined
-    }
-    const { id } = running.endpoint.record
-    const timeoutMs = INACTIVITY_TIMEOUT_SHARE * (this.#deadlineAtMs - this.#options.receivedAtMs)
-    const isOverdue = this.#options.route.repeat === 'idempotent' && nowMs - running.lastActivityMs > timeoutMs
-    if (this.#context.liveness.isUnresponsive(id) || isOverdue) {
-      this.#abandon(running, 'endpoint unresponsive', nowMs)
+    const timeLimitMs = this.#deadlineAtMs - this.#options.receivedAtMs
+    const silence = checkSilence(running, { liveness: this.#context.liveness, repeat: this.#options.route.repeat, timeLimitMs, nowMs })
+    if (silence !== undefined) {
+      this.#abandon(running, silence, nowMs)
       return undefined
     }
-    return this.#context.liveness.shouldProbe(id, nowMs - running.lastActivityMs, nowMs) ? running.endpoint : undefined
+    return this.#context.liveness.shouldProbe(running.endpoint.record.id, nowMs - running.lastActivityMs, nowMs) ? running.endpoint : undefined
   }
 
   /** Ends the exchange when the grace period of a planned stop is over. */
--- a/src/gateway/model.ts
+++ b/src/gateway/model.ts
@@ -3,6 +3,7 @@
 import type { LimitStatement } from '../plugins/gateway/named-limits.js'
 import type { PauseStatement } from '../plugins/gateway/notices.js'
 import type { Either } from 'purify-ts'
+import type { EventId } from './event-id.js'
 import type { SendableHeaders } from './sendable.js'
 
 /** Address that a process listens on. */
@@ -131,7 +132,7 @@
   /** How long the caller waits for the answer, in ms. */
   readonly deadlineMs?: number
   /** Last event that the caller received of a broken stream, which is resumed after it. */
-  readonly lastEventId?: string
+  readonly lastEventId?: EventId
   /** Number of tokens of the prompt. */
   readonly promptTokens?: number
   /** Largest number of tokens of the answer. */
@@ -149,7 +150,7 @@
   readonly team?: string
   readonly priority: number
   /** Event after which the stream is resumed. */
-  readonly lastEventId?: string
+  readonly lastEventId?: EventId
   readonly bodyBytes: number
 }
 
@@ -187,6 +188,8 @@
 export interface Dialect {
   /** Decodes a request, or says why it is malformed or cannot be sent on. */
   parseRequest (path: string, headers: RawHeaders): Either<string, CallerRequest>
+  /** Decodes the id of an event. */
+  parseEventId (text: string): EventId | undefined
   buildAttempt (headers: SendableHeaders, attempt: AttemptHeaders): Record<string, string | string[]>
   /** Decodes the head of an answer, or says why it cannot be one. */
   parseAnswer (status: number, headers: RawHeaders): Either<string, AnswerHead>
--- a/src/gateway/running-attempt.ts
+++ b/src/gateway/running-attempt.ts
@@ -4,7 +4,8 @@
 import { ByteCollector } from './byte-collector.js'
 import type { EventSplitter } from './events.js'
 import type { AnswerKind } from './answer-kind.js'
-import type { AnswerHead } from './model.js'
+import type { LivenessPort } from '../plugins/gateway/liveness.js'
+import type { AnswerHead, RepeatPolicy } from './model.js'
 import type { SendableHeaders } from './sendable.js'
 import type { Attempt } from './upstream.js'
 
@@ -17,6 +18,9 @@
 /** Checks that must have found a stream stalled: after the gateway itself stood still, the next event waits unread in its socket. */
 const STALL_CHECKS_MIN = 3
 
+/** Share of the time limit of an idempotent request without data from its endpoint after which another endpoint is tried; covers endpoints that cannot be probed. */
+const INACTIVITY_TIMEOUT_SHARE = 0.4
+
 /** An attempt and what its endpoint has answered so far. */
 export interface RunningAttempt {
   readonly attempt: Attempt
@@ -98,12 +102,33 @@
   if (running.partialSinceMs !== undefined) running.partialSinceMs = nowMs
 }
 
+/** What the silence of an endpoint is judged by. */
+export interface SilenceOptions {
+  readonly liveness: Pick<LivenessPort, 'isUnresponsive'>
+  readonly repeat: RepeatPolicy
+  /** Time in ms from the receipt of the request to its deadline. */
+  readonly timeLimitMs: number
+  /** Monotonic time in ms. */
+  readonly nowMs: number
+}
+
+/**
+ * Counts a check of an attempt.
+ *
+ * @returns why another endpoint should take over; undefined while this one makes progress
+ */
+export function checkSilence (running: RunningAttempt, { liveness, repeat, timeLimitMs, nowMs }: SilenceOptions): string | undefined {
+  if (checkStalled(running, nowMs)) return 'stream stalled'
+  const isOverdue = repeat === 'idempotent' && nowMs - running.lastActivityMs > INACTIVITY_TIMEOUT_SHARE * timeLimitMs
+  return isOverdue || liveness.isUnresponsive(running.endpoint.record.id) ? 'endpoint unresponsive' : undefined
+}
+
 /**
  * Counts a check of a stream.
  *
  * @returns whether its endpoint sends bytes but makes no progress. Comments before the first event show that the request waits.
  */
-export function checkStalled (running: RunningAttempt, nowMs: number): boolean {
+function checkStalled (running: RunningAttempt, nowMs: number): boolean {
   const { partialSinceMs, hasComments, events, lastEventMs } = running
   if (partialSinceMs === undefined && !hasComments) return false
   running.stallChecks += 1
--- a/src/gateway/stream-answer.ts
+++ b/src/gateway/stream-answer.ts
@@ -1,6 +1,7 @@
 /** The event stream that a caller receives: one answer, whose events may come from several attempts. */
 
 import type { ServerResponse } from 'node:http'
+import type { EventId, ParseEventId } from './event-id.js'
 import { EventOrder } from './event-order.js'
 import { EventSplitter } from './events.js'
 import type { EventBatch } from './events.js'
@@ -15,21 +16,22 @@
   /** Whether the stream can be resumed, which needs an id for each event. */
   readonly isResumable: boolean
   /** Event after which the caller resumes the stream; undefined at its start. */
-  readonly lastEventId: string | undefined
+  readonly lastEventId: EventId | undefined
+  readonly parseEventId: ParseEventId
 }
 
 /** A stream that is sent to a caller. */
 export class StreamAnswer {
   readonly #options: StreamAnswerOptions
   readonly #order: EventOrder
-  #lastEventId: string | undefined
+  #lastEventId: EventId | undefined
   #events = 0
   #hasBegun = false
 
   private constructor (options: StreamAnswerOptions) {
     this.#options = options
     this.#lastEventId = options.lastEventId
-    this.#order = EventOrder.create(options.isResumable, options.lastEventId)
+    this.#order = EventOrder.create({ isResumable: options.isResumable, parseId: options.parseEventId })
   }
 
   /**
@@ -51,12 +53,13 @@
   }
 
   /** Event after which the stream would be resumed. */
-  get lastEventId (): string | undefined {
+  get lastEventId (): EventId | undefined {
     return this.#lastEventId
   }
 
   /** @returns a splitter for the answer of the next attempt */
   createSplitter (): EventSplitter {
+    this.#order.resume(this.#lastEventId)
     return EventSplitter.create(this.#order)
   }
 
--- a/test/adapter/dialect.test.ts
+++ b/test/adapter/dialect.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava'
 import { decodeConfiguration, decodeEndpoint } from '../../platform/decode.js'
 import { platformDialect } from '../../platform/dialect.js'
+import type { EventId } from '../../src/gateway/event-id.js'
 import type { SendableHeaders } from '../../src/gateway/sendable.js'
 import { parseAgentSettings, parseGatewaySettings } from '../../platform/settings.js'
 
@@ -22,7 +23,7 @@
 
 // Guards against credentials, forged gateway headers and connection headers that reach an endpoint.
 test('an attempt forwards only the caller headers that are meant for endpoints', t => {
-  t.snapshot(platformDialect.buildAttempt(CALLER as unknown as SendableHeaders, { endpointId: 'e1', deadlineLeftMs: 7_000, team: 't1', priority: 2, lastEventId: '13', bodyBytes: 5 }))
+  t.snapshot(platformDialect.buildAttempt(CALLER as unknown as SendableHeaders, { endpointId: 'e1', deadlineLeftMs: 7_000, team: 't1', priority: 2, lastEventId: 13 as EventId, bodyBytes: 5 }))
 })
 
 // Guards against responses that lose their signature, and against a refusal that counts as a run.
--- a/test/gateway/decisions.test.ts
+++ b/test/gateway/decisions.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava'
+import { platformDialect } from '../../platform/dialect.js'
 import type { EndpointRecord } from '../../src/gateway/model.js'
 import { Random } from '../../src/kernel/random.js'
 import { EventOrder } from '../../src/gateway/event-order.js'
@@ -190,7 +191,7 @@
 
 // Guards against a partial event in a stream that is then resumed at another endpoint.
 test('only complete events are passed on', t => {
-  const splitter = EventSplitter.create(EventOrder.create(false, undefined))
+  const splitter = EventSplitter.create(EventOrder.create({ isResumable: false, parseId: platformDialect.parseEventId }))
   const parts = ['id: 1\ndata: a\n', '\nid: 2\nda', 'ta: b\n\nid: 3\r\ndata: c\r\n\r\nid: 4']
   t.snapshot(parts.map(part => {
     const batch = splitter.add(Buffer.from(part))
--- a/test/gateway/event-ids.test.ts
+++ b/test/gateway/event-ids.test.ts
@@ -1,6 +1,11 @@
 import test from 'ava'
+import fc from 'fast-check'
+import { platformDialect } from '../../platform/dialect.js'
+import { EventOrder } from '../../src/gateway/event-order.js'
+import { EventSplitter } from '../../src/gateway/events.js'
 import { startHarness } from './harness.js'
 import type { Script } from './harness.js'
+import { PROPERTY } from './property.js'
 
 const rest: Script = (request, response) => {
   response.setHeader('Content-Type', 'text/event-stream')
@@ -39,3 +44,125 @@
     }
   }
 })
+
+/** Pieces of a whole stream. */
+const PIECES = 6
+
+function formatEvent (id: number): string {
+  return `id: ${id}\ndata: piece ${id}\n\n`
+}
+
+/** Sends the rest of a stream, as `Last-Event-Id` asks for. */
+function streamUntil (last: number): Script {
+  return (request, response) => {
+    response.setHeader('Content-Type', 'text/event-stream')
+    for (let id = Number(request.headers['last-event-id'] ?? 0) + 1; id <= last; id += 1) response.write(formatEvent(id))
+    response.end()
+  }
+}
+
+/** Data of the events that a caller reads in a stream, by the specification of server-sent events. */
+function readPieces (stream: string): readonly string[] {
+  return stream.split(/(?:\r\n|\n|\r)(?:\r\n|\n|\r)/).flatMap(block => {
+    const lines = block.split(/\r\n|\n|\r/).flatMap(line => /^data: ?(.*)$/s.exec(line)?.[1] ?? [])
+    return lines.length === 0 ? [] : [lines.join('\n')]
+  })
+}
+
+/** How the answer of the first endpoint ends: after the damaged event, after the next one, or with the stream. */
+type Ending = 'break' | 'break-after-next' | 'whole'
+
+interface DamagedStream {
+  readonly last: number
+  readonly damagedId: number
+  /** Line with the id of that event, without its line end. */
+  readonly idLine: Buffer
+  readonly ending: Ending
+}
+
+function sendDamaged ({ last, damagedId, idLine, ending }: DamagedStream): Script {
+  const sentIds = ending === 'whole' ? last : Math.min(last, ending === 'break' ? damagedId : damagedId + 1)
+  const events = Array.from({ length: sentIds }, (_value, index) => index + 1 === damagedId
+    ? Buffer.concat([idLine, Buffer.from(`\ndata: piece ${damagedId}\n\n`)])
+    : Buffer.from(formatEvent(index + 1)))
+  return (request, response) => {
+    response.setHeader('Content-Type', 'text/event-stream')
+    if (ending === 'whole') response.end(Buffer.concat(events))
+    else response.write(Buffer.concat(events), () => { request.socket.end() })
+  }
+}
+
+/** Plays streams one after the other. @returns faults in what the caller got */
+async function playDamaged (streams: readonly DamagedStream[]): Promise<readonly string[]> {
+  const faults: string[] = []
+  let first: Script = () => {}
+  let second: Script = () => {}
+  const harness = await startHarness('resumable-stream', { e1: (...call) => { first(...call) }, e2: (...call) => { second(...call) } })
+  for (const stream of streams) {
+    first = sendDamaged(stream)
+    second = streamUntil(stream.last)
+    // The harness gives up endpoints that fail; each run starts with a sound one.
+    for (const id of ['e1', 'e2']) harness.context.forget(id)
+    const startedAtMs = performance.now()
+    const { status, body, isComplete } = await harness.call()
+    const expected = Array.from({ length: stream.last }, (_value, index) => `piece ${index + 1}`)
+    const pieces = readPieces(body)
+    const isWhole = status === 200 && isComplete && pieces.join() === expected.join()
+    const isCut = !isComplete && pieces.join() === expected.slice(0, pieces.length).join()
+    if (!isWhole && !isCut) faults.push(`${JSON.stringify({ ...stream, idLine: stream.idLine.toString('latin1') })}: ${status} ${JSON.stringify(body)}`)
+    if (performance.now() - startedAtMs > 1_000) faults.push(`${JSON.stringify(stream)}: late`)
+  }
+  faults.push(...harness.lines.filter(line => line.includes('"internal-error"')))
+  harness.close()
+  return faults
+}
+
+const ENDINGS: readonly Ending[] = ['break', 'break-after-next', 'whole']
+
+// Guards against an id that one part of the gateway checks and another one, which reads it otherwise, sends on.
+test('a stream whose endpoint sends any bytes for an id reaches its caller whole, or is cut', async t => {
+  const odd = ['1\rx', '\r1', '2\rid: 1', '1é', '', ' 1', '1 ', '01', '+1', '1e0', '0x1', '1.0', '-1', '1\x00', '\x7f', '1'.repeat(60_000), '1000000000000000', '٣', 'NaN']
+  const streams: DamagedStream[] = []
+  for (const damagedId of [1, 3]) {
+    for (const ending of ENDINGS) for (const text of odd) streams.push({ last: PIECES, damagedId, idLine: Buffer.from(`id: ${text}`, 'latin1'), ending })
+    for (const line of ['id', 'id:', 'id: 1\nid:', 'Id: 1', 'id : 1']) streams.push({ last: PIECES, damagedId, idLine: Buffer.from(line), ending: 'break' })
+  }
+  t.deepEqual(await playDamaged(streams), [])
+})
+
+// Guards against events that depend on how their bytes were split on the way.
+test('the events of a stream are the same however its bytes arrive', t => {
+  const pieces = fc.array(fc.constantFrom('id: 1', 'id: 2', 'id: 3', 'data: x', 'data', ': c', '\n', '\r\n', '\r', '\n\n', '\r\n\r\n', '\r\r', 'x', '7'), { maxLength: 30 }).map(parts => Buffer.from(parts.join('')))
+  const split = (bytes: Buffer, cuts: readonly number[]): { readonly text: string, readonly count: number, readonly lastId: number | undefined, readonly isForeign: boolean, readonly rest: string } => {
+    const splitter = EventSplitter.create(EventOrder.create({ isResumable: true, parseId: platformDialect.parseEventId }))
+    const ends = [...new Set([...cuts.map(cut => cut % (bytes.length + 1)), bytes.length])].sort((a, b) => a - b)
+    let text = ''
+    let count = 0
+    let lastId: number | undefined
+    let start = 0
+    for (const end of ends) {
+      const batch = splitter.add(bytes.subarray(start, end))
+      start = end
+      text += batch?.bytes.toString('latin1') ?? ''
+      count += batch?.count ?? 0
+      lastId = batch?.lastId ?? lastId
+      if (splitter.isForeign) break
+    }
+    return { text, count, lastId, isForeign: splitter.isForeign, rest: splitter.isForeign ? '' : splitter.getRemainder().toString('latin1') }
+  }
+  fc.assert(fc.property(pieces, fc.array(fc.nat(200), { maxLength: 8 }), (bytes, cuts) => {
+    t.like(split(bytes, cuts), split(bytes, []))
+  }), { ...PROPERTY, numRuns: 5 * PROPERTY.numRuns })
+})
+
+// Guards against a caller's id that is sent on without a check, and against one that cannot be used and starts the stream again.
+test('a caller resumes a stream only after an id', async t => {
+  const harness = await startHarness('resumable-stream', { e1: streamUntil(3) })
+  const results: Record<string, string> = {}
+  for (const id of ['2', '', '0', '02', '-1', '1e0', '9'.repeat(16), 'x', '1,2']) {
+    const { status, body } = await harness.call({ headers: { 'last-event-id': id } })
+    results[id] = `${status} ${readPieces(body).join(', ')}`
+  }
+  harness.close()
+  t.snapshot([results, harness.received['e1']])
+})
--- a/test/gateway/harness.ts
+++ b/test/gateway/harness.ts
@@ -51,6 +51,7 @@
   readonly leaveAfterMs?: number
   /** Ids of the parts of the prompt; the last one is the request's own. */
   readonly parts?: readonly string[]
+  readonly headers?: Readonly<Record<string, string>>
 }
 
 let nextRequest = 1
@@ -144,9 +145,9 @@
   return port
 }
 
-async function callGateway (port: number, { path = '/a/b', key = 'k1', deadlineMs = 1_500, leaveAfterMs, parts }: CallOptions): Promise<CallerAnswer> {
+async function callGateway (port: number, { path = '/a/b', key = 'k1', deadlineMs = 1_500, leaveAfterMs, parts, headers: extra }: CallOptions): Promise<CallerAnswer> {
   return await new Promise((resolve, reject) => {
-    const headers = { host: 'h', 'heatherdoor-request-id': `r${nextRequest++}`, authorization: `Bearer ${key}`, 'heatherdoor-deadline-ms': String(deadlineMs), ...(parts === undefined ? {} : { 'heatherdoor-prompt-prefix': parts.map(part => `${part}:40`).join(',') }) }
+    const headers = { host: 'h', 'heatherdoor-request-id': `r${nextRequest++}`, authorization: `Bearer ${key}`, 'heatherdoor-deadline-ms': String(deadlineMs), ...(parts === undefined ? {} : { 'heatherdoor-prompt-prefix': parts.map(part => `${part}:40`).join(',') }), ...extra }
     const request = openRequest({ host: '127.0.0.1', port, method: 'POST', path, headers, agent: false })
     request.on('response', response => {
       let body = ''
