Resume a stream before an event without data

Callers drop an event without data (specification of server-sent events), but it counted as passed on, and the stream was resumed after it.

In a stream that may be resumed such an event now ends the attempt.

--- a/src/gateway/event-block.ts
+++ b/src/gateway/event-block.ts
@@ -8,7 +8,7 @@
 export type EventBlock =
   /** Blank lines and comments only, which keep the connection in use. */
   | { readonly kind: 'comment' }
-  | { readonly kind: 'event', readonly id: string | undefined }
+  | { readonly kind: 'event', readonly id: string | undefined, readonly hasData: boolean }
 
 /**
  * @param block - bytes up to and with a blank line
@@ -16,16 +16,18 @@
  */
 export function decodeBlock (block: Buffer): EventBlock {
   let id: string | undefined
+  let hasData = false
   let hasFields = false
   for (const line of block.toString('latin1').split(LINE_END)) {
     if (line === '' || line.startsWith(COMMENT)) continue
     const colon = line.indexOf(':')
     const field = colon < 0 ? line : line.slice(0, colon)
     hasFields = true
+    if (field === 'data') hasData = true
     if (field !== 'id') continue
     const value = colon < 0 ? '' : line.slice(line[colon + 1] === ' ' ? colon + 2 : colon + 1)
     // The specification ignores an id with a zero byte.
     if (!value.includes(NULL_CHARACTER)) id = value
   }
-  return hasFields ? { kind: 'event', id } : { kind: 'comment' }
+  return hasFields ? { kind: 'event', id, hasData } : { kind: 'comment' }
 }
--- a/src/gateway/event-order.ts
+++ b/src/gateway/event-order.ts
@@ -10,7 +10,7 @@
   | 'event'
   /** It holds no event, so that it is no progress. */
   | 'comment'
-  /** It belongs to another answer or has come before. */
+  /** It belongs to another answer has come before or is damaged. */
   | 'foreign'
 
 /** What the order of a stream is created with. */
@@ -69,10 +69,11 @@
     }
   }
 
-  #classifyEvent ({ id: text }: Extract<EventBlock, { kind: 'event' }>): BlockKind {
+  #classifyEvent ({ id: text, hasData }: Extract<EventBlock, { kind: 'event' }>): BlockKind {
     if (text === undefined) return this.#needsIds ? 'foreign' : 'event'
     const id = this.#parseId(text)
-    if (this.#isResumable && id === undefined) return 'foreign'
+    // Callers drop an event without data, and would not get it when the stream is resumed after it.
+    if (this.#isResumable && (id === undefined || !hasData)) return 'foreign'
     if (id !== undefined && this.#lastId !== undefined && id <= this.#lastId) return 'foreign'
     this.#needsIds = true
     this.#lastId = id
--- a/test/gateway/event-ids.test.ts
+++ b/test/gateway/event-ids.test.ts
@@ -130,6 +130,16 @@
   t.deepEqual(await playDamaged(streams), [])
 })
 
+// Guards against an event that callers drop, as its data is damaged, and that a resumed stream does not repeat.
+test('an event without data is not one of the stream', async t => {
+  for (const events of ['id: 1\nxata: piece 1\n\n', 'id: 1\n\n', 'id: 1\n\nid: 2\ndata: piece 2\n\n']) {
+    const harness = await startHarness('resumable-stream', { e1: breakOffAfter(events), e2: streamUntil(3) })
+    const { body, isComplete } = await harness.call()
+    harness.close()
+    t.deepEqual([readPieces(body), isComplete], [['piece 1', 'piece 2', 'piece 3'], true], events)
+  }
+})
+
 // Guards against events that depend on how their bytes were split on the way.
 test('the events of a stream are the same however its bytes arrive', t => {
   const pieces = fc.array(fc.constantFrom('id: 1', 'id: 2', 'id: 3', 'data: x', 'data', ': c', '\n', '\r\n', '\r', '\n\n', '\r\n\r\n', '\r\r', 'x', '7'), { maxLength: 30 }).map(parts => Buffer.from(parts.join('')))
