--- a/src/gateway/events.ts
+++ b/src/gateway/events.ts
@@ -19,12 +19,14 @@
   readonly lastId?: EventId
 }
 
-/** Buffers bytes until events are complete. */
+/** Buffers bytes until events are complete, and a doubtful event until the next one confirms it. */
 export class EventSplitter {
   readonly #order: EventOrder
   readonly #blankLines = BlankLineScanner.create()
   /** Parts of an incomplete event, joined only when it ends: an event may arrive in very many. */
   #partial = ByteCollector.create()
+  /** Doubtful event and the comments after it. */
+  #doubtful = ByteCollector.create()
   #isForeign = false
 
   private constructor (order: EventOrder) {
@@ -64,6 +66,17 @@
     return joinBatches(batches)
   }
 
+  /**
+   * Ends the stream.
+   *
+   * @returns the doubtful event, which is the last one; undefined when there is none
+   */
+  finish (): EventBatch | undefined {
+    if (this.#doubtful.bytes === 0) return undefined
+    this.#order.confirm()
+    return this.#takeDoubtful(Buffer.alloc(0), 0)
+  }
+
   /** Whether a block that does not belong to the stream follows what was passed on. */
   get isForeign (): boolean {
     return this.#isForeign
@@ -74,14 +87,19 @@
     return this.#partial.bytes > 0
   }
 
-  /** Cost of the bytes after the last complete event. */
-  get partialCost (): number {
-    return this.#partial.cost
+  /** Whether bytes have not been passed on. */
+  get isHolding (): boolean {
+    return this.isPartial || this.#doubtful.bytes > 0
+  }
+
+  /** Cost of the bytes that have not been passed on. */
+  get heldCost (): number {
+    return this.#partial.cost + this.#doubtful.cost
   }
 
   /** Whether these are more than any event has. */
   get isTooLarge (): boolean {
-    return this.#partial.cost > EVENT_BYTES_MAX
+    return this.heldCost > EVENT_BYTES_MAX
   }
 
   /** @returns bytes after the last complete event */
@@ -93,9 +111,14 @@
     const kind = this.#order.classify(block)
     switch (kind) {
       case 'event':
-        return this.#buildBatch(block, 1)
+        return this.#takeDoubtful(block, 1)
       case 'comment':
-        return { bytes: block, count: 0 }
+        if (this.#doubtful.bytes === 0) return { bytes: block, count: 0 }
+        this.#doubtful.add(block)
+        return undefined
+      case 'doubtful':
+        this.#doubtful.add(block)
+        return undefined
       case 'foreign':
         this.#isForeign = true
         return undefined
@@ -104,9 +127,14 @@
     }
   }
 
-  #buildBatch (bytes: Buffer, count: number): EventBatch {
+  /** Takes the doubtful event, if there is one, together with the block that follows it. */
+  #takeDoubtful (block: Buffer, count: number): EventBatch {
     const { lastId } = this.#order
-    return { bytes, count, ...(lastId === undefined ? {} : { lastId }) }
+    const id = lastId === undefined ? {} : { lastId }
+    if (this.#doubtful.bytes === 0) return { bytes: block, count, ...id }
+    const bytes = Buffer.concat([this.#doubtful.join(), block])
+    this.#doubtful = ByteCollector.create()
+    return { bytes, count: count + 1, ...id }
   }
 }
 
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -249,7 +249,7 @@
       return
     }
     const batch = running.splitter.add(chunk)
-    this.#noteBuffered(running, running.splitter.partialCost)
+    this.#noteBuffered(running, running.splitter.heldCost)
     if (this.#running !== running) return
     if (running.splitter.isTooLarge) {
       this.#break(running, 'event too large')
@@ -336,6 +336,8 @@
       this.#handleFailure({ kind: 'broken', reason: 'stream ended inside an event' })
       return
     }
+    const batch = running.splitter?.finish()
+    if (batch !== undefined) this.#writeEvents(running, batch)
     this.#noteAnswered(running)
     this.#end(() => { this.#final.endStream(head) })
   }
--- a/src/gateway/running-attempt.ts
+++ b/src/gateway/running-attempt.ts
@@ -35,7 +35,7 @@
   firstEventMs: number | undefined
   /** Events that the endpoint has sent in this attempt. */
   events: number
-  /** Monotonic time in ms since which an event is incomplete; undefined when none is. */
+  /** Monotonic time in ms since which an event is incomplete or doubtful; undefined when none is. */
   partialSinceMs: number | undefined
   /** Monotonic time in ms of the last event. */
   lastEventMs: number
@@ -82,16 +82,16 @@
 
 /** Records bytes of a stream that completed `events` events. */
 export function noteStreamBytes (running: RunningAttempt, events: number, nowMs: number): void {
-  const isPartial = running.splitter?.isPartial ?? false
+  const isHolding = running.splitter?.isHolding ?? false
   if (events > 0) {
     running.lastEventMs = nowMs
     running.hasComments = false
     running.stallChecks = 0
-  } else if (!isPartial) {
+  } else if (!isHolding) {
     running.hasComments = true
   }
-  if (events > 0 || !isPartial) running.partialSinceMs = undefined
-  if (isPartial) running.partialSinceMs ??= nowMs
+  if (events > 0 || !isHolding) running.partialSinceMs = undefined
+  if (isHolding) running.partialSinceMs ??= nowMs
 }
 
 /** Starts the times anew after a pause in reading. */
--- a/test/gateway/event-ids.test.ts
+++ b/test/gateway/event-ids.test.ts
@@ -121,13 +121,58 @@
 
 // Guards against an id that one part of the gateway checks and another one, which reads it otherwise, sends on.
 test('a stream whose endpoint sends any bytes for an id reaches its caller whole, or is cut', async t => {
-  const odd = ['1\rx', '\r1', '2\rid: 1', '1é', '', ' 1', '1 ', '01', '+1', '1e0', '0x1', '1.0', '-1', '1\x00', '\x7f', '1'.repeat(60_000), '1000000000000000', '٣', 'NaN']
+  const odd = ['1\rx', '\r1', '2\rid: 1', '1é', '', ' 1', '1 ', '01', '+1', '1e0', '0x1', '1.0', '-1', '1\x00', '\x7f', '1'.repeat(60_000), '999999999999999', '1000000000000000', '٣', '1\n\nid: 2', 'NaN']
   const streams: DamagedStream[] = []
   for (const damagedId of [1, 3]) {
     for (const ending of ENDINGS) for (const text of odd) streams.push({ last: PIECES, damagedId, idLine: Buffer.from(`id: ${text}`, 'latin1'), ending })
-    for (const line of ['id', 'id:', 'id: 1\nid:', 'Id: 1', 'id : 1']) streams.push({ last: PIECES, damagedId, idLine: Buffer.from(line), ending: 'break' })
+    for (const line of ['id', 'id:', 'id: 1\nid:', 'id:9\nid', 'Id: 1', 'id : 1']) streams.push({ last: PIECES, damagedId, idLine: Buffer.from(line), ending: 'break' })
   }
   t.deepEqual(await playDamaged(streams), [])
+  const ids = fc.oneof(fc.uint8Array({ maxLength: 6 }).map(bytes => Buffer.from(bytes)), fc.string({ unit: fc.constantFrom('1', '3', '9', '0', '\r', '\n', ' ', ':', 'id', '\0'), maxLength: 6 }).map(text => Buffer.from(text)))
+  const damaged = fc.record({ last: fc.constant(PIECES), damagedId: fc.integer({ min: 1, max: PIECES }), idLine: ids.map(id => Buffer.concat([Buffer.from('id: '), id])), ending: fc.constantFrom(...ENDINGS) })
+  t.deepEqual(await playDamaged(fc.sample(damaged, { ...PROPERTY, numRuns: Math.min(PROPERTY.numRuns, 20_000) })), [])
+})
+
+// Guards against a stream that is resumed after a damaged id, which is a number like any other, and lacks the events before it.
+test('a stream with one wrong bit in an id reaches its caller whole, or is cut', async t => {
+  const streams: DamagedStream[] = []
+  for (let last = 1; last <= PIECES; last += 1) {
+    for (let damagedId = 1; damagedId <= last; damagedId += 1) {
+      const idLine = Buffer.from(`id: ${damagedId}`)
+      for (let bit = 0; bit < 8 * idLine.length; bit += 1) {
+        const damaged = Buffer.from(idLine)
+        damaged[bit >> 3]! ^= 1 << (bit & 7)
+        for (const ending of ENDINGS) streams.push({ last, damagedId, idLine: damaged, ending })
+      }
+    }
+  }
+  t.deepEqual(await playDamaged(streams), [])
+})
+
+// Guards against endpoints whose events cannot be passed on because their ids leave out numbers, and against waits for more than one event.
+test('an event that leaves out ids is passed on with the next one, or at the end of the stream', async t => {
+  const splitter = EventSplitter.create(EventOrder.create({ isResumable: true, parseId: platformDialect.parseEventId }))
+  const batches = [formatEvent(5), ': c\n\n', formatEvent(10), formatEvent(15), formatEvent(40)].map(event => splitter.add(Buffer.from(event)))
+  t.deepEqual(batches.map(batch => batch === undefined ? undefined : { pieces: readPieces(batch.bytes.toString()), count: batch.count, lastId: Number(batch.lastId) }), [
+    undefined, undefined, { pieces: ['piece 5', 'piece 10'], count: 2, lastId: 10 }, { pieces: ['piece 15'], count: 1, lastId: 15 }, { pieces: ['piece 40'], count: 1, lastId: 40 }
+  ])
+  const harness = await startHarness('resumable-stream', { e1: (_request, response) => { response.end(`${formatEvent(1)}${formatEvent(7)}`) } })
+  const { body, isComplete } = await harness.call()
+  harness.close()
+  t.deepEqual([readPieces(body), isComplete], [['piece 1', 'piece 7'], true])
+})
+
+// Guards against a stream that waits for ever for the event that would confirm a damaged id.
+test('a stream that stands still after an event that leaves out ids is resumed before that event', async t => {
+  const harness = await startHarness('resumable-stream', { e1: (_request, response) => { response.write(`${formatEvent(1)}id: 6\ndata: piece 2\n\n`) }, e2: streamUntil(3) }, { timeoutMs: 5_000 })
+  // As the process does in its housekeeping.
+  const timer = setInterval(() => { for (const exchange of harness.context.listExchanges()) exchange.checkLiveness(performance.now()) }, 100)
+  const startedAtMs = performance.now()
+  const { body, isComplete } = await harness.call({ deadlineMs: 4_000 })
+  clearInterval(timer)
+  harness.close()
+  t.deepEqual([readPieces(body), isComplete], [['piece 1', 'piece 2', 'piece 3'], true])
+  t.true(performance.now() - startedAtMs < 2_000)
 })
 
 // Guards against an event that callers drop, as its data is damaged, and that a resumed stream does not repeat.
