--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -13,7 +13,7 @@
 import type { ExchangeOptions } from './exchange-options.js'
 import type { AnswerHead, RawHeaders } from './model.js'
 import { FinalAnswer } from './final-answer.js'
-import { isStream, mayRunAgain } from './repeat.js'
+import { ATTEMPT_MIN_MS, isStream, mayRunAgain } from './repeat.js'
 import { assembleAnswer, checkSilence, createRunningAttempt, hasBegun, noteReadingResumed, noteStreamBytes } from './running-attempt.js'
 import type { RunningAttempt } from './running-attempt.js'
 import { settleAttempt } from './settle-attempt.js'
@@ -26,9 +26,6 @@
 /** Time in ms to wait after the deadline, because the answer that the endpoint sends at its own deadline is still in transit. */
 const ANSWER_GRACE_MS = 60
 
-/** Shortest remaining time in ms for which an attempt is sent. */
-const ATTEMPT_MIN_MS = 5
-
 /** Backoff in ms before a request that an endpoint refused is sent to another one. */
 const REFUSED_BACKOFF_MS = 30
 
@@ -385,19 +382,12 @@
 
   /** Retries when the request may be repeated or has certainly not run; otherwise sends the error. */
   #retryOrFail (error: ErrorKind, backoffMs: number): void {
-    const { route, service } = this.#options
     if (this.#isCallerGone) {
       this.#cancel()
       return
     }
-    const nowMs = this.#context.getNowMs()
-    const mayRepeat = !this.#final.mayHaveRun || mayRunAgain(route.repeat)
-    const hasTimeLeft = nowMs + backoffMs + ATTEMPT_MIN_MS < this.#deadlineAtMs
-    if (!mayRepeat || !hasTimeLeft || this.#final.attempts >= route.attemptsMax || !this.#context.acceptRetry(service, nowMs)) {
-      this.#fail(error)
-      return
-    }
-    this.#retry(error, backoffMs)
+    if (this.#final.acceptRetry(backoffMs)) this.#retry(error, backoffMs)
+    else this.#fail(error)
   }
 
   #retry (error: ErrorKind, backoffMs: number): void {
--- a/src/gateway/final-answer.ts
+++ b/src/gateway/final-answer.ts
@@ -6,7 +6,7 @@
 import type { GatewayContext } from './context.js'
 import type { ExchangeOptions } from './exchange-options.js'
 import type { AnswerHead } from './model.js'
-import { chooseStatus } from './repeat.js'
+import { ATTEMPT_MIN_MS, chooseStatus, mayRunAgain } from './repeat.js'
 import { computeRetryAfterMs, sendAnswer, sendRefusal } from './responses.js'
 import type { BufferedAnswer } from './running-attempt.js'
 import type { StreamAnswer } from './stream-answer.js'
@@ -20,6 +20,9 @@
   readonly deadlineAtMs: number
 }
 
+/** Why a request is not sent to another endpoint. */
+type RetryObstacle = 'may-have-run' | 'no-time' | 'attempts-used' | 'retry-budget'
+
 /** Final answer of one request. */
 export class FinalAnswer {
   readonly #options: FinalAnswerOptions
@@ -31,6 +34,7 @@
   isGroupLost = false
   /** Complete error answer of an endpoint, sent to the caller when no retry succeeds. */
   #failureAnswer: BufferedAnswer | undefined
+  #retryObstacle: RetryObstacle | undefined
 
   private constructor (options: FinalAnswerOptions) {
     this.#options = options
@@ -55,6 +59,26 @@
     this.#options.context.memory.releaseAnswer(this)
   }
 
+  /**
+   * Spends a retry of the budget unless the request must not be sent again.
+   *
+   * @param backoffMs - time in ms until it would be sent
+   * @returns whether it may be; otherwise the log line of the answer says why not
+   */
+  acceptRetry (backoffMs: number): boolean {
+    this.#retryObstacle = this.#findRetryObstacle(backoffMs)
+    return this.#retryObstacle === undefined
+  }
+
+  #findRetryObstacle (backoffMs: number): RetryObstacle | undefined {
+    const { exchange: { route, service }, context, deadlineAtMs } = this.#options
+    const nowMs = context.getNowMs()
+    if (this.mayHaveRun && !mayRunAgain(route.repeat)) return 'may-have-run'
+    if (nowMs + backoffMs + ATTEMPT_MIN_MS >= deadlineAtMs) return 'no-time'
+    if (this.attempts >= route.attemptsMax) return 'attempts-used'
+    return context.acceptRetry(service, nowMs) ? undefined : 'retry-budget'
+  }
+
   /** Sends a complete answer of an endpoint. */
   send (answer: BufferedAnswer, result: ErrorKind | 'ok'): void {
     const { exchange: { response, method, service, receivedAtMs }, context } = this.#options
@@ -109,7 +133,7 @@
     context.metrics.count('requests', result)
     context.metrics.observe('request_ms', elapsedMs, service)
     context.log(result === 'ok' ? 'request-finished' : 'request-refused', {
-      request: request.requestId, route: route.name, service, team: team?.name ?? '', status, result, elapsedMs: Math.round(elapsedMs), attempts: this.attempts, events: stream.events, mayHaveRun: this.mayHaveRun, ...refusal
+      request: request.requestId, route: route.name, service, team: team?.name ?? '', status, result, elapsedMs: Math.round(elapsedMs), attempts: this.attempts, events: stream.events, mayHaveRun: this.mayHaveRun, ...(this.#retryObstacle === undefined ? {} : { noRetry: this.#retryObstacle }), ...refusal
     })
   }
 }
--- a/src/gateway/repeat.ts
+++ b/src/gateway/repeat.ts
@@ -3,6 +3,9 @@
 import type { ErrorKind } from '../kernel/errors.js'
 import type { RepeatPolicy } from './model.js'
 
+/** Shortest remaining time in ms for which an attempt is sent. */
+export const ATTEMPT_MIN_MS = 5
+
 /**
  * @param error - why the request failed
  * @param mayHaveRun - whether any attempt may have run it
