Take chunks that are passed on as a body for a broken answer

Cause: an answer without a length and without chunks ends with its connection, and all bytes up to then count as its body; Node.js passes the bytes of a transfer coding that it doesn't know on.

A line of a stream that is no field belongs to no event.

--- a/src/gateway/event-order.ts
+++ b/src/gateway/event-order.ts
@@ -69,6 +69,8 @@
     switch (block.kind) {
       case 'comment':
         return 'comment'
+      case 'malformed':
+        return 'foreign'
       case 'event':
         return this.#classifyEvent(block)
       default:
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -6,6 +6,7 @@
 import type { AttemptResult } from '../plugins/gateway/selection.js'
 import { Admission } from './admission.js'
 import { classifyAnswer } from './answer-kind.js'
+import { hasChunkForm } from './chunk-form.js'
 import type { AdmissionResult } from './admission.js'
 import type { EventBatch } from './events.js'
 import type { GatewayContext } from './context.js'
@@ -318,8 +319,7 @@
         this.#retryOrFail('stream-broken', 0)
         break
       case 'whole':
-        this.#noteAnswered(running)
-        this.#end(() => { this.#final.send(assembleAnswer(running, head), 'ok') })
+        this.#endWhole(running, head)
         break
       case 'broken':
         break
@@ -328,6 +328,16 @@
     }
   }
 
+  #endWhole (running: RunningAttempt, head: AnswerHead): void {
+    const answer = assembleAnswer(running, head)
+    if (head.isUnframed && hasChunkForm(answer.body)) {
+      this.#handleFailure({ kind: 'broken', reason: 'chunks as a body' })
+      return
+    }
+    this.#noteAnswered(running)
+    this.#end(() => { this.#final.send(answer, 'ok') })
+  }
+
   #endStream (running: RunningAttempt, head: AnswerHead): void {
     if (running.splitter?.isPartial === true) {
       this.#handleFailure({ kind: 'broken', reason: 'stream ended inside an event' })
--- a/src/gateway/model.ts
+++ b/src/gateway/model.ts
@@ -163,6 +163,8 @@
   readonly requestId?: string
   /** Whether it proves which endpoint sent it. */
   readonly isProven: boolean
+  /** Whether the body ends with the connection, as it has neither a length nor chunks. */
+  readonly isUnframed: boolean
   /** Whether the body is encoded, so that it is not the one that the endpoint made. */
   readonly isEncoded: boolean
   /** Whether the endpoint guarantees that the request did not run. */
--- a/test/adapter/dialect.test.ts
+++ b/test/adapter/dialect.test.ts
@@ -29,8 +29,8 @@
 // Guards against responses that lose their signature, and against a refusal that counts as a run.
 test('responses are decoded and forwarded', t => {
   const limitless = { limit: { kind: 'none' }, isLeaving: false, pause: { kind: 'none' } }
-  t.deepEqual(platformDialect.parseAnswer(503, ['Heatherdoor-Not-Executed', '1', 'At-Server', 'e2']).extract(), { status: 503, headers: ['Heatherdoor-Not-Executed', '1', 'At-Server', 'e2'], isProven: false, isEncoded: false, notRun: true, claimsNotRun: true, misdirected: false, ...limitless, faultyEndpoint: 'e2' } as unknown)
-  t.deepEqual(platformDialect.parseAnswer(421, ['Heatherdoor-Request-Id', 'r1']).extract(), { status: 421, headers: ['Heatherdoor-Request-Id', 'r1'], isProven: false, isEncoded: false, notRun: false, claimsNotRun: true, misdirected: true, ...limitless, requestId: 'r1' } as unknown)
+  t.deepEqual(platformDialect.parseAnswer(503, ['Heatherdoor-Not-Executed', '1', 'At-Server', 'e2']).extract(), { status: 503, headers: ['Heatherdoor-Not-Executed', '1', 'At-Server', 'e2'], isProven: false, isUnframed: true, isEncoded: false, notRun: true, claimsNotRun: true, misdirected: false, ...limitless, faultyEndpoint: 'e2' } as unknown)
+  t.deepEqual(platformDialect.parseAnswer(421, ['Heatherdoor-Request-Id', 'r1']).extract(), { status: 421, headers: ['Heatherdoor-Request-Id', 'r1'], isProven: false, isUnframed: true, isEncoded: false, notRun: false, claimsNotRun: true, misdirected: true, ...limitless, requestId: 'r1' } as unknown)
   t.deepEqual(platformDialect.parseAnswer(200, ['Heatherdoor-Response-Signature', 's', 'Content-Length', '5', 'Keep-Alive', 'timeout=5', 'X-A', 'b']).map(({ headers }) => [...headers]).extract(), ['Heatherdoor-Response-Signature', 's', 'X-A', 'b'])
   t.deepEqual(platformDialect.buildRefusal('r1', 250), { 'heatherdoor-request-id': 'r1', 'Retry-After': '0.250' })
 })
--- a/test/gateway/damaged-heads.test.ts
+++ b/test/gateway/damaged-heads.test.ts
@@ -18,6 +18,13 @@
   return `HTTP/1.1 200 OK\r\n${formatProof(request)}Connection: close\r\n${line}\r\n`
 }
 
+/** Frames a body, in two chunks of unequal size. */
+function formatBody (framing: Framing, body: string): string {
+  if (framing !== 'chunks') return body
+  const chunks = [body.slice(0, 4), body.slice(4), '']
+  return chunks.map(chunk => `${chunk.length.toString(16)}\r\n${chunk}\r\n`).join('')
+}
+
 const others: Script = (_request, response) => { response.end('of the other') }
 const otherStream: Script = (request, response) => {
   for (let id = Number(request.headers['last-event-id'] ?? 0) + 1; id <= 2; id += 1) response.write(`id: ${id}\ndata: ${id === 1 ? 'a' : 'b'}\n\n`)
@@ -125,6 +132,46 @@
   t.deepEqual(faults, [])
 })
 
+/** Plays an answer with each single bit of its head wrong. @returns the answers that were not expected, by the damaged byte and the byte that was sent instead */
+async function playWrongBits (repeat: RepeatPolicy, framing: Framing, expected: readonly string[]): Promise<readonly string[]> {
+  const isStream = repeat.endsWith('stream')
+  const body = isStream ? STREAM : BODY
+  const answer = { script: others }
+  const { harness, call } = await startDamaged(repeat, { e2: isStream ? otherStream : others }, answer)
+  const faults: string[] = []
+  let bits = 1
+  for (let bit = 0; bit < bits; bit += 1) {
+    let place = ''
+    answer.script = request => {
+      const head = Buffer.from(formatHead(request, framing, body))
+      bits = 8 * head.length
+      const at = bit >> 3
+      const line = head.toString('latin1', head.lastIndexOf('\n', at - 1) + 1, at)
+      head[at]! ^= 1 << (bit & 7)
+      place = `${JSON.stringify(line)} then ${JSON.stringify(String.fromCharCode(head[at]!))}`
+      request.socket.end(Buffer.concat([head, Buffer.from(formatBody(framing, body))]))
+    }
+    const got = formatAnswer(await call())
+    // Another status that may have a body is not to be told from a sound one.
+    if (!expected.includes(got.replace(/^(2..|300)/, '200'))) faults.push(`${place}: ${got}`)
+  }
+  harness.close()
+  return faults
+}
+
+// Guards against chunks that are passed on as the body itself, with the proof of an endpoint, because the header that names them is damaged.
+test('a head with one wrong bit never makes its chunks the body', async t => {
+  for (const [repeat, sound] of [['idempotent', BODY], ['at-most-once', BODY], ['resumable-stream', STREAM], ['at-most-once-stream', STREAM]] as const) {
+    const whole = `200 ${JSON.stringify(sound)} complete`
+    t.deepEqual(await playWrongBits(repeat, 'chunks', [whole, AFTER_CUT[repeat]]), [], repeat)
+  }
+})
+
+// Guards against short bodies that could be told from whole ones. The rest of a body after a shorter length looks like the bytes that an endpoint may send after a complete answer.
+test('a head with one wrong bit shortens a body only by a shorter length', async t => {
+  t.snapshot(await playWrongBits('idempotent', 'length', [`200 ${JSON.stringify(BODY)} complete`, AFTER_CUT.idempotent]))
+})
+
 // Guards against refusals that nobody can explain: right after the start of a gateway its part of the retry budget is small, as it cannot know what it spent before.
 test('a request that is not sent again says why in the log', async t => {
   const answer: { script: Script } = { script: request => { request.socket.end('HTTP/1.1 200 OK\r\nHea') } }
