Take a body without a length for broken when the endpoint resets its connection

Cause: undici completes such an answer at any end of its connection. The runner now watches the sockets of its connections and fails the request after a reset, as the gateways do.

--- a/src/edge/endpoint/runner.ts
+++ b/src/edge/endpoint/runner.ts
@@ -2,12 +2,13 @@
  * Sends work to the endpoint over HTTP and turns the response into kernel events.
  */
 
-import { Agent, request } from 'undici'
+import { Agent, buildConnector, request } from 'undici'
 import type { Dispatcher } from 'undici'
 import type { KernelEvent } from '../../kernel/events.js'
 import type { HeaderList, Submit } from '../../protocol/messages.js'
 import { parseServerEvents } from './server-events.js'
 import type { Connector } from '../security/tls.js'
+import { watchResets } from './resets.js'
 
 /** Maximum number of connections to the endpoint. It is above any cap, because admission limits the concurrency. */
 const CONNECTIONS_MAX = 512
@@ -34,10 +35,12 @@
   readonly #options: RunnerOptions
   readonly #agent: Agent
   readonly #aborts = new Map<string, AbortController>()
+  /** Number of connections that the endpoint has reset. */
+  #resets = 0
 
   private constructor (options: RunnerOptions) {
     this.#options = options
-    this.#agent = new Agent({ connections: CONNECTIONS_MAX, pipelining: 1, headersTimeout: 0, bodyTimeout: 0, ...(options.connector === undefined ? {} : { connect: options.connector }) })
+    this.#agent = new Agent({ connections: CONNECTIONS_MAX, pipelining: 1, headersTimeout: 0, bodyTimeout: 0, connect: watchResets(options.connector ?? buildConnector({}), () => { this.#resets += 1 }) })
   }
 
   /**
@@ -90,10 +93,13 @@
         ...(hasBody ? { body: work.body } : {}),
         signal
       })
+      const resetsBefore = this.#resets
       const headers = listHeaders(response.headers)
       dispatch({ kind: 'endpoint-head', workId, status: response.statusCode, headers })
       if (isEventStream(headers)) await this.#sendEvents(workId, response.body)
       else for await (const data of response.body) dispatch({ kind: 'endpoint-chunk', workId, data: data as Buffer })
+      // Any reset may have cut an answer that ends with its connection.
+      if (!isFramed(response.headers) && this.#resets !== resetsBefore) throw new Error('connection reset')
       dispatch({ kind: 'endpoint-ended', workId })
     } catch (error) {
       dispatch({ kind: 'endpoint-failed', workId, sent: !isRefusedConnection(error) })
@@ -130,6 +136,11 @@
     .flatMap(([name, value]) => [value ?? []].flat().map(item => [name, item] as const))
 }
 
+/** Whether the end of the body is known from its length or its chunks. */
+function isFramed (headers: Readonly<Record<string, unknown>>): boolean {
+  return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
+}
+
 function isEventStream (headers: HeaderList): boolean {
   return headers.some(([name, value]) => name === 'content-type' && value.startsWith('text/event-stream'))
 }
