--- a/src/edge/endpoint/runner.ts
+++ b/src/edge/endpoint/runner.ts
@@ -86,6 +86,7 @@
     const { workId } = work
     try {
       const hasBody = work.body.length > 0
+      const resetsBefore = this.#resets
       const response = await request(new URL(work.path, url), {
         dispatcher: this.#agent,
         method: work.method as Dispatcher.HttpMethod,
@@ -93,19 +94,22 @@
         ...(hasBody ? { body: work.body } : {}),
         signal
       })
-      const resetsBefore = this.#resets
       const headers = listHeaders(response.headers)
       dispatch({ kind: 'endpoint-head', workId, status: response.statusCode, headers })
       if (isEventStream(headers)) await this.#sendEvents(workId, response.body)
-      else for await (const data of response.body) dispatch({ kind: 'endpoint-chunk', workId, data: data as Buffer })
-      // Any reset may have cut an answer that ends with its connection.
-      if (!isFramed(response.headers) && this.#resets !== resetsBefore) throw new Error('connection reset')
+      else await this.#sendBody(workId, response.body)
+      // Any reset may have cut a body that ends with its connection; a stream has an end of its own.
+      if (!isEventStream(headers) && !isFramed(response.headers) && this.#resets !== resetsBefore) throw new Error('connection reset')
       dispatch({ kind: 'endpoint-ended', workId })
     } catch (error) {
       dispatch({ kind: 'endpoint-failed', workId, sent: !isRefusedConnection(error) })
     }
   }
 
+  async #sendBody (workId: string, body: AsyncIterable<Buffer>): Promise<void> {
+    for await (const data of body) this.#options.dispatch({ kind: 'endpoint-chunk', workId, data })
+  }
+
   /** Treats a stream without its end event as truncated, even when the connection closed cleanly. */
   async #sendEvents (workId: string, body: AsyncIterable<Buffer>): Promise<void> {
     let last = ''
