Drop slow streams when their unsent events take too much memory

Cause: a stream is paused only after a whole event was handed to the caller's connection, and bytes that wait there were not counted; incomplete events were.

--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -57,7 +57,7 @@
     this.#options = options
     this.#context = context
     const { request, fingerprint, team, route, service, receivedAtMs } = options
-    this.#stream = StreamAnswer.create({ response: options.response, isResumable: route.repeat === 'resumable-stream', lastEventId: request.lastEventId, parseEventId: text => context.dialect.parseEventId(text) })
+    this.#stream = StreamAnswer.create({ response: options.response, isResumable: route.repeat === 'resumable-stream', lastEventId: request.lastEventId, parseEventId: text => context.dialect.parseEventId(text), memory: context.memory })
     this.#monitored = { requestId: request.requestId, fingerprint, team: team?.name ?? '', parts: request.sharedParts ?? [] }
     this.#deadlineAtMs = receivedAtMs + Math.min(request.deadlineMs ?? Infinity, route.timeoutMs)
     this.#final = FinalAnswer.create({ exchange: options, context, stream: this.#stream, deadlineAtMs: this.#deadlineAtMs })
@@ -203,6 +203,7 @@
   }
 
   #resumeReading (): void {
+    this.#stream.noteDrained()
     const running = this.#running
     if (running === undefined) return
     const nowMs = this.#context.getNowMs()
@@ -426,7 +427,7 @@
     if (this.#isDone) return
     this.#isCallerGone = true
     const { request, route } = this.#options
-    this.#context.log('caller-gone', { request: request.requestId, events: this.#stream.events, sent: this.#final.attempts })
+    this.#context.log('caller-gone', { request: request.requestId, events: this.#stream.events, sent: this.#final.attempts, ...(this.#stream.isDropped ? { reason: 'dropped to free memory' } : {}) })
     const mustGoOn = this.#running?.attempt.isSent === true && !mayRunAgain(route.repeat) && !isStream(route.repeat)
     if (!mustGoOn) this.#cancel()
   }
--- a/src/gateway/stream-answer.ts
+++ b/src/gateway/stream-answer.ts
@@ -5,6 +5,7 @@
 import { EventOrder } from './event-order.js'
 import { EventSplitter } from './events.js'
 import type { EventBatch } from './events.js'
+import type { MemoryBudget } from './memory.js'
 import type { AnswerHead } from './model.js'
 
 /** Longest time in ms for which a stream that is broken off waits until its events are sent; a caller that reads nothing has left. */
@@ -18,6 +19,7 @@
   /** Event after which the caller resumes the stream; undefined at its start. */
   readonly lastEventId: EventId | undefined
   readonly parseEventId: ParseEventId
+  readonly memory: MemoryBudget
 }
 
 /** A stream that is sent to a caller. */
@@ -27,6 +29,7 @@
   #lastEventId: EventId | undefined
   #events = 0
   #hasBegun = false
+  #isDropped = false
 
   private constructor (options: StreamAnswerOptions) {
     this.#options = options
@@ -47,6 +50,11 @@
     return this.#hasBegun
   }
 
+  /** Whether the stream was given up because its caller reads too slowly for the memory of the gateway. */
+  get isDropped (): boolean {
+    return this.#isDropped
+  }
+
   /** Number of events sent. */
   get events (): number {
     return this.#events
@@ -67,14 +75,28 @@
   begin ({ status, headers }: Pick<AnswerHead, 'status' | 'headers'>): void {
     if (this.#hasBegun) return
     this.#hasBegun = true
-    this.#options.response.writeHead(status, [...headers])
+    const { response, memory } = this.#options
+    response.once('close', () => { memory.releaseAnswer(response) })
+    response.writeHead(status, [...headers])
   }
 
   /** Sends events. @returns false when the caller reads more slowly than they arrive */
   write ({ bytes, count, lastId }: EventBatch): boolean {
     this.#lastEventId = lastId ?? this.#lastEventId
     this.#events += count
-    return this.#options.response.write(bytes)
+    const { response, memory } = this.#options
+    if (response.write(bytes)) return true
+    memory.noteReading(response, response.writableLength, () => {
+      this.#isDropped = true
+      response.destroy()
+    })
+    return false
+  }
+
+  /** Records that the caller has received the events so far. */
+  noteDrained (): void {
+    const { response, memory } = this.#options
+    memory.releaseAnswer(response)
   }
 
   end (): void {
