--- a/test/processes/gateway-cluster.ts
+++ b/test/processes/gateway-cluster.ts
@@ -6,7 +6,7 @@
 import { once } from 'node:events'
 import { mkdtempSync, readFileSync, rmSync, writeFileSync } from 'node:fs'
 import { createServer, request as openRequest } from 'node:http'
-import type { IncomingMessage, ServerResponse } from 'node:http'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
 import { tmpdir } from 'node:os'
 import { join } from 'node:path'
@@ -102,7 +102,10 @@
   /** Answers a request in its own way; returns false to leave it to the endpoint. */
   answerOddly: (request: IncomingMessage, response: ServerResponse) => boolean = () => false
   readonly #agents: ChildProcess[] = []
-  readonly #endpoint = createServer((request, response) => {
+  readonly #endpoint = createServer((request, response) => { this.#answer(request, response) })
+  readonly #otherEndpoints: Server[] = []
+
+  #answer (request: IncomingMessage, response: ServerResponse): void {
     if (request.url?.startsWith('/heatherdoor/') === true) {
       response.statusCode = 404
       response.end()
@@ -122,7 +125,7 @@
       return
     }
     setTimeout(() => { response.end(this.answerBytes === undefined ? 'ran' : Buffer.alloc(this.answerBytes)) }, Number(request.headers['x-delay'] ?? 0))
-  })
+  }
 
   private constructor (store: PlatformStore) {
     this.store = store
@@ -133,10 +136,23 @@
     cluster.#endpoint.listen(0, cluster.#endpointIp)
     await once(cluster.#endpoint, 'listening')
     cluster.store.put('config', 'main', configuration)
-    cluster.store.put('servers', 'e1', { service: 's', address: `${cluster.#endpointIp}:${(cluster.#endpoint.address() as AddressInfo).port}`, zone: 'a', slots, state: 'ready', cold_remaining_ms: 0, born: 1 })
+    cluster.#putEndpoint('e1', cluster.#endpoint, cluster.#endpointIp, slots)
     return cluster
   }
 
+  /** Starts a further endpoint of the same service. */
+  async addEndpoint (name: string, slots: number): Promise<void> {
+    const server = createServer((request, response) => { this.#answer(request, response) })
+    const ip = `${this.#prefix}.${ENDPOINT_HOST + this.#otherEndpoints.push(server)}`
+    server.listen(0, ip)
+    await once(server, 'listening')
+    this.#putEndpoint(name, server, ip, slots)
+  }
+
+  #putEndpoint (name: string, server: Server, ip: string, slots: number): void {
+    this.store.put('servers', name, { service: 's', address: `${ip}:${(server.address() as AddressInfo).port}`, zone: 'a', slots, state: 'ready', cold_remaining_ms: 0, born: 1 })
+  }
+
   /** Address of the gateway that is started next. */
   get nextGatewayIp (): string {
     return `${this.#prefix}.${this.#gateways.length + 1}`
@@ -215,8 +231,10 @@
 
   stop (): void {
     for (const child of [...this.#gateways.map(gateway => gateway.child), ...this.#agents]) child.kill('SIGKILL')
-    this.#endpoint.close()
-    this.#endpoint.closeAllConnections()
+    for (const server of [this.#endpoint, ...this.#otherEndpoints]) {
+      server.close()
+      server.closeAllConnections()
+    }
     this.store.stop()
     rmSync(this.#folder, { recursive: true })
   }
