Let agents tell and admit, and choose among samples when counts are old

Cause: gateways take the minimum of counts that are 0.3 s old at 41 gateways and 1.9 s at 300, so that those with the same counts send to the same few endpoints.

Change: a request for a permit may name the room that it needs; the agent asks the engine on its host and answers `busy` at once when there is none, and tells the load otherwise. When others have probably started more requests since their counts than three endpoints take, a gateway compares two endpoints of its own failure domain and one of all instead of all of them. After an agent that does not answer, other failure domains are asked first. Small deployments compare all as before.

--- a/src/gateway/admission.ts
+++ b/src/gateway/admission.ts
@@ -1,6 +1,7 @@
 /** Finds an endpoint that may be sent a request now, and the permit that it needs when it is or may be cold. */
 
 import { assertNever } from '../kernel/errors.js'
+import type { RoomRequest } from '../plugins/gateway/engine-load.js'
 import type { PermitRate, PermitReply } from '../plugins/gateway/permits.js'
 import type { Selection } from '../plugins/gateway/selection.js'
 import type { GatewayContext } from './context.js'
@@ -18,8 +19,14 @@
 /** Number of agents that are asked for a permit that applies at once. */
 const ASKS_MAX = 12
 
-/** Asks the agent of an endpoint for a permit; undefined when it does not answer. */
-export type AskPermit = (selection: Selection, rate: PermitRate, waitMaxMs: number, timeoutMs: number) => Promise<PermitReply | undefined>
+/** Endpoints that are asked for a load no higher than usual; the following ones need only have a free slot. */
+const BALANCED_ASKS_MAX = 2
+
+/** Endpoints that are asked whether they have room, before a request is sent to one that has none. */
+const ROOM_ASKS_MAX = 5
+
+/** Asks the agent of an endpoint for a permit, when `room` is given only if it has that room; undefined when it does not answer. */
+export type AskPermit = (selection: Selection, rate: PermitRate, waitMaxMs: number, timeoutMs: number, room?: RoomRequest) => Promise<PermitReply | undefined>
 
 /** Asks another gateway for one of its shares of an endpoint; undefined when it does not answer. */
 export type AskShare = (owner: string, endpoint: string, timeoutMs: number) => Promise<boolean | undefined>
@@ -52,12 +59,14 @@
   readonly service: string
   /** Endpoints already tried. */
   readonly tried: ReadonlySet<string>
+  /** Tokens of memory that the request is expected to take at its endpoint. */
+  readonly tokens: number
   /** Longest time in ms for which the request can look for an endpoint that grants a permit at once, and then wait for a permit. */
   readonly waitMaxMs: number
 }
 
 /** Parts of the gateway that an admission uses. */
-export type AdmissionContext = Pick<GatewayContext, 'askPermit' | 'askShare' | 'choose' | 'chooseLender' | 'chooseSoonest' | 'clock' | 'coldLimits' | 'getNowMs' | 'listAvailable' | 'log' | 'metrics' | 'selection'>
+export type AdmissionContext = Pick<GatewayContext, 'askPermit' | 'askShare' | 'choose' | 'chooseLender' | 'chooseSoonest' | 'clock' | 'coldLimits' | 'getNowMs' | 'listAvailable' | 'log' | 'metrics' | 'selection' | 'serviceLoad'>
 
 /** Search of one request for an endpoint. */
 export class Admission {
@@ -67,6 +76,10 @@
   readonly #startedAtMs: number
   #asks = 0
   #borrows = 0
+  /** Endpoints that had no room. */
+  readonly #busy = new Set<string>()
+  /** Failure domains in which an agent has not answered, as when they are cut off. */
+  readonly #silentDomains = new Set<string>()
   #hasWaited = false
   #isDone = false
   #held: Selection | undefined
@@ -93,7 +106,7 @@
     const { service, tried, waitMaxMs } = this.#options
     const nowMs = this.#context.getNowMs()
     const mayAsk = this.#asks === 0 || (this.#asks < ASKS_MAX && nowMs - this.#startedAtMs < waitMaxMs)
-    const selection = mayAsk ? this.#context.choose(service, tried, nowMs) : undefined
+    const selection = mayAsk ? this.#context.choose(service, this.#busy.size === 0 ? tried : new Set([...tried, ...this.#busy]), this.#silentDomains, nowMs) : undefined
     if (selection === undefined) {
       this.#borrowOrWait(nowMs)
       return
@@ -108,7 +121,7 @@
         this.#admit(selection, 'share', Permit.create(this.#context.clock, 0))
         break
       case 'permit':
-        this.#ask(selection, access.rate, 0)
+        this.#ask(selection, access.rate, 0, this.#findRoom(selection, nowMs))
         break
       case 'denied':
       case 'borrow':
@@ -156,11 +169,19 @@
     }, (error: unknown) => { this.#context.log('internal-error', { reason: String(error) }) })
   }
 
-  #ask (selection: Selection, rate: PermitRate, waitMaxMs: number): void {
+  /** Room that the endpoint is asked for; undefined when the counts of all endpoints are known well, or too many had no room. */
+  #findRoom ({ endpoint: { record }, isSampled }: Selection, nowMs: number): RoomRequest | undefined {
+    const { service, tokens } = this.#options
+    if (!isSampled || this.#busy.size >= ROOM_ASKS_MAX || this.#busy.has(record.id)) return undefined
+    const meanLoad = this.#busy.size < BALANCED_ASKS_MAX ? this.#context.serviceLoad.findMeanLoad(service, undefined, nowMs) : undefined
+    return { tokens, loadMax: meanLoad === undefined ? record.slots : Math.max(1, Math.min(record.slots, Math.floor(meanLoad) + 1)) }
+  }
+
+  #ask (selection: Selection, rate: PermitRate, waitMaxMs: number, room?: RoomRequest): void {
     const askedAtMs = this.#context.getNowMs()
     this.#asks += 1
     this.#hold(selection)
-    this.#context.askPermit(selection, rate, waitMaxMs, PERMIT_TIMEOUT_MS).then(
+    this.#context.askPermit(selection, rate, waitMaxMs, PERMIT_TIMEOUT_MS, room).then(
       reply => { if (!this.#isDone) this.#handleReply(selection, reply, askedAtMs) },
       (error: unknown) => { this.#context.log('internal-error', { reason: String(error) }) }
     )
@@ -169,9 +190,10 @@
   #handleReply (selection: Selection, reply: PermitReply | undefined, askedAtMs: number): void {
     const { coldLimits } = this.#context
     const nowMs = this.#context.getNowMs()
-    const { id } = selection.endpoint.record
+    const { id, service, domain } = selection.endpoint.record
     this.#context.metrics.count('permits', reply?.kind ?? 'silent')
     if (reply === undefined) {
+      if (selection.isSampled) this.#silentDomains.add(domain)
       if (this.#isUsable(selection) && coldLimits.noteAgentSilent(id, nowMs)) this.#context.log('agent-silent', { endpoint: id })
       this.#restart()
       return
@@ -181,6 +203,12 @@
       return
     }
     coldLimits.noteAgentAnswer(id)
+    if (reply.kind !== 'denied' && reply.load !== undefined) this.#context.serviceLoad.noteLoad(service, domain, reply.load, nowMs)
+    if (reply.kind === 'busy') {
+      this.#busy.add(id)
+      this.#restart()
+      return
+    }
     if (reply.kind === 'denied') {
       coldLimits.noteDenied(id, nowMs + reply.retryMs, nowMs)
       this.#context.log('permit-denied', { request: this.#options.requestId, endpoint: id, retryMs: Math.round(reply.retryMs), asks: this.#asks })
--- a/src/gateway/agent.ts
+++ b/src/gateway/agent.ts
@@ -5,13 +5,16 @@
 
 import { Logger } from '../edge/log/logger.js'
 import type { OrderResult, RankOrder, RankState } from '../plugins/lockstep/rank.js'
+import { LoadMeter } from '../plugins/gateway/engine-load.js'
+import type { EngineLoad } from '../plugins/gateway/engine-load.js'
 import { PermitBucket } from '../plugins/gateway/permits.js'
+import type { PermitReply } from '../plugins/gateway/permits.js'
 import { CounterSnapshots } from './counter-deltas.js'
 import { LineWriter } from './lines.js'
 import { openListener } from './listening.js'
 import type { Address } from './model.js'
 import { RankServer } from './rank-link.js'
-import type { AgentReply, AgentRequest, RankReply, RankRequest } from './rank-messages.js'
+import type { AgentReply, AgentRequest, PermitRequest, RankReply, RankRequest } from './rank-messages.js'
 
 /** Time in ms allowed for writing the last log lines. */
 const FLUSH_MS = 50
@@ -25,6 +28,12 @@
   send (address: Address, epoch: number, order: RankOrder): Promise<OrderResult>
 }
 
+/** Reads the load of a model worker. */
+export interface LoadReader {
+  /** @returns the load; undefined when the worker does not answer in time */
+  readLoad (address: Address): Promise<EngineLoad | undefined>
+}
+
 /** Settings of an agent. */
 export interface AgentSettings {
   readonly host: string
@@ -60,14 +69,16 @@
 /** Agent of one model worker. */
 export class AgentProcess {
   readonly #settings: AgentSettings
-  readonly #engine: RankEngine
+  readonly #engine: RankEngine & LoadReader
   readonly #snapshots = CounterSnapshots.create(Math.floor(Math.random() * Number.MAX_SAFE_INTEGER / 2))
   readonly #lines: LineWriter
   readonly #logger: Logger
   readonly #server: RankServer
   readonly #permits = PermitBucket.create(performance.now())
+  readonly #load = LoadMeter.create()
+  #pendingReport: Promise<void> | undefined
 
-  private constructor (settings: AgentSettings, engine: RankEngine) {
+  private constructor (settings: AgentSettings, engine: RankEngine & LoadReader) {
     this.#settings = settings
     this.#engine = engine
     this.#lines = LineWriter.create(count => { this.#logger.write('log-lines-dropped', { count }) })
@@ -80,7 +91,7 @@
    * @param engine - client of model workers
    * @returns an agent that has not started
    */
-  static create (settings: AgentSettings, engine: RankEngine): AgentProcess {
+  static create (settings: AgentSettings, engine: RankEngine & LoadReader): AgentProcess {
     return new AgentProcess(settings, engine)
   }
 
@@ -104,7 +115,7 @@
   }
 
   async #answer (request: AgentRequest): Promise<AgentReply> {
-    if (request.kind === 'permit') return this.#permits.reserve(request.rate, request.waitMaxMs, performance.now())
+    if (request.kind === 'permit') return await this.#answerPermit(request)
     const reply = await answerRankRequest(this.#engine, this.#settings.workerAddress, request, this.#snapshots)
     if (request.kind === 'order') {
       const { order, epoch } = request
@@ -114,4 +125,33 @@
     }
     return reply
   }
+
+  /** Grants a permit unless the worker lacks the room that the request needs. */
+  async #answerPermit ({ rate, waitMaxMs, room }: PermitRequest): Promise<PermitReply> {
+    if (room === undefined) return this.#reserve(rate, waitMaxMs, 0)
+    await this.#updateLoad()
+    const load = this.#load.countRequests()
+    if (load !== undefined && !this.#load.hasRoom(room)) return { kind: 'busy', load }
+    const reply = this.#reserve(rate, waitMaxMs, room.tokens)
+    return reply.kind === 'granted' && load !== undefined ? { ...reply, load } : reply
+  }
+
+  #reserve (rate: PermitRequest['rate'], waitMaxMs: number, tokens: number): PermitReply {
+    const nowMs = performance.now()
+    const reply = this.#permits.reserve(rate, waitMaxMs, nowMs)
+    if (reply.kind === 'granted') this.#load.noteGranted(tokens, nowMs)
+    return reply
+  }
+
+  /** Reads the load of the worker unless it was read just now; requests that arrive together share a reading. */
+  async #updateLoad (): Promise<void> {
+    const nowMs = performance.now()
+    if (this.#pendingReport === undefined && this.#load.isReportDue(nowMs)) {
+      this.#pendingReport = this.#engine.readLoad(this.#settings.workerAddress).then(load => {
+        this.#load.noteReport(load, nowMs)
+        this.#pendingReport = undefined
+      })
+    }
+    await this.#pendingReport
+  }
 }
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -16,6 +16,7 @@
 import type { Selection, SelectionPort } from '../plugins/gateway/selection.js'
 import type { RetriesPort } from '../plugins/gateway/retries.js'
 import type { RoutesPort } from '../plugins/gateway/routes.js'
+import type { ServiceLoadPort } from '../plugins/gateway/service-load.js'
 import type { LivenessPort } from '../plugins/gateway/liveness.js'
 import type { AskPermit, AskShare, Lender, LimitedSelection } from './admission.js'
 import type { Permit, PermitClocks } from './permit.js'
@@ -80,6 +81,7 @@
   readonly namedLimits: NamedLimitsPort
   readonly notices: NoticesPort
   readonly retryAfter: RetryAfterPort
+  readonly serviceLoad: ServiceLoadPort
   readonly liveness: LivenessPort
   readonly crashMonitor: CrashMonitor
   readonly outages: OutagesPort
@@ -118,6 +120,7 @@
     this.namedLimits = kernel.getPort('namedLimits')
     this.notices = kernel.getPort('notices')
     this.retryAfter = kernel.getPort('retryAfter')
+    this.serviceLoad = kernel.getPort('serviceLoad')
     this.liveness = kernel.getPort('liveness')
     this.outages = kernel.getPort('outages')
     this.recovery = RecoveryQueue.create(this, askGroup ?? (async () => undefined))
@@ -164,15 +167,20 @@
    *
    * @param service - name of the service
    * @param exclude - endpoints already tried
+   * @param avoidedDomains - failure domains that are used only when there are no others
    * @param nowMs - monotonic time in ms
    * @returns the choice; undefined when no endpoint can take a request now
    */
-  choose (service: string, exclude: ReadonlySet<string>, nowMs: number): Selection | undefined {
+  choose (service: string, exclude: ReadonlySet<string>, avoidedDomains: ReadonlySet<string>, nowMs: number): Selection | undefined {
     return this.selection.choose({
       candidates: this.#listWorking(service, nowMs),
       exclude,
+      avoidedDomains,
       getAccess: this.#buildAccess(service, nowMs),
       fraction: this.pickFloat(),
+      countsAgeMs: this.peers.getCountsAgeMs(nowMs),
+      durationMs: this.lateLane.findDurationMs(service),
+      pickFloat: () => this.pickFloat(),
       countElsewhere: endpoint => this.peers.countInFlight(endpoint),
       isUnresponsive: endpoint => this.liveness.isUnresponsive(endpoint),
       getPace: endpoint => this.paces[endpoint] ?? this.peers.getPace(endpoint)
@@ -196,7 +204,7 @@
       if ((access.kind !== 'denied' && access.kind !== 'borrow') || access.rate === undefined) continue
       const untilMs = access.kind === 'denied' ? access.untilMs : Number.MAX_VALUE
       if (untilMs >= soonestMs) continue
-      soonest = { endpoint, inFlight: 0, access, rate: access.rate }
+      soonest = { endpoint, inFlight: 0, access, rate: access.rate, isSampled: false }
       soonestMs = untilMs
     }
     return soonest
@@ -219,7 +227,7 @@
     const lender = lenders[Math.floor(this.pickFloat() * lenders.length)]
     if (lender === undefined) return undefined
     const owner = lender.owners[Math.floor(this.pickFloat() * lender.owners.length)]!
-    return { selection: { endpoint: lender.endpoint, inFlight: 0, access: lender.access }, owner }
+    return { selection: { endpoint: lender.endpoint, inFlight: 0, access: lender.access, isSampled: false }, owner }
   }
 
   /** Spends a share of this gateway for another one. @returns false when there is none */
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -19,6 +19,7 @@
 import type { RunningAttempt } from './running-attempt.js'
 import { settleAttempt } from './settle-attempt.js'
 import { StartGate } from './start-gate.js'
+import { countTokens } from './request-work.js'
 import { StreamAnswer } from './stream-answer.js'
 import { computeUrgency, isLate } from './urgency.js'
 import { Attempt } from './upstream.js'
@@ -145,7 +146,7 @@
     const { request: { requestId }, route, service } = this.#options
     const nowMs = this.#context.getNowMs()
     const waitMaxMs = Math.min(PERMIT_WAIT_SHARE * route.latencyTargetMs, this.#deadlineAtMs - nowMs - ATTEMPT_MIN_MS)
-    this.#admission = Admission.create({ requestId, service, tried: this.#tried, waitMaxMs }, this.#context, result => { this.#runStep(() => { this.#handleAdmission(result) }) })
+    this.#admission = Admission.create({ requestId, service, tried: this.#tried, tokens: countTokens(this.#options.request), waitMaxMs }, this.#context, result => { this.#runStep(() => { this.#handleAdmission(result) }) })
     this.#admission.start()
   }
 
--- a/src/gateway/late-lane.ts
+++ b/src/gateway/late-lane.ts
@@ -72,6 +72,11 @@
     lane.durationMs = lane.durationMs === 0 ? durationMs : lane.durationMs + AVERAGE_WEIGHT * (durationMs - lane.durationMs)
   }
 
+  /** @returns mean duration of a complete answer in ms; undefined when none was measured */
+  findDurationMs (service: string): number | undefined {
+    return this.#lanes.get(service)?.durationMs || undefined
+  }
+
   /**
    * Waits for spare capacity.
    *
--- a/src/gateway/process.ts
+++ b/src/gateway/process.ts
@@ -151,7 +151,7 @@
       logger: this.#logger,
       metrics: this.#metrics,
       clock: processClock,
-      askPermit: async ({ endpoint }, rate, waitMaxMs, timeoutMs) => await this.#ranks.requestPermit(endpoint.record.address.host, { kind: 'permit', rate, waitMaxMs }, timeoutMs),
+      askPermit: async ({ endpoint }, rate, waitMaxMs, timeoutMs, room) => await this.#ranks.requestPermit(endpoint.record.address.host, { kind: 'permit', rate, waitMaxMs, ...(room === undefined ? {} : { room }) }, timeoutMs),
       askShare: async (owner, endpoint, timeoutMs) => await this.#link.requestShare(owner, endpoint, timeoutMs),
       askGroup: async ({ record: { address } }) => (await this.#ranks.sendRequest(address.host, { kind: 'read', wantsCounts: false, wantsMap: false }, GROUP_TIMEOUT_MS))?.state,
       sendLimits: limits => { this.#link.sendLimits(limits) },
--- a/src/gateway/rank-messages.ts
+++ b/src/gateway/rank-messages.ts
@@ -4,6 +4,7 @@
 import { Left, Right } from 'purify-ts'
 import type { Either } from 'purify-ts'
 import { isSharedStatement } from '../plugins/gateway/named-limits.js'
+import type { RoomRequest } from '../plugins/gateway/engine-load.js'
 import type { PermitRate, PermitReply } from '../plugins/gateway/permits.js'
 import type { OrderResult, RankOrder, RankState } from '../plugins/lockstep/rank.js'
 import type { EncodedCounters } from './counter-deltas.js'
@@ -34,6 +35,8 @@
   readonly rate: PermitRate
   /** Longest time in ms for which the request can wait. */
   readonly waitMaxMs: number
+  /** Room that the endpoint must have; absent when any load will do. */
+  readonly room?: RoomRequest
 }
 
 /** Request to an agent. */
@@ -76,7 +79,7 @@
 const isAgentRequest = isOneOf({
   read: isRecordOf({ wantsCounts: isFlag, wantsMap: isFlag, countsSince: isAbsentOr(isInteger) }),
   order: isRecordOf({ epoch: isInteger, order: isOrder }),
-  permit: isRecordOf({ rate: isRate, waitMaxMs: isBetween(-DURATION_MAX_MS, DURATION_MAX_MS) })
+  permit: isRecordOf({ rate: isRate, waitMaxMs: isBetween(-DURATION_MAX_MS, DURATION_MAX_MS), room: isAbsentOr(isRecordOf({ loadMax: isBetween(0, Number.MAX_VALUE), tokens: isBetween(0, Number.MAX_VALUE) })) })
 })
 
 const isRankState = isRecordOf({
@@ -94,7 +97,7 @@
   held: isAbsentOr(isInteger)
 })
 
-const isPermitReply = isOneOf({ granted: isRecordOf({ delayMs: isDuration }), denied: isRecordOf({ retryMs: isDuration }) })
+const isPermitReply = isOneOf({ granted: isRecordOf({ delayMs: isDuration, load: isAbsentOr(isCount) }), denied: isRecordOf({ retryMs: isDuration }), busy: isRecordOf({ load: isCount }) })
 
 const isRankReply = isRecordOf({
   kind: value => value === undefined,
--- a/src/plugins/gateway/peers.ts
+++ b/src/plugins/gateway/peers.ts
@@ -47,6 +47,8 @@
   isAlive (id: string): boolean
   /** Requests that other gateways have in flight at an endpoint. */
   countInFlight (endpoint: string): number
+  /** @returns mean age in ms of the counts of requests in flight that ready gateways have sent; 0 without any */
+  getCountsAgeMs (nowMs: number): number
   /** Slowdown factor of an endpoint as other gateways report it; 1 when none does. */
   getPace (endpoint: string): number
 }
@@ -122,6 +124,11 @@
     return this.#inFlight.get(endpoint) ?? 0
   }
 
+  getCountsAgeMs (nowMs: number): number {
+    const ages = [...this.#heartbeats.values()].flatMap(({ state, atMs }) => state.isReady ? [nowMs - atMs] : [])
+    return ages.length === 0 ? 0 : ages.reduce((sum, ageMs) => sum + ageMs, 0) / ages.length
+  }
+
   getPace (endpoint: string): number {
     return Math.max(1, ...[...this.#heartbeats.values()].map(({ state }) => state.paces?.[endpoint] ?? 1))
   }
--- a/src/plugins/gateway/permits.ts
+++ b/src/plugins/gateway/permits.ts
@@ -19,10 +19,12 @@
 
 /** Answer to a request for a permit. */
 export type PermitReply =
-  /** The request may be sent after `delayMs`. */
-  | { readonly kind: 'granted', readonly delayMs: number }
+  /** The request may be sent after `delayMs`; `load` is the number of requests that the endpoint held before, when it was asked for and is known. */
+  | { readonly kind: 'granted', readonly delayMs: number, readonly load?: number }
   /** Nothing was reserved; a permit is free in `retryMs` unless others take it. */
   | { readonly kind: 'denied', readonly retryMs: number }
+  /** Nothing was reserved: the endpoint holds more requests than the asking gateway accepts, or has no memory for the request. */
+  | { readonly kind: 'busy', readonly load: number }
 
 /** Grants at most `burst + perS * t` permits in any period of `t` seconds, also across a restart of the process. */
 export class PermitBucket {
--- a/src/plugins/gateway/selection.ts
+++ b/src/plugins/gateway/selection.ts
@@ -29,6 +29,20 @@
  */
 const LIMITED_PENALTY = 0.6
 
+/**
+ * Most requests, in endpoints that they fill, that other gateways may have started since they sent
+ * their counts for all endpoints to be compared. Beyond it gateways with the same old counts would
+ * send more requests to the same few endpoints than these take, so each compares only some.
+ */
+const UNSEEN_ENDPOINTS_MAX = 3
+
+/** Endpoints that are compared when the counts are old: of the own failure domain, and of all. */
+const SAMPLE_OWN_DOMAIN = 2
+const SAMPLE_ANY_DOMAIN = 1
+
+/** Duration of a request in ms while none was measured. */
+const DURATION_DEFAULT_MS = 1_000
+
 /** How an attempt ended. */
 export type AttemptResult = 'ok' | 'failed' | 'refused' | 'unreachable' | 'silent' | 'cancelled' | 'not-sent'
 
@@ -37,10 +51,18 @@
   readonly candidates: readonly EndpointView[]
   /** Endpoints already tried; used again only when no other is left. */
   readonly exclude: ReadonlySet<string>
+  /** Failure domains in which an agent has just not answered this request; used only when there are no others. */
+  readonly avoidedDomains: ReadonlySet<string>
   /** Whether and how an endpoint may be sent a request. */
   getAccess (endpoint: EndpointView): EndpointAccess
   /** Random number from 0 to 1 that decides between equal endpoints; otherwise all gateways would choose the same one. */
   readonly fraction: number
+  /** Mean age in ms of the counts of other gateways. */
+  readonly countsAgeMs: number
+  /** Mean duration of a request in ms; undefined when none was measured. */
+  readonly durationMs: number | undefined
+  /** @returns a random number from 0 to 1, for samples */
+  pickFloat (): number
   /** Requests that other gateways have in flight at an endpoint. */
   countElsewhere (endpoint: string): number
   /** Whether an endpoint is unresponsive although others of its service are active. */
@@ -55,6 +77,8 @@
   /** Requests in flight there as far as this gateway knows, without the new one. */
   readonly inFlight: number
   readonly access: EndpointAccess
+  /** Whether only a sample was compared, because the counts of other gateways are old. */
+  readonly isSampled: boolean
 }
 
 /** Chooses endpoints and measures their attempts. */
@@ -68,6 +92,11 @@
   forget (endpoint: string): void
 }
 
+interface Candidate {
+  readonly endpoint: EndpointView
+  readonly access: EndpointAccess
+}
+
 interface EndpointMeasures {
   inFlight: number
   latencyMs: number
@@ -102,18 +131,20 @@
     const eligible = request.candidates.map(endpoint => ({ endpoint, access: request.getAccess(endpoint) })).filter(({ access }) => access.kind !== 'denied' && access.kind !== 'borrow')
     const untried = eligible.filter(({ endpoint: { record } }) => !request.exclude.has(record.id))
     const reachable = untried.filter(({ endpoint: { record } }) => this.#get(record.id).unreachableUntilMs <= nowMs && !request.isUnresponsive(record.id))
-    const pool = reachable.length > 0 ? reachable : untried.length > 0 ? untried : eligible
+    const elsewhere = reachable.filter(({ endpoint: { record } }) => !request.avoidedDomains.has(record.domain))
+    const pool = [elsewhere, reachable, untried].find(candidates => candidates.length > 0) ?? eligible
+    const isSampled = this.#areCountsOld(request)
+    const compared = isSampled ? this.#pickSample(pool, request) : pool
     const fastestMs = Math.min(...pool.map(({ endpoint: { record } }) => this.#get(record.id).latencyMs || Infinity))
     let best: Selection | undefined
     let bestScore = Infinity
-    const first = Math.floor(request.fraction * pool.length)
-    for (const { endpoint, access } of [...pool.slice(first), ...pool.slice(0, first)]) {
+    const first = Math.floor(request.fraction * compared.length)
+    for (const { endpoint, access } of [...compared.slice(first), ...compared.slice(0, first)]) {
       const inFlight = this.#get(endpoint.record.id).inFlight + request.countElsewhere(endpoint.record.id)
-      const isLimited = access.kind === 'share' || (access.kind === 'permit' && access.isContended)
-      const load = inFlight + (isLimited ? LIMITED_PENALTY * endpoint.record.slots : 0)
+      const load = inFlight + (isContended(access) ? LIMITED_PENALTY * endpoint.record.slots : 0)
       const score = this.#computeScore(endpoint, load, fastestMs) * request.getPace(endpoint.record.id)
       if (score >= bestScore) continue
-      best = { endpoint, inFlight, access }
+      best = { endpoint, inFlight, access, isSampled }
       bestScore = score
     }
     return best
@@ -149,6 +180,22 @@
     this.#measures.delete(endpoint)
   }
 
+  /** Whether other gateways have probably started too many requests since they sent their counts: as many as are in flight in the time that one takes. */
+  #areCountsOld ({ candidates, countElsewhere, countsAgeMs, durationMs }: SelectionRequest): boolean {
+    const elsewhere = candidates.reduce((sum, { record: { id } }) => sum + countElsewhere(id), 0)
+    const slots = candidates[0]?.record.slots ?? 1
+    return elsewhere * countsAgeMs / (durationMs ?? DURATION_DEFAULT_MS) > UNSEEN_ENDPOINTS_MAX * slots
+  }
+
+  /** Picks some endpoints at random, most of them in the own failure domain; contended ones only when there are no others. */
+  #pickSample (pool: readonly Candidate[], { pickFloat }: SelectionRequest): readonly Candidate[] {
+    const open = pool.filter(({ access }) => !isContended(access))
+    const preferred = open.length > 0 ? open : pool
+    const near = preferred.filter(({ endpoint: { record } }) => record.domain === this.#domain)
+    const own = pickSome(near, SAMPLE_OWN_DOMAIN, pickFloat)
+    return [...own, ...pickSome(preferred.filter(candidate => !own.includes(candidate)), SAMPLE_OWN_DOMAIN + SAMPLE_ANY_DOMAIN - own.length, pickFloat)]
+  }
+
   /** Expected wait relative to an idle endpoint with the lowest latency; lower is better. */
   #computeScore ({ record }: EndpointView, load: number, fastestMs: number): number {
     const { latencyMs, failures } = this.#get(record.id)
@@ -167,4 +214,15 @@
   }
 }
 
+/** Whether requests for the endpoint are being denied, or only shares of its limit are left. */
+function isContended (access: EndpointAccess): boolean {
+  return access.kind === 'share' || (access.kind === 'permit' && access.isContended)
+}
+
+/** @returns up to `count` different items, picked at random */
+function pickSome<T> (items: readonly T[], count: number, pickFloat: () => number): readonly T[] {
+  const left = [...items]
+  return Array.from({ length: Math.min(count, items.length) }, () => left.splice(Math.floor(pickFloat() * left.length), 1)[0]!)
+}
+
 registerPlugin({ name: 'selection', roles: ['gateway'], create: options => SelectionPlugin.create(options) })
