Let requests wait for a free slot in the gateways, the urgent first

Cause: a request that finds every endpoint full waits in the queue of one of them, where it keeps its place when its time is over. After a loss of capacity the slots are full of late requests for seconds, and urgent requests are late like all others.

Change: where agents admit, a gateway queues what found no free slot: on time before late, by priority, returned callers before what is less urgent, fairly between teams by tokens. The first in the queue asks agents for a slot every 15 to 22 ms; less urgent ones leave the last free slot of an endpoint to the most urgent. What cannot start in time is refused with a time to come back. The start tags of the queue at endpoint processes serve both.

--- a/bench/cold-fleet-model.ts
+++ b/bench/cold-fleet-model.ts
@@ -144,7 +144,7 @@
 
   /** Sends a request to an endpoint, again when its connection did not stand in time. */
   send (attempts = 1): void {
-    const options = { requestId: 'r', service: SERVICE, tried: new Set<string>(), tokens: 0, waitMaxMs: LATENCY_TARGET_MS / 2 }
+    const options = { requestId: 'r', service: SERVICE, tried: new Set<string>(), tokens: 0, reserved: undefined, waitMaxMs: LATENCY_TARGET_MS / 2 }
     Admission.create(options, this.context, result => { this.#handleAdmission(result, attempts) }).start()
   }
 
--- a/bench/load-fleet-model.ts
+++ b/bench/load-fleet-model.ts
@@ -3,9 +3,11 @@
 import { platformDialect } from '../platform/dialect.js'
 import { Logger } from '../src/edge/log/logger.js'
 import { Metrics } from '../src/edge/metrics/metrics.js'
-import { Admission } from '../src/gateway/admission.js'
 import { GatewayContext } from '../src/gateway/context.js'
 import type { EngineSpec } from '../src/gateway/model.js'
+import { buildRoomWait } from '../src/gateway/request-work.js'
+import { RoomAdmission } from '../src/gateway/room-admission.js'
+import { computeUrgency } from '../src/gateway/urgency.js'
 import { Kernel } from '../src/kernel/kernel.js'
 import { Random } from '../src/kernel/random.js'
 import '../src/plugins/gateway/index.js'
@@ -19,8 +21,15 @@
 const SLOTS = 7
 const DATAGRAM_MS = 1
 const CONNECT_MS = 3
-/** Mean duration of a request in ms; it varies by half of it. */
+/** Mean duration of a request in ms, which varies by half of it, and the time to its first event. */
 const DURATION_MS = 1_600
+const FIRST_EVENT_MS = 100
+const TIMEOUT_MS = 8_000
+/** Share of the time that a caller has left for which it waits before it comes back. */
+const RETURN_SHARE = 1 / 3
+/** Shortest time in ms after which callers leave without an event, and the number of latency targets when that is longer. */
+const PATIENCE_MS = 2_000
+const PATIENCE_TARGETS = 4
 const COLD_PER_S = 26
 const HEARTBEAT_MS = 200
 const HEARTBEAT_PER_PEER_MS = 12
@@ -32,6 +41,21 @@
   slots: SLOTS, stride: 6, stepMs: 6, perRequestMs: 0.4, readPerS: 61_200, promptTokens: 800, answerTokens: 140, layers: 0, experts: 0, slotsPerRank: 0, spare: 0, expertMb: 0, linkMbps: 0, expertShare: 0
 }
 
+/** Requests of one route. */
+export interface LoadKind {
+  readonly name: string
+  readonly share: number
+  readonly priority: number
+  readonly latencyTargetMs: number
+}
+
+/** Time in which every request takes longer. */
+export interface Slowdown {
+  readonly fromMs: number
+  readonly toMs: number
+  readonly factor: number
+}
+
 /** One simulation. */
 export interface LoadScenario {
   readonly gateways: number
@@ -40,6 +64,12 @@
   readonly usage: number
   /** Whether gateways take the age of each other's counts into account. */
   readonly knowsAge: boolean
+  /** Whether requests wait in the gateways while no endpoint has a free slot, instead of at endpoints. */
+  readonly waitsForRoom: boolean
+  readonly kinds: readonly LoadKind[]
+  /** Relative load of the teams. */
+  readonly teams: readonly number[]
+  readonly slowdown?: Slowdown
   /** Failure domain whose agents do not answer; undefined when all do. */
   readonly silentDomain?: string
   readonly durationMs: number
@@ -58,6 +88,39 @@
   readonly spread: number
   /** Questions to agents per request. */
   readonly asks: number
+  /** What callers got, by kind, team, failure domain of the gateway and size. */
+  readonly served: ReadonlyMap<string, ServedCounts>
+}
+
+/** What the callers of a part of the requests got. */
+export interface ServedCounts {
+  requests: number
+  onTime: number
+  late: number
+  /** Callers that left, or were refused for good. */
+  lost: number
+  /** Refusals, of which callers come back once. */
+  refusals: number
+}
+
+/** One request of a caller. */
+interface Call {
+  readonly kind: LoadKind
+  readonly team: string
+  readonly isLarge: boolean
+  readonly gateway: GatewayContext
+  readonly domain: string
+  /** Time of the first attempt in ms. */
+  readonly atMs: number
+  readonly isReturned: boolean
+}
+
+interface Waiting {
+  readonly atMs: number
+  readonly urgency: number
+  readonly leavesAtMs: number
+  start (waitedMs: number): void
+  leave (): void
 }
 
 /** Engine with slots, and its agent. */
@@ -65,7 +128,7 @@
   readonly meter = LoadMeter.create()
   readonly permits = PermitBucket.create(0)
   running = 0
-  readonly #waiting: { readonly atMs: number, start (waitedMs: number): void }[] = []
+  #waiting: Waiting[] = []
 
   static create (): SimulatedEndpoint {
     return new SimulatedEndpoint()
@@ -75,12 +138,14 @@
     return this.running + this.#waiting.length
   }
 
-  accept (nowMs: number, start: (waitedMs: number) => void): void {
-    this.#waiting.push({ atMs: nowMs, start })
-    this.advance(nowMs)
+  accept (waiting: Waiting): void {
+    this.#waiting.push(waiting)
+    this.advance(waiting.atMs)
   }
 
   advance (nowMs: number): void {
+    for (const waiting of this.#waiting) if (waiting.leavesAtMs <= nowMs) waiting.leave()
+    this.#waiting = this.#waiting.filter(({ leavesAtMs }) => leavesAtMs > nowMs).sort((a, b) => a.urgency - b.urgency || a.atMs - b.atMs)
     while (this.running < SLOTS && this.#waiting.length > 0) {
       const { atMs, start } = this.#waiting.shift()!
       this.running += 1
@@ -98,6 +163,7 @@
   readonly #gateways: readonly GatewayContext[]
   readonly #waits: number[] = []
   readonly #spreads: number[] = []
+  readonly #served = new Map<string, ServedCounts>()
   #requests = 0
   #waitedInVain = 0
   #refused = 0
@@ -127,7 +193,8 @@
       refused: this.#refused,
       waitP99Ms: Math.round(waits[Math.floor(0.99 * waits.length)] ?? 0),
       spread: this.#spreads.reduce((sum, spread) => sum + spread, 0) / this.#spreads.length,
-      asks: this.#asks / this.#requests
+      asks: this.#asks / this.#requests,
+      served: this.#served
     }
   }
 
@@ -205,37 +272,121 @@
     const meanMs = DURATION_MS / (usage * SLOTS * endpoints)
     this.#scheduleAfter(-meanMs * Math.log(1 - this.#random.pickFloat()), () => {
       if (this.#isWarm) this.#requests += 1
-      this.#send(this.#gateways[this.#random.pickInt(gateways)]!)
+      const index = this.#random.pickInt(gateways)
+      const call: Call = { kind: this.#pickKind(), team: this.#pickTeam(), isLarge: this.#random.pickFloat() < 0.1, gateway: this.#gateways[index]!, domain: pickDomain(index), atMs: this.#scheduler.nowMs, isReturned: false }
+      this.#count(call, counts => { counts.requests += 1 })
+      this.#send(call)
       this.#scheduleRequest()
     })
   }
 
-  #send (context: GatewayContext): void {
-    Admission.create({ requestId: 'r', service: SERVICE, tried: new Set(), tokens: 0, waitMaxMs: 200 }, context, result => {
-      if (result.kind !== 'admitted') {
-        if (this.#isWarm) this.#refused += 1
-        return
+  #pickKind (): LoadKind {
+    const { kinds } = this.#scenario
+    return kinds[pickWeighted(kinds.map(({ share }) => share), this.#random.pickFloat())]!
+  }
+
+  #pickTeam (): string {
+    return `t${pickWeighted(this.#scenario.teams, this.#random.pickFloat())}`
+  }
+
+  #send (call: Call): void {
+    const { gateway, kind, team, isLarge, isReturned } = call
+    const nowMs = this.#scheduler.nowMs
+    const deadlineMs = TIMEOUT_MS - (nowMs - call.atMs)
+    const route = { name: kind.name, host: 'h', pathPrefix: '/', repeat: 'resumable-stream' as const, timeoutMs: TIMEOUT_MS, latencyTargetMs: kind.latencyTargetMs, priority: kind.priority, shares: [], attemptsMax: 2, isPublic: true }
+    const request = { requestId: 'r', host: 'h', path: '/', headers: [] as never, deadlineMs, promptTokens: isLarge ? 3_000 : 600, answerTokensMax: 140 }
+    const wait = buildRoomWait({ request, team: { name: team }, route, service: SERVICE, receivedAtMs: nowMs }, nowMs + deadlineMs, gateway.roomQueue.getFirstEventMs(SERVICE))
+    RoomAdmission.create({ wait, mustStart: !this.#scenario.waitsForRoom, tried: new Set(), waitMaxMs: 200 }, gateway, result => {
+      switch (result.kind) {
+        case 'admitted': {
+          const { id } = result.selection.endpoint.record
+          this.#scheduleAfter(CONNECT_MS, () => { this.#arrive(call, id, nowMs) })
+          break
+        }
+        case 'limited':
+        case 'no-endpoint':
+          if (this.#isWarm) this.#refused += 1
+          this.#count(call, counts => { counts.refusals += 1 })
+          if (isReturned) this.#count(call, counts => { counts.lost += 1 })
+          else this.#scheduleReturn(call, deadlineMs)
+          break
       }
-      const { id } = result.selection.endpoint.record
-      this.#scheduleAfter(CONNECT_MS, () => { this.#arrive(context, id) })
     }).start()
   }
 
-  #arrive (context: GatewayContext, id: string): void {
+  #scheduleReturn (call: Call, deadlineMs: number): void {
+    const nowMs = this.#scheduler.nowMs
+    const retryAfterMs = call.gateway.retryAfter.computeRetryAfterMs(SERVICE, { kind: 'full' }, this.#random.pickFloat(), nowMs)
+    this.#scheduleAfter(Math.min(retryAfterMs, RETURN_SHARE * deadlineMs), () => {
+      const index = this.#random.pickInt(this.#gateways.length)
+      this.#send({ ...call, gateway: this.#gateways[index]!, domain: pickDomain(index), isReturned: true })
+    })
+  }
+
+  #arrive (call: Call, id: string, sentAtMs: number): void {
+    const { gateway, kind, isReturned } = call
     const endpoint = this.#endpoints.get(id)!
+    const nowMs = this.#scheduler.nowMs
     const isFull = endpoint.held >= SLOTS
     if (this.#isWarm && isFull && [...this.#endpoints.values()].some(({ held }) => held < SLOTS)) this.#waitedInVain += 1
-    endpoint.accept(this.#scheduler.nowMs, waitedMs => {
+    const leavesAtMs = sentAtMs + Math.max(PATIENCE_MS, PATIENCE_TARGETS * kind.latencyTargetMs)
+    const isLate = isReturned || nowMs - sentAtMs > kind.latencyTargetMs
+    const end = (): void => { gateway.selection.noteEnd(id, 'cancelled', 0, gateway.getNowMs()) }
+    const leave = (): void => {
+      this.#count(call, counts => { counts.lost += 1 })
+      end()
+    }
+    const start = (waitedMs: number): void => {
       if (this.#isWarm) this.#waits.push(waitedMs)
-      const durationMs = DURATION_MS * (0.5 + this.#random.pickFloat())
-      this.#scheduleAfter(durationMs, () => {
+      const factor = this.#getSlowdown()
+      const firstEventAtMs = this.#scheduler.nowMs + factor * FIRST_EVENT_MS
+      const durationMs = factor * DURATION_MS * (0.5 + this.#random.pickFloat())
+      const hasLeft = firstEventAtMs > leavesAtMs
+      gateway.roomQueue.noteFirstEvent(SERVICE, factor * FIRST_EVENT_MS)
+      this.#count(call, counts => {
+        if (hasLeft) counts.lost += 1
+        else if (firstEventAtMs <= call.atMs + kind.latencyTargetMs) counts.onTime += 1
+        else counts.late += 1
+      })
+      this.#scheduleAfter(hasLeft ? 0 : durationMs, () => {
         endpoint.running -= 1
         endpoint.advance(this.#scheduler.nowMs)
-        context.selection.noteEnd(id, 'ok', durationMs, context.getNowMs())
-        context.lateLane.noteAnswered(SERVICE, durationMs)
+        if (hasLeft) {
+          end()
+          return
+        }
+        gateway.selection.noteEnd(id, 'ok', durationMs, gateway.getNowMs())
+        gateway.retryAfter.noteServed(SERVICE, gateway.getNowMs())
+        gateway.lateLane.noteAnswered(SERVICE, durationMs)
       })
-    })
+    }
+    endpoint.accept({ atMs: nowMs, urgency: computeUrgency(kind.priority, isLate), leavesAtMs, start, leave })
   }
+
+  #getSlowdown (): number {
+    const { slowdown } = this.#scenario
+    const { nowMs } = this.#scheduler
+    return slowdown !== undefined && nowMs >= slowdown.fromMs && nowMs < slowdown.toMs ? slowdown.factor : 1
+  }
+
+  /** Counts a request by kind, team, failure domain and size, unless it began in the warm-up. */
+  #count ({ kind, team, domain, isLarge, atMs }: Call, add: (counts: ServedCounts) => void): void {
+    if (atMs < WARM_UP_MS) return
+    for (const part of [kind.name, team, domain, isLarge ? 'large' : 'small']) {
+      const counts = this.#served.get(part) ?? { requests: 0, onTime: 0, late: 0, lost: 0, refusals: 0 }
+      this.#served.set(part, counts)
+      add(counts)
+    }
+  }
+}
+
+function pickWeighted (weights: readonly number[], fraction: number): number {
+  let left = fraction * weights.reduce((sum, weight) => sum + weight, 0)
+  const found = weights.findIndex(weight => {
+    left -= weight
+    return left < 0
+  })
+  return found === -1 ? weights.length - 1 : found
 }
 
 function pickDomain (index: number): string {
--- a/src/edge/metrics/table.ts
+++ b/src/edge/metrics/table.ts
@@ -101,6 +101,8 @@
   requests: { type: 'counter', help: 'Requests answered, by `ok` or error kind.', label: resultLabel },
   attempts: { type: 'counter', help: 'Attempts at endpoints by how they ended.', label: { name: 'result', values: { kind: 'list', values: ['ok', 'failed', 'refused', 'unreachable', 'cancelled'] } } },
   permits: { type: 'counter', help: 'Permits that agents were asked for, by their answer.', label: { name: 'result', values: { kind: 'list', values: ['granted', 'denied', 'busy', 'silent'] } } },
+  room_waits: { type: 'counter', help: 'Requests that waited for a free slot of any endpoint, by how the wait ended.', label: { name: 'result', values: { kind: 'list', values: ['started', 'refused'] } } },
+  room_wait_ms: { type: 'histogram', help: 'Time for which requests waited for a free slot of any endpoint in ms.', label: serviceLabel, buckets: WAIT_BUCKETS_MS },
   borrowed_shares: { type: 'counter', help: 'Shares that other gateways were asked for, by their answer.', label: { name: 'result', values: { kind: 'list', values: ['granted', 'denied', 'silent'] } } },
   part_decisions: { type: 'counter', help: 'Requests with a part of a prompt that crashed endpoints: refused, or let through as a trial.', label: { name: 'result', values: { kind: 'list', values: ['blocked', 'trial'] } } },
   retries: { type: 'counter', help: 'Second and later attempts of requests.' },
--- a/src/gateway/admission.ts
+++ b/src/gateway/admission.ts
@@ -22,7 +22,7 @@
 /** Endpoints that are asked for a load no higher than usual; the following ones need only have a free slot. */
 const BALANCED_ASKS_MAX = 2
 
-/** Endpoints that are asked whether they have room, before a request is sent to one that has none. */
+/** Endpoints that are asked whether they have room. */
 const ROOM_ASKS_MAX = 5
 
 /** Asks the agent of an endpoint for a permit, when `room` is given only if it has that room; undefined when it does not answer. */
@@ -51,6 +51,8 @@
   | { readonly kind: 'admitted', readonly selection: Selection, readonly access: AdmittedAccess, readonly permit: Permit | undefined }
   /** Every usable endpoint is at its limit. */
   | { readonly kind: 'limited' }
+  /** No endpoint that was asked had room. */
+  | { readonly kind: 'full' }
   | { readonly kind: 'no-endpoint' }
 
 /** A request that looks for an endpoint. */
@@ -61,6 +63,10 @@
   readonly tried: ReadonlySet<string>
   /** Tokens of memory that the request is expected to take at its endpoint. */
   readonly tokens: number
+  /** Slots that an endpoint must have free besides the one for the request; undefined when the request is sent to a full one as well. */
+  readonly reserved: number | undefined
+  /** Endpoints that are asked whether they have room, any that has a free slot will do; undefined for a search that balances the load. */
+  readonly roomAsksMax?: number
   /** Longest time in ms for which the request can look for an endpoint that grants a permit at once, and then wait for a permit. */
   readonly waitMaxMs: number
 }
@@ -111,6 +117,10 @@
       this.#borrowOrWait(nowMs)
       return
     }
+    if (this.#busy.has(selection.endpoint.record.id)) {
+      this.#finish({ kind: 'full' })
+      return
+    }
     const { access } = selection
     switch (access.kind) {
       case 'unlimited':
@@ -169,12 +179,14 @@
     }, (error: unknown) => { this.#context.log('internal-error', { reason: String(error) }) })
   }
 
-  /** Room that the endpoint is asked for; undefined when the counts of all endpoints are known well, or too many had no room. */
+  /** Room that the endpoint is asked for; undefined when the counts of all endpoints are known well. */
   #findRoom ({ endpoint: { record }, isSampled }: Selection, nowMs: number): RoomRequest | undefined {
-    const { service, tokens } = this.#options
-    if (!isSampled || this.#busy.size >= ROOM_ASKS_MAX || this.#busy.has(record.id)) return undefined
-    const meanLoad = this.#busy.size < BALANCED_ASKS_MAX ? this.#context.serviceLoad.findMeanLoad(service, undefined, nowMs) : undefined
-    return { tokens, loadMax: meanLoad === undefined ? record.slots : Math.max(1, Math.min(record.slots, Math.floor(meanLoad) + 1)) }
+    const { service, tokens, reserved, roomAsksMax } = this.#options
+    if (!isSampled || reserved === undefined) return undefined
+    const slots = Math.max(1, record.slots - reserved)
+    const isBalancing = roomAsksMax === undefined && this.#busy.size < BALANCED_ASKS_MAX
+    const meanLoad = isBalancing ? this.#context.serviceLoad.findMeanLoad(service, undefined, nowMs) : undefined
+    return { tokens, loadMax: meanLoad === undefined ? slots : Math.max(1, Math.min(slots, Math.floor(meanLoad) + 1)) }
   }
 
   #ask (selection: Selection, rate: PermitRate, waitMaxMs: number, room?: RoomRequest): void {
@@ -193,7 +205,8 @@
     const { id, service, domain } = selection.endpoint.record
     this.#context.metrics.count('permits', reply?.kind ?? 'silent')
     if (reply === undefined) {
-      if (selection.isSampled) this.#silentDomains.add(domain)
+      this.#silentDomains.add(domain)
+      this.#context.serviceLoad.noteSilent(service, domain, nowMs)
       if (this.#isUsable(selection) && coldLimits.noteAgentSilent(id, nowMs)) this.#context.log('agent-silent', { endpoint: id })
       this.#restart()
       return
@@ -206,7 +219,12 @@
     if (reply.kind !== 'denied' && reply.load !== undefined) this.#context.serviceLoad.noteLoad(service, domain, reply.load, nowMs)
     if (reply.kind === 'busy') {
       this.#busy.add(id)
-      this.#restart()
+      if (this.#busy.size < (this.#options.roomAsksMax ?? ROOM_ASKS_MAX)) {
+        this.#restart()
+      } else {
+        this.#release()
+        this.#finish({ kind: 'full' })
+      }
       return
     }
     if (reply.kind === 'denied') {
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -26,6 +26,7 @@
 import { LateLane } from './late-lane.js'
 import { MemoryBudget } from './memory.js'
 import { RecoveryQueue } from './recovery.js'
+import { RoomQueue } from './room-queue.js'
 import type { AskGroup } from './recovery.js'
 import type { Exchange } from './exchange.js'
 import type { Dialect } from './model.js'
@@ -87,6 +88,7 @@
   readonly outages: OutagesPort
   readonly recovery: RecoveryQueue
   readonly lateLane: LateLane
+  readonly roomQueue: RoomQueue
   readonly memory = MemoryBudget.create()
   readonly boundary: Boundary
   readonly askPermit: AskPermit
@@ -99,6 +101,7 @@
   readonly #logger: Logger
   readonly #sendLimits: (limits: SharedStatements) => void
   readonly #exchanges = new Set<Exchange>()
+  readonly #admittedByAgents = new Set<string>()
 
   private constructor ({ kernel, dialect, logger, metrics, askPermit, askShare, sendLimits, sendEvidence, askGroup, clock }: GatewayContextOptions) {
     this.askShare = askShare
@@ -125,6 +128,7 @@
     this.outages = kernel.getPort('outages')
     this.recovery = RecoveryQueue.create(this, askGroup ?? (async () => undefined))
     this.lateLane = LateLane.create(this)
+    this.roomQueue = RoomQueue.create(this)
     this.crashMonitor = CrashMonitor.create({
       self: kernel.self.id,
       crashes: this.crashes,
@@ -172,10 +176,10 @@
    * @returns the choice; undefined when no endpoint can take a request now
    */
   choose (service: string, exclude: ReadonlySet<string>, avoidedDomains: ReadonlySet<string>, nowMs: number): Selection | undefined {
-    return this.selection.choose({
+    const selection = this.selection.choose({
       candidates: this.#listWorking(service, nowMs),
       exclude,
-      avoidedDomains,
+      avoidedDomains: new Set([...avoidedDomains, ...this.serviceLoad.listSilentDomains(service, nowMs)]),
       getAccess: this.#buildAccess(service, nowMs),
       fraction: this.pickFloat(),
       countsAgeMs: this.peers.getCountsAgeMs(nowMs),
@@ -185,6 +189,14 @@
       isUnresponsive: endpoint => this.liveness.isUnresponsive(endpoint),
       getPace: endpoint => this.paces[endpoint] ?? this.peers.getPace(endpoint)
     }, nowMs)
+    if (selection?.isSampled === true && selection.access.kind === 'permit') this.#admittedByAgents.add(service)
+    else this.#admittedByAgents.delete(service)
+    return selection
+  }
+
+  /** Whether agents decide which requests of a service start, as the counts of other gateways are old. */
+  isAdmittedByAgents (service: string): boolean {
+    return this.#admittedByAgents.has(service)
   }
 
   /**
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -4,10 +4,11 @@
 import type { ErrorKind } from '../kernel/errors.js'
 import type { EndpointView } from '../plugins/gateway/endpoints.js'
 import type { AttemptResult } from '../plugins/gateway/selection.js'
-import { Admission } from './admission.js'
 import { classifyAnswer } from './answer-kind.js'
 import { hasChunkForm } from './chunk-form.js'
-import type { AdmissionResult } from './admission.js'
+import { RoomAdmission } from './room-admission.js'
+import type { RoomResult } from './room-admission.js'
+import { buildRoomWait } from './request-work.js'
 import type { EventBatch } from './events.js'
 import type { GatewayContext } from './context.js'
 import type { MonitoredRequest } from './crash-monitor.js'
@@ -19,7 +20,6 @@
 import type { RunningAttempt } from './running-attempt.js'
 import { settleAttempt } from './settle-attempt.js'
 import { StartGate } from './start-gate.js'
-import { countTokens } from './request-work.js'
 import { StreamAnswer } from './stream-answer.js'
 import { computeUrgency, isLate } from './urgency.js'
 import { Attempt } from './upstream.js'
@@ -46,7 +46,7 @@
   readonly #tried = new Set<string>()
   #timer: NodeJS.Timeout | undefined
   #backoff: NodeJS.Timeout | undefined
-  #admission: Admission | undefined
+  #admission: RoomAdmission | undefined
   #running: RunningAttempt | undefined
   /** Endpoint whose load counts an attempt that is not running yet. */
   #chosen: EndpointView | undefined
@@ -143,14 +143,16 @@
   }
 
   #admit (): void {
-    const { request: { requestId }, route, service } = this.#options
+    const { route } = this.#options
     const nowMs = this.#context.getNowMs()
     const waitMaxMs = Math.min(PERMIT_WAIT_SHARE * route.latencyTargetMs, this.#deadlineAtMs - nowMs - ATTEMPT_MIN_MS)
-    this.#admission = Admission.create({ requestId, service, tried: this.#tried, tokens: countTokens(this.#options.request), waitMaxMs }, this.#context, result => { this.#runStep(() => { this.#handleAdmission(result) }) })
+    const wait = buildRoomWait(this.#options, this.#deadlineAtMs, this.#context.roomQueue.getFirstEventMs(this.#options.service))
+    // A caller that has received part of the answer leaves when it waits long for the rest.
+    this.#admission = RoomAdmission.create({ wait, mustStart: this.#stream.hasBegun, tried: this.#tried, waitMaxMs }, this.#context, result => { this.#runStep(() => { this.#handleAdmission(result) }) })
     this.#admission.start()
   }
 
-  #handleAdmission (result: AdmissionResult): void {
+  #handleAdmission (result: RoomResult): void {
     this.#admission = undefined
     switch (result.kind) {
       case 'admitted':
@@ -167,7 +169,7 @@
     }
   }
 
-  #sendAttempt ({ selection: { endpoint, inFlight }, access, permit }: Extract<AdmissionResult, { kind: 'admitted' }>): void {
+  #sendAttempt ({ selection: { endpoint, inFlight }, access, permit }: Extract<RoomResult, { kind: 'admitted' }>): void {
     const { request, method, body, team, route } = this.#options
     const { record } = endpoint
     this.#chosen = endpoint
@@ -289,6 +291,7 @@
 
   #noteFirstEvent (running: RunningAttempt): void {
     running.firstEventMs = this.#context.getNowMs() - running.startedAtMs
+    this.#context.roomQueue.noteFirstEvent(this.#options.service, running.firstEventMs)
     if (this.#stream.hasBegun) return
     this.#context.metrics.observe('first_byte_ms', this.#context.getNowMs() - this.#options.receivedAtMs, this.#options.service)
   }
--- /dev/null
+++ b/src/gateway/room-queue.ts
@@ -0,0 +1,275 @@
+/**
+ * Orders the requests of a gateway that found no free slot at any endpoint they asked. Answers
+ * overload: requests that can still be on time start first, by priority and fairly between teams,
+ * and what cannot be served before its caller leaves is refused at once instead of taking a slot.
+ */
+
+import { assertNever } from '../kernel/errors.js'
+import { FairTags } from '../plugins/admission/fair-tags.js'
+import type { GatewayContext } from './context.js'
+
+/** Interval in ms at which the first request in the queue asks an endpoint for a slot; a random half is added. */
+const ASK_INTERVAL_MS = 15
+
+/** Slots of an endpoint that requests leave to more urgent ones. */
+const RESERVED_SLOTS = 1
+
+/** At least one of this many starts goes to the request that has waited longest, whatever its class and priority. */
+const OLDEST_EVERY = 8
+
+/** Share of the time until its latest start after which a request has waited long. */
+const WAIT_SHARE_MAX = 0.6
+
+/** Weight of the latest value in moving averages. */
+const AVERAGE_WEIGHT = 0.2
+
+/** A request that waits for a slot. */
+export interface RoomWait {
+  readonly requestId: string
+  readonly service: string
+  /** Empty when requests belong to no team. */
+  readonly team: string
+  /** 0 is the most urgent. */
+  readonly priority: number
+  readonly tokens: number
+  /** Whether its caller was refused before. */
+  readonly isReturned: boolean
+  /** Monotonic time in ms of the latest start with which the answer is on time. */
+  readonly onTimeUntilMs: number
+  /** Monotonic time in ms of the latest start before the caller leaves. */
+  readonly untilMs: number
+}
+
+/** Callbacks of a request in the queue. */
+export interface RoomHandlers {
+  /** Asks one endpoint for a slot and leaves `reserved` others free; the ticket then gets the answer. */
+  ask (reserved: number): void
+  /** Called when the request cannot be served in time; it has left the queue. */
+  refuse (): void
+}
+
+/** Place of a request in the queue. */
+export interface RoomTicket {
+  /** The endpoint that was asked had no free slot. */
+  noteFull (): void
+  /** The request has started. */
+  noteStarted (): void
+  /** The request has ended otherwise. */
+  leave (): void
+}
+
+/** How useful the start of a request still is. */
+type WaitClass = 'on-time' | 'returned' | 'late'
+
+interface Waiter {
+  readonly wait: RoomWait
+  readonly handlers: RoomHandlers
+  readonly enteredAtMs: number
+  readonly startTag: number
+}
+
+/** Parts of the gateway that a queue uses. */
+export type RoomContext = Pick<GatewayContext, 'clock' | 'getNowMs' | 'log' | 'metrics' | 'pickFloat'>
+
+/** Waiting requests of one service. */
+class ServiceQueue {
+  readonly waiters = new Set<Waiter>()
+  readonly tagsByPriority = new Map<number, FairTags>()
+  topPriority = Infinity
+  firstEventMs = 0
+  asking: Waiter | undefined
+  cancelTimer: (() => void) | undefined
+  startsSinceOldest = 0
+
+  private constructor () {}
+
+  static create (): ServiceQueue {
+    return new ServiceQueue()
+  }
+
+  getTags (priority: number): FairTags {
+    const tags = this.tagsByPriority.get(priority) ?? FairTags.create()
+    this.tagsByPriority.set(priority, tags)
+    return tags
+  }
+}
+
+/** Queues by service. */
+export class RoomQueue {
+  readonly #context: RoomContext
+  readonly #queues = new Map<string, ServiceQueue>()
+
+  private constructor (context: RoomContext) {
+    this.#context = context
+  }
+
+  /**
+   * @param context - clock, logs and metrics of the gateway
+   * @returns queues without requests
+   */
+  static create (context: RoomContext): RoomQueue {
+    return new RoomQueue(context)
+  }
+
+  /** Records the time in ms from the start of a request to the first event of its answer. */
+  noteFirstEvent (service: string, elapsedMs: number): void {
+    const queue = this.#getQueue(service)
+    queue.firstEventMs = queue.firstEventMs === 0 ? elapsedMs : queue.firstEventMs + AVERAGE_WEIGHT * (elapsedMs - queue.firstEventMs)
+  }
+
+  /** @returns mean time in ms from the start of a request to the first event of its answer; 0 before any was measured */
+  getFirstEventMs (service: string): number {
+    return this.#getQueue(service).firstEventMs
+  }
+
+  /** @returns slots of an endpoint that a request leaves free when it starts now */
+  countReserved (wait: RoomWait): number {
+    const queue = this.#getQueue(wait.service)
+    queue.topPriority = Math.min(queue.topPriority, wait.priority)
+    return countReserved(queue, wait, this.#context.getNowMs())
+  }
+
+  /** Whether a request would start after one that waits already. */
+  hasEarlier (wait: RoomWait): boolean {
+    const nowMs = this.#context.getNowMs()
+    return [...this.#getQueue(wait.service).waiters].some(other => compareClass(other.wait, wait, nowMs) <= 0)
+  }
+
+  /**
+   * Adds a request.
+   *
+   * @param wait - the request
+   * @param handlers - called from then on; `refuse` possibly at once
+   * @returns its place
+   */
+  enter (wait: RoomWait, handlers: RoomHandlers): RoomTicket {
+    const nowMs = this.#context.getNowMs()
+    const queue = this.#getQueue(wait.service)
+    const cost = Math.max(1, wait.tokens)
+    const waiter: Waiter = { wait, handlers, enteredAtMs: nowMs, startTag: queue.getTags(wait.priority).add(wait.team, cost) }
+    const remove = (): void => {
+      queue.waiters.delete(waiter)
+      if (queue.asking === waiter) queue.asking = undefined
+    }
+    const leave = (): void => {
+      if (!queue.waiters.has(waiter)) return
+      remove()
+      queue.getTags(wait.priority).remove(wait.team, waiter.startTag, cost)
+      this.#check(queue)
+    }
+    if (this.#isHopeless(queue, wait, nowMs)) {
+      queue.getTags(wait.priority).remove(wait.team, waiter.startTag, cost)
+      this.#refuse(waiter)
+    } else {
+      queue.waiters.add(waiter)
+      this.#check(queue)
+    }
+    return {
+      noteFull: () => {
+        if (queue.asking !== waiter) return
+        queue.asking = undefined
+        this.#schedule(queue)
+      },
+      noteStarted: () => {
+        if (!queue.waiters.has(waiter)) return
+        remove()
+        queue.getTags(wait.priority).noteStarted(waiter.startTag)
+        const oldestMs = Math.min(...[...queue.waiters].map(({ enteredAtMs }) => enteredAtMs))
+        queue.startsSinceOldest = oldestMs < waiter.enteredAtMs ? queue.startsSinceOldest + 1 : 0
+        this.#report(waiter, 'started')
+        this.#check(queue)
+      },
+      leave
+    }
+  }
+
+  /**
+   * Whether a request will probably be late, as those before it nearly are, and others that are no
+   * less urgent and late already have not started for long. Its caller had better come back.
+   */
+  #isHopeless ({ waiters }: ServiceQueue, wait: RoomWait, nowMs: number): boolean {
+    const waiting = [...waiters].filter(other => other.wait.priority <= wait.priority)
+    const isBlocked = waiting.some(other => compareClass(other.wait, wait, nowMs) <= 0 && hasWaitedLong(other, other.wait.onTimeUntilMs, nowMs))
+    return isBlocked && waiting.some(other => classify(other.wait, nowMs) === 'late' && hasWaitedLong(other, other.wait.untilMs, nowMs))
+  }
+
+  /** Refuses requests whose time is over, and lets the first of the others ask. */
+  #check (queue: ServiceQueue): void {
+    const nowMs = this.#context.getNowMs()
+    for (const waiter of [...queue.waiters]) {
+      if (nowMs < waiter.wait.untilMs || waiter === queue.asking) continue
+      queue.waiters.delete(waiter)
+      this.#refuse(waiter)
+    }
+    if (queue.asking !== undefined || queue.cancelTimer !== undefined) return
+    const first = chooseFirst(queue, nowMs)
+    if (first === undefined) return
+    queue.asking = first
+    first.handlers.ask(isTurnOfOldest(queue) ? 0 : countReserved(queue, first.wait, nowMs))
+  }
+
+  #schedule (queue: ServiceQueue): void {
+    if (queue.cancelTimer !== undefined) return
+    queue.cancelTimer = this.#context.clock.schedule(ASK_INTERVAL_MS * (1 + 0.5 * this.#context.pickFloat()), () => {
+      queue.cancelTimer = undefined
+      this.#check(queue)
+    })
+  }
+
+  #refuse (waiter: Waiter): void {
+    this.#report(waiter, 'refused')
+    waiter.handlers.refuse()
+  }
+
+  #report ({ wait, enteredAtMs }: Waiter, result: 'started' | 'refused'): void {
+    const nowMs = this.#context.getNowMs()
+    this.#context.metrics.count('room_waits', result)
+    this.#context.metrics.observe('room_wait_ms', nowMs - enteredAtMs, wait.service)
+    this.#context.log('room-wait-ended', { request: wait.requestId, service: wait.service, priority: wait.priority, class: classify(wait, nowMs), waitedMs: Math.round(nowMs - enteredAtMs), result })
+  }
+
+  #getQueue (service: string): ServiceQueue {
+    const queue = this.#queues.get(service) ?? ServiceQueue.create()
+    this.#queues.set(service, queue)
+    return queue
+  }
+}
+
+function hasWaitedLong ({ enteredAtMs }: Waiter, untilMs: number, nowMs: number): boolean {
+  return nowMs - enteredAtMs > WAIT_SHARE_MAX * (untilMs - enteredAtMs)
+}
+
+function classify ({ isReturned, onTimeUntilMs }: RoomWait, nowMs: number): WaitClass {
+  return isReturned ? 'returned' : nowMs < onTimeUntilMs ? 'on-time' : 'late'
+}
+
+/** Late requests start last. Callers that were refused before start after those of their priority that can be on time, and before any less urgent one. */
+function compareClass (a: RoomWait, b: RoomWait, nowMs: number): number {
+  const [first, second] = [classify(a, nowMs), classify(b, nowMs)]
+  if ((first === 'late') !== (second === 'late')) return first === 'late' ? 1 : -1
+  if (a.priority !== b.priority) return a.priority - b.priority
+  return rankClass(first) - rankClass(second)
+}
+
+function rankClass (waitClass: WaitClass): number {
+  switch (waitClass) {
+    case 'on-time': return 0
+    case 'returned': return 1
+    case 'late': return 2
+    default: return assertNever(waitClass)
+  }
+}
+
+/** Only requests of the most urgent priority that can be on time take the last free slot of an endpoint. */
+function countReserved ({ topPriority }: ServiceQueue, wait: RoomWait, nowMs: number): number {
+  return wait.priority > topPriority || classify(wait, nowMs) !== 'on-time' ? RESERVED_SLOTS : 0
+}
+
+function isTurnOfOldest ({ startsSinceOldest }: ServiceQueue): boolean {
+  return startsSinceOldest >= OLDEST_EVERY - 1
+}
+
+function chooseFirst (queue: ServiceQueue, nowMs: number): Waiter | undefined {
+  const ordered = [...queue.waiters].sort((a, b) => compareClass(a.wait, b.wait, nowMs) || a.startTag - b.startTag || a.enteredAtMs - b.enteredAtMs)
+  return isTurnOfOldest(queue) ? ordered.reduce<Waiter | undefined>((oldest, next) => oldest === undefined || next.enteredAtMs < oldest.enteredAtMs ? next : oldest, undefined) : ordered[0]
+}
--- a/src/gateway/start-gate.ts
+++ b/src/gateway/start-gate.ts
@@ -9,14 +9,14 @@
 
 /** Gate of one request. */
 export class StartGate {
-  readonly #context: Pick<GatewayContext, 'lateLane' | 'recovery'>
+  readonly #context: Pick<GatewayContext, 'isAdmittedByAgents' | 'lateLane' | 'recovery'>
   readonly #request: HeldRequest
   readonly #handlers: StartHandlers
   #cancelHold: (() => void) | undefined
   #pass: LatePass | undefined
   #hasLeft = false
 
-  private constructor (context: Pick<GatewayContext, 'lateLane' | 'recovery'>, request: HeldRequest, handlers: StartHandlers) {
+  private constructor (context: Pick<GatewayContext, 'isAdmittedByAgents' | 'lateLane' | 'recovery'>, request: HeldRequest, handlers: StartHandlers) {
     this.#context = context
     this.#request = request
     this.#handlers = handlers
@@ -27,7 +27,7 @@
    * @param request - the request
    * @param handlers - called with the decision, possibly more than once when the request is retried
    */
-  static create (context: Pick<GatewayContext, 'lateLane' | 'recovery'>, request: HeldRequest, handlers: StartHandlers): StartGate {
+  static create (context: Pick<GatewayContext, 'isAdmittedByAgents' | 'lateLane' | 'recovery'>, request: HeldRequest, handlers: StartHandlers): StartGate {
     return new StartGate(context, request, handlers)
   }
 
@@ -57,7 +57,8 @@
   }
 
   #join (isPaced: boolean): void {
-    if (!isPaced || this.#pass !== undefined) {
+    // Where agents admit, late requests wait for room like all others, behind those that can be on time.
+    if (!isPaced || this.#pass !== undefined || this.#context.isAdmittedByAgents(this.#request.service)) {
       this.#handlers.proceed()
       return
     }
--- a/src/gateway/urgency.ts
+++ b/src/gateway/urgency.ts
@@ -18,9 +18,14 @@
   readonly isResumed: boolean
 }
 
+/** Whether a caller has probably been refused before: it has less time left than with a first attempt. */
+export function isReturned ({ timeoutMs }: Pick<Route, 'timeoutMs'>, deadlineMs: number | undefined): boolean {
+  return deadlineMs !== undefined && deadlineMs < RETURN_TIME_SHARE * timeoutMs
+}
+
 /** Whether the latency target of a request has passed, as far as the gateway can tell. */
 export function isLate ({ timeoutMs, latencyTargetMs }: Pick<Route, 'timeoutMs' | 'latencyTargetMs'>, { deadlineMs, waitedMs, isResumed }: RequestTimes): boolean {
-  return isResumed || waitedMs > latencyTargetMs || (deadlineMs !== undefined && deadlineMs < RETURN_TIME_SHARE * timeoutMs)
+  return isResumed || waitedMs > latencyTargetMs || isReturned({ timeoutMs }, deadlineMs)
 }
 
 /**
--- a/src/plugins/admission/queue.ts
+++ b/src/plugins/admission/queue.ts
@@ -1,6 +1,7 @@
 /** Queue of waiting work: priority classes, with start-time fair queueing between teams by weight. */
 
 import type { PriorityClass, Submit } from '../../protocol/messages.js'
+import { FairTags } from './fair-tags.js'
 
 /** At least one of this many starts goes to a lower priority class while work of one is waiting. */
 const LOWER_CLASS_EVERY = 8
@@ -16,16 +17,10 @@
   readonly startTag: number
 }
 
-/** Virtual time and finish tags of one priority class. */
-interface ClassState {
-  virtualTime: number
-  readonly finishTagByTeam: Map<string, number>
-}
-
 /** The waiting work of one endpoint. */
 export class Queue {
   readonly #waiting = new Map<string, WaitingWork>()
-  readonly #classes: Readonly<Record<PriorityClass, ClassState>> = { urgent: createClassState(), normal: createClassState(), background: createClassState() }
+  readonly #classes: Readonly<Record<PriorityClass, FairTags>> = { urgent: FairTags.create(), normal: FairTags.create(), background: FairTags.create() }
   #startsSinceLower = 0
 
   private constructor () {}
@@ -45,9 +40,7 @@
    * @returns the queued work with its deadline and start tag
    */
   add (work: Submit, nowMs: number): WaitingWork {
-    const state = this.#classes[work.terms.priority]
-    const startTag = this.#computeStartTag(work)
-    state.finishTagByTeam.set(work.team, startTag + 1 / work.teamWeight)
+    const startTag = this.#classes[work.terms.priority].add(work.team, 1 / work.teamWeight)
     const waiting = { work, offeredAtMs: nowMs, deadlineAtMs: nowMs + work.timeLeftMs, startTag }
     this.#waiting.set(work.workId, waiting)
     return waiting
@@ -59,9 +52,7 @@
     if (waiting === undefined) return false
     this.#waiting.delete(workId)
     const { team, teamWeight, terms } = waiting.work
-    const state = this.#classes[terms.priority]
-    // Removing the last work of a team restores the team's previous finish tag.
-    if (state.finishTagByTeam.get(team) === waiting.startTag + 1 / teamWeight) state.finishTagByTeam.set(team, waiting.startTag)
+    this.#classes[terms.priority].remove(team, waiting.startTag, 1 / teamWeight)
     return true
   }
 
@@ -75,7 +66,7 @@
    */
   countAhead (work: Submit): number {
     const classIndex = PRIORITY_CLASSES.indexOf(work.terms.priority)
-    const startTag = this.#computeStartTag(work)
+    const startTag = this.#classes[work.terms.priority].computeStartTag(work.team)
     return this.list().filter(other => {
       const otherClassIndex = PRIORITY_CLASSES.indexOf(other.work.terms.priority)
       return otherClassIndex < classIndex || (otherClassIndex === classIndex && other.startTag <= startTag)
@@ -122,23 +113,10 @@
     const hasHigher = waiting.some(({ work }) => PRIORITY_CLASSES.indexOf(work.terms.priority) < classIndex)
     const hasLower = waiting.some(({ work }) => PRIORITY_CLASSES.indexOf(work.terms.priority) > classIndex)
     this.#startsSinceLower = hasHigher || !hasLower ? 0 : this.#startsSinceLower + 1
-    const state = this.#classes[started.work.terms.priority]
-    state.virtualTime = Math.max(state.virtualTime, started.startTag)
-    for (const [team, finish] of state.finishTagByTeam) {
-      if (finish <= state.virtualTime) state.finishTagByTeam.delete(team)
-    }
-  }
-
-  #computeStartTag (work: Submit): number {
-    const state = this.#classes[work.terms.priority]
-    return Math.max(state.virtualTime, state.finishTagByTeam.get(work.team) ?? 0)
+    this.#classes[started.work.terms.priority].noteStarted(started.startTag)
   }
 }
 
-function createClassState (): ClassState {
-  return { virtualTime: 0, finishTagByTeam: new Map() }
-}
-
 function pickLeast (list: readonly WaitingWork[], compute: (waiting: WaitingWork) => number): WaitingWork | undefined {
   return list.reduce<WaitingWork | undefined>((least, next) => least === undefined || compute(next) < compute(least) ? next : least, undefined)
 }
--- a/src/plugins/gateway/selection.ts
+++ b/src/plugins/gateway/selection.ts
@@ -131,9 +131,9 @@
     const eligible = request.candidates.map(endpoint => ({ endpoint, access: request.getAccess(endpoint) })).filter(({ access }) => access.kind !== 'denied' && access.kind !== 'borrow')
     const untried = eligible.filter(({ endpoint: { record } }) => !request.exclude.has(record.id))
     const reachable = untried.filter(({ endpoint: { record } }) => this.#get(record.id).unreachableUntilMs <= nowMs && !request.isUnresponsive(record.id))
-    const elsewhere = reachable.filter(({ endpoint: { record } }) => !request.avoidedDomains.has(record.domain))
-    const pool = [elsewhere, reachable, untried].find(candidates => candidates.length > 0) ?? eligible
     const isSampled = this.#areCountsOld(request)
+    const elsewhere = reachable.filter(({ endpoint: { record } }) => isSampled && !request.avoidedDomains.has(record.domain))
+    const pool = [elsewhere, reachable, untried].find(candidates => candidates.length > 0) ?? eligible
     const compared = isSampled ? this.#pickSample(pool, request) : pool
     const fastestMs = Math.min(...pool.map(({ endpoint: { record } }) => this.#get(record.id).latencyMs || Infinity))
     let best: Selection | undefined
--- a/src/plugins/gateway/service-load.ts
+++ b/src/plugins/gateway/service-load.ts
@@ -7,6 +7,10 @@
 /** Time constant in ms of the exponential decay of what agents said. */
 const DECAY_MS = 1_000
 
+/** Agents of a failure domain in a row that did not answer, after which others are asked first, and for how long in ms. */
+const SILENT_AGENTS_MIN = 2
+const SILENT_MS = 1_000
+
 /** Weight of the decayed answers below which nothing is known. */
 const WEIGHT_MIN = 0.5
 
@@ -21,6 +25,10 @@
    * @param nowMs - monotonic time in ms
    */
   noteLoad (service: string, domain: string, requests: number, nowMs: number): void
+  /** Records that an agent in a failure domain did not answer. */
+  noteSilent (service: string, domain: string, nowMs: number): void
+  /** @returns failure domains in which the last agents that were asked did not answer */
+  listSilentDomains (service: string, nowMs: number): readonly string[]
   /**
    * @param service - name of the service
    * @param domain - failure domain to look at; all of them when undefined
@@ -35,12 +43,18 @@
   atMs: number
 }
 
+interface Silence {
+  readonly agents: number
+  readonly atMs: number
+}
+
 /** Moving averages by service and failure domain. */
 export class ServiceLoadPlugin implements Plugin, ServiceLoadPort {
   readonly name = 'service-load'
   readonly subscribesTo = []
   readonly ports: Pick<Ports, 'serviceLoad'> = { serviceLoad: this }
   readonly #services = new Map<string, Map<string, DecayedMean>>()
+  readonly #silences = new Map<string, Map<string, Silence>>()
 
   private constructor () {}
 
@@ -56,9 +70,20 @@
     this.#services.set(service, domains)
     const mean = domains.get(domain) ?? { sum: 0, weight: 0, atMs: nowMs }
     const kept = computeKept(mean, nowMs)
+    this.#silences.get(service)?.delete(domain)
     domains.set(domain, { sum: kept * mean.sum + requests, weight: kept * mean.weight + 1, atMs: nowMs })
   }
 
+  noteSilent (service: string, domain: string, nowMs: number): void {
+    const domains = this.#silences.get(service) ?? new Map<string, Silence>()
+    this.#silences.set(service, domains)
+    domains.set(domain, { agents: (domains.get(domain)?.agents ?? 0) + 1, atMs: nowMs })
+  }
+
+  listSilentDomains (service: string, nowMs: number): readonly string[] {
+    return [...this.#silences.get(service) ?? []].flatMap(([domain, { agents, atMs }]) => agents >= SILENT_AGENTS_MIN && nowMs - atMs < SILENT_MS ? [domain] : [])
+  }
+
   findMeanLoad (service: string, domain: string | undefined, nowMs: number): number | undefined {
     let sum = 0
     let weight = 0
--- a/test/gateway/recovery.test.ts
+++ b/test/gateway/recovery.test.ts
@@ -129,7 +129,7 @@
   await gateway.loseGroup()
   const enter = (isRequestLate: boolean, mayWait: boolean): string[] => {
     const events: string[] = []
-    const gate = StartGate.create({ recovery: gateway.recovery, lateLane: gateway.lane }, gateway.createRequest(), { proceed: () => { events.push(`sent at ${Math.round(gateway.scheduler.nowMs / 100) * 100}`) }, refuse: () => { events.push('refused') } })
+    const gate = StartGate.create({ recovery: gateway.recovery, lateLane: gateway.lane, isAdmittedByAgents: () => false }, gateway.createRequest(), { proceed: () => { events.push(`sent at ${Math.round(gateway.scheduler.nowMs / 100) * 100}`) }, refuse: () => { events.push('refused') } })
     gate.enter(isRequestLate, mayWait)
     return events
   }
@@ -180,7 +180,7 @@
   for (const endpoint of gateway.endpoints.listUsable('s')) for (let count = 0; count < 5; count += 1) gateway.selection.noteStart(endpoint)
   let sent = 0
   for (let count = 0; count < 3; count += 1) {
-    const gate: StartGate = StartGate.create({ recovery: gateway.recovery, lateLane: gateway.lane }, gateway.createRequest(), {
+    const gate: StartGate = StartGate.create({ recovery: gateway.recovery, lateLane: gateway.lane, isAdmittedByAgents: () => false }, gateway.createRequest(), {
       proceed: () => {
         sent += 1
         gate.leave()
