Plan maps for demand as it is now, down to a gain that falls with the ranks

Change: counters are read and the next map is planned while a change only waits for its step, and put into use at once when it brings enough; earlier counts are forgotten when demand shifts; the least gain of a copy falls with the ranks; moves that can't win are not computed; the lead follows the measured loss and step rate.

--- a/src/gateway/maps.ts
+++ b/src/gateway/maps.ts
@@ -58,18 +58,27 @@
 /** Time in ms for which this gateway must have the lowest id before it acts as the leader. */
 const LEADER_DELAY_MS = 1_500
 
-/** Shortest time in ms between the end of one change of a group and the start of the next. */
+/** Time in ms after a change within which the next one has to bring more than `GAIN_MIN`; after an aborted one there is none. */
 const CHANGE_PAUSE_MS = 300
 
-/** Smallest reduction of the largest load of a layer, in mean loads, that justifies copying one expert. */
-const GAIN_PER_COPY_MIN = 0.02
+/**
+ * Smallest reduction of the largest load of a layer, in mean loads, that justifies one copy at each
+ * rank. Ranks copy at the same time, so that the copies of a change cost the group as much as those of one rank.
+ */
+const GAIN_PER_COPIES_MIN = 0.32
 
 /** Smallest reduction of the skew, as a mean over all layers, that justifies the orders of a change. */
 const GAIN_MIN = 0.05
 
+/** The same right after a change; it falls to `GAIN_MIN` within `CHANGE_PAUSE_MS`. */
+const GAIN_MIN_AT_ONCE = 0.15
+
 /** Smallest reduction after a change whose orders were lost: resending them holds up the group. */
 const GAIN_MIN_LOSSY = 0.4
 
+/** Interval in ms at which counters are read while a change only waits for its step to pass. */
+const RELEASE_COUNTS_INTERVAL_MS = 120
+
 /** Tokens that must have been counted in a layer before its demand counts as known. */
 const TOKENS_MIN = 2_000
 
@@ -78,7 +87,25 @@
   readonly popularity: RecentPopularity
   readonly missedReads: Map<string, number>
   epoch: number
+  /** End of the latest change, and its result. */
   changedAtMs: number
+  ended: CoordinatorDecision['ended']
+  /** Latest reading of counters. */
+  countedAtMs: number
+  /** Plan for the map that the change in progress puts into use. */
+  next: MapPlan | undefined
+}
+
+/** Plan of a change of all layers. */
+interface MapPlan {
+  /** Map that the plan changes. */
+  readonly base: GroupMap
+  readonly map: GroupMap
+  readonly skewBefore: number
+  readonly skewAfter: number
+  readonly copies: number
+  /** Time in ms that planning took, other work of the process included. */
+  readonly planMs: number
 }
 
 interface RankAnswer {
@@ -163,8 +190,7 @@
 
   /** Reads the ranks of a service and updates its groups. @returns time in ms until the next reading */
   async #updateService (service: string, engine: EngineSpec): Promise<number> {
-    const isChanging = this.#isChanging()
-    const readings = await this.#readRanks(service, isChanging ? 0 : engine.layers * engine.experts)
+    const readings = await this.#readRanks(service, this.#mayReadCounts() ? engine.layers * engine.experts : 0)
     const byGroup = new Map<string, RankAnswer[]>()
     for (const reading of readings) {
       const name = reading.reply.state?.group
@@ -185,26 +211,44 @@
     }))
   }
 
-  #isChanging (): boolean {
-    return [...this.#groups.values()].some(({ coordinator }) => coordinator.phase.kind !== 'idle')
+  /** Whether no rank waits for the next orders, which a reading with counters would delay. */
+  #mayReadCounts (): boolean {
+    const nowMs = this.#options.context.getNowMs()
+    return [...this.#groups.values()].every(({ coordinator, countedAtMs }) =>
+      coordinator.phase.kind === 'idle' || (coordinator.isReleased && nowMs - countedAtMs >= RELEASE_COUNTS_INTERVAL_MS))
   }
 
   async #updateGroup (name: string, readings: readonly RankAnswer[], engine: EngineSpec): Promise<void> {
+    const { context } = this.#options
     const group = this.#getGroup(name, engine)
     const states = listCompleteGroup(readings)
     if (states === undefined) return
     const epoch = states[0]!.epoch
     if (epoch !== group.epoch) {
       group.epoch = epoch
-      this.#options.context.log('group-changed', { group: name, epoch, size: states.length })
+      context.log('group-changed', { group: name, epoch, size: states.length })
     }
-    const nowMs = this.#options.context.getNowMs()
-    group.popularity.noteCounts(readings.flatMap(({ reply: { state }, counts }) =>
-      state === undefined || counts === undefined ? [] : [{ rank: state.rank, incarnation: `${state.bornMs} ${state.epoch}`, counts }]), nowMs)
+    const nowMs = context.getNowMs()
+    this.#noteCounts(name, group, readings, nowMs)
     const decision = group.coordinator.decide(states, nowMs)
     if (group.coordinator.map === undefined) await this.#readMap(group, states, readings, engine)
     await this.#sendOrders(name, group, decision, readings)
-    if (group.coordinator.phase.kind === 'idle' && nowMs - group.changedAtMs >= CHANGE_PAUSE_MS) await this.#plan(name, group, states, engine)
+    const { phase } = group.coordinator
+    if (phase.kind === 'releasing' && group.coordinator.isReleased && group.countedAtMs === nowMs) group.next = await this.#plan(group, phase.map, states, engine)
+    if (phase.kind !== 'idle' || (group.ended === 'aborted' && context.getNowMs() - group.changedAtMs < CHANGE_PAUSE_MS)) return
+    if (await this.#propose(name, group, states, engine)) await this.#sendOrders(name, group, group.coordinator.decide(states, context.getNowMs()), readings)
+  }
+
+  /** Adds the counters of a reading to the demand. */
+  #noteCounts (name: string, group: Group, readings: readonly RankAnswer[], nowMs: number): void {
+    const reports = readings.flatMap(({ reply: { state }, counts }) =>
+      state === undefined || counts === undefined ? [] : [{ rank: state.rank, incarnation: `${state.bornMs} ${state.epoch}`, counts }])
+    if (reports.length === 0) return
+    const sinceMs = nowMs - group.countedAtMs
+    group.countedAtMs = nowMs
+    const shift = group.popularity.noteCounts(reports, nowMs)
+    if (shift === undefined) return
+    this.#options.context.log('demand-shifted', { group: name, difference: round(shift.difference), usual: round(shift.usual), kept: round(shift.kept), ranks: reports.length, sinceMs: round(sinceMs), readMs: round(nowMs - Math.min(...readings.map(({ sentAtMs }) => sentAtMs))) })
   }
 
   /** Sends the orders of a decision, and those of the decisions that the replies lead to. */
@@ -240,28 +284,50 @@
     context.log('map-decided', { group: name, result: ended, epoch: group.epoch })
     context.metrics.count('map_changes', ended)
     group.changedAtMs = context.getNowMs()
+    group.ended = ended
   }
 
-  async #plan (name: string, group: Group, states: readonly RankReading[], engine: EngineSpec): Promise<void> {
+  /** Starts a change when it brings enough. @returns whether it did */
+  async #propose (name: string, group: Group, states: readonly RankReading[], engine: EngineSpec): Promise<boolean> {
     const { context } = this.#options
-    const nowMs = context.getNowMs()
     const { map } = group.coordinator
-    if (map === undefined || group.popularity.getTotal() < TOKENS_MIN) return
-    const limits = { slots: engine.slotsPerRank, spare: engine.spare, gainMin: GAIN_PER_COPY_MIN, paces: states.map(({ pace }) => pace) }
+    if (map === undefined) return false
+    const next = group.next
+    group.next = undefined
+    // Another coordinator may have changed the map meanwhile.
+    const plan = next?.base === map ? next : await this.#plan(group, map, states, engine)
+    if (plan === undefined) return false
+    const nowMs = context.getNowMs()
+    const gainMin = group.coordinator.isLossy ? GAIN_MIN_LOSSY : computeGainMin(nowMs - group.changedAtMs)
+    if (plan.skewBefore - plan.skewAfter < gainMin) return false
+    const version = group.coordinator.propose(plan.map, nowMs)
+    if (version === undefined) return false
+    context.log('map-planned', {
+      group: name, version, slowest: round(Math.max(...states.map(({ pace }) => pace))), skewBefore: round(plan.skewBefore), skewAfter: round(plan.skewAfter), copies: plan.copies, planMs: round(plan.planMs), countsAgeMs: round(nowMs - group.countedAtMs), pauseMs: round(nowMs - group.changedAtMs), tokens: Math.round(group.popularity.getTotal())
+    })
+    return true
+  }
+
+  /** Plans a change of a map for the present demand; undefined while the demand is not known. */
+  async #plan (group: Group, base: GroupMap, states: readonly RankReading[], engine: EngineSpec): Promise<MapPlan | undefined> {
+    const { context } = this.#options
+    const startedAtMs = context.getNowMs()
+    if (group.popularity.getTotal() < TOKENS_MIN) return undefined
+    const limits = { slots: engine.slotsPerRank, spare: engine.spare, gainMin: GAIN_PER_COPIES_MIN / states.length, paces: states.map(({ pace }) => pace) }
     const plans: LayerPlan[] = []
-    for (const [index, layer] of map.entries()) {
+    for (const [index, layer] of base.entries()) {
       plans.push(planLayer(layer, group.popularity.getShares(index), limits))
       // Planning a large layer takes milliseconds, in which no request is served.
       await new Promise(resolve => { setImmediate(resolve) })
     }
-    const before = computeMean(plans.map(plan => plan.skewBefore))
-    const after = computeMean(plans.map(plan => plan.skewAfter))
-    if (before - after < (group.coordinator.isLossy ? GAIN_MIN_LOSSY : GAIN_MIN)) return
-    const version = group.coordinator.propose(plans.map(plan => plan.map), nowMs)
-    if (version === undefined) return
-    context.log('map-planned', {
-      group: name, version, slowest: round(Math.max(...states.map(({ pace }) => pace))), skewBefore: round(before), skewAfter: round(after), copies: plans.reduce((sum, { copies }) => sum + copies, 0), planMs: round(context.getNowMs() - nowMs)
-    })
+    return {
+      base,
+      map: plans.map(plan => plan.map),
+      skewBefore: computeMean(plans.map(plan => plan.skewBefore)),
+      skewAfter: computeMean(plans.map(plan => plan.skewAfter)),
+      copies: plans.reduce((sum, { copies }) => sum + copies, 0),
+      planMs: context.getNowMs() - startedAtMs
+    }
   }
 
   /** Determines the map in use: the initial one of an epoch is computed, any later one is read from the ranks. */
@@ -333,7 +399,7 @@
   #getGroup (name: string, engine: EngineSpec): Group {
     let group = this.#groups.get(name)
     if (group === undefined) {
-      group = { coordinator: MapCoordinator.create(Math.floor(this.#options.context.pickFloat() * 1e9)), popularity: RecentPopularity.create(engine.layers, engine.experts), missedReads: new Map(), epoch: 0, changedAtMs: 0 }
+      group = { coordinator: MapCoordinator.create(Math.floor(this.#options.context.pickFloat() * 1e9)), popularity: RecentPopularity.create(engine.layers, engine.experts), missedReads: new Map(), epoch: 0, changedAtMs: 0, ended: undefined, countedAtMs: 0, next: undefined }
       this.#groups.set(name, group)
     }
     return group
@@ -385,6 +451,11 @@
   return Array.from({ length: layers }, () => layer)
 }
 
+/** Computes the reduction of the skew that a change has to bring so long after the one before. */
+function computeGainMin (pauseMs: number): number {
+  return GAIN_MIN + (GAIN_MIN_AT_ONCE - GAIN_MIN) * Math.max(0, 1 - pauseMs / CHANGE_PAUSE_MS)
+}
+
 function computeMean (values: readonly number[]): number {
   return values.reduce((sum, value) => sum + value, 0) / Math.max(1, values.length)
 }
--- a/src/kernel/log-events.ts
+++ b/src/kernel/log-events.ts
@@ -12,7 +12,7 @@
   'tls-reloaded', 'settings-reloaded', 'internal-error',
   'attempt-ended', 'caller-gone', 'endpoint-changed', 'endpoint-silent', 'endpoint-heard', 'agent-silent', 'permit-denied', 'domains-evacuated', 'gateway-joined', 'gateway-lost',
   'store-lost', 'store-found', 'store-entry-skipped', 'log-lines-dropped',
-  'map-step', 'map-planned', 'group-changed', 'order-answered'
+  'map-step', 'map-planned', 'demand-shifted', 'group-changed', 'order-answered'
 ] as const
 
 /** Name of a log event. */
--- a/src/plugins/lockstep/coordinator.ts
+++ b/src/plugins/lockstep/coordinator.ts
@@ -20,18 +20,24 @@
 const LEAD_STEPS = 3
 
 /**
- * Time in ms from the last step begun to the held one when orders of the change got
- * no answer: orders are sent several times before every rank has them, and if the
- * host of the holding rank becomes unreachable meanwhile, the group stops only after
- * this time. Unanswered orders are carried out 2 s later or more, when the step has
- * passed.
+ * Longest time in ms from the last step begun to the held one when orders of the
+ * change got no answer: orders are sent several times before every rank has them, and
+ * if the host of the holding rank becomes unreachable meanwhile, the group stops only
+ * after this time. Unanswered orders are carried out 2 s later or more, when the step
+ * has passed.
  */
-const LEAD_LOSSY_MS = 1_800
+const LEAD_LOSSY_MAX_MS = 1_800
+
+/** Least ratio of that time to the time in which orders reach every rank, at the share of them that got lost so far. */
+const LEAD_LOSSY_RATIO = 3
+
+/** Probability that a rank has not got an order in that time. */
+const UNREACHED_SHARE = 0.01
 
 /** Share of the orders of a change that got no answer from which orders count as getting lost; in a large group a single one always does. */
 const LOSSY_SHARE = 0.05
 
-/** Least steps of that lead; the step rate is not known at first. */
+/** Steps of that lead while the step rate is not known. */
 const LEAD_STEPS_LOSSY = 12
 
 /** Time in ms after which an order without effect is sent again. */
@@ -89,6 +95,8 @@
   /** Orders of the current change, and those of them that got no answer. */
   #orders = 0
   #unanswered = 0
+  /** Whether a rank held a step when the group was last read. */
+  #isHeld = false
   #stepRate = StepRate.create()
   readonly #sentAtMs = new Map<string, number>()
 
@@ -110,6 +118,11 @@
     return this.#phase
   }
 
+  /** Whether the current change only waits for its step to pass: no rank holds a step for it any more. */
+  get isReleased (): boolean {
+    return this.#phase.kind === 'releasing' && !this.#isHeld
+  }
+
   /** Map in use; undefined while it is not known. */
   get map (): GroupMap | undefined {
     return this.#map
@@ -190,6 +203,7 @@
     this.#stepRate.noteStep(newest.step, newest.readAtMs)
     // Another coordinator changed the map; the new one has to be read from the ranks.
     if (ranks.every(({ map }) => map === ranks[0]?.map && map !== this.#mapVersion)) this.#map = undefined
+    this.#isHeld = ranks.some(({ held }) => held !== undefined)
     for (const { map, prepared, armed, step, held } of ranks) {
       this.#highestVersion = Math.max(this.#highestVersion, map, prepared ?? 0, armed?.version ?? 0)
       this.#highestStep = Math.max(this.#highestStep, held ?? 0, armed?.step ?? 0)
@@ -213,15 +227,17 @@
     if (ranks.some(({ held, armed }) => held !== undefined || armed !== undefined) || nowMs - phase.sinceMs > PREPARE_TIMEOUT_MS) return this.#endChange('aborted')
     const missing = ranks.filter(({ prepared }) => prepared !== version)
     if (missing.length > 0) return { orders: this.#buildOrders(missing, () => ({ kind: 'prepare', version, map }), PREPARE_RESEND_MS, nowMs) }
-    const step = Math.max(this.#highestStep, ...ranks.map(rank => rank.step)) + this.#countLeadSteps()
+    const step = Math.max(this.#highestStep, ...ranks.map(rank => rank.step)) + this.#countLeadSteps(ranks.length)
     const holdingRank = (step + this.#sequence) % ranks.length
     this.#highestStep = step
     this.#phase = { kind: 'holding', version, map, step, holdingRank, sinceMs: nowMs }
     return this.#arm(this.#phase, ranks, nowMs)
   }
 
-  #countLeadSteps (): number {
-    return this.isLossy ? Math.max(LEAD_STEPS_LOSSY, this.#stepRate.countSteps(LEAD_LOSSY_MS)) : LEAD_STEPS
+  #countLeadSteps (ranks: number): number {
+    if (!this.isLossy) return LEAD_STEPS
+    const steps = this.#stepRate.countSteps(Math.min(LEAD_LOSSY_MAX_MS, LEAD_LOSSY_RATIO * RESEND_MS * countRounds(ranks, computeShareMax(this.#unanswered, this.#orders))))
+    return steps === 0 ? LEAD_STEPS_LOSSY : Math.max(LEAD_STEPS, steps)
   }
 
   #arm (phase: Extract<CoordinatorPhase, { kind: 'holding' }>, ranks: readonly RankReading[], nowMs: number): CoordinatorDecision {
@@ -341,3 +357,14 @@
 function formatOrderKey (rank: number, order: RankOrder): string {
   return `${rank} ${order.kind} ${'version' in order ? order.version : order.step}`
 }
+
+/** Computes the upper end of the range, two standard deviations wide to each side, in which a share lies of which a sample is known. */
+function computeShareMax (count: number, sample: number): number {
+  const share = (count + 1) / (sample + 2)
+  return Math.min(1, share + 2 * Math.sqrt(share * (1 - share) / (sample + 2)))
+}
+
+/** Counts how often orders are sent until every rank has one, when a share of them gets lost. */
+function countRounds (ranks: number, lostShare: number): number {
+  return lostShare >= 1 ? Infinity : Math.ceil(Math.log(UNREACHED_SHARE / ranks) / Math.log(lostShare))
+}
--- a/src/plugins/lockstep/planner.ts
+++ b/src/plugins/lockstep/planner.ts
@@ -36,6 +36,12 @@
   /** Removes an expert that other ranks also hold from a slow rank. */
   | { readonly kind: 'drop', readonly rank: number, readonly evicted: number }
 
+/** Best move found so far, and by how much it reduces the excess time. */
+interface BestMove {
+  move: Move | undefined
+  gain: number
+}
+
 /** Least pace of a slow rank; the measured paces of healthy ranks vary by a few percent. */
 export const SLOW_PACE = 1.1
 
@@ -112,7 +118,7 @@
   }
 
   computeSkew (): number {
-    return this.#mean === 0 ? 1 : Math.max(...this.#loads.map((_, rank) => this.#getRankTime(rank))) / this.#mean
+    return this.#mean === 0 ? 1 : computeMax(this.#loads.map((_, rank) => this.#getRankTime(rank))) / this.#mean
   }
 
   copyMap (): LayerMap {
@@ -121,17 +127,14 @@
 
   /** Finds the move of one of the busiest rank's experts that reduces the excess time most. */
   findMove (): Move | undefined {
-    const times = this.#held.map((_, rank) => this.#getRankTime(rank))
-    const busiest = times.indexOf(Math.max(...times))
-    let best: Move | undefined
-    let bestGain = 0
-    for (const move of this.#listMoves(busiest, times)) {
-      const gain = this.#computeGain(move)
-      if (gain <= bestGain) continue
-      best = move
-      bestGain = gain
-    }
-    return best
+    const times = this.#loads.map((_, rank) => this.#getRankTime(rank))
+    const busiest = times.indexOf(computeMax(times))
+    const best: BestMove = { move: undefined, gain: 0 }
+    if (this.#paces[busiest]! >= SLOW_PACE) this.#compareDrops(busiest, best)
+    // The least loaded ranks first: among equal gains theirs leave most room for later copies.
+    const targets = [...times.keys()].filter(rank => times[rank]! < times[busiest]!).sort((a, b) => times[a]! - times[b]!)
+    for (const expert of this.#held[busiest]!) this.#compareCopies(expert, targets, best)
+    return best.move
   }
 
   applyMove (move: Move): void {
@@ -147,15 +150,41 @@
     if (!this.#heldBefore[rank]!.has(move.expert)) this.#newCounts[rank]! += 1
   }
 
-  #listMoves (busiest: number, times: readonly number[]): readonly Move[] {
-    const experts = [...this.#held[busiest]!]
-    const isSlow = this.#paces[busiest]! >= SLOW_PACE
-    const drops = isSlow ? experts.filter(evicted => this.#countReplicas(evicted) > 1).map(evicted => ({ kind: 'drop' as const, rank: busiest, evicted })) : []
-    const copies = experts.flatMap(expert => this.#held.flatMap((held, rank) => {
-      if (rank === busiest || held.has(expert) || times[rank]! >= times[busiest]!) return []
-      return this.#listEvictable(rank, expert).map(evicted => ({ kind: 'copy' as const, rank, evicted, expert }))
-    }))
-    return [...drops, ...copies]
+  #compareDrops (rank: number, best: BestMove): void {
+    for (const evicted of this.#held[rank]!) {
+      if (this.#countReplicas(evicted) > 1) this.#compareMove({ kind: 'drop', rank, evicted }, best)
+    }
+  }
+
+  #compareCopies (expert: number, targets: readonly number[], best: BestMove): void {
+    const after = this.#popularity[expert]! / (this.#countReplicas(expert) + 1)
+    const relief = this.#sumGains(this.#holders[expert]!, after - this.#getShare(expert))
+    for (const rank of targets) {
+      if (this.#held[rank]!.has(expert)) continue
+      for (const evicted of this.#listEvictable(rank, expert)) {
+        // An evicted expert burdens its other holders, so the move gains at most this.
+        const gainMax = relief + this.#computeRankGain(rank, after - (evicted === undefined ? 0 : this.#getShare(evicted)))
+        if (gainMax > best.gain) this.#compareMove({ kind: 'copy', rank, evicted, expert }, best)
+      }
+    }
+  }
+
+  #compareMove (move: Move, best: BestMove): void {
+    const gain = this.#computeGain(move)
+    if (gain <= best.gain) return
+    best.move = move
+    best.gain = gain
+  }
+
+  #sumGains (ranks: Iterable<number>, change: number): number {
+    let gain = 0
+    for (const rank of ranks) gain += this.#computeRankGain(rank, change)
+    return gain
+  }
+
+  /** Computes by how much the squared excess of a rank falls when its load changes. */
+  #computeRankGain (rank: number, change: number): number {
+    return this.#computeExcess(this.#getRankTime(rank)) - this.#computeExcess((this.#loads[rank]! + change) * this.#paces[rank]!)
   }
 
   /** Lists the experts that a copy may evict from a rank; undefined stands for a free slot. */
@@ -182,7 +211,7 @@
       add(rank, after)
     }
     let gain = 0
-    for (const [at, change] of changes) gain += this.#computeExcess(this.#getRankTime(at)) - this.#computeExcess((this.#loads[at]! + change) * this.#paces[at]!)
+    for (const [at, change] of changes) gain += this.#computeRankGain(at, change)
     return gain
   }
 
@@ -211,3 +240,9 @@
     return this.#holders[expert]!.size
   }
 }
+
+function computeMax (values: Float64Array): number {
+  let max = -Infinity
+  for (const value of values) if (value > max) max = value
+  return max
+}
