--- a/test/gateway/maps.test.ts
+++ b/test/gateway/maps.test.ts
@@ -1,124 +1,29 @@
 import test from 'ava'
-import { pack } from 'msgpackr'
 import { setTimeout as wait } from 'node:timers/promises'
 import fc from 'fast-check'
 import { CounterSnapshots, CounterSums } from '../../src/gateway/counter-deltas.js'
-import { MapService } from '../../src/gateway/maps.js'
 import type { EngineSpec } from '../../src/gateway/model.js'
-import type { RankReply, RankRequest } from '../../src/gateway/rank-messages.js'
-import { FakeGroup } from '../lockstep/group.js'
-import { startHarness } from './harness.js'
-import type { Harness } from './harness.js'
+import { FakeAgents, LEADER_DELAY_MS, LINK_BYTES_PER_MS, startService } from './map-agents.js'
 
 const RANKS = 192
 const ENGINE: EngineSpec = {
   slots: 4, stride: 5, stepMs: 6, perRequestMs: 1, readPerS: 60_000, promptTokens: 800, answerTokens: 140, layers: 10, experts: 384, slotsPerRank: 3, spare: 1, expertMb: 1, linkMbps: 1_000, expertShare: 0.85
 }
 
-/** Link of the leader in bytes per ms: 28 Mbit/s, the slowest that gateways have. */
-const LINK_BYTES_PER_MS = 3_500
-
-/** Round trip to an agent and its worker in ms. */
-const ROUND_TRIP_MS = 6
-
 const STEP_MS = 25
 
-/** Time in ms after which a gateway with the lowest id acts as the leader. */
-const LEADER_DELAY_MS = 1_500
-
 /** Interval in ms at which other experts are in demand. */
 const SHIFT_MS = 4_000
 
 /** One in so many datagrams is lost. */
 const LOST_ONE_IN = 200
 
-/** Agents of a group behind the link of the leader, on which datagrams queue. */
-class FakeAgents {
-  readonly group = FakeGroup.create(RANKS)
-  /** Tokens of the expert most in demand. */
-  tokensPerMs = 5
-  /** Hosts whose agents do not answer. */
-  readonly silent = new Set<string>()
-  /** Reading that the last request for counters of each host refers to. */
-  readonly requestedSince = new Map<string, number | undefined>()
-  /** Bytes sent and received by the leader. */
-  bytes = 0
-  readonly #freeAtMs = { out: 0, in: 0 }
-  #datagrams = 0
-  /** Tokens so far by layer and expert, the same for all ranks. */
-  readonly #counts = new Float64Array(ENGINE.layers * ENGINE.experts)
-  #countedAtMs = performance.now()
-  #latest: readonly number[] = Array.from({ length: ENGINE.layers * ENGINE.experts }, () => 0)
-  readonly #snapshots = Array.from({ length: RANKS }, () => CounterSnapshots.create(1))
-
-  static create (): FakeAgents {
-    return new FakeAgents()
-  }
-
-  async sendRequest (host: string, request: RankRequest, timeoutMs: number): Promise<RankReply | undefined> {
-    const rank = Number(host.slice(1))
-    if (this.silent.has(host)) return undefined
-    if (request.kind === 'read' && request.wantsCounts) this.requestedSince.set(host, request.countsSince)
-    const sentAtMs = performance.now()
-    const arrivesAtMs = this.#transmit('out', pack(request).length, sentAtMs)
-    await wait(arrivesAtMs - sentAtMs + ROUND_TRIP_MS)
-    const isApplied = request.kind === 'order' ? this.group.applyOrder({ rank, epoch: request.epoch, order: request.order }) : undefined
-    const reply: RankReply = {
-      state: this.group.read(rank, 0),
-      ...(request.kind === 'read' && request.wantsCounts ? this.#snapshots[rank]!.encode(this.#readCounts(), request.countsSince) : {}),
-      ...(isApplied === undefined ? {} : { result: isApplied ? 'done' as const : 'refused' as const })
-    }
-    const repliedAtMs = performance.now()
-    const isLost = ++this.#datagrams % LOST_ONE_IN === 0
-    // The client sends a read again after half of its timeout, but no order.
-    const resentMs = isLost ? request.kind === 'read' ? timeoutMs / 2 : Infinity : 0
-    const elapsedMs = this.#transmit('in', countBytes(reply), repliedAtMs) - sentAtMs + resentMs
-    await wait(Math.max(0, Math.min(elapsedMs, timeoutMs) - (repliedAtMs - sentAtMs)))
-    return elapsedMs > timeoutMs ? undefined : reply
-  }
-
-  /** Adds the tokens since the last reading; which experts get them shifts every `SHIFT_MS`. */
-  #readCounts (): readonly number[] {
-    const nowMs = performance.now()
-    if (nowMs - this.#countedAtMs < 50) return this.#latest
-    const shift = 101 * Math.floor(nowMs / SHIFT_MS)
-    for (let at = 0; at < this.#counts.length; at += 1) {
-      const layer = Math.floor(at / ENGINE.experts)
-      this.#counts[at]! += (nowMs - this.#countedAtMs) * this.tokensPerMs / (1 + (at * 37 + layer * 11 + shift) % ENGINE.experts) ** 0.9
-    }
-    this.#countedAtMs = nowMs
-    this.#latest = Array.from(this.#counts, Math.floor)
-    return this.#latest
-  }
-
-  #transmit (direction: 'out' | 'in', bytes: number, nowMs: number): number {
-    this.bytes += bytes
-    this.#freeAtMs[direction] = Math.max(nowMs, this.#freeAtMs[direction]) + bytes / LINK_BYTES_PER_MS
-    return this.#freeAtMs[direction]
-  }
-}
-
-/** Bytes of a packed reply; packing the counters of all ranks would take the time that the test measures. */
-function countBytes ({ counts = [], ...others }: RankReply): number {
-  return pack(others).length + counts.reduce((sum, count) => sum + (count < 128 ? 1 : count < 256 ? 2 : count < 65_536 ? 3 : 5), 0)
-}
-
-/** Starts the service of a gateway that becomes the leader after `LEADER_DELAY_MS`. */
-async function startService (agents: FakeAgents): Promise<{ readonly harness: Harness, readonly service: MapService }> {
-  const harness = await startHarness('idempotent', {}, {}, ENGINE)
-  for (let rank = 0; rank < RANKS; rank += 1) {
-    harness.context.endpoints.upsert({ id: `e${rank}`, bornMs: 1, service: 's', address: { host: `h${rank}`, port: 1 }, domain: 'a', state: 'ready', slots: 4, coldRemainingMs: 0 }, 0)
-  }
-  const unused = async (): Promise<never> => { throw new Error('asked directly') }
-  const service = MapService.create({ context: harness.context, client: agents, engine: { readState: async () => undefined, readCounts: unused, readMap: unused, send: async () => 'no-answer' }, id: 'g', isReady: () => true })
-  return { harness, service }
-}
-
 // Guards against maps that never change because the readings or orders of a large group fill the link of the leader.
 test('the maps of 192 ranks change although the link of the leader is slow and datagrams get lost', async t => {
-  const agents = FakeAgents.create()
+  const agents = FakeAgents.create({ ranks: RANKS, engine: ENGINE, lostOneIn: LOST_ONE_IN })
   const { harness, service } = await startService(agents)
   const steps = setInterval(() => { agents.group.beginStep() }, STEP_MS)
+  const shifts = setInterval(() => { agents.shifts += 1 }, SHIFT_MS)
   let turnMaxMs = 0
   const startedAtMs = performance.now()
   while (performance.now() - startedAtMs < 15_000) {
@@ -128,6 +33,7 @@
     await wait(pauseMs)
   }
   clearInterval(steps)
+  clearInterval(shifts)
   harness.close()
   const seconds = (performance.now() - startedAtMs) / 1_000
   const committed = harness.lines.filter(line => line.includes('"map-decided"') && line.includes('"committed"')).length
@@ -170,7 +76,7 @@
 
 // Guards against a leader that keeps the counters of every agent that it has ever read.
 test('the reading of an agent that is gone is not kept', async t => {
-  const agents = FakeAgents.create()
+  const agents = FakeAgents.create({ ranks: RANKS, engine: ENGINE, lostOneIn: LOST_ONE_IN })
   // Without demand no map changes, during which no counters are read.
   agents.tokensPerMs = 0
   const { harness, service } = await startService(agents)
--- a/test/lockstep/planner.test.ts
+++ b/test/lockstep/planner.test.ts
@@ -71,3 +71,39 @@
   })
   t.snapshot(rows)
 })
+
+/** Tokens that the requests in progress choose between two readings; each has experts of its own, and most go on at the next reading. */
+function readDemand (random: Random, requests: { readonly first: number, left: number }[], shift: number): number[] {
+  const counts = Array.from({ length: EXPERTS }, () => 0)
+  requests.forEach((request, index) => {
+    const current = request.left > 0 ? request : { first: random.pickInt(EXPERTS), left: 1 + random.pickInt(8) }
+    current.left -= 1
+    requests[index] = current
+    for (let token = 0; token < 40; token += 1) {
+      const own = (current.first + random.pickInt(4)) % EXPERTS
+      const common = (Math.floor(EXPERTS * random.pickFloat() ** 3) + shift) % EXPERTS
+      counts[token % 3 === 0 ? own : common]! += 1
+    }
+  })
+  return counts
+}
+
+// Guards against shifts that are seen late, and against requests that come and go taken for shifts.
+test('a shift of demand is detected at the next reading, and requests that come and go are none', t => {
+  const rows = [1, 2, 3, 4, 5, 6, 7, 8].map(seed => {
+    const random = Random.create(seed)
+    const popularity = RecentPopularity.create(1, EXPERTS)
+    const requests = Array.from({ length: 60 }, () => ({ first: random.pickInt(EXPERTS), left: random.pickInt(8) }))
+    const sums = new Float64Array(EXPERTS)
+    const detected: number[] = []
+    for (let reading = 0; reading < 60; reading += 1) {
+      const counts = readDemand(random, requests, reading < 30 ? 0 : 23)
+      counts.forEach((count, expert) => { sums[expert]! += count })
+      if (popularity.noteCounts([{ rank: 0, incarnation: 'a', counts: [...sums] }], reading * 250) !== undefined) detected.push(reading)
+    }
+    return { seed, detected }
+  })
+  t.snapshot(rows)
+  t.true(rows.every(({ detected }) => detected.includes(30)), 'detected at the next reading')
+  t.true(rows.flatMap(({ detected }) => detected.filter(reading => reading < 30 || reading > 32)).length <= 8, 'at most one false shift in 57 readings')
+})
