--- a/src/gateway/maps.ts
+++ b/src/gateway/maps.ts
@@ -67,6 +67,9 @@
  */
 const GAIN_PER_COPIES_MIN = 0.32
 
+/** Smallest such reduction for a single copy: planning takes time for each, in which the leader serves no requests. */
+const GAIN_PER_COPY_MIN = 0.005
+
 /** Smallest reduction of the skew, as a mean over all layers, that justifies the orders of a change. */
 const GAIN_MIN = 0.05
 
@@ -313,7 +316,7 @@
     const { context } = this.#options
     const startedAtMs = context.getNowMs()
     if (group.popularity.getTotal() < TOKENS_MIN) return undefined
-    const limits = { slots: engine.slotsPerRank, spare: engine.spare, gainMin: GAIN_PER_COPIES_MIN / states.length, paces: states.map(({ pace }) => pace) }
+    const limits = { slots: engine.slotsPerRank, spare: engine.spare, gainMin: Math.max(GAIN_PER_COPY_MIN, GAIN_PER_COPIES_MIN / states.length), paces: states.map(({ pace }) => pace) }
     const plans: LayerPlan[] = []
     for (const [index, layer] of base.entries()) {
       plans.push(planLayer(layer, group.popularity.getShares(index), limits))
