--- a/src/edge/metrics/table.ts
+++ b/src/edge/metrics/table.ts
@@ -111,6 +111,7 @@
   configuration_version: { type: 'gauge', help: 'Version of the configuration in force.' },
   requests_in_flight: { type: 'gauge', help: 'Requests in flight.' },
   map_changes: { type: 'counter', help: 'Changes of expert maps by how they ended.', label: { name: 'result', values: { kind: 'list', values: ['committed', 'aborted'] } } },
+  demand_shifts: { type: 'counter', help: 'Shifts of the demand for experts.' },
   internal_errors: { type: 'counter', help: 'Exceptions that ended one piece of work, by its kind.', label: { name: 'place', values: { kind: 'list', values: ['request', 'message', 'housekeeping', 'follower', 'discovery', 'maps'] } } },
   log_lines_dropped: { type: 'counter', help: 'Log lines dropped because too many were written.' }
 } as const satisfies Record<string, MetricSpec>
--- a/src/gateway/maps.ts
+++ b/src/gateway/maps.ts
@@ -251,7 +251,9 @@
     group.countedAtMs = nowMs
     const shift = group.popularity.noteCounts(reports, nowMs)
     if (shift === undefined) return
-    this.#options.context.log('demand-shifted', { group: name, difference: round(shift.difference), usual: round(shift.usual), kept: round(shift.kept), ranks: reports.length, sinceMs: round(sinceMs), readMs: round(nowMs - Math.min(...readings.map(({ sentAtMs }) => sentAtMs))) })
+    const { context } = this.#options
+    context.metrics.count('demand_shifts')
+    context.log('demand-shifted', { group: name, difference: round(shift.difference), usual: round(shift.usual), kept: round(shift.kept), ranks: reports.length, sinceMs: round(sinceMs), readMs: round(nowMs - Math.min(...readings.map(({ sentAtMs }) => sentAtMs))) })
   }
 
   /** Sends the orders of a decision, and those of the decisions that the replies lead to. */
