Follow the store by era when it comes back from an older copy

The store may come back from a copy that is seconds old: revisions go back and are given out again, so a follower that continued from its revision skipped changes without notice, missing evacuations ended at once, and gateways whose entry was lost were found by nobody who started later.

A revision is compared within one era only: after a change every follower lists anew, answers of an older era are dropped. Each gateway writes its entry again once, within 1 s. What follows the store moved out of process.ts to followed-store.ts.

--- /dev/null
+++ b/src/gateway/followed-store.ts
@@ -0,0 +1,157 @@
+/** Follows what the store holds for a gateway, and applies it to the gateway's tables. */
+
+import type { Metrics } from '../edge/metrics/metrics.js'
+import type { EndpointChange } from '../plugins/gateway/endpoints.js'
+import { assertNever } from '../kernel/errors.js'
+import type { GatewayContext } from './context.js'
+import { EvacuationTable } from './evacuations.js'
+import type { EndpointRecord, GatewayConfiguration } from './model.js'
+import type { GatewayStore } from './process.js'
+import { StoreFollower, computeFollowerTimes } from './store.js'
+import type { Change, FollowerBounds, ListingCause } from './store.js'
+import { EraTracker } from './store-era.js'
+
+/** Longest wait of the watch for evacuations in ms; these must be in force 5 s after they were written. */
+const EVACUATION_WAIT_MS = 4_000
+
+/** Dependencies of a followed store. */
+export interface FollowedStoreOptions {
+  readonly context: GatewayContext
+  readonly store: GatewayStore
+  readonly bounds: FollowerBounds
+  readonly metrics: Metrics
+  /** Called when a newer configuration is in force. */
+  readonly handleConfiguration: () => void
+  /** Called when the store has come back from an older copy; what this gateway wrote there may be gone. */
+  readonly handleEraChange: () => void
+}
+
+/** Followers of the endpoints, the configuration and the evacuations. */
+export class FollowedStore {
+  readonly #options: FollowedStoreOptions
+  readonly #evacuations = EvacuationTable.create()
+  readonly #followers: ReadonlyArray<StoreFollower<unknown>>
+  #hasEndpoints = false
+
+  private constructor (options: FollowedStoreOptions) {
+    this.#options = options
+    this.#followers = this.#createFollowers()
+  }
+
+  /**
+   * @param options - tables and callbacks of the gateway, and the store
+   * @returns followers that have not started
+   */
+  static create (options: FollowedStoreOptions): FollowedStore {
+    return new FollowedStore(options)
+  }
+
+  /** Whether the endpoints have been listed. */
+  get hasEndpoints (): boolean {
+    return this.#hasEndpoints
+  }
+
+  /** @returns the followers, each to be run */
+  listFollowers (): ReadonlyArray<StoreFollower<unknown>> {
+    return this.#followers
+  }
+
+  /** Ends what was held for a time: lapsed endpoints, and evacuations that the store lost. */
+  runHousekeeping (nowMs: number): void {
+    this.#noteChanges(this.#options.context.endpoints.expire(nowMs))
+    if (this.#evacuations.expire(nowMs)) this.#applyEvacuations()
+  }
+
+  #createFollowers (): ReadonlyArray<StoreFollower<unknown>> {
+    const { context, store, bounds } = this.#options
+    const handleState = (kind: string) => (state: 'lost' | 'found', reason: string): void => {
+      context.log(state === 'lost' ? 'store-lost' : 'store-found', { kind, reason })
+    }
+    const times = computeFollowerTimes(bounds)
+    const eras = EraTracker.create(era => { this.#noteEraChange(era) })
+    const endpoints = StoreFollower.create(store.endpoints, times, {
+      handleList: (items, cause) => {
+        this.#hasEndpoints = true
+        this.#noteChanges(this.#replaceEndpoints(items, cause))
+      },
+      handleChanges: (changes, wasUnavailable) => { this.#applyEndpointChanges(changes, wasUnavailable) },
+      handleState: handleState('endpoints')
+    }, eras)
+    const configuration = StoreFollower.create(store.configuration, times, {
+      handleList: items => { for (const item of items) this.#applyConfiguration(item) },
+      handleChanges: changes => { for (const change of changes) if (change.kind === 'written') this.#applyConfiguration(change.item) },
+      handleState: handleState('configuration')
+    }, eras)
+    const evacuations = StoreFollower.create(store.evacuations, { ...times, waitMs: EVACUATION_WAIT_MS }, {
+      handleList: (items, cause) => {
+        this.#evacuations.replaceAll(items, cause === 'after-era-change', performance.now())
+        this.#applyEvacuations()
+      },
+      handleChanges: changes => {
+        this.#evacuations.merge(changes)
+        this.#applyEvacuations()
+      },
+      handleState: handleState('evacuations')
+    }, eras)
+    return [endpoints, configuration, evacuations]
+  }
+
+  #noteEraChange (era: number): void {
+    this.#options.context.log('store-era-changed', { era })
+    this.#options.metrics.count('store_era_changes')
+    this.#options.handleEraChange()
+  }
+
+  #replaceEndpoints (records: readonly EndpointRecord[], cause: ListingCause): readonly EndpointChange[] {
+    const { endpoints } = this.#options.context
+    const nowMs = performance.now()
+    switch (cause) {
+      case 'current': return endpoints.replaceAll(records, false, nowMs)
+      case 'after-outage': return endpoints.replaceAll(records, true, nowMs)
+      case 'after-era-change': return endpoints.restoreAll(records, nowMs)
+      default: return assertNever(cause)
+    }
+  }
+
+  #applyEndpointChanges (changes: ReadonlyArray<Change<EndpointRecord>>, wasUnavailable: boolean): void {
+    const { endpoints } = this.#options.context
+    const nowMs = performance.now()
+    if (wasUnavailable) {
+      const items = new Map(endpoints.listAll().map(({ record }) => [record.id, record]))
+      for (const change of changes) {
+        if (change.kind === 'written') items.set(change.item.id, change.item)
+        else items.delete(change.name)
+      }
+      this.#noteChanges(endpoints.replaceAll([...items.values()], true, nowMs))
+      return
+    }
+    this.#noteChanges(changes.flatMap(change => {
+      if (change.kind === 'written') return endpoints.upsert(change.item, nowMs)
+      return endpoints.remove(change.name) ?? []
+    }))
+  }
+
+  #noteChanges (changes: readonly EndpointChange[]): void {
+    const { context } = this.#options
+    for (const { id, change } of changes) {
+      if (change === 'gone' || change === 'restarted') context.forget(id)
+      const record = context.endpoints.find(id)?.record
+      context.log('endpoint-changed', { endpoint: id, change, state: record?.state ?? '', domain: record?.domain ?? '', coldMs: record?.coldRemainingMs ?? 0 })
+    }
+  }
+
+  #applyConfiguration (configuration: GatewayConfiguration): void {
+    const { context, metrics, handleConfiguration } = this.#options
+    const isAccepted = context.routes.accept(configuration)
+    context.log(isAccepted ? 'configuration-accepted' : 'configuration-ignored', { version: configuration.version })
+    if (!isAccepted) return
+    metrics.observe('configuration_version', configuration.version)
+    handleConfiguration()
+  }
+
+  #applyEvacuations (): void {
+    const domains = this.#evacuations.list()
+    this.#options.context.endpoints.setEvacuated(domains)
+    this.#options.context.log('domains-evacuated', { domains: [...domains].join(',') })
+  }
+}
--- a/src/gateway/process.ts
+++ b/src/gateway/process.ts
@@ -9,7 +9,6 @@
 import type { ColdBounds } from '../plugins/gateway/limit-budgets.js'
 import type { RetryBounds } from '../plugins/gateway/retries.js'
 import '../plugins/gateway/index.js'
-import type { EndpointChange } from '../plugins/gateway/endpoints.js'
 import type { GatewayState } from '../plugins/gateway/peers.js'
 import type { RankEngine } from './agent.js'
 import type { Place } from './boundary.js'
@@ -25,16 +24,16 @@
 import { PlannedStop } from './planned-stop.js'
 import { RankClient } from './rank-link.js'
 import { CallerServer } from './server.js'
-import { StoreFollower, computeFollowerTimes } from './store.js'
-import type { Change, FollowerBounds, StoreFailure, StoreKind } from './store.js'
-
-/** Longest wait of the watch for evacuations in ms; these must be in force 5 s after they were written. */
-const EVACUATION_WAIT_MS = 4_000
+import { FollowedStore } from './followed-store.js'
+import type { FollowerBounds, StoreFailure, StoreKind } from './store.js'
 
 /** Base interval in ms of heartbeats, and the addition for each other gateway. */
 const HEARTBEAT_INTERVAL_MS = 200
 const HEARTBEAT_INTERVAL_PER_PEER_MS = 12
 
+/** Time in ms over which all gateways spread what they write again after the store has come back from an older copy. */
+const REWRITE_SPREAD_MS = 1_000
+
 /** Mean interval in ms at which the list of gateways is read again. */
 const DISCOVERY_INTERVAL_MS = 10_000
 
@@ -121,12 +120,13 @@
   readonly #ranks: RankClient
   readonly #maps: MapService
   readonly #probe: EndpointProbe
-  readonly #followers: readonly StoreFollower<unknown>[]
-  readonly #evacuated = new Set<string>()
+  readonly #followed: FollowedStore
   readonly #servers: Server[] = []
   readonly #bornMs = Date.now()
-  #hasEndpoints = false
   #isLeaving = false
+  /** Ends the pause of the discovery; the own entry is then written again. */
+  #restartDiscovery: (() => void) | undefined
+  #isRegistered = false
 
   private constructor ({ settings, dialect, engine, openStore }: GatewayOptions) {
     this.#settings = settings
@@ -165,7 +165,14 @@
     this.#evidenceSync = EvidenceSync.create({ context: this.#context, link: this.#link })
     this.#maps = MapService.create({ context: this.#context, client: this.#ranks, engine, id: host, isReady: () => this.isReady && this.#context.boundary.isSound })
     this.#probe = EndpointProbe.create(this.#context, this.#ranks, engine)
-    this.#followers = this.#createFollowers()
+    this.#followed = FollowedStore.create({
+      context: this.#context,
+      store: this.#store,
+      bounds: settings.store,
+      metrics: this.#metrics,
+      handleConfiguration: () => { this.#callers.updateLimits() },
+      handleEraChange: () => { this.#scheduleRewrite() }
+    })
   }
 
   /**
@@ -186,7 +193,7 @@
     await this.#listen(settings.readyListener, path => ({ status: this.#dialect.answerReady(path, this.isReady) }))
     await this.#listen(settings.directoryListener, path => this.#answerDirectory(path))
     await this.#listen(settings.metricsListener, async () => ({ status: 200, type: 'text/plain; version=0.0.4', body: await this.#metrics.format() }))
-    for (const follower of this.#followers) this.#runLoop('follower', async () => { await follower.run() })
+    for (const follower of this.#followed.listFollowers()) this.#runLoop('follower', async () => { await follower.run() })
     this.#runLoop('discovery', async () => { await this.#discover() })
     setInterval(() => { this.#runHousekeeping() }, TICK_INTERVAL_MS)
     this.#scheduleHeartbeat()
@@ -195,7 +202,7 @@
 
   /** Whether the gateway can serve callers. */
   get isReady (): boolean {
-    return !this.#isLeaving && this.#hasEndpoints && this.#context.isInformed && this.#context.routes.getVersion() !== undefined
+    return !this.#isLeaving && this.#followed.hasEndpoints && this.#context.isInformed && this.#context.routes.getVersion() !== undefined
   }
 
   get settings (): GatewaySettings {
@@ -209,7 +216,7 @@
     const { graceMs } = this.#settings
     this.#logger.write('process-leaving', { deadlineMs: graceMs, inFlight: this.#context.listExchanges().length })
     this.#sendHeartbeat()
-    this.#store.deregister(this.#settings.host).catch((error: unknown) => { this.#logger.write('internal-error', { reason: String(error) }) })
+    this.#deregister()
     PlannedStop.create({ context: this.#context, callers: this.#callers, graceMs }).start(() => {
       this.#logger.write('process-stopped', {})
       this.#lines.flush()
@@ -248,85 +255,10 @@
     this.#evidenceSync.noteJoined(state.id)
   }
 
-  #createFollowers (): readonly StoreFollower<unknown>[] {
-    const handleState = (kind: string) => (state: 'lost' | 'found', reason: string): void => {
-      this.#logger.write(state === 'lost' ? 'store-lost' : 'store-found', { kind, reason })
-    }
-    const times = computeFollowerTimes(this.#settings.store)
-    const endpoints = StoreFollower.create(this.#store.endpoints, times, {
-      handleList: (items, wasUnavailable) => {
-        this.#hasEndpoints = true
-        this.#noteChanges(this.#context.endpoints.replaceAll(items, wasUnavailable, performance.now()))
-      },
-      handleChanges: (changes, wasUnavailable) => { this.#applyEndpointChanges(changes, wasUnavailable) },
-      handleState: handleState('endpoints')
-    })
-    const configuration = StoreFollower.create(this.#store.configuration, times, {
-      handleList: items => { for (const item of items) this.#applyConfiguration(item) },
-      handleChanges: changes => { for (const change of changes) if (change.kind === 'written') this.#applyConfiguration(change.item) },
-      handleState: handleState('configuration')
-    })
-    const evacuations = StoreFollower.create(this.#store.evacuations, { ...times, waitMs: EVACUATION_WAIT_MS }, {
-      handleList: items => {
-        this.#evacuated.clear()
-        for (const domain of items) this.#evacuated.add(domain)
-        this.#applyEvacuations()
-      },
-      handleChanges: changes => {
-        for (const change of changes) {
-          if (change.kind === 'written') this.#evacuated.add(change.item)
-          else this.#evacuated.delete(change.name)
-        }
-        this.#applyEvacuations()
-      },
-      handleState: handleState('evacuations')
-    })
-    return [endpoints, configuration, evacuations]
-  }
-
-  #applyEndpointChanges (changes: readonly Change<EndpointRecord>[], wasUnavailable: boolean): void {
-    const { endpoints } = this.#context
-    const nowMs = performance.now()
-    if (wasUnavailable) {
-      const items = new Map(endpoints.listAll().map(({ record }) => [record.id, record]))
-      for (const change of changes) {
-        if (change.kind === 'written') items.set(change.item.id, change.item)
-        else items.delete(change.name)
-      }
-      this.#noteChanges(endpoints.replaceAll([...items.values()], true, nowMs))
-      return
-    }
-    this.#noteChanges(changes.flatMap(change => {
-      if (change.kind === 'written') return endpoints.upsert(change.item, nowMs)
-      return endpoints.remove(change.name) ?? []
-    }))
-  }
-
-  #noteChanges (changes: readonly EndpointChange[]): void {
-    for (const { id, change } of changes) {
-      if (change === 'gone' || change === 'restarted') this.#context.forget(id)
-      const record = this.#context.endpoints.find(id)?.record
-      this.#logger.write('endpoint-changed', { endpoint: id, change, state: record?.state ?? '', domain: record?.domain ?? '', coldMs: record?.coldRemainingMs ?? 0 })
-    }
-  }
-
-  #applyConfiguration (configuration: GatewayConfiguration): void {
-    const isAccepted = this.#context.routes.accept(configuration)
-    this.#logger.write(isAccepted ? 'configuration-accepted' : 'configuration-ignored', { version: configuration.version })
-    if (!isAccepted) return
-    this.#metrics.observe('configuration_version', configuration.version)
-    this.#callers.updateLimits()
-  }
-
-  #applyEvacuations (): void {
-    this.#context.endpoints.setEvacuated(new Set(this.#evacuated))
-    this.#logger.write('domains-evacuated', { domains: [...this.#evacuated].join(',') })
-  }
-
   #runHousekeeping (): void {
     const nowMs = performance.now()
     const steps = [
-      () => { this.#noteChanges(this.#context.endpoints.expire(nowMs)) },
+      () => { this.#followed.runHousekeeping(nowMs) },
       () => { for (const gateway of this.#context.peers.expire(nowMs)) this.#logger.write('gateway-lost', { gateway }) },
       () => { this.#probe.checkAll(nowMs) },
       () => { this.#evidenceSync.runHousekeeping() }
@@ -361,24 +293,50 @@
   /** Registers this gateway and reads the list of the others periodically, since a machine may return with another address. */
   async #discover (): Promise<void> {
     const { host, linkListener } = this.#settings
-    let isRegistered = false
     let wasListed = false
     for (;;) {
-      if (!isRegistered && !this.#isLeaving) isRegistered = (await this.#store.register({ id: host, address: linkListener })).isRight()
+      const mustRegister = !this.#isRegistered
+      if (mustRegister && !this.#isLeaving) this.#isRegistered = (await this.#store.register({ id: host, address: linkListener })).isRight()
       // A current list, read after the own entry was written, has every gateway that does not find this one in its list.
-      const listed = await this.#store.listGateways(!wasListed)
+      const listed = await this.#store.listGateways(!wasListed || mustRegister)
       listed.ifRight(entries => { for (const { id, address } of entries) this.#noteGateway(id, address) })
-      const isComplete = isRegistered && listed.isRight()
+      const isComplete = this.#isRegistered && listed.isRight()
       if (isComplete && !wasListed) {
         wasListed = true
         this.#context.coldLimits.noteListed(performance.now())
         this.#context.retries.noteListed(performance.now())
         this.#evidenceSync.noteListed()
       }
-      await new Promise(resolve => { setTimeout(resolve, isComplete ? DISCOVERY_INTERVAL_MS * (0.8 + 0.4 * Math.random()) : TICK_INTERVAL_MS * 5) })
+      await this.#waitForDiscovery(isComplete ? DISCOVERY_INTERVAL_MS * (0.8 + 0.4 * Math.random()) : TICK_INTERVAL_MS * 5)
     }
   }
 
+  async #waitForDiscovery (pauseMs: number): Promise<void> {
+    await new Promise<void>(resolve => {
+      const timer = setTimeout(resolve, pauseMs)
+      this.#restartDiscovery = () => {
+        clearTimeout(timer)
+        resolve()
+      }
+    })
+  }
+
+  /** Writes again, spread over the gateways, what a store that has come back from an older copy may have lost: the own entry, or its removal. */
+  #scheduleRewrite (): void {
+    setTimeout(() => {
+      if (this.#isLeaving) {
+        this.#deregister()
+        return
+      }
+      this.#isRegistered = false
+      this.#restartDiscovery?.()
+    }, REWRITE_SPREAD_MS * Math.random())
+  }
+
+  #deregister (): void {
+    this.#store.deregister(this.#settings.host).catch((error: unknown) => { this.#logger.write('internal-error', { reason: String(error) }) })
+  }
+
   #runLoop (place: Place, run: () => Promise<void>): void {
     this.#context.boundary.runLoop(place, run).catch((error: unknown) => { this.#context.boundary.noteFailure(place, error) })
   }
--- a/src/gateway/store.ts
+++ b/src/gateway/store.ts
@@ -1,6 +1,8 @@
 /** Interface to a metadata store, and a follower that watches one kind of entry. */
 
 import type { Either } from 'purify-ts'
+import { assertNever } from '../kernel/errors.js'
+import { EraTracker } from './store-era.js'
 
 /** Why a call to the store failed. */
 export type StoreFailure =
@@ -14,17 +16,23 @@
   /** No answer was received; the call may have been carried out. */
   | 'no-answer'
   | 'malformed'
+  /** The answer is of an older era of the store than one that is known. */
+  | 'outdated'
 
 /** All entries of a kind as of a revision. */
 export interface Listing<T> {
   readonly items: readonly T[]
   readonly revision: number
+  /** Era of the store; undefined when it names none. Revisions of different eras cannot be compared. */
+  readonly era?: number | undefined
 }
 
 /** Changes to a kind of entry up to a revision. */
 export interface ChangeBatch<T> {
   readonly changes: readonly Change<T>[]
   readonly revision: number
+  /** Era of the store; undefined when it names none. */
+  readonly era?: number | undefined
 }
 
 /** One entry that was written or removed. */
@@ -39,10 +47,18 @@
   watch (revision: number, waitMs: number): Promise<Either<StoreFailure, ChangeBatch<T>>>
 }
 
+/** Why a listing may contradict what the store acknowledged before. */
+export type ListingCause =
+  | 'current'
+  /** The store was unavailable until shortly before; missing entries may have lapsed meanwhile. */
+  | 'after-outage'
+  /** The store has come back from an older copy: entries may be missing, or be older than what it acknowledged. */
+  | 'after-era-change'
+
 /** Callbacks of a follower. */
 export interface FollowerHandlers<T> {
-  /** `wasStoreUnavailable` is true shortly after an outage, when missing entries may have lapsed during it. */
-  handleList (items: readonly T[], wasStoreUnavailable: boolean): void
+  handleList (items: readonly T[], cause: ListingCause): void
+  /** `wasStoreUnavailable` is true shortly after an outage or a change of the era, when missing entries may have lapsed. */
   handleChanges (changes: readonly Change<T>[], wasStoreUnavailable: boolean): void
   handleState (state: 'lost' | 'found', reason: string): void
 }
@@ -89,39 +105,53 @@
   return { waitMs: Math.max(WAIT_MIN_MS, noticeMs - NOTICE_MARGIN_MS), collectMs: COLLECT_SHARE * applyMs, retryMaxMs: RETRY_SHARE * applyMs }
 }
 
+/** Revision up to which the entries are known, and the era in which it holds. */
+interface Position {
+  readonly revision: number
+  readonly era: number | undefined
+}
+
 /** Follows the entries of one kind: lists them, then watches for changes. */
 export class StoreFollower<T> {
   readonly #kind: StoreKind<T>
   readonly #times: FollowerTimes
   readonly #handlers: FollowerHandlers<T>
+  readonly #eras: EraTracker
   #isStopped = false
+  /** Era of the last listing. */
+  #era: number | undefined
   #failures = 0
   #isLost = false
   #hasChanges = false
   #recoveringUntilMs = 0
   #wake: (() => void) | undefined
 
-  private constructor (kind: StoreKind<T>, times: FollowerTimes, handlers: FollowerHandlers<T>) {
+  private constructor (kind: StoreKind<T>, times: FollowerTimes, handlers: FollowerHandlers<T>, eras: EraTracker) {
     this.#kind = kind
     this.#times = times
     this.#handlers = handlers
+    this.#eras = eras
   }
 
   /**
    * @param kind - access to the entries
    * @param times - how long it waits
    * @param handlers - called with entries, changes and outages
+   * @param eras - eras of the store, shared by all followers of it
    * @returns a follower that has not started
    */
-  static create<T> (kind: StoreKind<T>, times: FollowerTimes, handlers: FollowerHandlers<T>): StoreFollower<T> {
-    return new StoreFollower(kind, times, handlers)
+  static create<T> (kind: StoreKind<T>, times: FollowerTimes, handlers: FollowerHandlers<T>, eras: EraTracker = EraTracker.create()): StoreFollower<T> {
+    return new StoreFollower(kind, times, handlers, eras)
   }
 
   /** Lists the entries and watches for changes until stopped. */
   async run (): Promise<void> {
-    let revision: number | undefined
+    let position: Position | undefined
     while (!this.#isStopped) {
-      revision = revision === undefined ? await this.#list() : await this.#watch(revision)
+      if (position !== undefined && this.#eras.newest !== position.era) position = undefined
+      // All followers learn of a new era at about the same time; their lists are spread.
+      if (position === undefined && this.#isEraChanged()) await this.#pause(this.#times.retryMaxMs * Math.random())
+      position = position === undefined ? await this.#list() : await this.#watch(position)
       if (this.#failures > 0) await this.#pause(this.#getRetryDelayMs())
       else if (this.#hasChanges) await this.#pause(this.#times.collectMs)
     }
@@ -132,35 +162,62 @@
     this.#wake?.()
   }
 
-  async #list (): Promise<number | undefined> {
+  #isEraChanged (): boolean {
+    return this.#era !== undefined && this.#eras.newest !== this.#era
+  }
+
+  async #list (): Promise<Position | undefined> {
     const result = await this.#kind.list()
-    return result.caseOf({
+    return result.caseOf<Position | undefined>({
       Left: failure => {
         this.#noteFailure(failure)
         return undefined
       },
-      Right: ({ items, revision }) => {
-        this.#handlers.handleList(items, this.#noteAnswer())
-        return revision
+      Right: ({ items, revision, era }) => {
+        if (this.#eras.noteEra(era, era) === 'outdated') {
+          this.#noteFailure('outdated')
+          return undefined
+        }
+        const wasUnavailable = this.#noteAnswer()
+        const isChanged = this.#isEraChanged()
+        if (isChanged) this.#recoveringUntilMs = performance.now() + RECOVERY_MS
+        this.#era = this.#eras.newest
+        this.#handlers.handleList(items, isChanged ? 'after-era-change' : wasUnavailable ? 'after-outage' : 'current')
+        return { revision, era: this.#era }
       }
     })
   }
 
-  async #watch (revision: number): Promise<number | undefined> {
-    const result = await this.#kind.watch(revision, this.#failures > 0 ? LOST_WAIT_MS : this.#times.waitMs)
-    return result.caseOf({
+  async #watch (position: Position): Promise<Position | undefined> {
+    const result = await this.#kind.watch(position.revision, this.#failures > 0 ? LOST_WAIT_MS : this.#times.waitMs)
+    return result.caseOf<Position | undefined>({
       Left: failure => {
         if (failure === 'history-gone') return undefined
         this.#noteFailure(failure)
-        return revision
+        return position
       },
-      Right: batch => {
+      Right: batch => this.#applyBatch(batch, position)
+    })
+  }
+
+  #applyBatch ({ changes, revision, era }: ChangeBatch<T>, position: Position): Position | undefined {
+    const relation = this.#eras.noteEra(era, position.era)
+    switch (relation) {
+      case 'same': {
         const wasUnavailable = this.#noteAnswer()
-        this.#hasChanges = batch.changes.length > 0
-        if (this.#hasChanges) this.#handlers.handleChanges(batch.changes, wasUnavailable)
-        return batch.revision
+        this.#hasChanges = changes.length > 0
+        if (this.#hasChanges) this.#handlers.handleChanges(changes, wasUnavailable)
+        return { revision, era: position.era }
       }
-    })
+      case 'changed':
+        // The changes continue from a revision that may have been given out again: only a listing is complete.
+        this.#noteAnswer()
+        return undefined
+      case 'outdated':
+        return undefined
+      default:
+        return assertNever(relation)
+    }
   }
 
   #noteFailure (failure: StoreFailure): void {
--- a/src/plugins/gateway/endpoints.ts
+++ b/src/plugins/gateway/endpoints.ts
@@ -9,7 +9,13 @@
 /** Time in ms after a store outage during which entries that lapsed in the outage are expected to be written again. */
 export const LAPSE_GRACE_MS = 2_000
 
-/** Largest number of replaced incarnations that are remembered. */
+/**
+ * Time in ms after the store has come back from an older copy during which entries that contradict
+ * what it had acknowledged are not used; workers that live write theirs again sooner.
+ */
+export const CONTRADICTION_HOLD_MS = 5_000
+
+/** Largest number of replaced, and of removed, incarnations that are remembered. */
 const REPLACED_MAX = 1_000
 
 /** A change to the table of endpoints. */
@@ -31,12 +37,18 @@
 export interface EndpointsPort {
   /** Replaces the whole table; entries that lapsed while the store was unavailable are kept for `LAPSE_GRACE_MS`. */
   replaceAll (records: readonly EndpointRecord[], wasStoreUnavailable: boolean, nowMs: number): readonly EndpointChange[]
+  /**
+   * Replaces the table with what a store lists that has come back from an older copy. Missing entries are kept
+   * as after an outage. Entries that the store had removed, or listed as draining or of a later start, are not
+   * taken back for `CONTRADICTION_HOLD_MS`, unless they are written in the meantime.
+   */
+  restoreAll (records: readonly EndpointRecord[], nowMs: number): readonly EndpointChange[]
   /** Adds or updates an entry and drops any older incarnation at the same address. */
   upsert (record: EndpointRecord, nowMs: number): readonly EndpointChange[]
   remove (id: string): EndpointChange | undefined
   /** Drops the incarnation of an endpoint whose address another one now has; later listings that still contain it are stale. */
   noteReplaced (id: string): EndpointChange | undefined
-  /** Drops lapsed entries whose grace period is over. */
+  /** Drops lapsed entries whose grace period is over, and takes back those that were held back. */
   expire (nowMs: number): readonly EndpointChange[]
   setEvacuated (domains: ReadonlySet<string>): void
   listEvacuated (): readonly string[]
@@ -58,6 +70,10 @@
   readonly #entries = new Map<string, Entry>()
   /** Replaced incarnations, as `formatIncarnation` writes them; bounded by `REPLACED_MAX`. */
   readonly #replacedIncarnations = new Set<string>()
+  /** Incarnations that the store has removed, as `formatIncarnation` writes them; bounded by `REPLACED_MAX`. */
+  readonly #removedIncarnations = new Set<string>()
+  /** Listed records that contradict what the store had acknowledged, until a monotonic time in ms. */
+  readonly #heldBack = new Map<string, { readonly record: EndpointRecord, readonly untilMs: number }>()
   #byService: Map<string, Entry[]> | undefined
   #evacuated: ReadonlySet<string> = new Set()
 
@@ -73,9 +89,11 @@
   replaceAll (records: readonly EndpointRecord[], wasStoreUnavailable: boolean, nowMs: number): readonly EndpointChange[] {
     const listed = new Set(records.map(record => record.id))
     const changes = records.flatMap(record => this.upsert(record, nowMs))
+    for (const id of this.#heldBack.keys()) if (!listed.has(id) && !this.#entries.has(id)) this.#heldBack.delete(id)
     for (const [id, entry] of this.#entries) {
       if (listed.has(id)) continue
       if (!wasStoreUnavailable) {
+        this.#noteRemoved(entry.record)
         changes.push(this.#drop(id))
       } else if (entry.lapsesAtMs === undefined) {
         this.#entries.set(id, { ...entry, lapsesAtMs: nowMs + LAPSE_GRACE_MS })
@@ -85,7 +103,18 @@
     return changes
   }
 
+  restoreAll (records: readonly EndpointRecord[], nowMs: number): readonly EndpointChange[] {
+    this.#heldBack.clear()
+    const contradicting = records.filter(record => this.#isContradicted(record))
+    const kept = contradicting.flatMap(({ id }) => this.#entries.get(id)?.record ?? [])
+    const ids = new Set(contradicting.map(({ id }) => id))
+    const changes = this.replaceAll([...records.filter(({ id }) => !ids.has(id)), ...kept], true, nowMs)
+    for (const record of contradicting) this.#heldBack.set(record.id, { record, untilMs: nowMs + CONTRADICTION_HOLD_MS })
+    return changes
+  }
+
   upsert (record: EndpointRecord, nowMs: number): readonly EndpointChange[] {
+    if (this.#entries.get(record.id)?.record !== record) this.#heldBack.delete(record.id)
     if (this.#replacedIncarnations.has(formatIncarnation(record))) return []
     const sameAddress = [...this.#entries.values()].map(entry => entry.record)
       .filter(({ id, address }) => id !== record.id && address.host === record.address.host && address.port === record.address.port)
@@ -101,20 +130,22 @@
   noteReplaced (id: string): EndpointChange | undefined {
     const entry = this.#entries.get(id)
     if (entry === undefined) return undefined
-    this.#replacedIncarnations.add(formatIncarnation(entry.record))
-    const oldest = this.#replacedIncarnations.values().next().value
-    if (this.#replacedIncarnations.size > REPLACED_MAX && oldest !== undefined) this.#replacedIncarnations.delete(oldest)
+    addBounded(this.#replacedIncarnations, formatIncarnation(entry.record))
     return this.#drop(id)
   }
 
   remove (id: string): EndpointChange | undefined {
-    return this.#entries.has(id) ? this.#drop(id) : undefined
+    this.#heldBack.delete(id)
+    const entry = this.#entries.get(id)
+    if (entry === undefined) return undefined
+    this.#noteRemoved(entry.record)
+    return this.#drop(id)
   }
 
   expire (nowMs: number): readonly EndpointChange[] {
-    return [...this.#entries.entries()]
-      .filter(([, entry]) => entry.lapsesAtMs !== undefined && entry.lapsesAtMs <= nowMs)
-      .map(([id]) => this.#drop(id))
+    const due = [...this.#heldBack.values()].filter(({ untilMs }) => untilMs <= nowMs)
+    const lapsed = [...this.#entries.entries()].filter(([, entry]) => entry.lapsesAtMs !== undefined && entry.lapsesAtMs <= nowMs)
+    return [...lapsed.map(([id]) => this.#drop(id)), ...due.flatMap(({ record }) => this.upsert(record, nowMs))]
   }
 
   setEvacuated (domains: ReadonlySet<string>): void {
@@ -139,6 +170,17 @@
     return [...this.#entries.values()]
   }
 
+  /** Whether the store had acknowledged something later of the endpoint than the record says. */
+  #isContradicted (record: EndpointRecord): boolean {
+    const known = this.#entries.get(record.id)?.record
+    if (known === undefined) return this.#removedIncarnations.has(formatIncarnation(record))
+    return known.bornMs > record.bornMs || (known.bornMs === record.bornMs && known.state === 'draining' && record.state === 'ready')
+  }
+
+  #noteRemoved (record: EndpointRecord): void {
+    addBounded(this.#removedIncarnations, formatIncarnation(record))
+  }
+
   #drop (id: string): EndpointChange {
     this.#entries.delete(id)
     this.#byService = undefined
@@ -158,4 +200,11 @@
   }
 }
 
+/** Adds an incarnation, and forgets the oldest one beyond `REPLACED_MAX`. */
+function addBounded (incarnations: Set<string>, incarnation: string): void {
+  incarnations.add(incarnation)
+  const oldest = incarnations.values().next().value
+  if (incarnations.size > REPLACED_MAX && oldest !== undefined) incarnations.delete(oldest)
+}
+
 registerPlugin({ name: 'endpoints', roles: ['gateway'], create: () => EndpointsPlugin.create() })
--- a/test/adapter/store.test.ts
+++ b/test/adapter/store.test.ts
@@ -140,7 +140,7 @@
       return result === 'idle' ? Right({ changes: [], revision }) : Left(result as StoreFailure)
     }
   }, TIMES, {
-    handleList: (items, wasAway) => { notes.push(`list ${items.join()} away=${wasAway}`) },
+    handleList: (items, cause) => { notes.push(`list ${items.join()} ${cause}`) },
     handleChanges: (changes, wasAway) => { notes.push(`${changes.map(({ kind }) => kind).join()} away=${wasAway}`) },
     handleState: (state, reason) => { notes.push(`${state} ${reason}`.trim()) }
   })
--- a/test/gateway/decisions.test.ts
+++ b/test/gateway/decisions.test.ts
@@ -5,7 +5,7 @@
 import { EventOrder } from '../../src/gateway/event-order.js'
 import { EventSplitter } from '../../src/gateway/events.js'
 import { CrashesPlugin } from '../../src/plugins/gateway/crashes.js'
-import { EndpointsPlugin, LAPSE_GRACE_MS } from '../../src/plugins/gateway/endpoints.js'
+import { CONTRADICTION_HOLD_MS, EndpointsPlugin, LAPSE_GRACE_MS } from '../../src/plugins/gateway/endpoints.js'
 import { PeersPlugin, HEARTBEAT_TIMEOUT_MS } from '../../src/plugins/gateway/peers.js'
 import { RetriesPlugin } from '../../src/plugins/gateway/retries.js'
 import { SlidingWindow } from '../../src/plugins/gateway/window.js'
@@ -108,6 +108,30 @@
   t.deepEqual(listIds(table), [])
 })
 
+// Guards against requests to endpoints that the store had acknowledged as gone or draining, and lists as ready since it came back from an older copy.
+test('entries of a store that came back older are used once they are written again, or stay listed', t => {
+  const fill = (): EndpointsPlugin => {
+    const table = EndpointsPlugin.create()
+    table.replaceAll([createRecord('e1'), createRecord('e2'), createRecord('e3', { state: 'draining' }), createRecord('e4', { bornMs: 9 }), createRecord('e5')], false, 0)
+    table.remove('e2')
+    table.restoreAll([createRecord('e1'), createRecord('e2'), createRecord('e3'), createRecord('e4', { bornMs: 3 })], 100)
+    return table
+  }
+  const table = fill()
+  t.deepEqual(listIds(table), ['e1', 'e4', 'e5'])
+  t.is(table.find('e4')?.record.bornMs, 9)
+  t.deepEqual(table.expire(100 + LAPSE_GRACE_MS), [{ id: 'e5', change: 'gone' }])
+  table.upsert(createRecord('e2'), 3_000)
+  table.remove('e3')
+  t.deepEqual(listIds(table), ['e1', 'e4', 'e2'])
+  table.expire(100 + CONTRADICTION_HOLD_MS)
+  t.deepEqual(listIds(table), ['e1', 'e4', 'e2'])
+  t.is(table.find('e4')?.record.bornMs, 3)
+  const unwritten = fill()
+  unwritten.expire(100 + CONTRADICTION_HOLD_MS)
+  t.deepEqual([...listIds(unwritten)].sort(), ['e1', 'e2', 'e3', 'e4'])
+})
+
 // Guards against requests to a failure domain that is out of service, or to endpoints that are draining.
 test('only ready endpoints in failure domains that are in service are usable', t => {
   const table = EndpointsPlugin.create()
--- a/test/processes/platform-store.ts
+++ b/test/processes/platform-store.ts
@@ -12,6 +12,12 @@
   readonly isDeleted: boolean
 }
 
+/** Copy of the store, from which it may come back. */
+export interface StoreCopy {
+  readonly entries: ReadonlyMap<string, Entry>
+  readonly revision: number
+}
+
 /** Metadata store with its own HTTP server. */
 export class PlatformStore {
   readonly #entries = new Map<string, Entry>()
@@ -21,17 +27,20 @@
     request.on('end', () => {
       if (this.#isRefusing) {
         response.statusCode = 503
+        response.setHeader('Store-Era', String(this.#era))
         response.end()
         return
       }
       this.#answer(request.method ?? '', new URL(request.url ?? '', 'http://store'), body).then(({ status, content }) => {
         response.statusCode = status
+        response.setHeader('Store-Era', String(this.#era))
         response.end(JSON.stringify(content))
       }, () => { response.destroy() })
     })
   })
 
   #revision = 1
+  #era = 1
   #isRefusing = false
 
   private constructor () {}
@@ -61,6 +70,18 @@
     return this.#list(kind).filter(({ isDeleted }) => !isDeleted).map(({ name }) => name)
   }
 
+  copy (): StoreCopy {
+    return { entries: new Map(this.#entries), revision: this.#revision }
+  }
+
+  /** Comes back from a copy: what was written since is gone, and its revisions are given out again. */
+  restore ({ entries, revision }: StoreCopy): void {
+    this.#entries.clear()
+    for (const [key, entry] of entries) this.#entries.set(key, entry)
+    this.#revision = revision
+    this.#era += 1
+  }
+
   /** Turns all calls away with 503. */
   refuse (isRefusing: boolean): void {
     this.#isRefusing = isRefusing
@@ -91,6 +112,7 @@
         this.remove(kind, name ?? '')
         return { status: 200, content: {} }
       default:
+        if (Number(url.searchParams.get('watch') ?? 0) > this.#revision) return { status: 410, content: {} }
         return { status: 200, content: url.searchParams.has('watch') ? await this.#watch(kind, url.searchParams) : this.#describeList(kind) }
     }
   }
