Let two gateways of a failure domain watch the store for the others

Every gateway renewed each of its three watches every 2 to 4 s, since only a time-out shows that an open connection has gone silent: with 41 to 60 gateways calls to the store were the largest price.

In failure domains of 5 ready gateways or more, two (rendezvous hash) keep the short waits and tell the others by UDP what they have seen. The others wait 30 s; told of a later revision, or hearing no watcher for 2.5 s, they give the watch up and ask again on a new connection. Nothing is put in force by a message.

--- a/src/gateway/followed-store.ts
+++ b/src/gateway/followed-store.ts
@@ -8,14 +8,20 @@
 import type { EndpointRecord, GatewayConfiguration } from './model.js'
 import type { GatewayStore } from './process.js'
 import { StoreFollower, computeFollowerTimes } from './store.js'
-import type { Change, FollowerBounds, ListingCause } from './store.js'
+import type { Change, FollowerBounds, FollowerTimes, ListingCause } from './store.js'
 import { EraTracker } from './store-era.js'
+import { FOLLOWED_KINDS, LISTENER_WAIT_MS, RELAY_MARGIN_MS, WatchRoles } from './watch-roles.js'
+import type { FollowedKind, FollowProgress, ReadyGateway, WatchNews, WatchRole } from './watch-roles.js'
 
 /** Longest wait of the watch for evacuations in ms; these must be in force 5 s after they were written. */
 const EVACUATION_WAIT_MS = 4_000
 
+/** Time in ms after the end of a watch within which the next answer is expected: the timeout of the call, and a little more. */
+const ANSWER_MARGIN_MS = 1_000
+
 /** Dependencies of a followed store. */
 export interface FollowedStoreOptions {
+  readonly self: ReadyGateway
   readonly context: GatewayContext
   readonly store: GatewayStore
   readonly bounds: FollowerBounds
@@ -24,17 +30,25 @@
   readonly handleConfiguration: () => void
   /** Called when the store has come back from an older copy; what this gateway wrote there may be gone. */
   readonly handleEraChange: () => void
+  /** Whether this gateway can serve callers. */
+  readonly isReady: () => boolean
+  /** Sends a message of a watcher to gateways. */
+  readonly sendNews: (news: WatchNews, ids: readonly string[]) => void
 }
 
 /** Followers of the endpoints, the configuration and the evacuations. */
 export class FollowedStore {
   readonly #options: FollowedStoreOptions
   readonly #evacuations = EvacuationTable.create()
-  readonly #followers: ReadonlyArray<StoreFollower<unknown>>
+  readonly #followers: Readonly<Record<FollowedKind, StoreFollower<unknown>>>
+  readonly #roles: WatchRoles
+  readonly #times: FollowerTimes
   #hasEndpoints = false
 
   private constructor (options: FollowedStoreOptions) {
     this.#options = options
+    this.#times = computeFollowerTimes(options.bounds)
+    this.#roles = WatchRoles.create(options.self, performance.now())
     this.#followers = this.#createFollowers()
   }
 
@@ -53,21 +67,60 @@
 
   /** @returns the followers, each to be run */
   listFollowers (): ReadonlyArray<StoreFollower<unknown>> {
-    return this.#followers
+    return FOLLOWED_KINDS.map(kind => this.#followers[kind])
   }
 
   /** Ends what was held for a time: lapsed endpoints, and evacuations that the store lost. */
   runHousekeeping (nowMs: number): void {
     this.#noteChanges(this.#options.context.endpoints.expire(nowMs))
     if (this.#evacuations.expire(nowMs)) this.#applyEvacuations()
+    this.#updateRole(nowMs)
+    this.#sendNews(nowMs)
+  }
+
+  /** Records what another gateway has seen of the store. */
+  noteNews (news: WatchNews): void {
+    this.#roles.noteNews(news, performance.now())
+  }
+
+  #updateRole (nowMs: number): void {
+    const { context, metrics, isReady } = this.#options
+    const before = this.#roles.role
+    const role = this.#roles.chooseRole(context.peers.listReady(), isReady(), nowMs)
+    if (role !== before) {
+      context.log('watch-role', { role })
+      metrics.count('watch_roles', role)
+    }
+    for (const kind of FOLLOWED_KINDS) this.#followers[kind].updateWait(computeWaitMs(role, this.#getShortWaitMs(kind)))
+    for (const kind of this.#roles.listOverdue(nowMs)) {
+      metrics.count('watches_abandoned', kind)
+      this.#followers[kind].renew()
+    }
+  }
+
+  #sendNews (nowMs: number): void {
+    const others = this.#options.context.peers.listReady()
+    const computeLimitMs = (kind: FollowedKind): number => this.#getShortWaitMs(kind) + this.#times.collectMs + ANSWER_MARGIN_MS
+    const news = this.#roles.takeNews({ endpoints: computeLimitMs('endpoints'), configuration: computeLimitMs('configuration'), evacuations: computeLimitMs('evacuations') }, nowMs)
+    if (news !== undefined) this.#options.sendNews(news, this.#roles.listRecipients(others))
   }
 
-  #createFollowers (): ReadonlyArray<StoreFollower<unknown>> {
-    const { context, store, bounds } = this.#options
+  #noteProgress (kind: FollowedKind, progress: FollowProgress): void {
+    const nowMs = performance.now()
+    this.#roles.noteProgress(kind, progress, nowMs)
+    this.#sendNews(nowMs)
+  }
+
+  #getShortWaitMs (kind: FollowedKind): number {
+    return kind === 'evacuations' ? EVACUATION_WAIT_MS : this.#times.waitMs
+  }
+
+  #createFollowers (): Readonly<Record<FollowedKind, StoreFollower<unknown>>> {
+    const { context, store } = this.#options
+    const times = this.#times
     const handleState = (kind: string) => (state: 'lost' | 'found', reason: string): void => {
       context.log(state === 'lost' ? 'store-lost' : 'store-found', { kind, reason })
     }
-    const times = computeFollowerTimes(bounds)
     const eras = EraTracker.create(era => { this.#noteEraChange(era) })
     const endpoints = StoreFollower.create(store.endpoints, times, {
       handleList: (items, cause) => {
@@ -75,12 +128,14 @@
         this.#noteChanges(this.#replaceEndpoints(items, cause))
       },
       handleChanges: (changes, wasUnavailable) => { this.#applyEndpointChanges(changes, wasUnavailable) },
-      handleState: handleState('endpoints')
+      handleState: handleState('endpoints'),
+      handleProgress: progress => { this.#noteProgress('endpoints', progress) }
     }, eras)
     const configuration = StoreFollower.create(store.configuration, times, {
       handleList: items => { for (const item of items) this.#applyConfiguration(item) },
       handleChanges: changes => { for (const change of changes) if (change.kind === 'written') this.#applyConfiguration(change.item) },
-      handleState: handleState('configuration')
+      handleState: handleState('configuration'),
+      handleProgress: progress => { this.#noteProgress('configuration', progress) }
     }, eras)
     const evacuations = StoreFollower.create(store.evacuations, { ...times, waitMs: EVACUATION_WAIT_MS }, {
       handleList: (items, cause) => {
@@ -91,9 +146,10 @@
         this.#evacuations.merge(changes)
         this.#applyEvacuations()
       },
-      handleState: handleState('evacuations')
+      handleState: handleState('evacuations'),
+      handleProgress: progress => { this.#noteProgress('evacuations', progress) }
     }, eras)
-    return [endpoints, configuration, evacuations]
+    return { endpoints, configuration, evacuations }
   }
 
   #noteEraChange (era: number): void {
@@ -155,3 +211,19 @@
     this.#options.context.log('domains-evacuated', { domains: [...domains].join(',') })
   }
 }
+
+/** @returns longest wait of a watch in ms, given the one of a gateway that follows the store for itself */
+function computeWaitMs (role: WatchRole, shortMs: number): number {
+  switch (role) {
+    case 'starting':
+    case 'alone':
+    case 'unheard':
+      return shortMs
+    case 'watcher':
+      return Math.max(shortMs / 2, shortMs - RELAY_MARGIN_MS)
+    case 'listener':
+      return LISTENER_WAIT_MS
+    default:
+      return assertNever(role)
+  }
+}
--- a/src/gateway/link-messages.ts
+++ b/src/gateway/link-messages.ts
@@ -14,6 +14,8 @@
 import type { Address } from './model.js'
 import { isAbsentOr, isBetween, isCount, isFlag, isInteger, isListOf, isOneOf, isRecordOf, isTableOf, isText } from './shapes.js'
 import type { Check } from './shapes.js'
+import { FOLLOWED_KINDS } from './watch-roles.js'
+import type { WatchNews } from './watch-roles.js'
 
 /** Version of the message format; messages of other versions are ignored. */
 export const LINK_VERSION = 1
@@ -52,8 +54,15 @@
   readonly limits: SharedStatements
 }
 
+/** Tells other gateways what a watcher has seen of the store. */
+export interface WatchMessage {
+  readonly version: number
+  readonly kind: 'watch-news'
+  readonly news: WatchNews
+}
+
 /** Message of another gateway. */
-export type LinkMessage = Heartbeat | ShareRequest | ShareReply | LimitsMessage | EvidenceRequest | EvidenceMessage
+export type LinkMessage = Heartbeat | ShareRequest | ShareReply | LimitsMessage | EvidenceRequest | EvidenceMessage | WatchMessage
 
 /** Largest load or slowdown factor of an endpoint that makes sense. */
 const LOAD_MAX = 1e9
@@ -78,12 +87,23 @@
   evidence: isAbsentOr(isEvidence)
 })
 
+const isRevisionList: Check = value => isListOf(isCount)(value) && (value as readonly unknown[]).length === FOLLOWED_KINDS.length
+
+const isWatchNews = isRecordOf({
+  id: value => isText(value) && value !== '',
+  era: isAbsentOr(isCount),
+  isHearing: isFlag,
+  changed: isRevisionList,
+  seen: isRevisionList
+})
+
 const isRequest = isOneOf({
   'share-request': isRecordOf({ requestId: isInteger, endpoint: isText }),
   'share-reply': isRecordOf({ requestId: isInteger, isLent: isFlag }),
   limits: isRecordOf({ limits: isSharedStatements }),
   'evidence-request': () => true,
-  evidence: value => isEvidenceMessage(value as object)
+  evidence: value => isEvidenceMessage(value as object),
+  'watch-news': isRecordOf({ news: isWatchNews })
 })
 
 /** Why bytes are not passed on as a message: they are none of this version, or hold values that cannot be used. */
--- a/src/gateway/link.ts
+++ b/src/gateway/link.ts
@@ -10,8 +10,9 @@
 import type { SharedStatements } from '../plugins/gateway/named-limits.js'
 import type { EvidenceMessage, EvidenceRequest } from './evidence-messages.js'
 import { LINK_VERSION, decodeMessage } from './link-messages.js'
-import type { Heartbeat, LimitsMessage, LinkMessage, ShareReply, ShareRequest } from './link-messages.js'
+import type { Heartbeat, LimitsMessage, LinkMessage, ShareReply, ShareRequest, WatchMessage } from './link-messages.js'
 import type { Address } from './model.js'
+import type { WatchNews } from './watch-roles.js'
 
 /** Most crashes described in one datagram; one takes up to 2 KB. */
 export const CRASHES_PER_DATAGRAM_MAX = 8
@@ -31,6 +32,8 @@
   handleLimits (limits: SharedStatements): void
   /** Lists all limits for a gateway that has just started. */
   listLimits (): SharedStatements
+  /** Handles what a watcher has seen of the store. */
+  handleNews (news: WatchNews): void
   handleError (reason: string): void
 }
 
@@ -110,6 +113,13 @@
     for (const { host, port } of ids.flatMap(id => this.#targets.get(id) ?? [])) this.#socket.send(bytes, port, host)
   }
 
+  /** Sends what this gateway has seen of the store to gateways; unknown ones are ignored. */
+  sendNews (news: WatchNews, ids: readonly string[]): void {
+    const message: WatchMessage = { version: LINK_VERSION, kind: 'watch-news', news }
+    const bytes = pack(message)
+    for (const { host, port } of ids.flatMap(id => this.#targets.get(id) ?? [])) this.#socket.send(bytes, port, host)
+  }
+
   /** @returns names of the gateways that messages are sent to */
   listTargets (): readonly string[] {
     return [...this.#targets.keys()]
@@ -196,6 +206,9 @@
       case 'evidence':
         this.#handlers.handleEvidence(message, evidence => { this.#postEvidence('addition', evidence, sender) })
         break
+      case 'watch-news':
+        this.#handlers.handleNews(message.news)
+        break
       default:
         assertNever(message)
     }
--- a/src/gateway/process.ts
+++ b/src/gateway/process.ts
@@ -171,7 +171,10 @@
       bounds: settings.store,
       metrics: this.#metrics,
       handleConfiguration: () => { this.#callers.updateLimits() },
-      handleEraChange: () => { this.#scheduleRewrite() }
+      handleEraChange: () => { this.#scheduleRewrite() },
+      self: { id: host, domain },
+      isReady: () => this.isReady,
+      sendNews: (news, ids) => { this.#link.sendNews(news, ids) }
     })
   }
 
@@ -242,6 +245,7 @@
       listLimits: () => this.#context.namedLimits.list('all', performance.now()),
       // A gateway that has just started knows nothing that it could tell.
       listEvidence: () => this.#context.isInformed ? this.#context.partCrashes.list(-Infinity, performance.now()) : undefined,
+      handleNews: news => { this.#followed.noteNews(news) },
       handleError: reason => { this.#context.boundary.noteFailure('message', reason) }
     })
   }
--- a/src/gateway/store.ts
+++ b/src/gateway/store.ts
@@ -3,6 +3,7 @@
 import type { Either } from 'purify-ts'
 import { assertNever } from '../kernel/errors.js'
 import { EraTracker } from './store-era.js'
+import type { FollowProgress } from './watch-roles.js'
 
 /** Why a call to the store failed. */
 export type StoreFailure =
@@ -16,6 +17,8 @@
   /** No answer was received; the call may have been carried out. */
   | 'no-answer'
   | 'malformed'
+  /** The caller gave the call up. */
+  | 'abandoned'
   /** The answer is of an older era of the store than one that is known. */
   | 'outdated'
 
@@ -33,6 +36,8 @@
   readonly revision: number
   /** Era of the store; undefined when it names none. */
   readonly era?: number | undefined
+  /** Revision of the newest of the changes, or a later one; undefined when it is not known. */
+  readonly changedRevision?: number | undefined
 }
 
 /** One entry that was written or removed. */
@@ -43,8 +48,11 @@
 /** Access to the entries of one kind. */
 export interface StoreKind<T> {
   list (): Promise<Either<StoreFailure, Listing<T>>>
-  /** Waits up to `waitMs` for changes after the revision; the batch is empty when there are none. */
-  watch (revision: number, waitMs: number): Promise<Either<StoreFailure, ChangeBatch<T>>>
+  /**
+   * Waits up to `waitMs` for changes after the revision; the batch is empty when there are none. Once the signal
+   * aborts it, the next watch uses a new connection.
+   */
+  watch (revision: number, waitMs: number, signal: AbortSignal): Promise<Either<StoreFailure, ChangeBatch<T>>>
 }
 
 /** Why a listing may contradict what the store acknowledged before. */
@@ -61,6 +69,8 @@
   /** `wasStoreUnavailable` is true shortly after an outage or a change of the era, when missing entries may have lapsed. */
   handleChanges (changes: readonly Change<T>[], wasStoreUnavailable: boolean): void
   handleState (state: 'lost' | 'found', reason: string): void
+  /** Called with the position that each answer leads to, after its entries or changes have been handled. */
+  handleProgress? (progress: FollowProgress): void
 }
 
 /** First delay in ms before a failed call is repeated. */
@@ -125,12 +135,17 @@
   #hasChanges = false
   #recoveringUntilMs = 0
   #wake: (() => void) | undefined
+  /** Longest wait of the following watches in ms. */
+  #waitMs: number
+  #pending: { readonly waitMs: number, readonly controller: AbortController } | undefined
+  #mustRenew = false
 
   private constructor (kind: StoreKind<T>, times: FollowerTimes, handlers: FollowerHandlers<T>, eras: EraTracker) {
     this.#kind = kind
     this.#times = times
     this.#handlers = handlers
     this.#eras = eras
+    this.#waitMs = times.waitMs
   }
 
   /**
@@ -159,9 +174,22 @@
 
   stop (): void {
     this.#isStopped = true
+    this.#pending?.controller.abort()
     this.#wake?.()
   }
 
+  /** Changes the longest wait of a watch in ms; a watch in progress that would wait much longer is given up. */
+  updateWait (waitMs: number): void {
+    this.#waitMs = waitMs
+    if (this.#pending !== undefined && this.#pending.waitMs > waitMs + NOTICE_MARGIN_MS) this.renew()
+  }
+
+  /** Gives up a watch in progress, whose connection may be silent, and asks again soon. */
+  renew (): void {
+    this.#mustRenew = true
+    this.#pending?.controller.abort()
+  }
+
   #isEraChanged (): boolean {
     return this.#era !== undefined && this.#eras.newest !== this.#era
   }
@@ -183,16 +211,22 @@
         if (isChanged) this.#recoveringUntilMs = performance.now() + RECOVERY_MS
         this.#era = this.#eras.newest
         this.#handlers.handleList(items, isChanged ? 'after-era-change' : wasUnavailable ? 'after-outage' : 'current')
+        this.#handlers.handleProgress?.({ era: this.#era, seen: revision, changed: revision })
         return { revision, era: this.#era }
       }
     })
   }
 
   async #watch (position: Position): Promise<Position | undefined> {
-    const result = await this.#kind.watch(position.revision, this.#failures > 0 ? LOST_WAIT_MS : this.#times.waitMs)
+    const pending = { waitMs: this.#failures > 0 || this.#mustRenew ? LOST_WAIT_MS : this.#waitMs, controller: new AbortController() }
+    this.#pending = pending
+    this.#mustRenew = false
+    const result = await this.#kind.watch(position.revision, pending.waitMs, pending.controller.signal)
+    this.#pending = undefined
     return result.caseOf<Position | undefined>({
       Left: failure => {
         if (failure === 'history-gone') return undefined
+        if (failure === 'abandoned') return position
         this.#noteFailure(failure)
         return position
       },
@@ -200,13 +234,14 @@
     })
   }
 
-  #applyBatch ({ changes, revision, era }: ChangeBatch<T>, position: Position): Position | undefined {
+  #applyBatch ({ changes, revision, era, changedRevision = revision }: ChangeBatch<T>, position: Position): Position | undefined {
     const relation = this.#eras.noteEra(era, position.era)
     switch (relation) {
       case 'same': {
         const wasUnavailable = this.#noteAnswer()
         this.#hasChanges = changes.length > 0
         if (this.#hasChanges) this.#handlers.handleChanges(changes, wasUnavailable)
+        this.#handlers.handleProgress?.({ era: position.era, seen: revision, changed: this.#hasChanges ? changedRevision : undefined })
         return { revision, era: position.era }
       }
       case 'changed':
--- a/test/gateway/link.test.ts
+++ b/test/gateway/link.test.ts
@@ -16,7 +16,7 @@
   const [first, second] = [{ host: '127.0.0.1', port: await findUdpPort() }, { host: '127.0.0.1', port: await findUdpPort() }]
   const received: Heartbeat[] = []
   const fail = (reason: string): void => { t.fail(reason) }
-  const handlers = { handleHeartbeat: (heartbeat: Heartbeat): void => { received.push(heartbeat) }, lendShare: () => false, handleEvidence: () => {}, listEvidence: () => [], handleLimits: () => {}, listLimits: () => ({}), handleError: fail }
+  const handlers = { handleHeartbeat: (heartbeat: Heartbeat): void => { received.push(heartbeat) }, lendShare: () => false, handleEvidence: () => {}, listEvidence: () => [], handleLimits: () => {}, listLimits: () => ({}), handleNews: () => {}, handleError: fail }
   const a = GatewayLink.create(first, handlers)
   const b = GatewayLink.create(second, handlers)
   await Promise.all([a.start(), b.start()])
@@ -36,8 +36,8 @@
   const [first, second] = [{ host: '127.0.0.1', port: await findUdpPort() }, { host: '127.0.0.1', port: await findUdpPort() }]
   const fail = (reason: string): void => { t.fail(reason) }
   const lent: string[] = []
-  const borrower = GatewayLink.create(first, { handleHeartbeat: () => {}, lendShare: () => false, handleEvidence: () => {}, listEvidence: () => [], handleLimits: () => {}, listLimits: () => ({}), handleError: fail })
-  const owner = GatewayLink.create(second, { handleHeartbeat: () => {}, lendShare: endpoint => lent.push(endpoint) === 1, handleEvidence: () => {}, listEvidence: () => [], handleLimits: () => {}, listLimits: () => ({}), handleError: fail })
+  const borrower = GatewayLink.create(first, { handleHeartbeat: () => {}, lendShare: () => false, handleEvidence: () => {}, listEvidence: () => [], handleLimits: () => {}, listLimits: () => ({}), handleNews: () => {}, handleError: fail })
+  const owner = GatewayLink.create(second, { handleHeartbeat: () => {}, lendShare: endpoint => lent.push(endpoint) === 1, handleEvidence: () => {}, listEvidence: () => [], handleLimits: () => {}, listLimits: () => ({}), handleNews: () => {}, handleError: fail })
   await Promise.all([borrower.start(), owner.start()])
   borrower.addTarget('g2', second)
   const replies = [await borrower.requestShare('g2', 'e1', 500), await borrower.requestShare('g2', 'e1', 500), await borrower.requestShare('g3', 'e1', 50)]
--- a/test/gateway/messages.test.ts
+++ b/test/gateway/messages.test.ts
@@ -34,7 +34,7 @@
   const received: Heartbeat[] = []
   const errors: string[] = []
   const port = await findUdpPort()
-  const link = GatewayLink.create({ host: '127.0.0.1', port }, { handleHeartbeat: heartbeat => { received.push(heartbeat) }, lendShare: () => false, handleEvidence: () => {}, listEvidence: () => [], handleLimits: () => {}, listLimits: () => ({}), handleError: reason => { errors.push(reason) } })
+  const link = GatewayLink.create({ host: '127.0.0.1', port }, { handleHeartbeat: heartbeat => { received.push(heartbeat) }, lendShare: () => false, handleEvidence: () => {}, listEvidence: () => [], handleLimits: () => {}, listLimits: () => ({}), handleNews: () => {}, handleError: reason => { errors.push(reason) } })
   await link.start()
   const sender = createSocket('udp4')
   for (const message of Object.values(ODD_HEARTBEATS)) sender.send(pack(message), port, '127.0.0.1')
@@ -74,7 +74,7 @@
   const messages = fc.oneof(
     fc.uint8Array().map(bytes => Buffer.from(bytes)),
     values.map(content => encodeAny({ version: 1, id: 1, content })),
-    fc.record({ version: fc.constant(1), kind: fc.constantFrom('limits', 'evidence', 'evidence-request', 'share-request', 'share-reply', undefined), state: values, address: values, limits: values, evidence: values }).map(encodeAny),
+    fc.record({ version: fc.constant(1), kind: fc.constantFrom('limits', 'evidence', 'evidence-request', 'share-request', 'share-reply', 'watch-news', undefined), state: values, news: values, address: values, limits: values, evidence: values }).map(encodeAny),
     fc.tuple(fc.nat(), fc.nat(255)).map(([at, byte]) => {
       const bytes = Buffer.from(pack(HEARTBEAT))
       bytes[at % bytes.length] = byte
--- a/test/processes/gateway-cluster.ts
+++ b/test/processes/gateway-cluster.ts
@@ -99,6 +99,8 @@
   endpointHeaders: Readonly<Record<string, string>> = {}
   /** Size of the body of answers; a short text when undefined. */
   answerBytes: number | undefined
+  /** Address at which gateways that are started reach the store; its own one when undefined. */
+  storeAddress: string | undefined
   /** Answers a request in its own way; returns false to leave it to the endpoint. */
   answerOddly: (request: IncomingMessage, response: ServerResponse) => boolean = () => false
   readonly #agents: ChildProcess[] = []
@@ -164,7 +166,7 @@
     writeFileSync(path, [
       `host = { name = "${name}", ip = "${ip}", failure_domain = "a" }`,
       `listen = { callers = "${ip}:${PORTS.callers}", ready = "${ip}:${PORTS.ready}", directory = "${ip}:${PORTS.directory}", link_port = ${PORTS.link}, rank_port = ${PORTS.rank}, metrics_port = ${PORTS.metrics} }`,
-      `store = { address = "${this.store.address}", notice_ms = 3000, apply_ms = 2000 }`,
+      `store = { address = "${this.storeAddress ?? this.store.address}", notice_ms = 3000, apply_ms = 2000 }`,
       'retries = { ratio = 0.2, window_s = 10, extra = 20 }',
       'cold = { overshoot = 1.5, slack = 5 }',
       `stop = { grace_s = ${GRACE_S} }`,
--- a/test/processes/platform-store.ts
+++ b/test/processes/platform-store.ts
@@ -25,6 +25,7 @@
     let body = ''
     request.on('data', chunk => { body += String(chunk) })
     request.on('end', () => {
+      this.calls += 1
       if (this.#isRefusing) {
         response.statusCode = 503
         response.setHeader('Store-Era', String(this.#era))
@@ -39,6 +40,8 @@
     })
   })
 
+  /** Calls received, refused ones included. */
+  calls = 0
   #revision = 1
   #era = 1
   #isRefusing = false
