--- a/src/gateway/store.ts
+++ b/src/gateway/store.ts
@@ -1,6 +1,9 @@
 /** Interface to a metadata store, and a follower that watches one kind of entry. */
 
 import type { Either } from 'purify-ts'
+import { assertNever } from '../kernel/errors.js'
+import { EraTracker } from './store-era.js'
+import type { FollowProgress } from './watch-roles.js'
 
 /** Why a call to the store failed. */
 export type StoreFailure =
@@ -14,17 +17,27 @@
   /** No answer was received; the call may have been carried out. */
   | 'no-answer'
   | 'malformed'
+  /** The caller gave the call up. */
+  | 'abandoned'
+  /** The answer is of an older era of the store than one that is known. */
+  | 'outdated'
 
 /** All entries of a kind as of a revision. */
 export interface Listing<T> {
   readonly items: readonly T[]
   readonly revision: number
+  /** Era of the store; undefined when it names none. Revisions of different eras cannot be compared. */
+  readonly era?: number | undefined
 }
 
 /** Changes to a kind of entry up to a revision. */
 export interface ChangeBatch<T> {
   readonly changes: readonly Change<T>[]
   readonly revision: number
+  /** Era of the store; undefined when it names none. */
+  readonly era?: number | undefined
+  /** Revision of the newest of the changes, or a later one; undefined when it is not known. */
+  readonly changedRevision?: number | undefined
 }
 
 /** One entry that was written or removed. */
@@ -35,16 +48,29 @@
 /** Access to the entries of one kind. */
 export interface StoreKind<T> {
   list (): Promise<Either<StoreFailure, Listing<T>>>
-  /** Waits up to `waitMs` for changes after the revision; the batch is empty when there are none. */
-  watch (revision: number, waitMs: number): Promise<Either<StoreFailure, ChangeBatch<T>>>
+  /**
+   * Waits up to `waitMs` for changes after the revision; the batch is empty when there are none. Once the signal
+   * aborts it, the next watch uses a new connection.
+   */
+  watch (revision: number, waitMs: number, signal: AbortSignal): Promise<Either<StoreFailure, ChangeBatch<T>>>
 }
 
+/** Why a listing may contradict what the store acknowledged before. */
+export type ListingCause =
+  | 'current'
+  /** The store was unavailable until shortly before; missing entries may have lapsed meanwhile. */
+  | 'after-outage'
+  /** The store has come back from an older copy: entries may be missing, or be older than what it acknowledged. */
+  | 'after-era-change'
+
 /** Callbacks of a follower. */
 export interface FollowerHandlers<T> {
-  /** `wasStoreUnavailable` is true shortly after an outage, when missing entries may have lapsed during it. */
-  handleList (items: readonly T[], wasStoreUnavailable: boolean): void
+  handleList (items: readonly T[], cause: ListingCause): void
+  /** `wasStoreUnavailable` is true shortly after an outage or a change of the era, when missing entries may have lapsed. */
   handleChanges (changes: readonly Change<T>[], wasStoreUnavailable: boolean): void
   handleState (state: 'lost' | 'found', reason: string): void
+  /** Called with the position that each answer leads to, after its entries or changes have been handled. */
+  handleProgress? (progress: FollowProgress): void
 }
 
 /** First delay in ms before a failed call is repeated. */
@@ -89,39 +115,58 @@
   return { waitMs: Math.max(WAIT_MIN_MS, noticeMs - NOTICE_MARGIN_MS), collectMs: COLLECT_SHARE * applyMs, retryMaxMs: RETRY_SHARE * applyMs }
 }
 
+/** Revision up to which the entries are known, and the era in which it holds. */
+interface Position {
+  readonly revision: number
+  readonly era: number | undefined
+}
+
 /** Follows the entries of one kind: lists them, then watches for changes. */
 export class StoreFollower<T> {
   readonly #kind: StoreKind<T>
   readonly #times: FollowerTimes
   readonly #handlers: FollowerHandlers<T>
+  readonly #eras: EraTracker
   #isStopped = false
+  /** Era of the last listing. */
+  #era: number | undefined
   #failures = 0
   #isLost = false
   #hasChanges = false
   #recoveringUntilMs = 0
   #wake: (() => void) | undefined
+  /** Longest wait of the following watches in ms. */
+  #waitMs: number
+  #pending: { readonly waitMs: number, readonly controller: AbortController } | undefined
+  #mustRenew = false
 
-  private constructor (kind: StoreKind<T>, times: FollowerTimes, handlers: FollowerHandlers<T>) {
+  private constructor (kind: StoreKind<T>, times: FollowerTimes, handlers: FollowerHandlers<T>, eras: EraTracker) {
     this.#kind = kind
     this.#times = times
     this.#handlers = handlers
+    this.#eras = eras
+    this.#waitMs = times.waitMs
   }
 
   /**
    * @param kind - access to the entries
    * @param times - how long it waits
    * @param handlers - called with entries, changes and outages
+   * @param eras - eras of the store, shared by all followers of it
    * @returns a follower that has not started
    */
-  static create<T> (kind: StoreKind<T>, times: FollowerTimes, handlers: FollowerHandlers<T>): StoreFollower<T> {
-    return new StoreFollower(kind, times, handlers)
+  static create<T> (kind: StoreKind<T>, times: FollowerTimes, handlers: FollowerHandlers<T>, eras: EraTracker = EraTracker.create()): StoreFollower<T> {
+    return new StoreFollower(kind, times, handlers, eras)
   }
 
   /** Lists the entries and watches for changes until stopped. */
   async run (): Promise<void> {
-    let revision: number | undefined
+    let position: Position | undefined
     while (!this.#isStopped) {
-      revision = revision === undefined ? await this.#list() : await this.#watch(revision)
+      if (position !== undefined && this.#eras.newest !== position.era) position = undefined
+      // All followers learn of a new era at about the same time; their lists are spread.
+      if (position === undefined && this.#isEraChanged()) await this.#pause(this.#times.retryMaxMs * Math.random())
+      position = position === undefined ? await this.#list() : await this.#watch(position)
       if (this.#failures > 0) await this.#pause(this.#getRetryDelayMs())
       else if (this.#hasChanges) await this.#pause(this.#times.collectMs)
     }
@@ -129,38 +174,85 @@
 
   stop (): void {
     this.#isStopped = true
+    this.#pending?.controller.abort()
     this.#wake?.()
   }
 
-  async #list (): Promise<number | undefined> {
+  /** Changes the longest wait of a watch in ms; a watch in progress that would wait much longer is given up. */
+  updateWait (waitMs: number): void {
+    this.#waitMs = waitMs
+    if (this.#pending !== undefined && this.#pending.waitMs > waitMs + NOTICE_MARGIN_MS) this.renew()
+  }
+
+  /** Gives up a watch in progress, whose connection may be silent, and asks again soon. */
+  renew (): void {
+    this.#mustRenew = true
+    this.#pending?.controller.abort()
+  }
+
+  #isEraChanged (): boolean {
+    return this.#era !== undefined && this.#eras.newest !== this.#era
+  }
+
+  async #list (): Promise<Position | undefined> {
     const result = await this.#kind.list()
-    return result.caseOf({
+    return result.caseOf<Position | undefined>({
       Left: failure => {
         this.#noteFailure(failure)
         return undefined
       },
-      Right: ({ items, revision }) => {
-        this.#handlers.handleList(items, this.#noteAnswer())
-        return revision
+      Right: ({ items, revision, era }) => {
+        if (this.#eras.noteEra(era, era) === 'outdated') {
+          this.#noteFailure('outdated')
+          return undefined
+        }
+        const wasUnavailable = this.#noteAnswer()
+        const isChanged = this.#isEraChanged()
+        if (isChanged) this.#recoveringUntilMs = performance.now() + RECOVERY_MS
+        this.#era = this.#eras.newest
+        this.#handlers.handleList(items, isChanged ? 'after-era-change' : wasUnavailable ? 'after-outage' : 'current')
+        this.#handlers.handleProgress?.({ era: this.#era, seen: revision, changed: revision })
+        return { revision, era: this.#era }
       }
     })
   }
 
-  async #watch (revision: number): Promise<number | undefined> {
-    const result = await this.#kind.watch(revision, this.#failures > 0 ? LOST_WAIT_MS : this.#times.waitMs)
-    return result.caseOf({
+  async #watch (position: Position): Promise<Position | undefined> {
+    const pending = { waitMs: this.#failures > 0 || this.#mustRenew ? LOST_WAIT_MS : this.#waitMs, controller: new AbortController() }
+    this.#pending = pending
+    this.#mustRenew = false
+    const result = await this.#kind.watch(position.revision, pending.waitMs, pending.controller.signal)
+    this.#pending = undefined
+    return result.caseOf<Position | undefined>({
       Left: failure => {
         if (failure === 'history-gone') return undefined
+        if (failure === 'abandoned') return position
         this.#noteFailure(failure)
-        return revision
+        return position
       },
-      Right: batch => {
+      Right: batch => this.#applyBatch(batch, position)
+    })
+  }
+
+  #applyBatch ({ changes, revision, era, changedRevision = revision }: ChangeBatch<T>, position: Position): Position | undefined {
+    const relation = this.#eras.noteEra(era, position.era)
+    switch (relation) {
+      case 'same': {
         const wasUnavailable = this.#noteAnswer()
-        this.#hasChanges = batch.changes.length > 0
-        if (this.#hasChanges) this.#handlers.handleChanges(batch.changes, wasUnavailable)
-        return batch.revision
+        this.#hasChanges = changes.length > 0
+        if (this.#hasChanges) this.#handlers.handleChanges(changes, wasUnavailable)
+        this.#handlers.handleProgress?.({ era: position.era, seen: revision, changed: this.#hasChanges ? changedRevision : undefined })
+        return { revision, era: position.era }
       }
-    })
+      case 'changed':
+        // The changes continue from a revision that may have been given out again: only a listing is complete.
+        this.#noteAnswer()
+        return undefined
+      case 'outdated':
+        return undefined
+      default:
+        return assertNever(relation)
+    }
   }
 
   #noteFailure (failure: StoreFailure): void {
