Bound the messages between gateways whatever their number

Each gateway sent a full heartbeat to each other one every 200 ms plus 12 ms a peer and dropped one not heard for 1,500 ms, so that above 109 gateways living ones were dropped, and bytes grew with their number.

Above 16 other gateways, failures are now found by pings (SWIM: indirect pings, suspicion, refutation by incarnation), which carry compact counts of requests in flight; readiness is announced to all, and heartbeats go to all only while there is something urgent. Up to 16 the exchange stays as it was. Periodic heartbeats of older versions are answered with heartbeats.

--- a/src/edge/metrics/metrics.ts
+++ b/src/edge/metrics/metrics.ts
@@ -48,15 +48,16 @@
   }
 
   /**
-   * Adds 1 to a counter. A metric outside the table is counted as unlisted.
+   * Adds to a counter. A metric outside the table is counted as unlisted.
    *
    * @param metric - name from the table
    * @param label - value of the metric's label
+   * @param amount - what to add
    */
-  count (metric: string, label?: string): void {
+  count (metric: string, label?: string, amount = 1): void {
     const registered = this.#metrics.get(metric)
     if (registered?.type !== 'counter') this.#unlisted.inc()
-    else registered.series.inc(this.#buildLabels(metric, registered.spec.label, label))
+    else registered.series.inc(this.#buildLabels(metric, registered.spec.label, label), amount)
   }
 
   /**
--- a/src/edge/metrics/table.ts
+++ b/src/edge/metrics/table.ts
@@ -35,6 +35,7 @@
 const priorityLabel: LabelSpec = { name: 'priority', values: { kind: 'list', values: ['urgent', 'normal', 'background'] } }
 const serviceLabel: LabelSpec = { name: 'service', values: { kind: 'first', max: NAMES_MAX } }
 const groupLabel: LabelSpec = { name: 'group', values: { kind: 'first', max: NAMES_MAX } }
+const purposeLabel: LabelSpec = { name: 'purpose', values: { kind: 'list', values: ['heartbeat', 'announcement', 'ping', 'table', 'evidence', 'limits', 'share'] } }
 const decisionLabel: LabelSpec = { name: 'decision', values: { kind: 'list', values: ['commit', 'abort', 'declined'] } }
 
 /** Metrics of entries. */
@@ -110,6 +111,12 @@
   store_calls: { type: 'counter', help: 'Calls to the store by result.', label: { name: 'result', values: { kind: 'list', values: ['ok', 'not-found', 'conflict', 'history-gone', 'busy', 'unavailable', 'no-answer', 'malformed'] } } },
   configuration_version: { type: 'gauge', help: 'Version of the configuration in force.' },
   requests_in_flight: { type: 'gauge', help: 'Requests in flight.' },
+  link_datagrams: { type: 'counter', help: 'Datagrams sent to other gateways by purpose.', label: purposeLabel },
+  link_bytes: { type: 'counter', help: 'Bytes of these datagrams without the headers of UDP and IP.', label: purposeLabel },
+  gateways_alive: { type: 'gauge', help: 'Other gateways that are alive.' },
+  gateways_lost: { type: 'counter', help: 'Times that another gateway was lost.' },
+  gateways_suspected: { type: 'counter', help: 'Times that another gateway was suspected to be lost.' },
+  counts_age_ms: { type: 'gauge', help: 'Mean age in ms of the known requests in flight of ready gateways.' },
   map_changes: { type: 'counter', help: 'Changes of expert maps by how they ended.', label: { name: 'result', values: { kind: 'list', values: ['committed', 'aborted'] } } },
   internal_errors: { type: 'counter', help: 'Exceptions that ended one piece of work, by its kind.', label: { name: 'place', values: { kind: 'list', values: ['request', 'message', 'housekeeping', 'follower', 'discovery', 'maps'] } } },
   log_lines_dropped: { type: 'counter', help: 'Log lines dropped because too many were written.' }
--- a/src/gateway/link-messages.ts
+++ b/src/gateway/link-messages.ts
@@ -6,8 +6,11 @@
 import type { Strikes } from '../plugins/gateway/crashes.js'
 import { isSharedStatements } from '../plugins/gateway/named-limits.js'
 import type { SharedStatements } from '../plugins/gateway/named-limits.js'
+import { isCountsTable } from '../plugins/gateway/count-table.js'
+import { CODE_MAX } from '../plugins/gateway/members.js'
 import type { CrashEvidence } from '../plugins/gateway/part-crashes.js'
 import type { GatewayState } from '../plugins/gateway/peers.js'
+import type { MemberMessage } from '../plugins/gateway/prober.js'
 import { isAddress, parseAddress } from './addresses.js'
 import { isEvidence, isEvidenceMessage } from './evidence-messages.js'
 import type { EvidenceMessage, EvidenceRequest } from './evidence-messages.js'
@@ -27,6 +30,11 @@
   readonly strikes: readonly Strikes[]
   /** Evidence that has changed recently, in case a datagram with it was lost; absent from older versions. */
   readonly evidence?: readonly CrashEvidence[] | undefined
+  /**
+   * Incarnation of a sender whose failure is detected by pings and whose state holds no
+   * requests in flight; absent when it sends heartbeats periodically.
+   */
+  readonly incarnation?: number | undefined
 }
 
 /** Asks a gateway for one of its shares of an endpoint. */
@@ -52,8 +60,11 @@
   readonly limits: SharedStatements
 }
 
+/** A message of the failure detection as sent. */
+export type MemberDatagram = MemberMessage & { readonly version: number }
+
 /** Message of another gateway. */
-export type LinkMessage = Heartbeat | ShareRequest | ShareReply | LimitsMessage | EvidenceRequest | EvidenceMessage
+export type LinkMessage = Heartbeat | MemberDatagram | ShareRequest | ShareReply | LimitsMessage | EvidenceRequest | EvidenceMessage
 
 /** Largest load or slowdown factor of an endpoint that makes sense. */
 const LOAD_MAX = 1e9
@@ -61,9 +72,32 @@
 const isLoadTable = isTableOf(isBetween(0, LOAD_MAX))
 const isSender: Check = value => isRecordOf({ host: isText, port: isInteger })(value) && isAddress(value as Address)
 
+/** Most gateways, and updates, in one datagram. */
+const ENTRIES_MAX = 64
+const UPDATES_MAX = 128
+
+const isName: Check = value => isText(value) && value !== ''
+const isStateCode: Check = value => isInteger(value) && isBetween(0, CODE_MAX)(value)
+const isUpdate: Check = value => Array.isArray(value) && value.length === 3 && isName(value[0]) && isCount(value[1]) && isStateCode(value[2])
+const isUpdateList: Check = value => Array.isArray(value) && value.length <= UPDATES_MAX && value.every(isUpdate)
+
+const isEntry: Check = isRecordOf({
+  id: isName,
+  bornMs: isCount,
+  callerAddress: text => parseAddress(text) !== undefined,
+  domain: isText,
+  host: isText,
+  port: isInteger,
+  incarnation: isCount,
+  code: isStateCode
+})
+const isEntryList: Check = value => Array.isArray(value) && value.length <= ENTRIES_MAX && value.every(entry => isEntry(entry) && isAddress(entry as Address))
+
+const isPing = isRecordOf({ sender: isUpdate, sequence: isCount, digest: isCount, counts: isCountsTable, updates: isUpdateList })
+
 const isHeartbeat = isRecordOf({
   state: isRecordOf({
-    id: value => isText(value) && value !== '',
+    id: isName,
     bornMs: isCount,
     callerAddress: text => parseAddress(text) !== undefined,
     domain: isText,
@@ -75,7 +109,8 @@
   }),
   address: isSender,
   strikes: isListOf(isRecordOf({ fingerprint: isText, count: isCount })),
-  evidence: isAbsentOr(isEvidence)
+  evidence: isAbsentOr(isEvidence),
+  incarnation: isAbsentOr(isCount)
 })
 
 const isRequest = isOneOf({
@@ -83,7 +118,12 @@
   'share-reply': isRecordOf({ requestId: isInteger, isLent: isFlag }),
   limits: isRecordOf({ limits: isSharedStatements }),
   'evidence-request': () => true,
-  evidence: value => isEvidenceMessage(value as object)
+  evidence: value => isEvidenceMessage(value as object),
+  ping: isPing,
+  ack: isPing,
+  'ping-request': isRecordOf({ sender: isUpdate, sequence: isCount, target: isName, updates: isUpdateList }),
+  'members-request': isRecordOf({ sender: isUpdate }),
+  members: isRecordOf({ sender: isUpdate, entries: isEntryList })
 })
 
 /** Why bytes are not passed on as a message: they are none of this version, or hold values that cannot be used. */
--- a/src/gateway/link.ts
+++ b/src/gateway/link.ts
@@ -1,4 +1,4 @@
-/** Exchanges heartbeats (liveness, readiness, load and strikes) and evidence of crashes between gateways over UDP, and lends shares of limits. */
+/** Exchanges heartbeats (readiness, load and strikes), pings and evidence of crashes between gateways over UDP, and lends shares of limits. */
 
 import { createSocket } from 'node:dgram'
 import type { RemoteInfo, Socket } from 'node:dgram'
@@ -7,10 +7,11 @@
 import type { Strikes } from '../plugins/gateway/crashes.js'
 import type { CrashEvidence } from '../plugins/gateway/part-crashes.js'
 import type { GatewayState } from '../plugins/gateway/peers.js'
+import type { MemberMessage } from '../plugins/gateway/prober.js'
 import type { SharedStatements } from '../plugins/gateway/named-limits.js'
 import type { EvidenceMessage, EvidenceRequest } from './evidence-messages.js'
 import { LINK_VERSION, decodeMessage } from './link-messages.js'
-import type { Heartbeat, LimitsMessage, LinkMessage, ShareReply, ShareRequest } from './link-messages.js'
+import type { Heartbeat, LimitsMessage, LinkMessage, MemberDatagram, ShareReply, ShareRequest } from './link-messages.js'
 import type { Address } from './model.js'
 
 /** Most crashes described in one datagram; one takes up to 2 KB. */
@@ -19,6 +20,12 @@
 /** Most strikes in one heartbeat, so that it fits into one datagram. */
 const STRIKES_PER_HEARTBEAT_MAX = 16
 
+/** Why a datagram is sent, for the metrics. */
+export type LinkPurpose = 'heartbeat' | 'announcement' | 'ping' | 'table' | 'evidence' | 'limits' | 'share'
+
+/** Content of a heartbeat that a gateway sends. */
+export type HeartbeatContent = Pick<Heartbeat, 'state' | 'strikes' | 'evidence' | 'incarnation'>
+
 /** Callbacks of a link. */
 export interface LinkHandlers {
   handleHeartbeat (heartbeat: Heartbeat): void
@@ -31,6 +38,10 @@
   handleLimits (limits: SharedStatements): void
   /** Lists all limits for a gateway that has just started. */
   listLimits (): SharedStatements
+  /** Handles a message of the failure detection; `reply` answers its sender, which may be unknown. */
+  handleMember? (message: MemberMessage, reply: (message: MemberMessage) => void): void
+  /** Counts a datagram. */
+  handleSent? (purpose: LinkPurpose, bytes: number): void
   handleError (reason: string): void
 }
 
@@ -84,19 +95,41 @@
 
   /** Sends a heartbeat to every known gateway. */
   send (state: GatewayState, strikes: readonly Strikes[], evidence: readonly CrashEvidence[] = []): void {
-    const heartbeat: Heartbeat = { version: LINK_VERSION, state, address: this.#self, strikes: strikes.slice(0, STRIKES_PER_HEARTBEAT_MAX), evidence: evidence.slice(0, CRASHES_PER_DATAGRAM_MAX) }
+    this.sendHeartbeat('heartbeat', this.listTargets(), { state, strikes, evidence })
+  }
+
+  /**
+   * Sends a heartbeat to some gateways.
+   *
+   * @param purpose - whether the heartbeat is sent periodically or announces a change
+   * @param ids - names of gateways; unknown ones and this one are ignored
+   * @param content - what it says
+   */
+  sendHeartbeat (purpose: 'heartbeat' | 'announcement', ids: readonly string[], { state, strikes, evidence = [], incarnation }: HeartbeatContent): void {
+    const heartbeat: Heartbeat = {
+      version: LINK_VERSION, state, address: this.#self, strikes: strikes.slice(0, STRIKES_PER_HEARTBEAT_MAX), evidence: evidence.slice(0, CRASHES_PER_DATAGRAM_MAX), ...(incarnation === undefined ? {} : { incarnation })
+    }
     const bytes = pack(heartbeat)
-    for (const [id, { host, port }] of this.#targets) if (id !== state.id) this.#socket.send(bytes, port, host)
+    for (const id of ids) {
+      const target = this.#targets.get(id)
+      if (target !== undefined && id !== state.id) this.#post(purpose, bytes, target)
+    }
+  }
+
+  /** Sends a message of the failure detection to a gateway; unknown ones are ignored. */
+  sendMember (id: string, message: MemberMessage): void {
+    const target = this.#targets.get(id)
+    if (target !== undefined) this.#postMember(message, target)
   }
 
   /** Sends evidence of crashes to every known gateway. */
   sendEvidence (evidence: readonly CrashEvidence[]): void {
-    for (const { host, port } of this.#targets.values()) this.#postEvidence('news', evidence, { address: host, port })
+    for (const target of this.#targets.values()) this.#postEvidence('news', evidence, target)
   }
 
   /** Sends what an endpoint said about the rate that it takes to every known gateway. */
   sendLimits (limits: SharedStatements): void {
-    for (const { host, port } of this.#targets.values()) this.#postLimits(limits, { address: host, port })
+    for (const target of this.#targets.values()) this.#postLimits(limits, target)
   }
 
   /**
@@ -107,7 +140,7 @@
   requestEvidence (ids: readonly string[]): void {
     const request: EvidenceRequest = { version: LINK_VERSION, kind: 'evidence-request' }
     const bytes = pack(request)
-    for (const { host, port } of ids.flatMap(id => this.#targets.get(id) ?? [])) this.#socket.send(bytes, port, host)
+    for (const target of ids.flatMap(id => this.#targets.get(id) ?? [])) this.#post('evidence', bytes, target)
   }
 
   /** @returns names of the gateways that messages are sent to */
@@ -136,7 +169,7 @@
       }
       const timer = setTimeout(() => { finish(undefined) }, timeoutMs)
       this.#pending.set(requestId, finish)
-      this.#socket.send(pack(request), target.port, target.host)
+      this.#post('share', pack(request), target)
     })
   }
 
@@ -144,16 +177,26 @@
     this.#socket.close()
   }
 
-  #postLimits (limits: SharedStatements, { address, port }: Pick<RemoteInfo, 'address' | 'port'>): void {
+  #post (purpose: LinkPurpose, bytes: Buffer, { host, port }: Address): void {
+    this.#handlers.handleSent?.(purpose, bytes.length)
+    this.#socket.send(bytes, port, host)
+  }
+
+  #postMember (message: MemberMessage, target: Address): void {
+    const datagram: MemberDatagram = { version: LINK_VERSION, ...message }
+    this.#post(message.kind === 'members' || message.kind === 'members-request' ? 'table' : 'ping', pack(datagram), target)
+  }
+
+  #postLimits (limits: SharedStatements, target: Address): void {
     const message: LimitsMessage = { version: LINK_VERSION, kind: 'limits', limits }
-    this.#socket.send(pack(message), port, address)
+    this.#post('limits', pack(message), target)
   }
 
   /** Sends evidence in as many datagrams as it takes; a table without evidence takes one, which tells that there is none. */
-  #postEvidence (purpose: EvidenceMessage['purpose'], evidence: readonly CrashEvidence[], { address, port }: Pick<RemoteInfo, 'address' | 'port'>): void {
+  #postEvidence (purpose: EvidenceMessage['purpose'], evidence: readonly CrashEvidence[], target: Address): void {
     for (let at = 0; at === 0 || at < evidence.length; at += CRASHES_PER_DATAGRAM_MAX) {
       const message: EvidenceMessage = { version: LINK_VERSION, kind: 'evidence', purpose, evidence: evidence.slice(at, at + CRASHES_PER_DATAGRAM_MAX) }
-      this.#socket.send(pack(message), port, address)
+      this.#post('evidence', pack(message), target)
     }
   }
 
@@ -164,7 +207,8 @@
     })
   }
 
-  #handleMessage (message: LinkMessage, sender: RemoteInfo): void {
+  #handleMessage (message: LinkMessage, { address, port }: RemoteInfo): void {
+    const sender = { host: address, port }
     if (!('kind' in message)) {
       this.#targets.set(message.state.id, message.address)
       this.#handlers.handleHeartbeat(message)
@@ -177,7 +221,7 @@
     switch (message.kind) {
       case 'share-request': {
         const reply: ShareReply = { version: LINK_VERSION, kind: 'share-reply', requestId: message.requestId, isLent: this.#handlers.lendShare(message.endpoint) }
-        this.#socket.send(pack(reply), sender.port, sender.address)
+        this.#post('share', pack(reply), sender)
         break
       }
       case 'share-reply':
@@ -196,6 +240,13 @@
       case 'evidence':
         this.#handlers.handleEvidence(message, evidence => { this.#postEvidence('addition', evidence, sender) })
         break
+      case 'ping':
+      case 'ack':
+      case 'ping-request':
+      case 'members-request':
+      case 'members':
+        this.#handlers.handleMember?.(message, reply => { this.#postMember(reply, sender) })
+        break
       default:
         assertNever(message)
     }
--- a/src/gateway/process.ts
+++ b/src/gateway/process.ts
@@ -10,31 +10,26 @@
 import type { RetryBounds } from '../plugins/gateway/retries.js'
 import '../plugins/gateway/index.js'
 import type { EndpointChange } from '../plugins/gateway/endpoints.js'
-import type { GatewayState } from '../plugins/gateway/peers.js'
 import type { RankEngine } from './agent.js'
 import type { Place } from './boundary.js'
 import { GatewayContext, processClock } from './context.js'
-import { EvidenceSync, computeRepeatMs } from './evidence-sync.js'
+import { EvidenceSync } from './evidence-sync.js'
 import { EndpointProbe } from './endpoint-probe.js'
 import { LineWriter } from './lines.js'
 import { GatewayLink } from './link.js'
 import { openListener } from './listening.js'
-import type { Heartbeat } from './link-messages.js'
 import type { Address, Dialect, EndpointRecord, GatewayConfiguration } from './model.js'
 import { MapService } from './maps.js'
 import { PlannedStop } from './planned-stop.js'
 import { RankClient } from './rank-link.js'
 import { CallerServer } from './server.js'
+import { StateExchange } from './state-exchange.js'
 import { StoreFollower, computeFollowerTimes } from './store.js'
 import type { Change, FollowerBounds, StoreFailure, StoreKind } from './store.js'
 
 /** Longest wait of the watch for evacuations in ms; these must be in force 5 s after they were written. */
 const EVACUATION_WAIT_MS = 4_000
 
-/** Base interval in ms of heartbeats, and the addition for each other gateway. */
-const HEARTBEAT_INTERVAL_MS = 200
-const HEARTBEAT_INTERVAL_PER_PEER_MS = 12
-
 /** Mean interval in ms at which the list of gateways is read again. */
 const DISCOVERY_INTERVAL_MS = 10_000
 
@@ -117,6 +112,7 @@
   readonly #context: GatewayContext
   readonly #callers: CallerServer
   readonly #link: GatewayLink
+  readonly #exchange: StateExchange
   readonly #evidenceSync: EvidenceSync
   readonly #ranks: RankClient
   readonly #maps: MapService
@@ -162,6 +158,7 @@
     this.#context.coldLimits.setBounds(settings.cold)
     this.#callers = CallerServer.create(this.#context)
     this.#link = this.#createLink(linkListener)
+    this.#exchange = this.#createExchange()
     this.#evidenceSync = EvidenceSync.create({ context: this.#context, link: this.#link })
     this.#maps = MapService.create({ context: this.#context, client: this.#ranks, engine, id: host, isReady: () => this.isReady && this.#context.boundary.isSound })
     this.#probe = EndpointProbe.create(this.#context, this.#ranks, engine)
@@ -189,7 +186,7 @@
     for (const follower of this.#followers) this.#runLoop('follower', async () => { await follower.run() })
     this.#runLoop('discovery', async () => { await this.#discover() })
     setInterval(() => { this.#runHousekeeping() }, TICK_INTERVAL_MS)
-    this.#scheduleHeartbeat()
+    this.#exchange.start()
     this.#logger.write('process-started', { role: 'gateway', id: settings.host, incarnation: this.#bornMs })
   }
 
@@ -208,7 +205,7 @@
     this.#isLeaving = true
     const { graceMs } = this.#settings
     this.#logger.write('process-leaving', { deadlineMs: graceMs, inFlight: this.#context.listExchanges().length })
-    this.#sendHeartbeat()
+    this.#exchange.announce()
     this.#store.deregister(this.#settings.host).catch((error: unknown) => { this.#logger.write('internal-error', { reason: String(error) }) })
     PlannedStop.create({ context: this.#context, callers: this.#callers, graceMs }).start(() => {
       this.#logger.write('process-stopped', {})
@@ -224,7 +221,12 @@
 
   #createLink (listener: Address): GatewayLink {
     return GatewayLink.create(listener, {
-      handleHeartbeat: heartbeat => { this.#handleHeartbeat(heartbeat) },
+      handleHeartbeat: heartbeat => { this.#exchange.handleHeartbeat(heartbeat) },
+      handleMember: (message, reply) => { this.#exchange.handleMember(message, reply) },
+      handleSent: (purpose, bytes) => {
+        this.#metrics.count('link_datagrams', purpose)
+        this.#metrics.count('link_bytes', purpose, bytes)
+      },
       lendShare: endpoint => this.#context.lendShare(endpoint),
       handleEvidence: ({ purpose, evidence }, reply) => {
         if (purpose === 'addition') this.#context.crashMonitor.mergeReply(evidence)
@@ -239,13 +241,16 @@
     })
   }
 
-  #handleHeartbeat ({ state, strikes }: Heartbeat): void {
-    const nowMs = performance.now()
-    this.#context.crashes.merge(strikes, nowMs)
-    for (const endpoint of state.silent ?? []) this.#context.liveness.noteSuspected(endpoint)
-    if (!this.#context.peers.noteHeartbeat(state, nowMs)) return
-    this.#logger.write('gateway-joined', { gateway: state.id, domain: state.domain })
-    this.#evidenceSync.noteJoined(state.id)
+  #createExchange (): StateExchange {
+    const { host, domain, linkListener } = this.#settings
+    return StateExchange.create({
+      context: this.#context,
+      link: this.#link,
+      identity: { id: host, bornMs: this.#bornMs, domain, callerAddress: this.#callerAddress },
+      address: linkListener,
+      isReady: () => this.isReady,
+      handleJoined: id => { this.#evidenceSync.noteJoined(id) }
+    })
   }
 
   #createFollowers (): readonly StoreFollower<unknown>[] {
@@ -327,35 +332,16 @@
     const nowMs = performance.now()
     const steps = [
       () => { this.#noteChanges(this.#context.endpoints.expire(nowMs)) },
-      () => { for (const gateway of this.#context.peers.expire(nowMs)) this.#logger.write('gateway-lost', { gateway }) },
+      () => { this.#exchange.runHousekeeping() },
       () => { this.#probe.checkAll(nowMs) },
       () => { this.#evidenceSync.runHousekeeping() }
     ]
     for (const step of steps) this.#context.boundary.run('housekeeping', step)
   }
 
-  #scheduleHeartbeat (): void {
-    setTimeout(() => {
-      this.#context.boundary.run('housekeeping', () => { this.#sendHeartbeat() })
-      this.#scheduleHeartbeat()
-    }, this.#computeHeartbeatIntervalMs())
-  }
-
-  #sendHeartbeat (): void {
-    const { crashes, partCrashes } = this.#context
-    const nowMs = performance.now()
-    this.#link.send(this.#describeState(), crashes.list(nowMs), partCrashes.list(nowMs - computeRepeatMs(this.#computeHeartbeatIntervalMs()), nowMs))
-  }
-
-  #computeHeartbeatIntervalMs (): number {
-    return HEARTBEAT_INTERVAL_MS + HEARTBEAT_INTERVAL_PER_PEER_MS * this.#link.countTargets()
-  }
-
-  #describeState (): GatewayState {
-    const { host, domain, callerListener } = this.#settings
-    return {
-      id: host, bornMs: this.#bornMs, domain, isReady: this.isReady, inFlight: this.#context.selection.listInFlight(), paces: this.#context.paces, silent: this.#context.liveness.listUnresponsive(), limits: this.#context.namedLimits.list('own', performance.now()), callerAddress: `${callerListener.host}:${callerListener.port}`
-    }
+  get #callerAddress (): string {
+    const { callerListener } = this.#settings
+    return `${callerListener.host}:${callerListener.port}`
   }
 
   /** Registers this gateway and reads the list of the others periodically, since a machine may return with another address. */
@@ -390,7 +376,7 @@
 
   #answerDirectory (path: string): { status: number, type?: string, body?: string } {
     const others = this.#context.peers.listReady().map(({ callerAddress }) => callerAddress)
-    const own = this.isReady ? [this.#describeState().callerAddress] : []
+    const own = this.isReady ? [this.#callerAddress] : []
     const body = this.#dialect.answerDirectory(path, [...own, ...others], this.#settings.addressHoldMs)
     return body === undefined ? { status: 404 } : { status: 200, type: 'application/json', body }
   }
--- a/src/kernel/hash.ts
+++ b/src/kernel/hash.ts
@@ -24,3 +24,15 @@
 export function hashPart (json: string): string {
   return createHash('sha256').update(json, 'utf8').digest('hex')
 }
+
+/**
+ * Hashes a name for tables in which the name itself would take too much room (FNV-1a).
+ *
+ * @param text - the name
+ * @returns an unsigned 32-bit integer
+ */
+export function hashName (text: string): number {
+  let hash = 0x811c9dc5
+  for (let at = 0; at < text.length; at += 1) hash = Math.imul(hash ^ text.charCodeAt(at), 0x01000193)
+  return hash >>> 0
+}
--- a/src/kernel/log-events.ts
+++ b/src/kernel/log-events.ts
@@ -10,7 +10,7 @@
   'configuration-accepted', 'configuration-ignored', 'configuration-rejected', 'platform-lost', 'platform-found',
   'lease-acquired', 'lease-lost', 'map-proposed', 'map-prepared', 'map-decided', 'map-stalled', 'rebalance-declined',
   'tls-reloaded', 'settings-reloaded', 'internal-error',
-  'attempt-ended', 'caller-gone', 'endpoint-changed', 'endpoint-silent', 'endpoint-heard', 'agent-silent', 'permit-denied', 'domains-evacuated', 'gateway-joined', 'gateway-lost',
+  'attempt-ended', 'caller-gone', 'endpoint-changed', 'endpoint-silent', 'endpoint-heard', 'agent-silent', 'permit-denied', 'domains-evacuated', 'gateway-joined', 'gateway-suspected', 'gateway-cleared', 'gateway-lost', 'exchange-bounded',
   'store-lost', 'store-found', 'store-entry-skipped', 'log-lines-dropped',
   'map-step', 'map-planned', 'group-changed', 'order-answered'
 ] as const
