--- a/src/gateway/state-exchange.ts
+++ b/src/gateway/state-exchange.ts
@@ -30,8 +30,8 @@
 /** Number of heartbeats that say that there is nothing urgent any more, in case some are lost. */
 const QUIET_HEARTBEATS = 3
 
-/** Time in ms after which an announcement is repeated, in case some of its datagrams were lost. */
-const ANNOUNCEMENT_REPEAT_MS = 300
+/** Times in ms after which an announcement is repeated, in case some of its datagrams were lost. */
+const ANNOUNCEMENT_REPEATS_MS = [300, 800]
 
 /** Time in ms for which an encoded table of requests in flight is used again. */
 const COUNTS_REUSE_MS = 50
@@ -79,6 +79,7 @@
       announce: () => { this.announce() },
       greet: target => { this.#sendAnnouncement([target]) },
       listTargets: () => link.listTargets(),
+      countTargets: () => link.countTargets(),
       encodeCounts: () => this.#encodeCounts(),
       handleCounts: (id, counts) => { if (this.#mode === 'bounded') context.peers.noteCounts(id, counts, context.getNowMs()) },
       pickFloat: () => context.pickFloat()
@@ -111,7 +112,7 @@
     }
     this.#members.setReady(this.#options.isReady())
     this.#sendAnnouncement(this.#options.link.listTargets())
-    this.#options.context.clock.schedule(ANNOUNCEMENT_REPEAT_MS, () => { this.#sendAnnouncement(this.#options.link.listTargets()) })
+    for (const delayMs of ANNOUNCEMENT_REPEATS_MS) this.#options.context.clock.schedule(delayMs, () => { this.#sendAnnouncement(this.#options.link.listTargets()) })
   }
 
   /** Chooses the mode, announces a change of readiness and drops gateways that are silent. */
--- a/src/plugins/gateway/members.ts
+++ b/src/plugins/gateway/members.ts
@@ -78,6 +78,7 @@
   readonly #handlers: MembersHandlers
   readonly #members = new Map<string, Member>()
   readonly #suspects = new Set<string>()
+  readonly #lost = new Set<string>()
   /** Remaining transmissions of the latest update of each gateway. */
   readonly #sendsLeft = new Map<string, number>()
   #incarnation: number
@@ -126,6 +127,11 @@
     return this.#members.size
   }
 
+  /** @returns number of the other gateways that are not lost */
+  countRunning (): number {
+    return this.#members.size - this.#lost.size
+  }
+
   list (): readonly Member[] {
     return [...this.#members.values()]
   }
@@ -206,13 +212,16 @@
    * @param isOwnWord - whether the gateway that it describes has sent it
    * @param nowMs - monotonic time in ms
    */
-  applyEntry ({ incarnation, code, ...identity }: MemberEntry, isOwnWord: boolean, nowMs: number): void {
-    const { id } = identity
+  applyEntry (entry: MemberEntry, isOwnWord: boolean, nowMs: number): void {
+    const { id, incarnation, code } = entry
+    const known = this.#members.get(id)
+    if (known?.incarnation === incarnation && known.state === 'alive' && known.identity.bornMs === entry.bornMs) return
+    const { bornMs, callerAddress, domain, host, port } = entry
+    const identity = { id, bornMs, callerAddress, domain, host, port }
     if (id === this.#self.id) {
       this.apply([id, incarnation, code], nowMs)
       return
     }
-    const known = this.#members.get(id)
     if (known === undefined) {
       const { state, isReady } = decodeState(code)
       // A gateway that joins announces itself to all; those that miss it read it from a table.
@@ -248,9 +257,10 @@
 
   /** Forgets gateways that were lost long ago. */
   expire (nowMs: number): void {
-    for (const [id, { state, sinceMs }] of this.#members) {
-      if (state !== 'lost' || nowMs - sinceMs < LOST_KEPT_MS) continue
+    for (const id of this.#lost) {
+      if (nowMs - this.#members.get(id)!.sinceMs < LOST_KEPT_MS) continue
       this.#members.delete(id)
+      this.#lost.delete(id)
       this.#sendsLeft.delete(id)
     }
   }
@@ -322,6 +332,8 @@
     this.#members.set(member.identity.id, member)
     if (member.state === 'suspect') this.#suspects.add(member.identity.id)
     else this.#suspects.delete(member.identity.id)
+    if (member.state === 'lost') this.#lost.add(member.identity.id)
+    else this.#lost.delete(member.identity.id)
   }
 
   #computeSends (): number {
--- a/src/plugins/gateway/peers.ts
+++ b/src/plugins/gateway/peers.ts
@@ -110,7 +110,8 @@
   }
 
   expire (nowMs: number): readonly string[] {
-    const expired = [...this.#peers.values()].filter(peer => !peer.isMember && !isHeard(peer, nowMs)).map(({ state }) => state.id)
+    const expired: string[] = []
+    for (const [id, peer] of this.#peers) if (!peer.isMember && !isHeard(peer, nowMs)) expired.push(id)
     for (const id of expired) this.#remove(id)
     return expired
   }
--- a/src/plugins/gateway/prober.ts
+++ b/src/plugins/gateway/prober.ts
@@ -99,6 +99,7 @@
   greet (target: string): void
   /** Lists all gateways that the store lists or that were heard. */
   listTargets (): readonly string[]
+  countTargets (): number
   /** @returns requests of this gateway in flight as a compact table */
   encodeCounts (): Uint8Array
   handleCounts (id: string, counts: Uint8Array): void
@@ -162,7 +163,7 @@
     if (target !== undefined) this.#ping(target, nowMs)
     if (this.#ticks % ABSENT_TICKS !== 0) return
     this.#members.expire(nowMs)
-    this.#contactAbsent()
+    this.#greetAbsent()
   }
 
   /** Announces this gateway when others count it as lost; rarely, as many may say so at the same time. */
@@ -219,13 +220,13 @@
     for (const update of updates) this.#members.apply(update, nowMs)
     this.#handlers.handleCounts(sender, counts)
     if (digest === this.#members.digest) this.#agreedAtMs = nowMs
-    else if (this.#mustRequestTable(nowMs)) {
+    else if (this.#shouldRequestTable(nowMs)) {
       this.#requestedAtMs = nowMs
       reply({ kind: 'members-request', sender: this.#members.describeSelf() })
     }
   }
 
-  #mustRequestTable (nowMs: number): boolean {
+  #shouldRequestTable (nowMs: number): boolean {
     if (this.#members.count() === 0) return nowMs - this.#requestedAtMs > START_DISAGREEMENT_MS
     const [sinceMs, patienceMs] = this.#agreedAtMs === undefined ? [this.#startedAtMs ?? nowMs, START_DISAGREEMENT_MS] : [this.#agreedAtMs, DISAGREEMENT_MS]
     return nowMs - Math.max(sinceMs, this.#requestedAtMs) > patienceMs
@@ -267,7 +268,8 @@
   }
 
   /** Contacts a gateway that is lost or was never heard: it may be back, and may not know of this one. */
-  #contactAbsent (): void {
+  #greetAbsent (): void {
+    if (this.#handlers.countTargets() <= this.#members.countRunning()) return
     const absent = this.#handlers.listTargets().filter(id => (this.#members.find(id)?.state ?? 'lost') === 'lost')
     const target = absent[Math.floor(this.#handlers.pickFloat() * absent.length)]
     if (target === undefined) return
--- a/test/gateway/decisions.test.ts
+++ b/test/gateway/decisions.test.ts
@@ -6,6 +6,7 @@
 import { EventSplitter } from '../../src/gateway/events.js'
 import { CrashesPlugin } from '../../src/plugins/gateway/crashes.js'
 import { EndpointsPlugin, LAPSE_GRACE_MS } from '../../src/plugins/gateway/endpoints.js'
+import { encodeCounts } from '../../src/plugins/gateway/count-table.js'
 import { PeersPlugin, HEARTBEAT_TIMEOUT_MS } from '../../src/plugins/gateway/peers.js'
 import { RetriesPlugin } from '../../src/plugins/gateway/retries.js'
 import { SlidingWindow } from '../../src/plugins/gateway/window.js'
@@ -147,6 +148,24 @@
   t.is(peers.countKnown(), 2)
 })
 
+// Guards against counts of members that are added twice or outlive them, and against a member that is dropped for want of heartbeats.
+test('members stay without heartbeats, with their counts and the age of these', t => {
+  const peers = PeersPlugin.create('g0')
+  const identity = { id: 'g1', bornMs: 10, callerAddress: '10.0.0.1:1', domain: 'a', host: '10.0.0.1', port: 9 }
+  t.true(peers.noteMember(identity, true, 0))
+  t.false(peers.noteMember(identity, true, 10))
+  peers.noteHeartbeat({ id: 'g2', bornMs: 1, callerAddress: '10.0.0.2:1', domain: 'a', isReady: true, inFlight: { e1: 1 } }, 100)
+  for (const atMs of [100, 200]) peers.noteCounts('g1', encodeCounts({ e1: 3, e2: 1 }), atMs)
+  peers.notePaces('g1', { e1: 2 })
+  t.deepEqual([peers.countInFlight('e1'), peers.countInFlight('e2'), peers.getPace('e1')], [4, 1, 2])
+  t.is(peers.getCountsAgeMs(400), (200 + 300) / 2)
+  t.deepEqual(peers.expire(10_000), ['g2'])
+  peers.notePaces('g1', {})
+  t.deepEqual([peers.countInFlight('e1'), peers.getPace('e1'), peers.listReady().length], [3, 1, 1])
+  t.true(peers.removeMember('g1', 10_000))
+  t.deepEqual([peers.countInFlight('e1'), peers.isAlive('g1'), peers.countKnown(), peers.getCountsAgeMs(10_000)], [0, false, 3, 0])
+})
+
 // Guards against a request that crashes one endpoint after another, and against refusing a harmless one.
 test('a request that crashed two endpoints is refused at every gateway until its strikes expire', t => {
   const first = CrashesPlugin.create()
