Bound what callers take of a gateway together

Cause: node:http raises a request for each head of a connection as soon as it is parsed, and each was run at once, so that one connection cost as many exchanges, sockets and buffered answers as its caller sent ahead. Answers behind the one that was being sent were never given back when their connection closed.

Change: a connection parses pieces of 512 bytes outside of bodies and runs at most 8 requests; the rest stays unread in its socket. Descriptors (settings and the limit of the process) bound connections and requests in flight, shared by address and team; idle and stalled connections give way first. Answers unread for 60 s and overdue bodies end their connection.

--- a/src/edge/metrics/table.ts
+++ b/src/edge/metrics/table.ts
@@ -112,6 +112,7 @@
   requests_in_flight: { type: 'gauge', help: 'Requests in flight.' },
   map_changes: { type: 'counter', help: 'Changes of expert maps by how they ended.', label: { name: 'result', values: { kind: 'list', values: ['committed', 'aborted'] } } },
   internal_errors: { type: 'counter', help: 'Exceptions that ended one piece of work, by its kind.', label: { name: 'place', values: { kind: 'list', values: ['request', 'message', 'housekeeping', 'follower', 'discovery', 'maps'] } } },
+  bounds_met: { type: 'counter', help: 'Connections closed and requests refused because of a bound on what callers may take together, by bound.', label: { name: 'bound', values: { kind: 'list', values: ['connections', 'requests', 'address', 'team', 'held', 'unread', 'body'] } } },
   log_lines_dropped: { type: 'counter', help: 'Log lines dropped because too many were written.' }
 } as const satisfies Record<string, MetricSpec>
 
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -20,6 +20,7 @@
 import type { AskPermit, AskShare, Lender, LimitedSelection } from './admission.js'
 import type { Permit, PermitClocks } from './permit.js'
 import { Boundary } from './boundary.js'
+import { RequestRoom } from './caller-limits.js'
 import { CrashMonitor } from './crash-monitor.js'
 import type { SendEvidence } from './crash-monitor.js'
 import { LateLane } from './late-lane.js'
@@ -86,6 +87,7 @@
   readonly recovery: RecoveryQueue
   readonly lateLane: LateLane
   readonly memory = MemoryBudget.create()
+  readonly requestRoom = RequestRoom.create({ requestsMax: Infinity, aheadMax: Infinity })
   readonly boundary: Boundary
   readonly askPermit: AskPermit
   readonly askShare: AskShare
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -463,6 +463,7 @@
     this.#gate.leave()
     this.#final.forgetFailure()
     this.#context.memory.releaseBody(this.#options.response)
+    this.#context.requestRoom.release(this.#options.response)
     this.#context.boundary.run('request', send, () => { this.#options.response.destroy() }, { request: this.#options.request.requestId })
     this.#context.removeExchange(this)
   }
--- a/src/gateway/memory.ts
+++ b/src/gateway/memory.ts
@@ -28,6 +28,7 @@
 
 /** Bytes that a gateway keeps, by owner. */
 export class MemoryBudget {
+  #memoryBytes = 0
   #bodiesMax = 0
   #answersMax = 0
   #bodiesBytes = 0
@@ -50,8 +51,14 @@
 
   /** Sets the memory of the process in MB. */
   updateMemory (memoryMb: number): void {
-    this.#bodiesMax = memoryMb * 1024 * 1024 * BODIES_SHARE
-    this.#answersMax = Math.max(ANSWER_BYTES_MAX, memoryMb * 1024 * 1024 * ANSWERS_SHARE)
+    this.#memoryBytes = memoryMb * 1024 * 1024
+    this.#bodiesMax = this.#memoryBytes * BODIES_SHARE
+    this.#answersMax = Math.max(ANSWER_BYTES_MAX, this.#memoryBytes * ANSWERS_SHARE)
+  }
+
+  /** Memory of the process in bytes. */
+  get memoryBytes (): number {
+    return this.#memoryBytes
   }
 
   /** Bytes of answers that are read or sent, at most. */
--- a/src/gateway/process.ts
+++ b/src/gateway/process.ts
@@ -13,6 +13,8 @@
 import type { GatewayState } from '../plugins/gateway/peers.js'
 import type { RankEngine } from './agent.js'
 import type { Place } from './boundary.js'
+import { computeCallerBounds, computeDescriptorsMax, readProcessLimits } from './caller-limits.js'
+import type { CallerBoundSettings, CallerBounds } from './caller-limits.js'
 import { GatewayContext, processClock } from './context.js'
 import { EvidenceSync, computeRepeatMs } from './evidence-sync.js'
 import { EndpointProbe } from './endpoint-probe.js'
@@ -85,6 +87,8 @@
   readonly graceMs: number
   /** Memory of the process in MB; undefined when it is not known. */
   readonly memoryMb: number | undefined
+  /** Bounds on what callers may take together. */
+  readonly callers: CallerBoundSettings
   /** How long callers may cache the addresses of the directory, in ms. */
   readonly addressHoldMs: number
 }
@@ -121,6 +125,7 @@
   readonly #ranks: RankClient
   readonly #maps: MapService
   readonly #probe: EndpointProbe
+  readonly #bounds: CallerBounds
   readonly #followers: readonly StoreFollower<unknown>[]
   readonly #evacuated = new Set<string>()
   readonly #servers: Server[] = []
@@ -159,8 +164,9 @@
     })
     this.#context.retries.setBounds(settings.retries)
     if (settings.memoryMb !== undefined) this.#context.memory.updateMemory(settings.memoryMb)
+    this.#bounds = computeCallerBounds(computeDescriptorsMax(settings.callers.descriptorsMax, readProcessLimits()), this.#context.memory.memoryBytes, settings.callers)
     this.#context.coldLimits.setBounds(settings.cold)
-    this.#callers = CallerServer.create(this.#context)
+    this.#callers = CallerServer.create(this.#context, this.#bounds)
     this.#link = this.#createLink(linkListener)
     this.#evidenceSync = EvidenceSync.create({ context: this.#context, link: this.#link })
     this.#maps = MapService.create({ context: this.#context, client: this.#ranks, engine, id: host, isReady: () => this.isReady && this.#context.boundary.isSound })
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -2,11 +2,14 @@
 
 import { createHash } from 'node:crypto'
 import { createServer } from 'node:http'
-import type { IncomingMessage, Server, ServerResponse } from 'node:http'
-import type { Socket } from 'node:net'
+import type { Server, ServerResponse } from 'node:http'
 import { ERROR_RESPONSES, assertNever } from '../kernel/errors.js'
 import type { ErrorKind } from '../kernel/errors.js'
 import { ByteCollector } from './byte-collector.js'
+import type { ReceivedRequest } from './caller-connection.js'
+import { CallerConnections } from './caller-connections.js'
+import { computeCallerBounds } from './caller-limits.js'
+import type { Bound, CallerBounds } from './caller-limits.js'
 import type { GatewayContext } from './context.js'
 import { Exchange } from './exchange.js'
 import type { Address, CallerRequest, Route, RouteShare } from './model.js'
@@ -24,7 +27,11 @@
 /** Retry delay for callers in ms while no configuration is known. */
 const UNCONFIGURED_RETRY_MS = 300
 
-/** Retry delay for callers in ms when the memory for bodies or answers is used up. */
+/** Longest time in ms for the body of a request without a deadline, and the time added to a deadline. */
+const BODY_TIMEOUT_MS = 60_000
+const BODY_MARGIN_MS = 1_000
+
+/** Retry delay for callers in ms when the room for requests, or the memory for bodies or answers, is used up. */
 const FULL_RETRY_MS = 200
 
 /** Retry delay for callers in ms when this process is stopping; other gateways are available at once. */
@@ -49,15 +56,19 @@
 export class CallerServer {
   readonly #context: GatewayContext
   readonly #server: Server
+  readonly #connections: CallerConnections
+  readonly #bounds: CallerBounds
+  /** Times that each bound was met since the last check. */
+  readonly #boundsMet = new Map<Bound, number>()
+  #checkTimer: NodeJS.Timeout | undefined
   #stage: LeaveStage = 'serving'
   /** Monotonic time in ms at which requests are cut; infinite unless the process is stopping. */
   #endsAtMs = Infinity
-  #openRequests = 0
-  /** Connections of callers, each with the number of requests that are not answered completely. */
-  readonly #connections = new Map<Socket, number>()
 
-  private constructor (context: GatewayContext) {
+  private constructor (context: GatewayContext, bounds: CallerBounds) {
     this.#context = context
+    this.#bounds = bounds
+    context.requestRoom.updateBounds(bounds)
     this.#server = createServer({
       maxHeaderSize: HEADER_BYTES_MAX,
       headersTimeout: HEADER_TIMEOUT_MS,
@@ -65,19 +76,23 @@
       requestTimeout: 0,
       connectionsCheckingInterval: SLOW_CALLER_CHECK_INTERVAL_MS,
       noDelay: true
-    }, (request, response) => { this.#runStep(response, () => { this.#handleRequest(request, response) }) })
-    this.#server.on('connection', socket => {
-      this.#connections.set(socket, 0)
-      socket.once('close', () => { this.#connections.delete(socket) })
+    })
+    this.#connections = CallerConnections.create(this.#server, {
+      getNowMs: () => context.getNowMs(),
+      getBounds: () => this.#bounds,
+      mayRunAhead: () => context.requestRoom.mayRunAhead,
+      start: request => { this.#runStep(request.response, () => { this.#handleRequest(request) }) },
+      noteBound: bound => { this.#noteBound(bound) }
     })
   }
 
   /**
    * @param context - shared context of the gateway
+   * @param bounds - what callers may take together
    * @returns a server that does not listen yet
    */
-  static create (context: GatewayContext): CallerServer {
-    return new CallerServer(context)
+  static create (context: GatewayContext, bounds = computeCallerBounds(Infinity, context.memory.memoryBytes)): CallerServer {
+    return new CallerServer(context, bounds)
   }
 
   /** @throws Error when the address is already in use */
@@ -86,6 +101,7 @@
       this.#server.once('error', reject)
       this.#server.listen(port, host, () => { resolve() })
     })
+    this.#checkTimer = setInterval(() => { this.#context.boundary.run('housekeeping', () => { this.#check() }) }, SLOW_CALLER_CHECK_INTERVAL_MS)
   }
 
   /** Applies the timeouts of a new configuration. */
@@ -104,13 +120,13 @@
   /** Moves to the next stage of a planned stop. */
   updateStage (stage: LeaveStage): void {
     this.#stage = stage
-    if (stage === 'refusing') this.#closeIdleConnections()
+    if (stage === 'refusing') this.#connections.closeIdle()
     if (stage === 'closed') this.#server.close()
   }
 
   /** Number of requests whose head was read and whose answer has not been sent completely. */
   get openRequests (): number {
-    return this.#openRequests
+    return this.#connections.openRequests
   }
 
   get openConnections (): number {
@@ -119,18 +135,34 @@
 
   /** Closes the listener and every connection. */
   stop (): void {
+    clearInterval(this.#checkTimer)
     this.#server.close()
     this.#server.closeAllConnections()
   }
 
-  #handleRequest (message: IncomingMessage, response: ServerResponse): void {
-    const receivedAtMs = this.#context.getNowMs()
-    this.#noteOpen(message.socket, 1)
-    response.once('close', () => { this.#noteOpen(message.socket, -1) })
-    if (this.#stage !== 'serving') response.setHeader('Connection', 'close')
+  #check (): void {
+    this.#connections.check(this.#context.memory.isCongested)
+    for (const [bound, count] of this.#boundsMet) this.#context.log('bound-met', { bound, count, connections: this.#connections.size, requests: this.#context.requestRoom.countRequests() })
+    this.#boundsMet.clear()
+  }
+
+  #noteBound (bound: Bound): void {
+    this.#context.metrics.count('bounds_met', bound)
+    this.#boundsMet.set(bound, (this.#boundsMet.get(bound) ?? 0) + 1)
+  }
+
+  #handleRequest (received: ReceivedRequest): void {
+    const { message, response, connection, receivedAtMs } = received
+    if (this.#stage !== 'serving') {
+      response.setHeader('Connection', 'close')
+      connection.end()
+    }
     this.#context.dialect.parseRequest(message.url ?? '', message.rawHeaders).caseOf({
       Left: reason => { this.#refuse(response, undefined, 'bad-request', { reason }) },
-      Right: request => { this.#readBody(message, response, request, body => this.#handleBody(message, response, request, body, receivedAtMs)) }
+      Right: request => {
+        received.readUntilMs = receivedAtMs + Math.min(request.deadlineMs ?? Infinity, BODY_TIMEOUT_MS) + BODY_MARGIN_MS
+        this.#readBody(received, request, body => this.#handleBody(received, request, body))
+      }
     })
   }
 
@@ -142,18 +174,8 @@
     })
   }
 
-  #noteOpen (socket: Socket, change: 1 | -1): void {
-    this.#openRequests += change
-    const count = this.#connections.get(socket)
-    if (count !== undefined) this.#connections.set(socket, count + change)
-  }
-
-  /** Closes connections without a request. The method of `node:http` also closes those whose answer is written, but not yet sent. */
-  #closeIdleConnections (): void {
-    for (const [socket, requests] of this.#connections) if (requests === 0) socket.destroySoon()
-  }
-
-  #readBody (message: IncomingMessage, response: ServerResponse, request: CallerRequest, handle: (body: Buffer) => boolean): void {
+  #readBody (received: ReceivedRequest, request: CallerRequest, handle: (body: Buffer) => boolean): void {
+    const { message, response } = received
     const limit = this.#context.routes.findLimits()?.bodyBytesMax ?? BODY_BYTES_MAX
     const declared = Number(message.headers['content-length'] ?? 0)
     const { memory } = this.#context
@@ -168,6 +190,7 @@
     // What follows a refusal is read and dropped: closing the connection could destroy the answer on its way.
     let body = hasRoom(declared) ? ByteCollector.create(declared) : undefined
     message.on('data', (chunk: Buffer) => {
+      received.bodyBytes += chunk.length
       if (body === undefined) return
       if (hasRoom(body.bytes + chunk.length)) {
         body.add(chunk)
@@ -187,7 +210,7 @@
   }
 
   /** Starts an exchange, or refuses the request. @returns whether an exchange has taken it over with its body */
-  #handleBody (message: IncomingMessage, response: ServerResponse, request: CallerRequest, body: Buffer, receivedAtMs: number): boolean {
+  #handleBody ({ message, response, connection, receivedAtMs }: ReceivedRequest, request: CallerRequest, body: Buffer): boolean {
     const decision = this.#context.routes.decide(request.host, request.path, request.credential)
     switch (decision.kind) {
       case 'unconfigured':
@@ -220,6 +243,12 @@
       this.#refuse(response, request, 'no-configuration', { retryAfterMs: UNCONFIGURED_RETRY_MS })
       return false
     }
+    const room = this.#context.requestRoom.take(response, { address: connection.address, team: team?.name })
+    if (room !== 'taken') {
+      this.#noteBound(room)
+      this.#refuse(response, request, 'overloaded', { retryAfterMs: FULL_RETRY_MS, reason: room })
+      return false
+    }
     const service = pickService(route, this.#context.pickFloat())
     this.#context.metrics.count('requests_received', service)
     const exchange = Exchange.create({
--- a/src/kernel/log-events.ts
+++ b/src/kernel/log-events.ts
@@ -11,7 +11,7 @@
   'lease-acquired', 'lease-lost', 'map-proposed', 'map-prepared', 'map-decided', 'map-stalled', 'rebalance-declined',
   'tls-reloaded', 'settings-reloaded', 'internal-error',
   'attempt-ended', 'caller-gone', 'endpoint-changed', 'endpoint-silent', 'endpoint-heard', 'agent-silent', 'permit-denied', 'domains-evacuated', 'gateway-joined', 'gateway-lost',
-  'store-lost', 'store-found', 'store-entry-skipped', 'log-lines-dropped',
+  'store-lost', 'store-found', 'store-entry-skipped', 'log-lines-dropped', 'bound-met',
   'map-step', 'map-planned', 'group-changed', 'order-answered'
 ] as const
 
--- a/test/processes/gateway-cluster.ts
+++ b/test/processes/gateway-cluster.ts
@@ -47,12 +47,24 @@
   readonly body: string
 }
 
+/** Limits of a gateway process. */
+export interface ProcessLimits {
+  readonly memoryMb: number
+  /** Size of V8's old generation in MB. */
+  readonly heapMb: number
+  /** Open descriptors that the settings allow; undefined when they do not name them. */
+  readonly descriptors?: number
+}
+
+const PROCESS_LIMITS: ProcessLimits = { memoryMb: MEMORY_MB, heapMb: 160 }
+
 /** A gateway process. */
 export interface Gateway {
   readonly name: string
   readonly ip: string
   readonly child: ChildProcess
   readonly lines: string[]
+  readonly limits: ProcessLimits
 }
 
 async function call (ip: string, port: number, path: string, headers: Record<string, string> = {}): Promise<Answer> {
@@ -158,7 +170,7 @@
     return `${this.#prefix}.${this.#gateways.length + 1}`
   }
 
-  startGateway (name: string): Gateway {
+  startGateway (name: string, limits = PROCESS_LIMITS): Gateway {
     const ip = this.nextGatewayIp
     const path = join(this.#folder, `${name}.toml`)
     writeFileSync(path, [
@@ -168,17 +180,18 @@
       'retries = { ratio = 0.2, window_s = 10, extra = 20 }',
       'cold = { overshoot = 1.5, slack = 5 }',
       `stop = { grace_s = ${GRACE_S} }`,
-      `memory = { limit_mb = ${MEMORY_MB} }`,
+      `memory = { limit_mb = ${limits.memoryMb} }`,
+      ...(limits.descriptors === undefined ? [] : [`descriptors = { limit = ${limits.descriptors} }`]),
       'directory = { hold_ms = 1000 }'
     ].join('\n'))
-    return this.#spawnGateway(name, ip)
+    return this.#spawnGateway(name, ip, limits)
   }
 
-  #spawnGateway (name: string, ip: string): Gateway {
-    const child = spawn(process.execPath, ['--max-old-space-size=160', GATEWAY_PROGRAM], { env: { ...process.env, HEATHERDOOR_BOOT: join(this.#folder, `${name}.toml`) }, stdio: ['ignore', 'pipe', 'inherit'] })
+  #spawnGateway (name: string, ip: string, limits: ProcessLimits): Gateway {
+    const child = spawn(process.execPath, [`--max-old-space-size=${limits.heapMb}`, GATEWAY_PROGRAM], { env: { ...process.env, HEATHERDOOR_BOOT: join(this.#folder, `${name}.toml`) }, stdio: ['ignore', 'pipe', 'inherit'] })
     const lines: string[] = []
     child.stdout?.on('data', chunk => { lines.push(...String(chunk).split('\n').filter(Boolean)) })
-    const gateway = { name, ip, child, lines }
+    const gateway = { name, ip, child, lines, limits }
     this.#gateways.push(gateway)
     return gateway
   }
@@ -189,8 +202,8 @@
   }
 
   /** Starts a gateway that has ended again. */
-  startAgain ({ name, ip }: Gateway): Gateway {
-    return this.#spawnGateway(name, ip)
+  startAgain ({ name, ip, limits }: Gateway): Gateway {
+    return this.#spawnGateway(name, ip, limits)
   }
 
   /** Kills a gateway and starts it again under the same name and address. */
@@ -198,7 +211,7 @@
     const exited = once(gateway.child, 'exit')
     gateway.child.kill('SIGKILL')
     await exited
-    return this.#spawnGateway(gateway.name, gateway.ip)
+    return this.#spawnGateway(gateway.name, gateway.ip, gateway.limits)
   }
 
   /** Starts the agent beside the endpoint. */
