--- a/src/gateway/process.ts
+++ b/src/gateway/process.ts
@@ -11,6 +11,8 @@
 import '../plugins/gateway/index.js'
 import type { RankEngine } from './agent.js'
 import type { Place } from './boundary.js'
+import { computeCallerBounds, computeDescriptorsMax, readProcessLimits } from './caller-limits.js'
+import type { CallerBoundSettings, CallerBounds } from './caller-limits.js'
 import { GatewayContext, processClock } from './context.js'
 import { EvidenceSync } from './evidence-sync.js'
 import { EndpointProbe } from './endpoint-probe.js'
@@ -79,6 +81,8 @@
   readonly graceMs: number
   /** Memory of the process in MB; undefined when it is not known. */
   readonly memoryMb: number | undefined
+  /** Bounds on what callers may take together. */
+  readonly callers: CallerBoundSettings
   /** How long callers may cache the addresses of the directory, in ms. */
   readonly addressHoldMs: number
 }
@@ -117,6 +121,7 @@
   readonly #maps: MapService
   readonly #probe: EndpointProbe
   readonly #followed: FollowedStore
+  readonly #bounds: CallerBounds
   readonly #servers: Server[] = []
   readonly #bornMs = Date.now()
   #isLeaving = false
@@ -155,8 +160,9 @@
     })
     this.#context.retries.setBounds(settings.retries)
     if (settings.memoryMb !== undefined) this.#context.memory.updateMemory(settings.memoryMb)
+    this.#bounds = computeCallerBounds(computeDescriptorsMax(settings.callers.descriptorsMax, readProcessLimits()), this.#context.memory.memoryBytes, settings.callers)
     this.#context.coldLimits.setBounds(settings.cold)
-    this.#callers = CallerServer.create(this.#context)
+    this.#callers = CallerServer.create(this.#context, this.#bounds)
     this.#link = this.#createLink(linkListener)
     this.#exchange = this.#createExchange()
     this.#evidenceSync = EvidenceSync.create({ context: this.#context, link: this.#link })
