Show that strangers and callers can end a process of the own interface

Crowds on loopback against an entry and an endpoint process with a heap of 64 MB and 768 descriptors. Bounds: the process lives, at most 200 MB are added, 96 descriptors stay free, and one ordinary request is answered afterwards.

--- a/demo/processes.ts
+++ b/demo/processes.ts
@@ -11,6 +11,13 @@
 
 const DIST = fileURLToPath(new URL('..', import.meta.url))
 
+/** Limits of the operating system and of the runtime for one process. */
+export interface ProcessLimits {
+  /** Largest heap of V8 in MB. */
+  readonly heapMb: number
+  readonly descriptors: number
+}
+
 /** Starts child processes and stops them all at the end. */
 export class Processes {
   readonly #logFolder: string
@@ -34,10 +41,13 @@
    * @param name - name of its log file
    * @param script - path below the build folder
    * @param args - arguments
+   * @param limits - limits of the process; those of this process when absent
    * @returns the child process
    */
-  start (name: string, script: string, args: readonly string[]): ChildProcess {
-    const child = spawn(process.execPath, [join(DIST, script), ...args], { stdio: ['ignore', 'pipe', 'pipe'] })
+  start (name: string, script: string, args: readonly string[], limits?: ProcessLimits): ChildProcess {
+    const command = [process.execPath, ...limits === undefined ? [] : [`--max-old-space-size=${limits.heapMb}`], join(DIST, script), ...args]
+    const [file = '', ...rest] = limits === undefined ? command : ['sh', '-c', `ulimit -n ${limits.descriptors}; exec "$@"`, 'sh', ...command]
+    const child = spawn(file, rest, { stdio: ['ignore', 'pipe', 'pipe'] })
     const log = createWriteStream(join(this.#logFolder, `${name}.log`))
     child.stdout.pipe(log, { end: false })
     child.stderr.pipe(log, { end: false })
--- a/test/processes/live-deployment.ts
+++ b/test/processes/live-deployment.ts
@@ -9,6 +9,7 @@
 import type { DeployedEndpoint } from '../../bench/processes/deployment.js'
 import { waitUntil, waitUntilReady } from '../../bench/processes/ready.js'
 import { Processes } from '../../demo/processes.js'
+import type { ProcessLimits } from '../../demo/processes.js'
 import { Relay } from './relay.js'
 
 /** Offsets of the ports of services and engines, and of relays, from the base port. */
@@ -47,6 +48,8 @@
   readonly usesRelay?: boolean
   /** Whether every connection uses TLS, initially with the certificate `first`. */
   readonly tls?: boolean
+  /** Limits of the entries and endpoint processes; none when absent. */
+  readonly limits?: ProcessLimits
 }
 
 export class LiveDeployment {
@@ -95,16 +98,25 @@
     const live = new LiveDeployment(options, await findBasePort())
     if (options.usesRelay === true) live.#relay = await Relay.start(live.#basePort + RELAY_PORT_OFFSET, live.files.findEndpointPorts(0).peers)
     if (options.tls === true) await live.#startTls()
-    live.startProcess('platform')
-    for (const index of [0, 1]) {
-      for (const name of [`service-${index}`, `engine-${index}`, `entry-${index}`, `counter-${index}`, `guidance-${index}`]) live.startProcess(name)
+    try {
+      await live.#startProcesses()
+    } catch (error) {
+      await live.kill()
+      throw error
     }
-    await waitUntilReady(live.#processes, live.files)
-    await waitUntil('both homes are offered by both entries', async () => (await live.listTokens(0)).length === 2 && (await live.listTokens(1)).length === 2)
-    await waitUntil('both engines are offered', async () => (await live.sendCompletion(0, 'ready')).status === 200)
     return live
   }
 
+  async #startProcesses (): Promise<void> {
+    this.startProcess('platform')
+    for (const index of [0, 1]) {
+      for (const name of [`service-${index}`, `engine-${index}`, `entry-${index}`, `counter-${index}`, `guidance-${index}`]) this.startProcess(name)
+    }
+    await waitUntilReady(this.#processes, this.files)
+    await waitUntil('both homes are offered by both entries', async () => (await this.listTokens(0)).length === 2 && (await this.listTokens(1)).length === 2)
+    await waitUntil('both engines are offered', async () => (await this.sendCompletion(0, 'ready')).status === 200)
+  }
+
   /** Installs a certificate from the fixtures for all processes. */
   renewCertificate (name: 'first' | 'second'): void {
     for (const kind of ['crt', 'key']) copyFileSync(`test/security/fixtures/${name}.${kind}`, this.files.getPath(`host.${kind}`))
@@ -134,17 +146,23 @@
   startProcess (name: string): void {
     const [kind = '', index = '0'] = name.split('-')
     const target = (service: string): string[] => ['--port', String(this.findTargetPort(service, Number(index))), '--warm']
-    const { serviceMs = 50 } = this.#options
-    const start = (script: string, args: readonly string[]): void => { this.#children.set(name, this.#processes.start(name, script, args)) }
+    const { serviceMs = 50, limits } = this.#options
+    const start = (script: string, args: readonly string[], processLimits?: ProcessLimits): void => { this.#children.set(name, this.#processes.start(name, script, args, processLimits)) }
     switch (kind) {
       case 'platform': return start('standins/platform/main.js', ['--port', String(this.files.platformPort)])
       case 'service': return start('standins/service/main.js', [...target('counter'), '--service-ms', String(serviceMs)])
       case 'engine': return start('standins/engine/main.js', [...target('guidance'), '--step-ms', '40'])
-      case 'entry': return start('src/bin/entry.js', [this.files.getPath(`${name}.toml`)])
-      default: return start('src/bin/endpoint.js', [this.files.getPath(`${name}.toml`)])
+      case 'entry': return start('src/bin/entry.js', [this.files.getPath(`${name}.toml`)], limits)
+      default: return start('src/bin/endpoint.js', [this.files.getPath(`${name}.toml`)], limits)
     }
   }
 
+  findChild (name: string): ChildProcess {
+    const child = this.#children.get(name)
+    if (child === undefined) throw new Error(`${name} was not started`)
+    return child
+  }
+
   signal (name: string, signal: NodeJS.Signals): void {
     this.#children.get(name)?.kill(signal)
   }
