Bound what callers and strangers can take of a process

Cause: the HTTP parser starts every request of a chunk, bodies and unsent answers had no bound on their sum, connections none at all, and a peer listener never answered plain HTTP, so that each such request stayed in memory.

Change: a gate on each connection holds back what is sent ahead, connections, requests in flight and held bytes have bounds with settings, metrics and a log event, a caller that takes nothing is closed after 120 s, and connections without a proof are bounded in count and bytes.

--- a/src/edge/endpoint/process.ts
+++ b/src/edge/endpoint/process.ts
@@ -47,7 +47,7 @@
       kernel: this.#edge.kernel,
       metrics: this.#edge.metrics,
       operators: this.#edge.operators
-    }), this.#edge.tls.loadListener(settings.operationsListener))
+    }), limit => { this.#edge.limits.note(limit) }, this.#edge.tls.loadListener(settings.operationsListener))
   }
 
   /**
--- a/src/edge/entry/adapter.ts
+++ b/src/edge/entry/adapter.ts
@@ -23,9 +23,6 @@
   hijack (): unknown
 }
 
-/** Server options with the handlers for requests that fail before routing. */
-export const ERROR_HANDLERS = { frameworkErrors: handleFrameworkError, clientErrorHandler: handleClientError }
-
 /**
  * Keeps its own error handlers. The framework sets handlers while it starts, which
  * would replace these and respond in the framework's format, so those calls are ignored.
@@ -38,7 +35,7 @@
   }
 
   /**
-   * @param options - options of the HTTP server, including `ERROR_HANDLERS`
+   * @param options - options of the HTTP server, including those of `buildErrorHandlers`
    * @returns an adapter with the error handlers set
    */
   static create (options: AdapterOptions): EntryAdapter {
@@ -54,6 +51,20 @@
   }
 }
 
+/**
+ * @param isHeldBack - tells whether a request is late only because the entry holds back what its caller sent
+ * @returns server options with the handlers for requests that fail before routing
+ */
+export function buildErrorHandlers (isHeldBack: (socket: Socket) => boolean): { readonly frameworkErrors: typeof handleFrameworkError, readonly clientErrorHandler: typeof handleClientError } {
+  return {
+    frameworkErrors: handleFrameworkError,
+    clientErrorHandler: (error, socket) => {
+      const isTimeout = error.code === 'ERR_HTTP_REQUEST_TIMEOUT'
+      if (!isTimeout || !isHeldBack(socket)) handleClientError(error, socket)
+    }
+  }
+}
+
 function handleFrameworkError (error: unknown, request: FrameworkRequest, reply: FrameworkReply): void {
   const hasKey = request.headers['idempotency-key'] !== undefined
   reply.hijack()
@@ -80,6 +91,7 @@
 function findErrorKind (error: unknown): ErrorKind {
   const status = (error as { readonly statusCode?: unknown }).statusCode
   if (status === ERROR_RESPONSES['body-too-large'].status) return 'body-too-large'
+  if (status === ERROR_RESPONSES.overloaded.status) return 'overloaded'
   if (status === ERROR_RESPONSES['unknown-path'].status) return 'unknown-path'
   return typeof status === 'number' && status < 500 ? 'bad-request' : 'internal'
 }
--- a/src/edge/entry/caller-bridge.ts
+++ b/src/edge/entry/caller-bridge.ts
@@ -29,14 +29,20 @@
 export class CallerBridge {
   readonly #exchanges = new Map<string, PendingExchange>()
   readonly #lookups = new Map<string, (response: LookupResponse | undefined) => void>()
+  readonly #requestsMax: number
   #dispatch: (event: KernelEvent) => void = () => undefined
   #metrics: Metrics | undefined
 
-  private constructor () {}
+  private constructor (requestsMax: number) {
+    this.#requestsMax = requestsMax
+  }
 
-  /** @returns a bridge that is not connected to a kernel yet */
-  static create (): CallerBridge {
-    return new CallerBridge()
+  /**
+   * @param requestsMax - largest count of requests in flight; unlimited when absent
+   * @returns a bridge that is not connected to a kernel yet
+   */
+  static create (requestsMax = Number.POSITIVE_INFINITY): CallerBridge {
+    return new CallerBridge(requestsMax)
   }
 
   /**
@@ -53,6 +59,11 @@
     return this.#exchanges.size
   }
 
+  /** @returns whether the entry takes no further request or lookup, since too many are in flight */
+  isFull (): boolean {
+    return this.#exchanges.size + this.#lookups.size >= this.#requestsMax
+  }
+
   /**
    * Passes a request to the kernel.
    *
--- a/src/edge/entry/callers.ts
+++ b/src/edge/entry/callers.ts
@@ -9,6 +9,7 @@
 import { verifyTeamHeader } from '../security/credentials.js'
 import { CallerExchange } from './exchange.js'
 import { CallerBridge } from './caller-bridge.js'
+import { HeldBytes } from './held-bytes.js'
 import { parseModelRequest, parseServiceRequest } from './request.js'
 import type { CallerRequest } from './request.js'
 
@@ -18,13 +19,20 @@
 /** Injection token of the configuration port in the entry's Nest module. */
 export const CONFIGURATION_TOKEN = Symbol('configuration')
 
+/** Injection token of the function that notes a request refused because too many are in flight. */
+export const NOTE_LIMIT_TOKEN = Symbol('note-limit')
+
 /** Routes for callers. */
 @Controller()
 export class CallersController {
   readonly #bridge: CallerBridge
   readonly #configuration: ConfigurationPort
+  readonly #held: HeldBytes
+  readonly #noteLimit: () => void
 
-  constructor (@Inject(CallerBridge) bridge: CallerBridge, @Inject(CONFIGURATION_TOKEN) configuration: ConfigurationPort) {
+  constructor (@Inject(CallerBridge) bridge: CallerBridge, @Inject(CONFIGURATION_TOKEN) configuration: ConfigurationPort, @Inject(HeldBytes) held: HeldBytes, @Inject(NOTE_LIMIT_TOKEN) noteLimit: () => void) {
+    this.#held = held
+    this.#noteLimit = noteLimit
     this.#bridge = bridge
     this.#configuration = configuration
   }
@@ -47,12 +55,13 @@
   /** Tells callers which entries to use and for how long, with key tokens for the requested services. */
   @Get('/v1/address')
   async handleAddress (@Req() request: FastifyRequest, @Res() reply: FastifyReply): Promise<void> {
-    const exchange = openExchange(reply)
+    const exchange = this.#openExchange(reply)
     const team = this.#findTeam(request.headers.authorization)
     if (team === undefined) {
       this.#bridge.refuseRequest(exchange, 'unauthenticated', false)
       return
     }
+    if (this.#refuseWhenFull(exchange, false)) return
     const requested = new URL(request.url, 'http://entry').searchParams.getAll('service')
     const services = requested.length > 0 ? requested.filter(service => team.services.includes(service)) : team.services
     const response = await this.#bridge.findAddress(services)
@@ -70,28 +79,43 @@
   /** State of the request with an idempotency key. */
   @Get('/v1/outcome')
   async handleOutcome (@Req() request: FastifyRequest, @Res() reply: FastifyReply): Promise<void> {
-    const exchange = openExchange(reply)
+    const exchange = this.#openExchange(reply)
     const team = this.#findTeam(request.headers.authorization)
     const key = new URL(request.url, 'http://entry').searchParams.get('key')
     if (team === undefined || key === null) {
       this.#bridge.refuseRequest(exchange, team === undefined ? 'unauthenticated' : 'bad-request', true)
       return
     }
+    if (this.#refuseWhenFull(exchange, true)) return
     exchange.writeJson({ key, state: await this.#bridge.findOutcome(team.name, key) })
   }
 
+  /** Takes the response over from the framework, so that it can be streamed. */
+  #openExchange (reply: FastifyReply): CallerExchange {
+    reply.hijack()
+    return CallerExchange.create(randomUUID(), reply.raw, this.#held)
+  }
+
+  #refuseWhenFull (exchange: CallerExchange, hasKey: boolean): boolean {
+    if (!this.#bridge.isFull()) return false
+    this.#noteLimit()
+    this.#bridge.refuseRequest(exchange, 'overloaded', hasKey)
+    return true
+  }
+
   #findTeam (authorization: string | undefined): Team | undefined {
     return verifyTeamHeader(authorization, name => this.#configuration.findTeam(name))
   }
 
   #handleRequest (request: FastifyRequest, reply: FastifyReply, path: string, parse: (caller: CallerRequest) => Either<ErrorKind, RequestReceived>): void {
-    const exchange = openExchange(reply)
+    const exchange = this.#openExchange(reply)
     const hasKey = request.headers['idempotency-key'] !== undefined
     const team = this.#findTeam(request.headers.authorization)
     if (team === undefined) {
       this.#bridge.refuseRequest(exchange, 'unauthenticated', hasKey)
       return
     }
+    if (this.#refuseWhenFull(exchange, hasKey)) return
     const body = request.body instanceof Uint8Array ? request.body : new Uint8Array()
     const { requestId } = exchange
     parse({ requestId, team: team.name, method: request.method, path, headers: request.headers, body }).caseOf({
@@ -108,9 +132,3 @@
     })
   }
 }
-
-/** Takes the response over from the framework, so that it can be streamed. */
-function openExchange (reply: FastifyReply): CallerExchange {
-  reply.hijack()
-  return CallerExchange.create(randomUUID(), reply.raw)
-}
--- a/src/edge/entry/exchange.ts
+++ b/src/edge/entry/exchange.ts
@@ -3,6 +3,7 @@
 import { ERROR_RESPONSES } from '../../kernel/errors.js'
 import type { ErrorKind, Outcome } from '../../kernel/errors.js'
 import type { HeaderList } from '../../protocol/messages.js'
+import type { HeldAnswer, HeldBytes } from './held-bytes.js'
 
 /** Maximum number of unsent response bytes; a slow caller is disconnected above it. */
 const CALLER_BUFFER_MAX_BYTES = 4 * 1024 * 1024
@@ -17,23 +18,26 @@
 }
 
 /** Writes the response to one caller's request. */
-export class CallerExchange {
+export class CallerExchange implements HeldAnswer {
   readonly requestId: string
   readonly #response: ServerResponse
+  readonly #held: HeldBytes | undefined
   #eventStream = false
 
-  private constructor (requestId: string, response: ServerResponse) {
+  private constructor (requestId: string, response: ServerResponse, held: HeldBytes | undefined) {
     this.requestId = requestId
     this.#response = response
+    this.#held = held
   }
 
   /**
    * @param requestId - sent back in every response
    * @param response - the caller's response, taken over from the framework
+   * @param held - counts what the response has not sent; not counted when absent
    * @returns the exchange
    */
-  static create (requestId: string, response: ServerResponse): CallerExchange {
-    return new CallerExchange(requestId, response)
+  static create (requestId: string, response: ServerResponse, held?: HeldBytes): CallerExchange {
+    return new CallerExchange(requestId, response, held)
   }
 
   /** Whether the response is an event stream; known once its head was written. */
@@ -56,6 +60,7 @@
     this.#eventStream = String(response.getHeader('content-type') ?? '').startsWith('text/event-stream')
     response.setHeader('heatherdoor-request-id', this.requestId)
     response.setHeader('heatherdoor-outcome', 'run')
+    if (this.#held !== undefined) response.once('close', () => { this.#held?.removeAnswer(this) })
     response.flushHeaders()
   }
 
@@ -68,6 +73,16 @@
     this.#response.write(data)
     // Otherwise the whole response would be buffered for a caller that stops reading.
     if (this.#response.writableLength > CALLER_BUFFER_MAX_BYTES) this.#response.destroy()
+    else if (!this.#response.destroyed) this.#held?.noteAnswer(this)
+  }
+
+  countUnsent (): number {
+    return this.#response.writableLength
+  }
+
+  abandon (): void {
+    // A response that waits for an earlier one has no connection yet, so that it could not be broken off.
+    this.#response.req.socket.destroy()
   }
 
   /**
--- a/src/edge/entry/process.ts
+++ b/src/edge/entry/process.ts
@@ -1,14 +1,20 @@
 /** The entry process: it accepts the requests of callers. */
 
-import { Operations } from '../operations.js'
+import { Operations, OPERATIONS_CONNECTIONS_MAX } from '../operations.js'
 import { ProcessEdge } from '../process.js'
 import type { EntrySettings, ListenerSettings } from '../../settings/process.js'
-import { CallersController, CONFIGURATION_TOKEN } from './callers.js'
+import { computeConnectionsMax, readDescriptorLimit } from '../connections/descriptors.js'
+import { CallersController, CONFIGURATION_TOKEN, NOTE_LIMIT_TOKEN } from './callers.js'
 import { CallerBridge } from './caller-bridge.js'
+import { HeldBytes } from './held-bytes.js'
 import { OperationsController } from './operations.js'
+import type { LimitReason } from '../connections/limit-log.js'
 import { EntryServer } from './server.js'
 import type { ServerOptions } from './server.js'
 
+/** Largest sum of bodies sent to the operations listener, which uses none, in bytes. */
+const OPERATIONS_BODIES_MAX_BYTES = 1024 * 1024
+
 /** Callback for the end of the planned stop. */
 interface LeaveListener {
   handleLeaveEnd: (workCut: boolean) => void
@@ -35,7 +41,7 @@
    * @returns a process that is not started
    */
   static async create (settings: EntrySettings): Promise<EntryProcess> {
-    const bridge = CallerBridge.create()
+    const bridge = CallerBridge.create(settings.limits.requestsMax)
     const leaveListener: LeaveListener = { handleLeaveEnd: () => undefined }
     const edge = ProcessEdge.create({
       role: 'entry',
@@ -91,13 +97,19 @@
 
 function buildCallersOptions (settings: EntrySettings, edge: ProcessEdge, bridge: CallerBridge): ServerOptions {
   const configuration = edge.kernel.getPort('configuration')
+  const noteLimit = (limit: LimitReason): void => { edge.limits.note(limit) }
+  const held = HeldBytes.create(settings.limits.heldBytesMax, () => { noteLimit('memory') })
   return {
     ...buildListener(edge, settings.callerListener),
     limits: settings.limits,
+    connections: { connectionsMax: computeConnectionsMax(settings.limits.connectionsMax, readDescriptorLimit()), noteLimit },
+    held,
     controller: CallersController,
     providers: [
       { provide: CallerBridge, useValue: bridge },
-      { provide: CONFIGURATION_TOKEN, useValue: configuration }
+      { provide: CONFIGURATION_TOKEN, useValue: configuration },
+      { provide: HeldBytes, useValue: held },
+      { provide: NOTE_LIMIT_TOKEN, useValue: () => { noteLimit('requests') } }
     ]
   }
 }
@@ -111,6 +123,8 @@
   return {
     ...buildListener(edge, settings.operationsListener),
     limits: settings.limits,
+    connections: { connectionsMax: OPERATIONS_CONNECTIONS_MAX, noteLimit: limit => { edge.limits.note(limit) } },
+    held: HeldBytes.create(OPERATIONS_BODIES_MAX_BYTES, () => { edge.limits.note('memory') }),
     controller: OperationsController,
     providers: [{ provide: Operations, useValue: operations }]
   }
--- a/src/edge/entry/server.ts
+++ b/src/edge/entry/server.ts
@@ -10,8 +10,12 @@
 import type { FastifyInstance } from 'fastify'
 import type { Logger } from '../log/logger.js'
 import type { TlsSource } from '../security/tls.js'
-import { EntryAdapter, ERROR_HANDLERS } from './adapter.js'
+import { ConnectionTable } from '../connections/table.js'
+import type { ConnectionLimits } from '../connections/table.js'
+import { EntryAdapter, buildErrorHandlers } from './adapter.js'
 import type { AdapterOptions } from './adapter.js'
+import { BodyReader } from './body-reader.js'
+import type { HeldBytes } from './held-bytes.js'
 import type { LimitSettings } from '../../settings/process.js'
 
 /** What a server is created with. */
@@ -21,6 +25,9 @@
   readonly controller: Type
   readonly providers: readonly Provider[]
   readonly limits: LimitSettings
+  readonly connections: Pick<ConnectionLimits, 'connectionsMax' | 'noteLimit'>
+  /** Counts the bodies of requests. */
+  readonly held: HeldBytes
   readonly logger: Logger
   /** Plain HTTP when absent. */
   readonly tls?: TlsSource
@@ -47,14 +54,20 @@
    * @returns a server that does not listen yet
    */
   static async create (options: ServerOptions): Promise<EntryServer> {
-    const adapter = EntryAdapter.create(buildServerOptions(options))
+    const adapter = EntryAdapter.create({ ...buildServerOptions(options), ...buildErrorHandlers(socket => table.isHeldBack(socket)) } as AdapterOptions)
     const module: DynamicModule = { module: ServerModule, controllers: [options.controller], providers: [...options.providers] }
     const app = await NestFactory.create<NestFastifyApplication>(module, adapter, { bodyParser: false, logger: buildFrameworkLogger(options.logger) })
     const fastify = app.getHttpAdapter().getInstance() as unknown as FastifyInstance
     fastify.removeAllContentTypeParsers()
-    fastify.addContentTypeParser('*', { parseAs: 'buffer' }, (_request, body, done) => { done(null, body) })
+    const bodies = BodyReader.create(options.limits.bodyMaxBytes, options.held)
+    fastify.addContentTypeParser('*', (request, _payload, done) => { bodies.read(request.raw, done) })
+    fastify.addHook('onRequest', (request, reply, done) => {
+      reply.raw.once('close', () => { bodies.release(request.raw) })
+      done()
+    })
     await app.init()
     options.tls?.addServer(app.getHttpServer() as HttpsServer)
+    const table = ConnectionTable.create(app.getHttpServer() as Server, buildConnectionLimits(options))
     return new EntryServer(app, options)
   }
 
@@ -81,11 +94,20 @@
   return { log: () => undefined, warn: () => undefined, error, fatal: error }
 }
 
+function buildConnectionLimits ({ connections, limits, tls }: ServerOptions): ConnectionLimits {
+  return {
+    ...connections,
+    connectionRequestsMax: limits.connectionRequestsMax,
+    unreadTimeoutMs: limits.unreadTimeoutMs,
+    requestTimeoutMs: limits.headersTimeoutMs,
+    isTls: tls !== undefined
+  }
+}
+
 function buildServerOptions (options: ServerOptions): AdapterOptions {
   const { limits, tls } = options
   const http = { maxHeaderSize: limits.headerMaxBytes, headersTimeout: limits.headersTimeoutMs, connectionsCheckingInterval: SLOW_SENDER_CHECK_INTERVAL_MS }
   const common = {
-    ...ERROR_HANDLERS,
     bodyLimit: limits.bodyMaxBytes,
     keepAliveTimeout: limits.idleTimeoutMs,
     requestTimeout: limits.headersTimeoutMs,
@@ -93,5 +115,5 @@
     exposeHeadRoutes: false
   }
   if (tls === undefined) return { ...common, http }
-  return { ...common, https: { ...http, ...tls.getOptions() } }
+  return { ...common, https: { ...http, handshakeTimeout: limits.headersTimeoutMs, ...tls.getOptions() } }
 }
--- a/src/edge/metrics/table.ts
+++ b/src/edge/metrics/table.ts
@@ -76,6 +76,7 @@
   quarantined: { type: 'counter', help: 'Requests refused because they crashed endpoints.' },
   members: { type: 'gauge', help: 'Live entries known.' },
   peers: { type: 'gauge', help: 'Connections to peers that work.' },
+  limits_reached: { type: 'counter', help: 'Connections and requests refused or closed at a limit on callers or strangers.', label: { name: 'limit', values: { kind: 'list', values: ['connections', 'replaced', 'unread', 'overdue', 'requests', 'memory', 'handshakes', 'hello'] } } },
   peers_lost: { type: 'counter', help: 'Connections to peers that ended.' },
   configuration_version: { type: 'gauge', help: 'Version of the configuration in force.' },
   configurations: { type: 'counter', help: 'Configurations offered.', label: { name: 'result', values: { kind: 'list', values: ['accepted', 'ignored', 'rejected'] } } },
--- a/src/edge/operations.ts
+++ b/src/edge/operations.ts
@@ -24,6 +24,9 @@
   readonly operators: OperatorKeys
 }
 
+/** Largest count of connections to the operations listener: a few operators, probes and collectors of metrics. */
+export const OPERATIONS_CONNECTIONS_MAX = 64
+
 const JSON_TYPE = 'application/json'
 const EXPLAIN_PATH = '/v1/explain/'
 
--- a/src/edge/peer/connection.ts
+++ b/src/edge/peer/connection.ts
@@ -6,7 +6,7 @@
 import type { ConnectionSide } from '../security/cluster-proof.js'
 
 /** Timeout of the handshake, that is until both `hello` messages arrived, in ms. */
-const HANDSHAKE_TIMEOUT_MS = 2_000
+export const HANDSHAKE_TIMEOUT_MS = 2_000
 
 /** Maximum number of unsent bytes on a connection; above it the connection counts as stalled and is closed. */
 const SEND_BUFFER_MAX_BYTES = 64 * 1024 * 1024
--- a/src/edge/peer/hub.ts
+++ b/src/edge/peer/hub.ts
@@ -1,17 +1,33 @@
 import { createServer as createHttpServer } from 'node:http'
-import type { Server } from 'node:http'
+import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import { createServer as createHttpsServer } from 'node:https'
 import type { Server as HttpsServer } from 'node:https'
+import type { Socket } from 'node:net'
 import { WebSocket, WebSocketServer } from 'ws'
 import { MESSAGE_MAX_BYTES } from '../../protocol/codec.js'
 import type { Message, ProcessRef } from '../../protocol/messages.js'
 import type { TlsSource } from '../security/tls.js'
-import { PeerConnection } from './connection.js'
+import type { LimitReason } from '../connections/limit-log.js'
+import { HANDSHAKE_TIMEOUT_MS, PeerConnection } from './connection.js'
 import type { ConnectionIdentity, ConnectionListener } from './connection.js'
 
 /** Timeout for opening a connection in ms. */
 const CONNECT_TIMEOUT_MS = 2_000
 
+/** Interval of the check for connections that send no request, in ms. */
+const REQUEST_CHECK_INTERVAL_MS = 500
+
+/** Bytes that a connection may send before its proof was verified. Messages that follow the proof may arrive together with it. */
+const HELLO_MAX_BYTES = 128 * 1024
+
+/** Bounds on connections whose other side has not proved yet that it is a peer. */
+export interface HandshakeLimits {
+  readonly handshakesMax: number
+  readonly noteLimit: (limit: LimitReason) => void
+}
+
+const UNLIMITED: HandshakeLimits = { handshakesMax: Number.POSITIVE_INFINITY, noteLimit: () => undefined }
+
 /** Receives the events of a hub. */
 export interface HubListener {
   handlePeerConnected (peer: ProcessRef): void
@@ -32,21 +48,31 @@
   readonly #identity: ConnectionIdentity
   readonly #listener: HubListener
   readonly #tls: PeerTls
+  readonly #limits: HandshakeLimits
+  /** Accepted connections without a verified proof, by the address and port of the other side. */
+  readonly #handshakes = new Map<string, Socket>()
   readonly #server: Server
   readonly #sockets: WebSocketServer
   readonly #openByPeer = new Map<string, PeerConnection>()
   readonly #unauthenticated = new Set<PeerConnection>()
   readonly #dialling = new Map<string, PeerConnection>()
 
-  private constructor (identity: ConnectionIdentity, listener: HubListener, tls: PeerTls) {
+  private constructor (identity: ConnectionIdentity, listener: HubListener, tls: PeerTls, limits: HandshakeLimits) {
+    this.#limits = limits
     this.#identity = identity
     this.#listener = listener
     this.#tls = tls
-    this.#server = tls.listener === undefined ? createHttpServer() : createHttpsServer(tls.listener.getOptions())
+    const options = { headersTimeout: HANDSHAKE_TIMEOUT_MS, requestTimeout: HANDSHAKE_TIMEOUT_MS, connectionsCheckingInterval: REQUEST_CHECK_INTERVAL_MS }
+    this.#server = tls.listener === undefined
+      ? createHttpServer(options, refuseRequest)
+      : createHttpsServer({ ...options, handshakeTimeout: HANDSHAKE_TIMEOUT_MS, ...tls.listener.getOptions() }, refuseRequest)
+    this.#server.on('connection', (socket: Socket) => { this.#acceptHandshake(socket) })
     if (tls.listener !== undefined) tls.listener.addServer(this.#server as HttpsServer)
     this.#sockets = new WebSocketServer({ server: this.#server, maxPayload: MESSAGE_MAX_BYTES, perMessageDeflate: false })
-    this.#sockets.on('connection', socket => {
-      this.#unauthenticated.add(PeerConnection.create(socket, false, identity, this))
+    this.#sockets.on('connection', (socket, request) => {
+      const connection = PeerConnection.create(socket, false, identity, this)
+      this.#unauthenticated.add(connection)
+      this.#watchHello(connection, request.socket)
     })
   }
 
@@ -54,10 +80,11 @@
    * @param identity - identity of this process
    * @param listener - receives the events of the hub
    * @param tls - key material; plain TCP when absent
+   * @param limits - bounds on connections without a verified proof; unlimited when absent
    * @returns a hub that does not listen yet
    */
-  static create (identity: ConnectionIdentity, listener: HubListener, tls: PeerTls = {}): PeerHub {
-    return new PeerHub(identity, listener, tls)
+  static create (identity: ConnectionIdentity, listener: HubListener, tls: PeerTls = {}, limits: HandshakeLimits = UNLIMITED): PeerHub {
+    return new PeerHub(identity, listener, tls, limits)
   }
 
   /**
@@ -152,6 +179,32 @@
     }
   }
 
+  #acceptHandshake (socket: Socket): void {
+    if (this.#handshakes.size >= this.#limits.handshakesMax) {
+      this.#limits.noteLimit('handshakes')
+      socket.destroy()
+      return
+    }
+    const key = formatRemote(socket)
+    this.#handshakes.set(key, socket)
+    socket.once('close', () => { if (this.#handshakes.get(key) === socket) this.#handshakes.delete(key) })
+  }
+
+  /** Ends a connection that sends too much before its proof; later it is bounded by the size of one message. */
+  #watchHello (connection: PeerConnection, socket: Socket): void {
+    const key = formatRemote(socket)
+    const handleData = (): void => {
+      if (connection.peer !== undefined) {
+        socket.removeListener('data', handleData)
+        this.#handshakes.delete(key)
+      } else if (socket.bytesRead > HELLO_MAX_BYTES) {
+        this.#limits.noteLimit('hello')
+        connection.close('too much was sent before the handshake was complete')
+      }
+    }
+    socket.on('data', handleData)
+  }
+
   #removeOpening (connection: PeerConnection): void {
     this.#unauthenticated.delete(connection)
     for (const [peer, opening] of this.#dialling) {
@@ -173,3 +226,12 @@
     return isOpenedBySmallerId
   }
 }
+
+/** Answers plain HTTP, for which this listener has no use, and closes its connection. */
+function refuseRequest (_request: IncomingMessage, response: ServerResponse): void {
+  response.writeHead(426, { connection: 'close' }).end()
+}
+
+function formatRemote (socket: Socket): string {
+  return `${socket.remoteAddress ?? ''} ${socket.remotePort ?? 0}`
+}
--- a/src/edge/process.ts
+++ b/src/edge/process.ts
@@ -7,6 +7,8 @@
 import type { ProcessRef, Role } from '../protocol/messages.js'
 import { formatFaults, loadSecretFile } from '../settings/index.js'
 import type { ProcessSettings } from '../settings/process.js'
+import { computeHandshakesMax, readDescriptorLimit } from './connections/descriptors.js'
+import { LimitLog } from './connections/limit-log.js'
 import { Logger } from './log/logger.js'
 import { Metrics } from './metrics/metrics.js'
 import { PeerHub } from './peer/hub.js'
@@ -37,6 +39,7 @@
   readonly kernel: Kernel
   readonly logger: Logger
   readonly metrics: Metrics
+  readonly limits: LimitLog
   readonly runtime: Runtime
   readonly hub: PeerHub
   readonly platform: PlatformClient
@@ -53,6 +56,7 @@
     this.#settings = settings
     this.logger = Logger.create({ processId: self.id })
     this.metrics = Metrics.create({ role })
+    this.limits = LimitLog.create(this.logger, this.metrics)
     this.tls = TlsSources.create(this.logger)
     const platformTls = this.tls.loadDialler(settings.platform.tls)
     this.platform = PlatformClient.create({
@@ -145,7 +149,7 @@
       handlePeerDisconnected: peer => { this.runtime.dispatch({ kind: 'peer-disconnected', peer }) },
       handlePeerMessage: (peer, message) => { this.runtime.dispatch({ kind: 'message-received', peer, message }) },
       handlePeerRefused: reason => { this.logger.write('peer-refused', { reason }) }
-    }, tls)
+    }, tls, { handshakesMax: computeHandshakesMax(this.#settings.peerListener.handshakesMax, readDescriptorLimit()), noteLimit: limit => { this.limits.note(limit) } })
   }
 }
 
--- a/src/kernel/log-events.ts
+++ b/src/kernel/log-events.ts
@@ -2,7 +2,7 @@
 export const LOG_EVENTS = [
   'process-started', 'address-in-use', 'process-leaving', 'process-stopped', 'work-cut',
   'peer-connected', 'peer-disconnected', 'peer-silent', 'peer-refused',
-  'request-received', 'request-finished', 'request-refused', 'request-retried', 'stream-resumed',
+  'request-received', 'request-finished', 'request-refused', 'request-retried', 'stream-resumed', 'limit-reached',
   'work-started', 'work-refused', 'pause-detected',
   'handover-started', 'handover-finished', 'handover-received',
   'endpoint-cold', 'endpoint-crashed', 'endpoint-ejected', 'request-suspected', 'request-quarantined', 'suspect-cleared', 'part-evidence', 'part-tried', 'evidence-synced', 'group-lost', 'group-found', 'request-held', 'endpoint-limited', 'endpoint-announced',
--- a/src/settings/process.ts
+++ b/src/settings/process.ts
@@ -26,6 +26,12 @@
   readonly tls?: ListenerTlsFiles
 }
 
+/** The listener for peers. */
+export interface PeerListenerSettings extends ListenerSettings {
+  /** Largest count of connections whose other side has not proved yet that it is a peer. */
+  readonly handshakesMax: number
+}
+
 /** The listener for callers. */
 export interface CallerListenerSettings extends ListenerSettings {
   /** URL that is announced to callers. */
@@ -62,7 +68,7 @@
   readonly clusterSecretFile: string
   /** Maximum duration of a planned stop in ms. */
   readonly leaveDeadlineMs: number
-  readonly peerListener: ListenerSettings
+  readonly peerListener: PeerListenerSettings
   readonly operationsListener: OperationsListenerSettings
   readonly peerDialler?: { readonly tls?: DiallerTlsFiles }
   readonly platform: PlatformSettings
@@ -75,6 +81,15 @@
   readonly headerMaxBytes: number
   readonly headersTimeoutMs: number
   readonly idleTimeoutMs: number
+  readonly connectionsMax: number
+  /** Unanswered requests of one connection at which the rest of what it sent stays unread. */
+  readonly connectionRequestsMax: number
+  /** Requests in flight. */
+  readonly requestsMax: number
+  /** Bytes of bodies and unsent answers in sum. */
+  readonly heldBytesMax: number
+  /** Time after which a connection that takes no byte of its answer is closed, in ms. */
+  readonly unreadTimeoutMs: number
 }
 
 /** Settings of `heatherdoor-entry`. */
@@ -124,7 +139,7 @@
   failure_domain: NAME,
   cluster_secret_file: FILE_PATH,
   leave_deadline_ms: buildDuration(1000).default(120_000),
-  peer_listener: buildTable(LISTENER),
+  peer_listener: buildTable({ ...LISTENER, handshakes_max: buildInteger(1, 100_000).default(1024) }),
   operations_listener: buildTable({ ...LISTENER, operator_keys_file: FILE_PATH.exactOptional() }),
   peer_dialler: buildTable({ tls: TLS_FILES.exactOptional() }).exactOptional(),
   platform: PLATFORM,
@@ -140,7 +155,12 @@
     body_max_bytes: buildInteger(1024, 268_435_456).default(8_388_608),
     header_max_bytes: buildInteger(1024, 1_048_576).default(32_768),
     headers_timeout_ms: buildDuration(100).default(10_000),
-    idle_timeout_ms: buildDuration(100).default(75_000)
+    idle_timeout_ms: buildDuration(100).default(75_000),
+    connections_max: buildInteger(1, 100_000).default(4096),
+    connection_requests_max: buildInteger(1, 1000).default(16),
+    requests_max: buildInteger(1, 1_000_000).default(4096),
+    held_bytes_max: buildInteger(1024, 17_179_869_184).default(134_217_728),
+    unread_timeout_ms: buildDuration(1000).default(120_000)
   }).prefault({})
 })
 
--- a/test/entry/server.test.ts
+++ b/test/entry/server.test.ts
@@ -1,10 +1,11 @@
 import test from 'ava'
 import type { AddressInfo } from 'node:net'
 import { request } from 'undici'
-import { CallersController, CONFIGURATION_TOKEN } from '../../src/edge/entry/callers.js'
+import { CallersController, CONFIGURATION_TOKEN, NOTE_LIMIT_TOKEN } from '../../src/edge/entry/callers.js'
 import { CallerExchange } from '../../src/edge/entry/exchange.js'
 import { CallerBridge } from '../../src/edge/entry/caller-bridge.js'
 import { Logger } from '../../src/edge/log/logger.js'
+import { HeldBytes } from '../../src/edge/entry/held-bytes.js'
 import { EntryServer } from '../../src/edge/entry/server.js'
 
 const BODY_MAX_BYTES = 1024
@@ -21,10 +22,12 @@
   const server = await EntryServer.create({
     ip: '127.0.0.1',
     port: 0,
-    limits: { bodyMaxBytes: BODY_MAX_BYTES, headerMaxBytes: 8192, headersTimeoutMs: 5000, idleTimeoutMs: 5000 },
+    limits: { bodyMaxBytes: BODY_MAX_BYTES, headerMaxBytes: 8192, headersTimeoutMs: 5000, idleTimeoutMs: 5000, connectionsMax: 100, connectionRequestsMax: 16, requestsMax: 100, heldBytesMax: 1_000_000, unreadTimeoutMs: 60_000 },
+    connections: { connectionsMax: 100, noteLimit: () => {} },
+    held: HeldBytes.create(1_000_000, () => {}),
     logger: Logger.create({ processId: 'entry-0', write: () => {} }),
     controller: CallersController,
-    providers: [{ provide: CallerBridge, useValue: CallerBridge.create() }, { provide: CONFIGURATION_TOKEN, useValue: { findTeam: () => undefined } }]
+    providers: [{ provide: HeldBytes, useValue: HeldBytes.create(1_000_000, () => {}) }, { provide: NOTE_LIMIT_TOKEN, useValue: () => {} }, { provide: CallerBridge, useValue: CallerBridge.create() }, { provide: CONFIGURATION_TOKEN, useValue: { findTeam: () => undefined } }]
   })
   await server.start()
   const url = `http://127.0.0.1:${(server.server.address() as AddressInfo).port}`
