Bound the directory, ready and metrics listeners, and count what requests cost

Cause: the listeners of operators had no bound on connections and no time-outs; the memory budget counted bodies and answers, not the requests around them.

Change: StatusListener keeps the bounds of CallerConnections. A request counts with 16 KB, an answer that is being sent with 4 KB.

--- a/src/gateway/memory.ts
+++ b/src/gateway/memory.ts
@@ -7,6 +7,10 @@
 const BODIES_SHARE = 0.25
 const ANSWERS_SHARE = 0.125
 
+/** Bytes that a request in flight and an answer that is being sent take besides their bodies: objects, sockets and heads. */
+const REQUEST_BYTES = 16 * 1024
+const ANSWER_BYTES = 4 * 1024
+
 /** Largest body in bytes that may use the part of the limit that is kept free for small ones, and that part. */
 const SMALL_BODY_BYTES_MAX = 64 * 1024
 const SMALL_BODIES_SHARE = 0.25
@@ -34,6 +38,8 @@
   #bodiesBytes = 0
   #answersBytes = 0
   #sendingBytes = 0
+  /** Number of answers that are being sent. */
+  #sending = 0
   readonly #bodies = new Map<object, number>()
   readonly #answers = new Map<object, Buffered>()
 
@@ -67,16 +73,18 @@
   }
 
   /**
-   * Reserves memory for the body of a request.
+   * Reserves memory for a request and its body.
    *
    * @param owner - the request
    * @param bytes - size of the body, as far as it is known
    * @returns whether there is room; nothing changes when there is none
    */
   reserveBody (owner: object, bytes: number): boolean {
-    const previous = this.#bodies.get(owner) ?? 0
+    const reserved = this.#bodies.get(owner)
+    const previous = reserved ?? 0
     const max = bytes > SMALL_BODY_BYTES_MAX ? (1 - SMALL_BODIES_SHARE) * this.#bodiesMax : this.#bodiesMax
-    if (bytes > previous && this.#bodiesBytes - previous + bytes > max) return false
+    const total = this.#bodiesBytes - previous + bytes + this.#bodies.size * REQUEST_BYTES
+    if ((reserved === undefined || bytes > previous) && total > max) return false
     this.#bodies.set(owner, bytes)
     this.#bodiesBytes += bytes - previous
     return true
@@ -121,7 +129,7 @@
 
   /** Whether callers read so slowly that there is little room for the answers of further requests. */
   get isCongested (): boolean {
-    return this.#sendingBytes > SENDING_SHARE_MAX * this.#answersMax
+    return this.#sendingBytes + this.#sending * ANSWER_BYTES > SENDING_SHARE_MAX * this.#answersMax
   }
 
   /** @returns bytes of all answers that are read or sent */
@@ -138,11 +146,16 @@
     const previous = this.#answers.get(owner)
     this.#answersBytes += (buffered?.bytes ?? 0) - (previous?.bytes ?? 0)
     this.#sendingBytes += countSending(buffered) - countSending(previous)
+    this.#sending += Number(isSending(buffered)) - Number(isSending(previous))
     if (buffered === undefined) this.#answers.delete(owner)
     else this.#answers.set(owner, buffered)
   }
 }
 
 function countSending (buffered: Buffered | undefined): number {
-  return buffered !== undefined && buffered.drop === undefined ? buffered.bytes : 0
+  return buffered !== undefined && isSending(buffered) ? buffered.bytes : 0
+}
+
+function isSending (buffered: Buffered | undefined): boolean {
+  return buffered !== undefined && buffered.drop === undefined
 }
--- a/src/gateway/process.ts
+++ b/src/gateway/process.ts
@@ -1,7 +1,5 @@
 /** Process of a gateway: forwards requests of callers to endpoints and watches a metadata store. */
 
-import { createServer } from 'node:http'
-import type { Server } from 'node:http'
 import type { Either } from 'purify-ts'
 import { Logger } from '../edge/log/logger.js'
 import { Metrics } from '../edge/metrics/metrics.js'
@@ -27,6 +25,8 @@
 import { PlannedStop } from './planned-stop.js'
 import { RankClient } from './rank-link.js'
 import { CallerServer } from './server.js'
+import { StatusListener } from './status-listener.js'
+import type { StatusAnswer } from './status-listener.js'
 import { StoreFollower, computeFollowerTimes } from './store.js'
 import type { Change, FollowerBounds, StoreFailure, StoreKind } from './store.js'
 
@@ -128,7 +128,6 @@
   readonly #bounds: CallerBounds
   readonly #followers: readonly StoreFollower<unknown>[]
   readonly #evacuated = new Set<string>()
-  readonly #servers: Server[] = []
   readonly #bornMs = Date.now()
   #hasEndpoints = false
   #isLeaving = false
@@ -401,33 +400,17 @@
     return body === undefined ? { status: 404 } : { status: 200, type: 'application/json', body }
   }
 
-  async #listen ({ host, port }: Address, answer: (path: string) => HttpAnswer | Promise<HttpAnswer>): Promise<void> {
-    const server = createServer((request, response) => {
-      request.resume()
-      Promise.resolve(answer(request.url ?? '')).then(({ status, type, body = '' }) => {
-        response.writeHead(status, { 'Content-Length': String(Buffer.byteLength(body)), ...(type === undefined ? {} : { 'Content-Type': type }) })
-        response.end(body)
-      }, (error: unknown) => {
-        this.#logger.write('internal-error', { reason: String(error) })
-        response.destroy()
-      })
-    })
-    this.#servers.push(server)
-    await this.#open({ host, port }, async () => {
-      await new Promise<void>((resolve, reject) => {
-        server.once('error', reject)
-        server.listen(port, host, () => { resolve() })
-      })
+  async #listen (address: Address, answer: (path: string) => StatusAnswer | Promise<StatusAnswer>): Promise<void> {
+    const listener = StatusListener.create({
+      bounds: this.#bounds,
+      answer,
+      noteBound: bound => { this.#metrics.count('bounds_met', bound) },
+      handleError: reason => { this.#logger.write('internal-error', { reason }) }
     })
+    await this.#open(address, async () => { await listener.start(address) })
   }
 
   async #open ({ host, port }: Address, listen: () => Promise<void>): Promise<void> {
     await openListener(listen, () => { this.#logger.write('address-in-use', { address: `${host}:${port}` }) })
   }
 }
-
-interface HttpAnswer {
-  readonly status: number
-  readonly type?: string
-  readonly body?: string
-}
