--- a/src/plugins/gateway/selection.ts
+++ b/src/plugins/gateway/selection.ts
@@ -135,12 +135,14 @@
     const elsewhere = reachable.filter(({ endpoint: { record } }) => isSampled && !request.avoidedDomains.has(record.domain))
     const pool = [elsewhere, reachable, untried].find(candidates => candidates.length > 0) ?? eligible
     const compared = isSampled ? this.#pickSample(pool, request) : pool
+    // Requests that were in flight longer ago than one takes have ended since.
+    const isOutlived = isSampled && request.countsAgeMs > (request.durationMs ?? DURATION_DEFAULT_MS)
     const fastestMs = Math.min(...pool.map(({ endpoint: { record } }) => this.#get(record.id).latencyMs || Infinity))
     let best: Selection | undefined
     let bestScore = Infinity
     const first = Math.floor(request.fraction * compared.length)
     for (const { endpoint, access } of [...compared.slice(first), ...compared.slice(0, first)]) {
-      const inFlight = this.#get(endpoint.record.id).inFlight + request.countElsewhere(endpoint.record.id)
+      const inFlight = this.#get(endpoint.record.id).inFlight + (isOutlived ? 0 : request.countElsewhere(endpoint.record.id))
       const load = inFlight + (isContended(access) ? LIMITED_PENALTY * endpoint.record.slots : 0)
       const score = this.#computeScore(endpoint, load, fastestMs) * request.getPace(endpoint.record.id)
       if (score >= bestScore) continue
