--- a/src/edge/connections/gate.ts
+++ b/src/edge/connections/gate.ts
@@ -46,7 +46,7 @@
 
   /**
    * @param socket - connection that an HTTP server has just accepted
-   * @param requestsMax - largest count of unanswered requests at which more data is passed on
+   * @param requestsMax - count of unanswered requests below which more data is passed on, at least 2
    * @returns the gate, which from now on stands between the connection and the parser
    */
   static create (socket: Socket, requestsMax: number): ConnectionGate {
@@ -144,10 +144,10 @@
     else if (wasHolding && !this.#isPausedByServer()) this.#socket.resume()
   }
 
-  /** The body of the last request is always passed on, since it is unanswered until it is whole. */
+  /** Only the last request may wait for the rest of its body; with two or more unanswered, another one ends without more data. */
   #mayDeliver (): boolean {
     if (this.#socket.destroyed || this.#isPausedByServer()) return false
-    return this.#unanswered.size < this.#requestsMax || this.#lastRequest?.complete === false
+    return this.#unanswered.size < this.#requestsMax
   }
 
   /** While it has paused the connection, the parser takes data for an error. */
--- a/src/edge/entry/held-bytes.ts
+++ b/src/edge/entry/held-bytes.ts
@@ -56,8 +56,8 @@
   noteAnswer (answer: HeldAnswer): void {
     this.#update(answer)
     if (this.#bodyBytes + this.#answerBytes <= this.#bytesMax) return
-    // What was sent since the responses were last written to is only seen now.
-    for (const held of this.#answers.keys()) this.#update(held)
+    // What was sent since the responses were last written to is only seen now. Updates change the order of the map.
+    for (const held of [...this.#answers.keys()]) this.#update(held)
     while (this.#bodyBytes + this.#answerBytes > this.#bytesMax && this.#answers.size > 0) {
       const [largest] = [...this.#answers].reduce((most, next) => next[1] > most[1] ? next : most)
       this.removeAnswer(largest)
--- a/src/settings/process.ts
+++ b/src/settings/process.ts
@@ -157,7 +157,7 @@
     headers_timeout_ms: buildDuration(100).default(10_000),
     idle_timeout_ms: buildDuration(100).default(75_000),
     connections_max: buildInteger(1, 100_000).default(4096),
-    connection_requests_max: buildInteger(1, 1000).default(16),
+    connection_requests_max: buildInteger(2, 1000).default(16),
     requests_max: buildInteger(1, 1_000_000).default(4096),
     held_bytes_max: buildInteger(1024, 17_179_869_184).default(134_217_728),
     unread_timeout_ms: buildDuration(1000).default(120_000)
