Take an answer with a status outside 200 to 599 for a failure of the endpoint

Callers saw answers with the status 600 or 999 as answers with the outcome run: before the change the test fails with 'head 600, chunk, chunk, ended'. 000, 0, 99, 099, 2000 and negative numbers never reached them, since the HTTP client refuses them, and neither did 1xx without an end. An empty reason is legal.

--- a/src/edge/endpoint/runner.ts
+++ b/src/edge/endpoint/runner.ts
@@ -94,6 +94,10 @@
         ...(hasBody ? { body: work.body } : {}),
         signal
       })
+      if (!isFinalStatus(response.statusCode)) {
+        response.body.on('error', () => undefined).destroy()
+        throw new Error(`the status ${response.statusCode} is none of HTTP`)
+      }
       const headers = listHeaders(response.headers)
       dispatch({ kind: 'endpoint-head', workId, status: response.statusCode, headers })
       if (isEventStream(headers)) await this.#sendEvents(workId, response.body)
@@ -140,6 +144,11 @@
     .flatMap(([name, value]) => [value ?? []].flat().map(item => [name, item] as const))
 }
 
+/** Whether a status ends a request; others show an endpoint in trouble, whose answer is none. */
+function isFinalStatus (status: number): boolean {
+  return status >= 200 && status <= 599
+}
+
 /** Whether the end of the body is known from its length or its chunks. */
 function isFramed (headers: Readonly<Record<string, unknown>>): boolean {
   return headers['content-length'] !== undefined || headers['transfer-encoding'] !== undefined
