Mend what a review of the waiting requests found

A request larger than the memory of every endpoint blocked the head of a queue; a team paid for work that never started; a queue could call itself in a deep recursion, and gave up what waited when the time to ask was over; silent agents and long permits kept the others of a gateway from asking; the most urgent priority was kept for ever. The queue now asks in calls of its own, forgets turns with its last request, and goes on waiting until the latest start.

--- a/src/gateway/admission.ts
+++ b/src/gateway/admission.ts
@@ -113,11 +113,11 @@
     const nowMs = this.#context.getNowMs()
     const mayAsk = this.#asks === 0 || (this.#asks < ASKS_MAX && nowMs - this.#startedAtMs < waitMaxMs)
     const selection = mayAsk ? this.#context.choose(service, this.#busy.size === 0 ? tried : new Set([...tried, ...this.#busy]), this.#silentDomains, nowMs) : undefined
-    if (selection === undefined) {
+    if (selection === undefined && this.#busy.size === 0) {
       this.#borrowOrWait(nowMs)
       return
     }
-    if (this.#busy.has(selection.endpoint.record.id)) {
+    if (selection === undefined || this.#busy.has(selection.endpoint.record.id)) {
       this.#finish({ kind: 'full' })
       return
     }
@@ -157,7 +157,8 @@
       this.#borrow(lender)
       return
     }
-    const soonest = this.#hasWaited ? undefined : this.#context.chooseSoonest(service, nowMs)
+    // A request in the queue asks again soon; others would wait behind it meanwhile.
+    const soonest = this.#hasWaited || this.#options.roomAsksMax !== undefined ? undefined : this.#context.chooseSoonest(service, nowMs)
     if (soonest === undefined) {
       this.#finish({ kind: this.#context.listAvailable(service).length === 0 ? 'no-endpoint' : 'limited' })
       return
@@ -176,7 +177,10 @@
       this.#context.metrics.count('borrowed_shares', isLent === undefined ? 'silent' : isLent ? 'granted' : 'denied')
       if (isLent === true) this.#admitIfUsable(selection, 'borrowed-share', permit)
       else this.#restart()
-    }, (error: unknown) => { this.#context.log('internal-error', { reason: String(error) }) })
+    }, (error: unknown) => {
+      this.#context.log('internal-error', { reason: String(error) })
+      if (!this.#isDone) this.#restart()
+    })
   }
 
   /** Room that the endpoint is asked for; undefined when the counts of all endpoints are known well. */
@@ -185,7 +189,7 @@
     if (!isSampled || reserved === undefined) return undefined
     const slots = Math.max(1, record.slots - reserved)
     const isBalancing = roomAsksMax === undefined && this.#busy.size < BALANCED_ASKS_MAX
-    const meanLoad = isBalancing ? this.#context.serviceLoad.findMeanLoad(service, undefined, nowMs) : undefined
+    const meanLoad = isBalancing ? this.#context.serviceLoad.findMeanLoad(service, nowMs) : undefined
     return { tokens, loadMax: meanLoad === undefined ? slots : Math.max(1, Math.min(slots, Math.floor(meanLoad) + 1)) }
   }
 
@@ -195,7 +199,10 @@
     this.#hold(selection)
     this.#context.askPermit(selection, rate, waitMaxMs, PERMIT_TIMEOUT_MS, room).then(
       reply => { if (!this.#isDone) this.#handleReply(selection, reply, askedAtMs) },
-      (error: unknown) => { this.#context.log('internal-error', { reason: String(error) }) }
+      (error: unknown) => {
+        this.#context.log('internal-error', { reason: String(error) })
+        if (!this.#isDone) this.#handleReply(selection, undefined, askedAtMs)
+      }
     )
   }
 
@@ -216,6 +223,7 @@
       return
     }
     coldLimits.noteAgentAnswer(id)
+    this.#context.serviceLoad.noteAnswered(service, domain)
     if (reply.kind !== 'denied' && reply.load !== undefined) this.#context.serviceLoad.noteLoad(service, domain, reply.load, nowMs)
     if (reply.kind === 'busy') {
       this.#busy.add(id)
--- a/src/gateway/agent.ts
+++ b/src/gateway/agent.ts
@@ -147,7 +147,10 @@
   async #updateLoad (): Promise<void> {
     const nowMs = performance.now()
     if (this.#pendingReport === undefined && this.#load.isReportDue(nowMs)) {
-      this.#pendingReport = this.#engine.readLoad(this.#settings.workerAddress).then(load => {
+      this.#pendingReport = this.#engine.readLoad(this.#settings.workerAddress).catch((error: unknown) => {
+        this.#logger.write('internal-error', { reason: String(error) })
+        return undefined
+      }).then(load => {
         this.#load.noteReport(load, nowMs)
         this.#pendingReport = undefined
       })
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -192,7 +192,7 @@
       getPace: endpoint => this.paces[endpoint] ?? this.peers.getPace(endpoint)
     }, nowMs)
     if (selection?.isSampled === true && selection.access.kind === 'permit') this.#admittedByAgents.add(service)
-    else this.#admittedByAgents.delete(service)
+    else if (selection?.isSampled === false) this.#admittedByAgents.delete(service)
     return selection
   }
 
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -147,7 +147,7 @@
     const waitMaxMs = Math.min(PERMIT_WAIT_SHARE * this.#options.route.latencyTargetMs, leftMs - ATTEMPT_MIN_MS)
     const wait = buildRoomWait(this.#options, this.#deadlineAtMs, this.#context.roomQueue.getFirstEventMs(this.#options.service))
     // A caller that has received part of the answer leaves when it waits long for the rest.
-    this.#admission = RoomAdmission.create({ wait, mustStart: this.#stream.hasBegun, tried: this.#tried, waitMaxMs }, this.#context, result => { this.#runStep(() => { this.#handleAdmission(result) }) })
+    this.#admission = RoomAdmission.create({ wait, mustStart: this.#stream.lastEventId !== undefined, tried: this.#tried, waitMaxMs }, this.#context, result => { this.#runStep(() => { this.#handleAdmission(result) }) })
     this.#admission.start()
   }
 
--- a/src/gateway/room-admission.ts
+++ b/src/gateway/room-admission.ts
@@ -65,27 +65,26 @@
   }
 
   #enter (): void {
-    const ticket = this.#context.roomQueue.enter(this.#options.wait, {
+    this.#ticket = this.#context.roomQueue.enter(this.#options.wait, {
       ask: reserved => { this.#search(reserved, QUEUED_ASKS) },
       refuse: () => { this.#finish({ kind: 'limited' }) }
     })
-    this.#ticket = ticket
-    // The queue may have let the request ask, and the answer may have come, before the ticket was known.
-    if (this.#isDone) ticket.leave()
   }
 
   #handleResult (result: AdmissionResult): void {
-    if (result.kind !== 'full') {
-      this.#finish(result)
+    // What waits goes on waiting while no endpoint can be asked, until the queue refuses it.
+    if (result.kind === 'full' || (result.kind === 'limited' && this.#ticket !== undefined)) {
+      if (this.#ticket === undefined) this.#enter()
+      else this.#ticket.noteFull()
       return
     }
-    if (this.#ticket === undefined) this.#enter()
-    else this.#ticket.noteFull()
+    this.#finish(result)
   }
 
   #finish (result: RoomResult): void {
     if (this.#isDone) return
     this.#isDone = true
+    if (result.kind === 'admitted' && this.#ticket === undefined) this.#context.roomQueue.noteDirectStart(this.#options.wait.service)
     if (result.kind === 'admitted') this.#ticket?.noteStarted()
     else this.#ticket?.leave()
     this.#handle(result)
--- a/src/gateway/room-queue.ts
+++ b/src/gateway/room-queue.ts
@@ -20,6 +20,15 @@
 /** Share of the time until its latest start after which a request has waited long. */
 const WAIT_SHARE_MAX = 0.6
 
+/** Most tokens that count for the turn of a team, so that what a caller claims cannot keep its team waiting for long. */
+const COST_MAX = 10_000
+
+/** Time in ms after the last request of the most urgent priority until the next priority counts as the most urgent. */
+const TOP_PRIORITY_MS = 5_000
+
+/** Longest time in ms to a first event that counts; longer ones also waited at their endpoint. */
+const FIRST_EVENT_MAX_MS = 1_000
+
 /** Weight of the latest value in moving averages. */
 const AVERAGE_WEIGHT = 0.2
 
@@ -42,7 +51,7 @@
 
 /** Callbacks of a request in the queue. */
 export interface RoomHandlers {
-  /** Asks one endpoint for a slot and leaves `reserved` others free; the ticket then gets the answer. */
+  /** Asks endpoints for a slot and leaves `reserved` others free; the ticket then gets the answer. */
   ask (reserved: number): void
   /** Called when the request cannot be served in time; it has left the queue. */
   refuse (): void
@@ -50,7 +59,7 @@
 
 /** Place of a request in the queue. */
 export interface RoomTicket {
-  /** The endpoint that was asked had no free slot. */
+  /** The endpoints that were asked had no free slot. */
   noteFull (): void
   /** The request has started. */
   noteStarted (): void
@@ -69,13 +78,14 @@
 }
 
 /** Parts of the gateway that a queue uses. */
-export type RoomContext = Pick<GatewayContext, 'clock' | 'getNowMs' | 'log' | 'metrics' | 'pickFloat'>
+export type RoomContext = Pick<GatewayContext, 'boundary' | 'clock' | 'getNowMs' | 'log' | 'metrics' | 'pickFloat'>
 
 /** Waiting requests of one service. */
 class ServiceQueue {
   readonly waiters = new Set<Waiter>()
   readonly tagsByPriority = new Map<number, FairTags>()
   topPriority = Infinity
+  topPriorityAtMs = -Infinity
   firstEventMs = 0
   asking: Waiter | undefined
   cancelTimer: (() => void) | undefined
@@ -87,6 +97,27 @@
     return new ServiceQueue()
   }
 
+  /** Records that a request of a priority has come. */
+  notePriority (priority: number, nowMs: number): void {
+    if (priority > this.topPriority && nowMs - this.topPriorityAtMs < TOP_PRIORITY_MS) return
+    this.topPriority = priority
+    this.topPriorityAtMs = nowMs
+  }
+
+  /** Removes a request, and the turns of its priority when no other waits. */
+  remove (waiter: Waiter): void {
+    this.waiters.delete(waiter)
+    if (this.asking === waiter) this.asking = undefined
+    const { priority } = waiter.wait
+    if (![...this.waiters].some(({ wait }) => wait.priority === priority)) this.tagsByPriority.delete(priority)
+  }
+
+  /** Removes a request that did not start. */
+  giveUp (waiter: Waiter): void {
+    this.tagsByPriority.get(waiter.wait.priority)?.remove(waiter.wait.team, waiter.startTag, computeCost(waiter.wait))
+    this.remove(waiter)
+  }
+
   getTags (priority: number): FairTags {
     const tags = this.tagsByPriority.get(priority) ?? FairTags.create()
     this.tagsByPriority.set(priority, tags)
@@ -114,7 +145,8 @@
   /** Records the time in ms from the start of a request to the first event of its answer. */
   noteFirstEvent (service: string, elapsedMs: number): void {
     const queue = this.#getQueue(service)
-    queue.firstEventMs = queue.firstEventMs === 0 ? elapsedMs : queue.firstEventMs + AVERAGE_WEIGHT * (elapsedMs - queue.firstEventMs)
+    const sampleMs = Math.min(elapsedMs, FIRST_EVENT_MAX_MS)
+    queue.firstEventMs = queue.firstEventMs === 0 ? sampleMs : queue.firstEventMs + AVERAGE_WEIGHT * (sampleMs - queue.firstEventMs)
   }
 
   /** @returns mean time in ms from the start of a request to the first event of its answer; 0 before any was measured */
@@ -124,9 +156,16 @@
 
   /** @returns slots of an endpoint that a request leaves free when it starts now */
   countReserved (wait: RoomWait): number {
+    const nowMs = this.#context.getNowMs()
     const queue = this.#getQueue(wait.service)
-    queue.topPriority = Math.min(queue.topPriority, wait.priority)
-    return countReserved(queue, wait, this.#context.getNowMs())
+    queue.notePriority(wait.priority, nowMs)
+    return countReservedSlots(queue, wait, nowMs)
+  }
+
+  /** Records a request that started without waiting. */
+  noteDirectStart (service: string): void {
+    const queue = this.#getQueue(service)
+    if (queue.waiters.size > 0) queue.startsSinceOldest += 1
   }
 
   /** Whether a request would start after one that waits already. */
@@ -145,41 +184,35 @@
   enter (wait: RoomWait, handlers: RoomHandlers): RoomTicket {
     const nowMs = this.#context.getNowMs()
     const queue = this.#getQueue(wait.service)
-    const cost = Math.max(1, wait.tokens)
-    const waiter: Waiter = { wait, handlers, enteredAtMs: nowMs, startTag: queue.getTags(wait.priority).add(wait.team, cost) }
-    const remove = (): void => {
-      queue.waiters.delete(waiter)
-      if (queue.asking === waiter) queue.asking = undefined
-    }
-    const leave = (): void => {
-      if (!queue.waiters.has(waiter)) return
-      remove()
-      queue.getTags(wait.priority).remove(wait.team, waiter.startTag, cost)
-      this.#check(queue)
-    }
+    queue.notePriority(wait.priority, nowMs)
+    const waiter: Waiter = { wait, handlers, enteredAtMs: nowMs, startTag: queue.getTags(wait.priority).add(wait.team, computeCost(wait)) }
     if (this.#isHopeless(queue, wait, nowMs)) {
-      queue.getTags(wait.priority).remove(wait.team, waiter.startTag, cost)
+      queue.giveUp(waiter)
       this.#refuse(waiter)
     } else {
       queue.waiters.add(waiter)
-      this.#check(queue)
+      this.#schedule(queue, 0)
     }
     return {
       noteFull: () => {
         if (queue.asking !== waiter) return
         queue.asking = undefined
-        this.#schedule(queue)
+        this.#schedule(queue, ASK_INTERVAL_MS * (1 + 0.5 * this.#context.pickFloat()))
       },
       noteStarted: () => {
         if (!queue.waiters.has(waiter)) return
-        remove()
-        queue.getTags(wait.priority).noteStarted(waiter.startTag)
+        queue.tagsByPriority.get(wait.priority)?.noteStarted(waiter.startTag)
+        queue.remove(waiter)
         const oldestMs = Math.min(...[...queue.waiters].map(({ enteredAtMs }) => enteredAtMs))
         queue.startsSinceOldest = oldestMs < waiter.enteredAtMs ? queue.startsSinceOldest + 1 : 0
         this.#report(waiter, 'started')
-        this.#check(queue)
+        this.#schedule(queue, 0)
       },
-      leave
+      leave: () => {
+        if (!queue.waiters.has(waiter)) return
+        queue.giveUp(waiter)
+        this.#schedule(queue, 0)
+      }
     }
   }
 
@@ -198,21 +231,22 @@
     const nowMs = this.#context.getNowMs()
     for (const waiter of [...queue.waiters]) {
       if (nowMs < waiter.wait.untilMs || waiter === queue.asking) continue
-      queue.waiters.delete(waiter)
+      queue.giveUp(waiter)
       this.#refuse(waiter)
     }
     if (queue.asking !== undefined || queue.cancelTimer !== undefined) return
     const first = chooseFirst(queue, nowMs)
     if (first === undefined) return
     queue.asking = first
-    first.handlers.ask(isTurnOfOldest(queue) ? 0 : countReserved(queue, first.wait, nowMs))
+    first.handlers.ask(isTurnOfOldest(queue) ? 0 : countReservedSlots(queue, first.wait, nowMs))
   }
 
-  #schedule (queue: ServiceQueue): void {
+  /** Lets the next request ask later, never within the call of another one. */
+  #schedule (queue: ServiceQueue, delayMs: number): void {
     if (queue.cancelTimer !== undefined) return
-    queue.cancelTimer = this.#context.clock.schedule(ASK_INTERVAL_MS * (1 + 0.5 * this.#context.pickFloat()), () => {
+    queue.cancelTimer = this.#context.clock.schedule(delayMs, () => {
       queue.cancelTimer = undefined
-      this.#check(queue)
+      this.#context.boundary.run('request', () => { this.#check(queue) })
     })
   }
 
@@ -235,6 +269,10 @@
   }
 }
 
+function computeCost ({ tokens }: RoomWait): number {
+  return Math.max(1, Math.min(tokens, COST_MAX))
+}
+
 function hasWaitedLong ({ enteredAtMs }: Waiter, untilMs: number, nowMs: number): boolean {
   return nowMs - enteredAtMs > WAIT_SHARE_MAX * (untilMs - enteredAtMs)
 }
@@ -261,7 +299,7 @@
 }
 
 /** Only requests of the most urgent priority that can be on time take the last free slot of an endpoint. */
-function countReserved ({ topPriority }: ServiceQueue, wait: RoomWait, nowMs: number): number {
+function countReservedSlots ({ topPriority }: ServiceQueue, wait: RoomWait, nowMs: number): number {
   return wait.priority > topPriority || classify(wait, nowMs) !== 'on-time' ? RESERVED_SLOTS : 0
 }
 
--- a/src/plugins/gateway/engine-load.ts
+++ b/src/plugins/gateway/engine-load.ts
@@ -90,6 +90,7 @@
     const { memoryUsed, memoryTotal } = this.#report.load
     const granted = this.#grants.reduce((sum, grant) => sum + grant.tokens, 0)
     const fits = memoryUsed === undefined || memoryTotal === undefined || memoryUsed + granted + tokens <= memoryTotal
-    return count < loadMax && fits
+    // A request that is too large for the memory is refused by the idle engine, not here.
+    return count === 0 || (count < loadMax && fits)
   }
 }
--- a/src/plugins/gateway/service-load.ts
+++ b/src/plugins/gateway/service-load.ts
@@ -25,16 +25,17 @@
    * @param nowMs - monotonic time in ms
    */
   noteLoad (service: string, domain: string, requests: number, nowMs: number): void
+  /** Records that an agent in a failure domain answered, with its load or without. */
+  noteAnswered (service: string, domain: string): void
   /** Records that an agent in a failure domain did not answer. */
   noteSilent (service: string, domain: string, nowMs: number): void
   /** @returns failure domains in which the last agents that were asked did not answer */
   listSilentDomains (service: string, nowMs: number): readonly string[]
   /**
    * @param service - name of the service
-   * @param domain - failure domain to look at; all of them when undefined
    * @returns mean number of requests that an endpoint holds; undefined when no agent has answered lately
    */
-  findMeanLoad (service: string, domain: string | undefined, nowMs: number): number | undefined
+  findMeanLoad (service: string, nowMs: number): number | undefined
 }
 
 interface DecayedMean {
@@ -70,25 +71,29 @@
     this.#services.set(service, domains)
     const mean = domains.get(domain) ?? { sum: 0, weight: 0, atMs: nowMs }
     const kept = computeKept(mean, nowMs)
-    this.#silences.get(service)?.delete(domain)
     domains.set(domain, { sum: kept * mean.sum + requests, weight: kept * mean.weight + 1, atMs: nowMs })
   }
 
+  noteAnswered (service: string, domain: string): void {
+    this.#silences.get(service)?.delete(domain)
+  }
+
   noteSilent (service: string, domain: string, nowMs: number): void {
     const domains = this.#silences.get(service) ?? new Map<string, Silence>()
     this.#silences.set(service, domains)
-    domains.set(domain, { agents: (domains.get(domain)?.agents ?? 0) + 1, atMs: nowMs })
+    const last = domains.get(domain)
+    const isRecent = last !== undefined && nowMs - last.atMs < SILENT_MS
+    domains.set(domain, { agents: isRecent ? last.agents + 1 : 1, atMs: nowMs })
   }
 
   listSilentDomains (service: string, nowMs: number): readonly string[] {
     return [...this.#silences.get(service) ?? []].flatMap(([domain, { agents, atMs }]) => agents >= SILENT_AGENTS_MIN && nowMs - atMs < SILENT_MS ? [domain] : [])
   }
 
-  findMeanLoad (service: string, domain: string | undefined, nowMs: number): number | undefined {
+  findMeanLoad (service: string, nowMs: number): number | undefined {
     let sum = 0
     let weight = 0
-    for (const [name, mean] of this.#services.get(service) ?? []) {
-      if (domain !== undefined && name !== domain) continue
+    for (const mean of this.#services.get(service)?.values() ?? []) {
       const kept = computeKept(mean, nowMs)
       sum += kept * mean.sum
       weight += kept * mean.weight
