Give up no watches because a gateway has started, and repeat them at once

A watcher told the revision of its first list as that of a change, which is later than what the others had seen, so each gave up its three watches once.

A follower that gave up a watch soon after a change also paused for collecting again before it asked: now at once, with a test. The process test prints the roles and the waits that were asked for.

--- a/src/gateway/store.ts
+++ b/src/gateway/store.ts
@@ -139,6 +139,7 @@
   #waitMs: number
   #pending: { readonly waitMs: number, readonly controller: AbortController } | undefined
   #mustRenew = false
+  #wasListed = false
 
   private constructor (kind: StoreKind<T>, times: FollowerTimes, handlers: FollowerHandlers<T>, eras: EraTracker) {
     this.#kind = kind
@@ -208,10 +209,12 @@
         }
         const wasUnavailable = this.#noteAnswer()
         const isChanged = this.#isEraChanged()
+        const isFirst = !this.#wasListed
+        this.#wasListed = true
         if (isChanged) this.#recoveringUntilMs = performance.now() + RECOVERY_MS
         this.#era = this.#eras.newest
         this.#handlers.handleList(items, isChanged ? 'after-era-change' : wasUnavailable ? 'after-outage' : 'current')
-        this.#handlers.handleProgress?.({ era: this.#era, seen: revision, changed: revision })
+        this.#handlers.handleProgress?.({ era: this.#era, seen: revision, changed: isFirst ? undefined : revision })
         return { revision, era: this.#era }
       }
     })
@@ -221,6 +224,7 @@
     const pending = { waitMs: this.#failures > 0 || this.#mustRenew ? LOST_WAIT_MS : this.#waitMs, controller: new AbortController() }
     this.#pending = pending
     this.#mustRenew = false
+    this.#hasChanges = false
     const result = await this.#kind.watch(position.revision, pending.waitMs, pending.controller.signal)
     this.#pending = undefined
     return result.caseOf<Position | undefined>({
--- a/src/gateway/watch-roles.ts
+++ b/src/gateway/watch-roles.ts
@@ -81,7 +81,7 @@
   readonly era: number | undefined
   /** Revision up to which everything is known. */
   readonly seen: number
-  /** Revision of the newest change in the answer, or a later one; undefined when there was none. */
+  /** Revision of the newest change in the answer, or a later one; undefined when there was none, and for the first list of a process. */
   readonly changed: number | undefined
 }
 
--- a/test/adapter/store.test.ts
+++ b/test/adapter/store.test.ts
@@ -3,6 +3,7 @@
 import { createServer } from 'node:http'
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { AddressInfo } from 'node:net'
+import { setTimeout as wait } from 'node:timers/promises'
 import { Left, Right } from 'purify-ts'
 import type { Either } from 'purify-ts'
 import { StoreClient } from '../../platform/client.js'
@@ -158,6 +159,45 @@
   })
 })
 
+// Guards against a long watch that stays on a silent connection, or is repeated late, although the follower was told to ask again.
+test('a watch that is given up is asked again at once, on a new connection and with a short wait', async t => {
+  const ports = new Set<number | undefined>()
+  const store = await startStore([
+    reply(200, { items: [], has_more: false, current_rev: 5 }),
+    reply(200, { events: [{ deleted: false, object: buildObject('a') }], current_rev: 6 }),
+    request => { ports.add(request.socket.remotePort) },
+    (request, response) => {
+      ports.add(request.socket.remotePort)
+      reply(200, { events: [{ deleted: false, object: buildObject('b') }], current_rev: 7 })(request, response)
+    },
+    () => {}
+  ])
+  t.teardown(() => { store.close() })
+  const seen: string[] = []
+  const follower = StoreFollower.create({
+    list: async () => await store.client.list('servers'),
+    watch: async (revision, waitMs, signal) => await store.client.watch('servers', revision, waitMs, signal)
+  }, { ...TIMES, waitMs: 30_000 }, {
+    handleList () {},
+    handleChanges: changes => { seen.push(...changes.map(change => change.kind === 'written' ? change.item.name : change.name)) },
+    handleState: state => { seen.push(state) }
+  })
+  const run = follower.run()
+  while (store.requested.length < 3) await wait(5)
+  follower.updateWait(30_000)
+  const startedAtMs = performance.now()
+  follower.updateWait(TIMES.waitMs)
+  while (seen.length < 2) await wait(5)
+  t.true(performance.now() - startedAtMs < TIMES.collectMs)
+  while (store.requested.length < 5) await wait(5)
+  follower.stop()
+  await run
+  t.deepEqual(seen, ['a', 'b'])
+  t.deepEqual(store.requested.slice(2).map(request => request.replace('GET /heatherdoor/objects/', '')), ['servers?watch=6&wait_ms=30000', 'servers?watch=6&wait_ms=100', 'servers?watch=7&wait_ms=2000'])
+  t.is(ports.size, 2)
+  t.deepEqual(store.results, ['ok', 'ok', 'abandoned', 'ok', 'abandoned'])
+})
+
 // Guards against one call for each change, by every gateway, when many endpoints register in a short time.
 test('changes in quick succession are read together', async t => {
   const startedAtMs = performance.now()
--- a/test/processes/platform-store.ts
+++ b/test/processes/platform-store.ts
@@ -42,6 +42,8 @@
 
   /** Calls received, refused ones included. */
   calls = 0
+  /** Longest waits in ms that watches asked for. */
+  readonly waitsMs: number[] = []
   #revision = 1
   #era = 1
   #isRefusing = false
@@ -126,6 +128,7 @@
 
   async #watch (kind: string, query: URLSearchParams): Promise<unknown> {
     const from = Number(query.get('watch'))
+    this.waitsMs.push(Number(query.get('wait_ms')))
     const endsAtMs = performance.now() + Number(query.get('wait_ms'))
     for (;;) {
       const changed = this.#list(kind).filter(({ revision }) => revision > from)
--- a/test/processes/watch-roles.test.ts
+++ b/test/processes/watch-roles.test.ts
@@ -41,9 +41,13 @@
   const countRole = (role: string): number => gateways.filter(({ lines }) => lines.findLast(line => line.includes('"watch-role"'))?.includes(`"${role}"`) === true).length
   await waitFor(t, 'all have their roles', 20_000, async () => countRole('listener') === GATEWAYS - WATCHERS && countRole('watcher') === WATCHERS)
 
-  const callsBefore = cluster.store.calls
+  const [callsBefore, watchesBefore] = [cluster.store.calls, cluster.store.waitsMs.length]
   await wait(COUNT_MS)
   const callsPerS = (cluster.store.calls - callsBefore) / COUNT_MS * 1_000
+  const roles = gateways.map(({ name, lines }) => `${name} ${lines.flatMap(line => line.includes('"watch-role"') ? [(JSON.parse(line) as { readonly role: string }).role] : []).join(' ')}`)
+  t.log(roles.join(', '))
+  const waitsMs = cluster.store.waitsMs.slice(watchesBefore)
+  t.log(`watches by wait in ms: ${[...new Set(waitsMs)].sort((a, b) => a - b).map(waitMs => `${waitMs}: ${waitsMs.filter(other => other === waitMs).length}`).join(', ')}`)
   t.log(`${callsPerS.toFixed(2)} calls a second of ${GATEWAYS} gateways; ${(GATEWAYS * CALLS_ALONE_PER_S).toFixed(2)} without roles`)
   t.true(callsPerS < GATEWAYS * CALLS_ALONE_PER_S * 0.6)
   t.is(countRole('listener'), GATEWAYS - WATCHERS)
