Mend what a review of the store and the exchange of state found

An endpoint that was removed while the store was away was used again until the next full list when another one changed within a second after: it was passed on with the changes and lost its lapse. The test fails without the fix. Gateways in the bounded exchange answered each other's replies with full heartbeats for ever once one of them had started in the full exchange. News of a watcher that has listed only some kinds in a new era carried revisions of the old one, which hid later changes.

--- a/src/gateway/state-exchange.ts
+++ b/src/gateway/state-exchange.ts
@@ -184,10 +184,12 @@
         break
       case 'bounded': {
         const senders = this.#listSenders(nowMs)
-        link.sendHeartbeat('heartbeat', senders, { state, strikes, evidence })
+        const { incarnation, isReady } = this.#members
+        // With the incarnation, receivers in the bounded exchange do not take this for a periodic heartbeat to reply to.
+        link.sendHeartbeat('heartbeat', senders, { state: { ...state, isReady }, strikes, evidence, incarnation })
         if (!this.#isUrgent(state, strikes.length + evidence.length)) break
         const others = link.listTargets().filter(id => !senders.includes(id))
-        link.sendHeartbeat('heartbeat', others, { state: { ...state, inFlight: {}, isReady: this.#members.isReady }, strikes, evidence, incarnation: this.#members.incarnation })
+        link.sendHeartbeat('heartbeat', others, { state: { ...state, inFlight: {}, isReady }, strikes, evidence, incarnation })
         break
       }
       default:
--- a/src/gateway/watch-roles.ts
+++ b/src/gateway/watch-roles.ts
@@ -199,7 +199,10 @@
     this.#hasNews = false
     this.#wasHearing = isHearing
     const states = FOLLOWED_KINDS.map(kind => this.#getKind(kind))
-    return { id: this.#self.id, era: states[0]?.era, isHearing, changed: states.map(({ changed }) => changed), seen: states.map(({ seen }) => Math.max(0, seen)) }
+    // Kinds are listed one after the other in a new era; revisions of the one before would be taken for later ones.
+    const era = states.reduce<number | undefined>((newest, state) => state.era !== undefined && state.era > (newest ?? -1) ? state.era : newest, undefined)
+    const isCurrent = (state: KindState): boolean => state.era === era
+    return { id: this.#self.id, era, isHearing, changed: states.map(state => isCurrent(state) ? state.changed : 0), seen: states.map(state => isCurrent(state) ? Math.max(0, state.seen) : 0) }
   }
 
   /** @returns gateways that messages go to: those of the own failure domain, and one watcher of each other one */
--- a/src/plugins/gateway/endpoints.ts
+++ b/src/plugins/gateway/endpoints.ts
@@ -88,7 +88,8 @@
 
   replaceAll (records: readonly EndpointRecord[], wasStoreUnavailable: boolean, nowMs: number): readonly EndpointChange[] {
     const listed = new Set(records.map(record => record.id))
-    const changes = records.flatMap(record => this.upsert(record, nowMs))
+    // A record that is only passed on again says nothing new: its lapse and its cold time go on.
+    const changes = records.flatMap(record => this.#entries.get(record.id)?.record === record ? [] : this.upsert(record, nowMs))
     for (const id of this.#heldBack.keys()) if (!listed.has(id) && !this.#entries.has(id)) this.#heldBack.delete(id)
     for (const [id, entry] of this.#entries) {
       if (listed.has(id)) continue
--- a/test/gateway/decisions.test.ts
+++ b/test/gateway/decisions.test.ts
@@ -109,6 +109,15 @@
   t.deepEqual(listIds(table), [])
 })
 
+// Guards against requests to an endpoint that was removed while the store was away, because another one has changed since.
+test('a lapsed entry that is passed on again with the changes of others lapses all the same', t => {
+  const table = EndpointsPlugin.create()
+  table.replaceAll([createRecord('e1'), createRecord('e2')], false, 0)
+  table.replaceAll([createRecord('e1')], true, 100)
+  table.replaceAll([...table.listAll().map(({ record }) => record), createRecord('e3')], true, 300)
+  t.deepEqual(table.expire(100 + LAPSE_GRACE_MS), [{ id: 'e2', change: 'gone' }])
+})
+
 // Guards against requests to endpoints that the store had acknowledged as gone or draining, and lists as ready since it came back from an older copy.
 test('entries of a store that came back older are used once they are written again, or stay listed', t => {
   const fill = (): EndpointsPlugin => {
--- a/test/gateway/exchange-link.test.ts
+++ b/test/gateway/exchange-link.test.ts
@@ -26,6 +26,7 @@
       handleEvidence: () => {},
       listEvidence: () => [],
       handleLimits: () => {},
+      handleNews: () => {},
       listLimits: () => ({}),
       handleError: reason => { t.fail(reason) }
     })
