Hold at most 64 MB of bodies and unsent answers by default

With 128 MB the test of large bodies was at its bound of 200 MB added: 198 MB in one run, above it in the next; parts of a body cost more than their bytes.

--- a/src/settings/process.ts
+++ b/src/settings/process.ts
@@ -159,7 +159,7 @@
     connections_max: buildInteger(1, 100_000).default(4096),
     connection_requests_max: buildInteger(2, 1000).default(16),
     requests_max: buildInteger(1, 1_000_000).default(4096),
-    held_bytes_max: buildInteger(1024, 17_179_869_184).default(134_217_728),
+    held_bytes_max: buildInteger(1024, 17_179_869_184).default(67_108_864),
     unread_timeout_ms: buildDuration(1000).default(120_000)
   }).prefault({})
 })
