--- a/test/gateway/exchange.test.ts
+++ b/test/gateway/exchange.test.ts
@@ -148,7 +148,7 @@
     e2: stream(4)
   })
   const answer = harness.call()
-  await wait(200)
+  while (harness.context.memory.countAnswerBytes() === 0) await wait(5)
   for (const exchange of harness.context.listExchanges()) exchange.checkLiveness(performance.now() + 4_000)
   finish()
   const { body, isComplete } = await answer
