Drop the rest of refused bodies in turns

Cause: what follows a refusal was read as fast as it came, 32 chunks of a connection in a row, so that heads of other callers waited behind it; since the bounds on connections each chunk also passes through JavaScript. Change: 16 connections read 64 KB each in a turn of the event loop. Ruled out: pausing the socket only; node:http resumes it whenever the message is read.

--- a/src/gateway/caller-connection.ts
+++ b/src/gateway/caller-connection.ts
@@ -33,6 +33,8 @@
   readonly mayRunAhead: () => boolean
   /** Starts a request. */
   readonly start: (request: ReceivedRequest) => void
+  /** Calls `readOn` when the connection may read the next part of a body that is dropped. */
+  readonly awaitTurn: (readOn: () => void) => void
   /** Records bytes that wait unread, or have stopped waiting. @returns whether there is room for them */
   readonly noteHeld: (change: number) => boolean
 }
@@ -168,6 +170,16 @@
       this.#parse(chunk.subarray(start, end))
       start = end
     }
+    this.#paceDropping()
+  }
+
+  /** Reads the next part of a body whose request has its answer when it is this connection's turn. */
+  #paceDropping (): void {
+    const request = this.#lastRequest
+    if (request === undefined || request.message.complete || !request.response.writableEnded || request.message.isPaused()) return
+    // `node:http` reads from the socket whenever the message is read.
+    request.message.pause()
+    this.#handlers.awaitTurn(() => { request.message.resume() })
   }
 
   #computePieceBytes (): number {
--- a/src/gateway/caller-connections.ts
+++ b/src/gateway/caller-connections.ts
@@ -2,6 +2,7 @@
 
 import type { IncomingMessage, Server, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
+import { TurnQueue } from './turn-queue.js'
 import { CallerConnection } from './caller-connection.js'
 import type { ConnectionHandlers, ReceivedRequest } from './caller-connection.js'
 import { STALLED_MS, decideConnection } from './caller-limits.js'
@@ -16,6 +17,9 @@
 }
 const FAREWELL_DEFAULT = '400 Bad Request'
 
+/** Connections that read a part of a body that is dropped, about 64 KB, in a turn of the event loop: a few ms, for which the heads of other callers wait. */
+const DROPPING_PER_TURN = 16
+
 /** Bounds that connections keep. */
 export type ConnectionBounds = Pick<CallerBounds, 'connectionsMax' | 'requestsAhead' | 'unreadMs' | 'heldBytesMax'>
 
@@ -35,6 +39,7 @@
   readonly #options: ConnectionsOptions
   readonly #handlers: ConnectionHandlers
   readonly #connections = new Map<Socket, CallerConnection>()
+  readonly #turns = TurnQueue.create(setImmediate, DROPPING_PER_TURN)
   #heldBytes = 0
 
   private constructor (server: Server, options: ConnectionsOptions) {
@@ -44,6 +49,7 @@
       getRequestsAhead: () => options.getBounds().requestsAhead,
       mayRunAhead: options.mayRunAhead,
       start: options.start,
+      awaitTurn: readOn => { this.#turns.add(readOn) },
       noteHeld: change => this.#noteHeld(change)
     }
     server.on('connection', socket => { this.#accept(socket) })
