--- a/src/edge/metrics/table.ts
+++ b/src/edge/metrics/table.ts
@@ -120,6 +120,8 @@
   requests_in_flight: { type: 'gauge', help: 'Requests in flight.' },
   link_datagrams: { type: 'counter', help: 'Datagrams sent to other gateways by purpose.', label: purposeLabel },
   link_bytes: { type: 'counter', help: 'Bytes of these datagrams without the headers of UDP and IP.', label: purposeLabel },
+  domain_bytes: { type: 'counter', help: 'Bytes exchanged with other failure domains by purpose, without the headers of TCP, UDP and IP; messages of gateways count where they are sent.', label: { name: 'purpose', values: { kind: 'list', values: ['request', 'permit', 'reading', 'order', 'gateway'] } } },
+  domain_share: { type: 'gauge', help: 'Part of the requests that is sent to other failure domains at once.', label: serviceLabel },
   gateways_alive: { type: 'gauge', help: 'Other gateways that are alive.' },
   gateways_lost: { type: 'counter', help: 'Times that another gateway was lost.' },
   gateways_suspected: { type: 'counter', help: 'Times that another gateway was suspected to be lost.' },
--- a/src/gateway/admission.ts
+++ b/src/gateway/admission.ts
@@ -22,6 +22,10 @@
 /** Endpoints that are asked for a load no higher than usual; the following ones need only have a free slot. */
 const BALANCED_ASKS_MAX = 2
 
+/** Endpoints of the own failure domain without room after which others are asked: of a request, and of one in the queue. */
+const HOME_ASKS_MAX = 3
+const HOME_ASKS_QUEUED_MAX = 1
+
 /** Endpoints that are asked whether they have room. */
 const ROOM_ASKS_MAX = 5
 
@@ -72,7 +76,7 @@
 }
 
 /** Parts of the gateway that an admission uses. */
-export type AdmissionContext = Pick<GatewayContext, 'askPermit' | 'askShare' | 'choose' | 'chooseLender' | 'chooseSoonest' | 'clock' | 'coldLimits' | 'getNowMs' | 'listAvailable' | 'log' | 'metrics' | 'selection' | 'serviceLoad'>
+export type AdmissionContext = Pick<GatewayContext, 'askPermit' | 'askShare' | 'choose' | 'chooseLender' | 'chooseSoonest' | 'clock' | 'coldLimits' | 'domainShares' | 'getNowMs' | 'listAvailable' | 'log' | 'metrics' | 'selection' | 'serviceLoad'>
 
 /** Search of one request for an endpoint. */
 export class Admission {
@@ -112,7 +116,7 @@
     const { service, tried, waitMaxMs } = this.#options
     const nowMs = this.#context.getNowMs()
     const mayAsk = this.#asks === 0 || (this.#asks < ASKS_MAX && nowMs - this.#startedAtMs < waitMaxMs)
-    const selection = mayAsk ? this.#context.choose(service, this.#busy.size === 0 ? tried : new Set([...tried, ...this.#busy]), this.#silentDomains, nowMs) : undefined
+    const selection = mayAsk ? this.#context.choose(service, this.#busy.size === 0 ? tried : new Set([...tried, ...this.#busy]), this.#silentDomains, nowMs, this.#busy.size >= (this.#options.roomAsksMax === undefined ? HOME_ASKS_MAX : HOME_ASKS_QUEUED_MAX)) : undefined
     if (selection === undefined && this.#busy.size === 0) {
       this.#borrowOrWait(nowMs)
       return
@@ -189,7 +193,8 @@
     if (!isSampled || reserved === undefined) return undefined
     const slots = Math.max(1, record.slots - reserved)
     const isBalancing = roomAsksMax === undefined && this.#busy.size < BALANCED_ASKS_MAX
-    const meanLoad = isBalancing ? this.#context.serviceLoad.findMeanLoad(service, nowMs) : undefined
+    const domain = this.#context.domainShares.isActive ? record.domain : undefined
+    const meanLoad = isBalancing ? this.#context.serviceLoad.findMeanLoad(service, nowMs, domain) : undefined
     return { tokens, loadMax: meanLoad === undefined ? slots : Math.max(1, Math.min(slots, Math.floor(meanLoad) + 1)) }
   }
 
@@ -223,6 +228,7 @@
       return
     }
     coldLimits.noteAgentAnswer(id)
+    this.#context.domainShares.noteRoundTrip(domain, nowMs - askedAtMs)
     this.#context.serviceLoad.noteAnswered(service, domain)
     if (reply.kind !== 'denied' && reply.load !== undefined) this.#context.serviceLoad.noteLoad(service, domain, reply.load, nowMs)
     if (reply.kind === 'busy') {
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -13,14 +13,16 @@
 import type { OutagesPort } from '../plugins/gateway/outages.js'
 import type { PartCrashesPort } from '../plugins/gateway/part-crashes.js'
 import type { PeersPort } from '../plugins/gateway/peers.js'
-import type { Selection, SelectionPort } from '../plugins/gateway/selection.js'
+import type { Reach, Selection, SelectionPort } from '../plugins/gateway/selection.js'
 import type { RetriesPort } from '../plugins/gateway/retries.js'
 import type { RoutesPort } from '../plugins/gateway/routes.js'
+import type { DomainRoom, DomainSharesPort } from '../plugins/gateway/domain-shares.js'
 import type { ServiceLoadPort } from '../plugins/gateway/service-load.js'
 import type { LivenessPort } from '../plugins/gateway/liveness.js'
 import type { AskPermit, AskShare, Lender, LimitedSelection } from './admission.js'
 import type { Permit, PermitClocks } from './permit.js'
 import { Boundary } from './boundary.js'
+import { DomainTraffic } from './domain-traffic.js'
 import { RequestRoom } from './caller-limits.js'
 import { CrashMonitor } from './crash-monitor.js'
 import type { SendEvidence } from './crash-monitor.js'
@@ -32,6 +34,12 @@
 import type { Exchange } from './exchange.js'
 import type { Dialect } from './model.js'
 
+/** Load, in requests, added to an endpoint in another failure domain where gateways do not decide on leaving. */
+const DISTANCE_DEFAULT = 0.4
+
+/** Part of a share from one log line on it to the next. */
+const SHARE_LOG_STEP = 0.1
+
 /** Clocks, timers and random numbers of a gateway. */
 export interface GatewayClock extends PermitClocks {
   /** @returns a random number from 0 to 1 */
@@ -84,6 +92,8 @@
   readonly notices: NoticesPort
   readonly retryAfter: RetryAfterPort
   readonly serviceLoad: ServiceLoadPort
+  readonly domainShares: DomainSharesPort
+  readonly domainTraffic: DomainTraffic
   readonly liveness: LivenessPort
   readonly crashMonitor: CrashMonitor
   readonly outages: OutagesPort
@@ -126,6 +136,8 @@
     this.notices = kernel.getPort('notices')
     this.retryAfter = kernel.getPort('retryAfter')
     this.serviceLoad = kernel.getPort('serviceLoad')
+    this.domainShares = kernel.getPort('domainShares')
+    this.domainTraffic = DomainTraffic.create(kernel.self.domain, metrics)
     this.liveness = kernel.getPort('liveness')
     this.outages = kernel.getPort('outages')
     this.recovery = RecoveryQueue.create(this, askGroup ?? (async () => undefined))
@@ -175,11 +187,16 @@
    * @param exclude - endpoints already tried
    * @param avoidedDomains - failure domains that are used only when there are no others
    * @param nowMs - monotonic time in ms
+   * @param isHomeFull - whether endpoints in the own failure domain had no room
    * @returns the choice; undefined when no endpoint can take a request now
    */
-  choose (service: string, exclude: ReadonlySet<string>, avoidedDomains: ReadonlySet<string>, nowMs: number): Selection | undefined {
+  choose (service: string, exclude: ReadonlySet<string>, avoidedDomains: ReadonlySet<string>, nowMs: number, isHomeFull = false): Selection | undefined {
+    const candidates = this.#listWorking(service, nowMs)
+    if (this.domainShares.isDue(service, nowMs)) this.#adjustShare(service, candidates, nowMs)
     const selection = this.selection.choose({
-      candidates: this.#listWorking(service, nowMs),
+      candidates,
+      reach: this.#chooseReach(service, isHomeFull),
+      distance: this.#computeDistance(service, candidates),
       exclude,
       avoidedDomains: new Set([...avoidedDomains, ...this.serviceLoad.listSilentDomains(service, nowMs)]),
       getAccess: this.#buildAccess(service, nowMs),
@@ -371,6 +388,46 @@
     return [...this.#exchanges]
   }
 
+  #chooseReach (service: string, isHomeFull: boolean): Reach {
+    if (!this.domainShares.isActive || isHomeFull) return 'any'
+    const { share } = this.domainShares.getDecision(service)
+    return share > 0 && this.pickFloat() < share ? 'far' : 'near'
+  }
+
+  /** What leaving the failure domain costs, as load in requests. */
+  #computeDistance (service: string, candidates: readonly EndpointView[]): number {
+    const durationMs = this.lateLane.findDurationMs(service)
+    if (!this.domainShares.isActive || durationMs === undefined) return DISTANCE_DEFAULT
+    return this.domainShares.getDecision(service).costMs * (candidates[0]?.record.slots ?? 1) / durationMs
+  }
+
+  #adjustShare (service: string, candidates: readonly EndpointView[], nowMs: number): void {
+    const before = this.domainShares.getDecision(service).share
+    const { share, ownWaitMs, otherWaitMs, costMs } = this.domainShares.adjust(service, this.#listRooms(service, candidates, nowMs), this.lateLane.findDurationMs(service), nowMs)
+    this.metrics.observe('domain_share', share, service)
+    if (Math.ceil(before / SHARE_LOG_STEP) === Math.ceil(share / SHARE_LOG_STEP)) return
+    this.log('domain-share', { service, share, ownWaitMs: Math.round(ownWaitMs ?? -1), otherWaitMs: Math.round(otherWaitMs ?? -1), costMs: Math.round(costMs) })
+  }
+
+  /** Describes the room of a service by failure domain, by what agents said, else by the counts of gateways. */
+  #listRooms (service: string, candidates: readonly EndpointView[], nowMs: number): readonly DomainRoom[] {
+    const getAccess = this.#buildAccess(service, nowMs)
+    const own = this.selection.listInFlight()
+    const durationMs = this.lateLane.findDurationMs(service) ?? Infinity
+    const areCountsKnown = this.peers.getCountsAgeMs(nowMs) <= durationMs
+    const rooms = new Map<string, { endpoints: number, slots: number, requests: number }>()
+    for (const endpoint of candidates) {
+      const { id, domain, slots } = endpoint.record
+      const { kind } = getAccess(endpoint)
+      if (kind === 'denied' || kind === 'borrow' || this.liveness.isUnresponsive(id)) continue
+      const room = rooms.get(domain) ?? { endpoints: 0, slots, requests: 0 }
+      rooms.set(domain, room)
+      room.endpoints += 1
+      room.requests += (own[id] ?? 0) + this.peers.countInFlight(id)
+    }
+    return [...rooms].map(([domain, { endpoints, slots, requests }]) => ({ domain, endpoints, slots, load: this.serviceLoad.findMeanLoad(service, nowMs, domain) ?? (areCountsKnown ? requests / endpoints : undefined) }))
+  }
+
   /** Lists the available endpoints without those whose group has lost a rank. */
   #listWorking (service: string, nowMs: number): readonly EndpointView[] {
     return this.listAvailable(service).filter(endpoint => !this.outages.isLost(endpoint, nowMs))
--- a/src/gateway/followed-store.ts
+++ b/src/gateway/followed-store.ts
@@ -192,6 +192,7 @@
     for (const { id, change } of changes) {
       if (change === 'gone' || change === 'restarted') context.forget(id)
       const record = context.endpoints.find(id)?.record
+      if (record !== undefined) context.domainTraffic.noteHost(record.address.host, record.domain)
       context.log('endpoint-changed', { endpoint: id, change, state: record?.state ?? '', domain: record?.domain ?? '', coldMs: record?.coldRemainingMs ?? 0 })
     }
   }
--- a/src/gateway/link.ts
+++ b/src/gateway/link.ts
@@ -43,8 +43,8 @@
   handleNews (news: WatchNews): void
   /** Handles a message of the failure detection; `reply` answers its sender, which may be unknown. */
   handleMember? (message: MemberMessage, reply: (message: MemberMessage) => void): void
-  /** Counts a datagram. */
-  handleSent? (purpose: LinkPurpose, bytes: number): void
+  /** Counts a datagram that is sent to a host. */
+  handleSent? (purpose: LinkPurpose, bytes: number, host: string): void
   handleError (reason: string): void
 }
 
@@ -188,7 +188,7 @@
   }
 
   #post (purpose: LinkPurpose, bytes: Buffer, { host, port }: Address): void {
-    this.#handlers.handleSent?.(purpose, bytes.length)
+    this.#handlers.handleSent?.(purpose, bytes.length, host)
     this.#socket.send(bytes, port, host)
   }
 
--- a/src/gateway/process.ts
+++ b/src/gateway/process.ts
@@ -62,6 +62,9 @@
   close (): void
 }
 
+/** What the bytes of requests to agents are counted as. */
+const TRAFFIC_PURPOSES = { read: 'reading', order: 'order', permit: 'permit' } as const
+
 /** Settings of a gateway. */
 export interface GatewaySettings {
   readonly host: string
@@ -76,6 +79,11 @@
   readonly metricsListener: Address
   readonly retries: RetryBounds
   readonly cold: ColdBounds
+  /** What gateways decide by when to send requests to other failure domains. */
+  readonly domains: {
+    /** Waiting time in ms that is worth as much as a megabyte between failure domains; undefined when gateways do not decide. */
+    readonly waitMsPerMb: number | undefined
+  }
   readonly store: FollowerBounds
   /** Time from the stop signal to the kill, in ms. */
   readonly graceMs: number
@@ -144,7 +152,7 @@
       seed: Math.floor(Math.random() * 2 ** 31),
       settings: { clusterSecret: '', seeds: [] }
     })
-    this.#ranks = RankClient.create(settings.agentPort, reason => { this.#context.boundary.noteFailure('message', reason) })
+    this.#ranks = RankClient.create(settings.agentPort, reason => { this.#context.boundary.noteFailure('message', reason) }, (kind, address, bytes) => { this.#context.domainTraffic.note(TRAFFIC_PURPOSES[kind], address, bytes) })
     this.#context = GatewayContext.create({
       kernel,
       dialect,
@@ -158,6 +166,7 @@
       sendEvidence: evidence => { this.#link.sendEvidence(evidence) }
     })
     this.#context.retries.setBounds(settings.retries)
+    this.#context.domainShares.setPrice(settings.domains.waitMsPerMb)
     if (settings.memoryMb !== undefined) this.#context.memory.updateMemory(settings.memoryMb)
     this.#bounds = computeCallerBounds(computeDescriptorsMax(settings.callers.descriptorsMax, readProcessLimits()), this.#context.memory.memoryBytes, settings.callers)
     this.#context.coldLimits.setBounds(settings.cold)
@@ -238,9 +247,10 @@
     return GatewayLink.create(listener, {
       handleHeartbeat: heartbeat => { this.#exchange.handleHeartbeat(heartbeat) },
       handleMember: (message, reply) => { this.#exchange.handleMember(message, reply) },
-      handleSent: (purpose, bytes) => {
+      handleSent: (purpose, bytes, host) => {
         this.#metrics.count('link_datagrams', purpose)
         this.#metrics.count('link_bytes', purpose, bytes)
+        this.#context.domainTraffic.note('gateway', host, bytes)
       },
       lendShare: endpoint => this.#context.lendShare(endpoint),
       handleEvidence: ({ purpose, evidence }, reply) => {
--- a/src/gateway/rank-link.ts
+++ b/src/gateway/rank-link.ts
@@ -13,20 +13,30 @@
 /** Share of its timeout after which a read is sent again; a single lost datagram would void the reading of a whole group. */
 const READ_RESEND_SHARE = 0.5
 
+/** Called with the bytes of each datagram that is exchanged with an agent. */
+export type NoteBytes = (purpose: AgentRequest['kind'], host: string, bytes: number) => void
+
 /** Sends requests to agents and matches the replies to them. */
 export class RankClient {
   readonly #socket: Socket
   readonly #port: number
-  readonly #pending = new Map<number, (reply: AgentReply | undefined) => void>()
+  readonly #noteBytes: NoteBytes
+  readonly #pending = new Map<number, { readonly kind: AgentRequest['kind'], readonly finish: (reply: AgentReply | undefined) => void }>()
   #nextId = 1
 
-  private constructor (port: number, handleError: (reason: string) => void) {
+  private constructor (port: number, handleError: (reason: string) => void, noteBytes: NoteBytes) {
     this.#port = port
+    this.#noteBytes = noteBytes
     this.#socket = createSocket('udp4')
     this.#socket.on('message', (bytes, sender) => {
       decodeReply(bytes).caseOf({
         Left: reason => { if (reason === 'unusable') handleError(`unusable reply of ${sender.address}`) },
-        Right: ({ id, content }) => { this.#pending.get(id)?.(content) }
+        Right: ({ id, content }) => {
+          const pending = this.#pending.get(id)
+          if (pending === undefined) return
+          noteBytes(pending.kind, sender.address, bytes.length)
+          pending.finish(content)
+        }
       })
     })
     this.#socket.on('error', error => { handleError(error.message) })
@@ -35,10 +45,11 @@
   /**
    * @param port - port that agents listen on
    * @param handleError - called with errors of the socket
+   * @param noteBytes - counts datagrams
    * @returns a client that is not bound yet
    */
-  static create (port: number, handleError: (reason: string) => void): RankClient {
-    return new RankClient(port, handleError)
+  static create (port: number, handleError: (reason: string) => void, noteBytes: NoteBytes = () => {}): RankClient {
+    return new RankClient(port, handleError, noteBytes)
   }
 
   /** @throws Error when the address is already in use */
@@ -70,10 +81,13 @@
         this.#pending.delete(id)
         resolve(reply)
       }
-      const send = (): void => { this.#socket.send(bytes, this.#port, host) }
+      const send = (): void => {
+        this.#noteBytes(request.kind, host, bytes.length)
+        this.#socket.send(bytes, this.#port, host)
+      }
       const timer = setTimeout(() => { finish(undefined) }, timeoutMs)
       const resendTimer = resendMs < timeoutMs ? setInterval(send, resendMs) : undefined
-      this.#pending.set(id, finish)
+      this.#pending.set(id, { kind: request.kind, finish })
       send()
     })
   }
--- a/src/gateway/settle-attempt.ts
+++ b/src/gateway/settle-attempt.ts
@@ -24,9 +24,14 @@
 export function settleAttempt (context: GatewayContext, running: RunningAttempt, { request, service, result, reason, events }: AttemptEnd): void {
   context.memory.releaseAnswer(running)
   const nowMs = context.getNowMs()
-  const { id } = running.endpoint.record
+  const { id, address } = running.endpoint.record
   context.selection.noteEnd(id, result, running.firstEventMs ?? nowMs - running.startedAtMs, nowMs)
-  if (result === 'ok') context.retryAfter.noteServed(service, nowMs)
+  const { bytes } = running.attempt
+  context.domainTraffic.note('request', address.host, bytes)
+  if (result === 'ok') {
+    context.retryAfter.noteServed(service, nowMs)
+    context.domainShares.noteRequest(service, bytes)
+  }
   context.metrics.count('attempts', result)
   if (result === 'ok') return
   context.log('attempt-ended', {
--- a/src/gateway/state-exchange.ts
+++ b/src/gateway/state-exchange.ts
@@ -44,7 +44,7 @@
 
 /** Dependencies of a `StateExchange`. */
 export interface StateExchangeOptions {
-  readonly context: Pick<GatewayContext, 'boundary' | 'clock' | 'crashes' | 'getNowMs' | 'liveness' | 'log' | 'metrics' | 'namedLimits' | 'partCrashes' | 'paces' | 'peers' | 'pickFloat' | 'selection'>
+  readonly context: Pick<GatewayContext, 'boundary' | 'clock' | 'crashes' | 'domainTraffic' | 'getNowMs' | 'liveness' | 'log' | 'metrics' | 'namedLimits' | 'partCrashes' | 'paces' | 'peers' | 'pickFloat' | 'selection'>
   readonly link: Pick<GatewayLink, 'addTarget' | 'countTargets' | 'listTargets' | 'sendHeartbeat' | 'sendMember'>
   readonly identity: Omit<MemberIdentity, 'host' | 'port'>
   /** Address of the link to other gateways. */
@@ -130,6 +130,7 @@
     const { context } = this.#options
     const nowMs = context.getNowMs()
     context.crashes.merge(strikes, nowMs)
+    context.domainTraffic.noteHost(address.host, state.domain)
     for (const endpoint of state.silent ?? []) context.liveness.noteSuspected(endpoint)
     if (incarnation === undefined) this.#senders.set(state.id, nowMs)
     else {
@@ -238,6 +239,7 @@
       case 'joined':
       case 'updated':
         link.addTarget(id, { host, port })
+        context.domainTraffic.noteHost(host, domain)
         if (this.#mode === 'bounded' && context.peers.noteMember(identity, isReady, nowMs)) this.#noteJoined(id, domain)
         break
       case 'suspected':
--- a/src/gateway/upstream.ts
+++ b/src/gateway/upstream.ts
@@ -104,6 +104,12 @@
     return this.#isConnected
   }
 
+  /** Bytes sent and received so far. */
+  get bytes (): number {
+    const { socket } = this.#request
+    return socket === null ? 0 : socket.bytesWritten + socket.bytesRead
+  }
+
   /** Closes the connection; no handler is called afterwards. */
   abort (): void {
     if (this.#isDone) return
--- a/src/kernel/log-events.ts
+++ b/src/kernel/log-events.ts
@@ -10,7 +10,7 @@
   'configuration-accepted', 'configuration-ignored', 'configuration-rejected', 'platform-lost', 'platform-found',
   'lease-acquired', 'lease-lost', 'map-proposed', 'map-prepared', 'map-decided', 'map-stalled', 'rebalance-declined',
   'tls-reloaded', 'settings-reloaded', 'internal-error',
-  'attempt-ended', 'caller-gone', 'endpoint-changed', 'endpoint-silent', 'endpoint-heard', 'agent-silent', 'permit-denied', 'domains-evacuated', 'gateway-joined', 'gateway-lost', 'store-lost', 'store-found', 'store-entry-skipped', 'log-lines-dropped', 'room-wait-ended', 'map-step', 'map-planned', 'group-changed', 'order-answered', 'demand-shifted', 'store-era-changed', 'watch-role', 'gateway-suspected', 'gateway-cleared', 'exchange-bounded', 'bound-met'
+  'attempt-ended', 'caller-gone', 'endpoint-changed', 'endpoint-silent', 'endpoint-heard', 'agent-silent', 'permit-denied', 'domains-evacuated', 'gateway-joined', 'gateway-lost', 'store-lost', 'store-found', 'store-entry-skipped', 'log-lines-dropped', 'room-wait-ended', 'domain-share', 'map-step', 'map-planned', 'group-changed', 'order-answered', 'demand-shifted', 'store-era-changed', 'watch-role', 'gateway-suspected', 'gateway-cleared', 'exchange-bounded', 'bound-met'
 ] as const
 
 /** Name of a log event. */
--- a/src/kernel/ports.ts
+++ b/src/kernel/ports.ts
@@ -14,6 +14,7 @@
 import type { SelectionPort } from '../plugins/gateway/selection.js'
 import type { RetriesPort } from '../plugins/gateway/retries.js'
 import type { RoutesPort } from '../plugins/gateway/routes.js'
+import type { DomainSharesPort } from '../plugins/gateway/domain-shares.js'
 import type { ServiceLoadPort } from '../plugins/gateway/service-load.js'
 import type { LivenessPort } from '../plugins/gateway/liveness.js'
 import type { EndpointState, HomeMove, ProcessRef, RequestKey } from '../protocol/messages.js'
@@ -184,6 +185,7 @@
   readonly crashes: CrashesPort
   readonly coldLimits: ColdLimitsPort
   readonly serviceLoad: ServiceLoadPort
+  readonly domainShares: DomainSharesPort
   readonly partCrashes: PartCrashesPort
   readonly outages: OutagesPort
   readonly namedLimits: NamedLimitsPort
--- a/src/plugins/gateway/selection.ts
+++ b/src/plugins/gateway/selection.ts
@@ -12,9 +12,6 @@
 /** Weight of the latest answer in the moving averages of latency and failures. */
 const AVERAGE_WEIGHT = 0.15
 
-/** Load, in requests, added to an endpoint in another failure domain. */
-const REMOTE_PENALTY = 0.4
-
 /** Load, as a share of its slots, added to an endpoint whose answers all fail. */
 const FAILURE_PENALTY = 2
 
@@ -36,13 +33,19 @@
  */
 const UNSEEN_ENDPOINTS_MAX = 3
 
-/** Endpoints that are compared when the counts are old: of the own failure domain, and of all. */
-const SAMPLE_OWN_DOMAIN = 2
-const SAMPLE_ANY_DOMAIN = 1
+/** Endpoints that are compared when the counts are old, and how many of them by reach are in the own failure domain when it has as many. */
+const SAMPLE_SIZE = 3
+const SAMPLE_OWN_DOMAIN = { near: 3, any: 2, far: 1 } as const
+
+/** Moving average of failures from which an endpoint is no reason to stay in the own failure domain. */
+const FAILING_MIN = 0.5
 
 /** Duration of a request in ms while none was measured. */
 const DURATION_DEFAULT_MS = 1_000
 
+/** Which failure domains are compared: the own one while it has room, all, or all and others first. */
+export type Reach = keyof typeof SAMPLE_OWN_DOMAIN
+
 /** How an attempt ended. */
 export type AttemptResult = 'ok' | 'failed' | 'refused' | 'unreachable' | 'silent' | 'cancelled' | 'not-sent'
 
@@ -55,6 +58,9 @@
   readonly avoidedDomains: ReadonlySet<string>
   /** Whether and how an endpoint may be sent a request. */
   getAccess (endpoint: EndpointView): EndpointAccess
+  readonly reach: Reach
+  /** Load, in requests, added to an endpoint in another failure domain. */
+  readonly distance: number
   /** Random number from 0 to 1 that decides between equal endpoints; otherwise all gateways would choose the same one. */
   readonly fraction: number
   /** Mean age in ms of the counts of other gateways. */
@@ -133,7 +139,8 @@
     const reachable = untried.filter(({ endpoint: { record } }) => this.#get(record.id).unreachableUntilMs <= nowMs && !request.isUnresponsive(record.id))
     const isSampled = this.#areCountsOld(request)
     const elsewhere = reachable.filter(({ endpoint: { record } }) => isSampled && !request.avoidedDomains.has(record.domain))
-    const pool = [elsewhere, reachable, untried].find(candidates => candidates.length > 0) ?? eligible
+    const usable = [elsewhere, reachable, untried].find(candidates => candidates.length > 0) ?? eligible
+    const pool = request.reach === 'near' ? this.#limitToNear(usable, request, isSampled) : usable
     const compared = isSampled ? this.#pickSample(pool, request) : pool
     // Requests that were in flight longer ago than one takes have ended since.
     const isOutlived = isSampled && request.countsAgeMs > (request.durationMs ?? DURATION_DEFAULT_MS)
@@ -144,7 +151,7 @@
     for (const { endpoint, access } of [...compared.slice(first), ...compared.slice(0, first)]) {
       const inFlight = this.#get(endpoint.record.id).inFlight + (isOutlived ? 0 : request.countElsewhere(endpoint.record.id))
       const load = inFlight + (isContended(access) ? LIMITED_PENALTY * endpoint.record.slots : 0)
-      const score = this.#computeScore(endpoint, load, fastestMs) * request.getPace(endpoint.record.id)
+      const score = this.#computeScore(endpoint, load, fastestMs, request.distance) * request.getPace(endpoint.record.id)
       if (score >= bestScore) continue
       best = { endpoint, inFlight, access, isSampled }
       bestScore = score
@@ -189,20 +196,29 @@
     return elsewhere * countsAgeMs / (durationMs ?? DURATION_DEFAULT_MS) > UNSEEN_ENDPOINTS_MAX * slots
   }
 
-  /** Picks some endpoints at random, most of them in the own failure domain; contended ones only when there are no others. */
-  #pickSample (pool: readonly Candidate[], { pickFloat }: SelectionRequest): readonly Candidate[] {
+  /** Leaves out other failure domains while an endpoint in the own one works and, where that is known, has a free slot. */
+  #limitToNear (pool: readonly Candidate[], { countElsewhere }: SelectionRequest, isSampled: boolean): readonly Candidate[] {
+    const near = pool.filter(({ endpoint: { record } }) => record.domain === this.#domain && this.#get(record.id).failures < FAILING_MIN)
+    const hasRoom = near.some(({ endpoint: { record }, access }) => !isContended(access) && (isSampled || this.#get(record.id).inFlight + countElsewhere(record.id) < record.slots))
+    return hasRoom ? near : pool
+  }
+
+  /** Picks some endpoints at random, in the own failure domain as far as the reach says; contended ones only when there are no others. */
+  #pickSample (pool: readonly Candidate[], { pickFloat, reach }: SelectionRequest): readonly Candidate[] {
     const open = pool.filter(({ access }) => !isContended(access))
     const preferred = open.length > 0 ? open : pool
     const near = preferred.filter(({ endpoint: { record } }) => record.domain === this.#domain)
-    const own = pickSome(near, SAMPLE_OWN_DOMAIN, pickFloat)
-    return [...own, ...pickSome(preferred.filter(candidate => !own.includes(candidate)), SAMPLE_OWN_DOMAIN + SAMPLE_ANY_DOMAIN - own.length, pickFloat)]
+    const far = preferred.filter(({ endpoint: { record } }) => record.domain !== this.#domain)
+    const own = pickSome(near, SAMPLE_OWN_DOMAIN[reach], pickFloat)
+    const rest = reach === 'far' && far.length > 0 ? far : preferred.filter(candidate => !own.includes(candidate))
+    return [...own, ...pickSome(rest, SAMPLE_SIZE - own.length, pickFloat)]
   }
 
   /** Expected wait relative to an idle endpoint with the lowest latency; lower is better. */
-  #computeScore ({ record }: EndpointView, load: number, fastestMs: number): number {
+  #computeScore ({ record }: EndpointView, load: number, fastestMs: number, distance: number): number {
     const { latencyMs, failures } = this.#get(record.id)
     const slowdown = latencyMs === 0 || !Number.isFinite(fastestMs) ? 1 : Math.sqrt(latencyMs / fastestMs)
-    const remotePenalty = record.domain === this.#domain ? 0 : REMOTE_PENALTY
+    const remotePenalty = record.domain === this.#domain ? 0 : distance
     return (load + 1 + remotePenalty) / record.slots * slowdown + FAILURE_PENALTY * failures * failures
   }
 
--- a/src/plugins/gateway/service-load.ts
+++ b/src/plugins/gateway/service-load.ts
@@ -33,9 +33,10 @@
   listSilentDomains (service: string, nowMs: number): readonly string[]
   /**
    * @param service - name of the service
+   * @param domain - failure domain; all when absent
    * @returns mean number of requests that an endpoint holds; undefined when no agent has answered lately
    */
-  findMeanLoad (service: string, nowMs: number): number | undefined
+  findMeanLoad (service: string, nowMs: number, domain?: string): number | undefined
 }
 
 interface DecayedMean {
@@ -90,10 +91,11 @@
     return [...this.#silences.get(service) ?? []].flatMap(([domain, { agents, atMs }]) => agents >= SILENT_AGENTS_MIN && nowMs - atMs < SILENT_MS ? [domain] : [])
   }
 
-  findMeanLoad (service: string, nowMs: number): number | undefined {
+  findMeanLoad (service: string, nowMs: number, domain?: string): number | undefined {
     let sum = 0
     let weight = 0
-    for (const mean of this.#services.get(service)?.values() ?? []) {
+    for (const [name, mean] of this.#services.get(service) ?? []) {
+      if (domain !== undefined && name !== domain) continue
       const kept = computeKept(mean, nowMs)
       sum += kept * mean.sum
       weight += kept * mean.weight
