--- a/bench/load-fleet-model.ts
+++ b/bench/load-fleet-model.ts
@@ -33,6 +33,8 @@
 const COLD_PER_S = 26
 const HEARTBEAT_MS = 200
 const HEARTBEAT_PER_PEER_MS = 12
+/** Bytes of a request with its answer. */
+const REQUEST_BYTES = 8_000
 /** Time in ms until the number of requests in flight is steady. */
 const WARM_UP_MS = 4_000
 
@@ -56,8 +58,23 @@
   readonly factor: number
 }
 
+/** How failure domains differ, and what is known of the traffic between them. */
+export interface DomainScenario {
+  /** Relative number of endpoints by failure domain. */
+  readonly endpoints: readonly number[]
+  /** Relative demand by failure domain at a time. */
+  readonly demand: (nowMs: number) => readonly number[]
+  /** Time in ms that a datagram or connection takes longer to another failure domain. */
+  readonly linkMs: number
+  /** Undefined when gateways do not decide on leaving. */
+  readonly waitMsPerMb: number | undefined
+  /** Failure domain of which gateways hear nothing new from a time in ms on. */
+  readonly frozen?: { readonly domain: string, readonly fromMs: number }
+}
+
 /** One simulation. */
 export interface LoadScenario {
+  readonly domains?: DomainScenario
   readonly gateways: number
   readonly endpoints: number
   /** Requests in flight per slot, were none to wait. */
@@ -90,6 +107,18 @@
   readonly asks: number
   /** What callers got, by kind, team, failure domain of the gateway and size. */
   readonly served: ReadonlyMap<string, ServedCounts>
+  /** What requests waited for a slot and where they went, by failure domain of the gateway. */
+  readonly domains: ReadonlyMap<string, DomainFigures>
+}
+
+/** Figures of the requests that came in at one failure domain. */
+export interface DomainFigures {
+  readonly requests: number
+  /** Part that was sent to another failure domain. */
+  readonly left: number
+  /** Time in ms from receipt to a slot: mean, and that of 99 in 100. */
+  readonly waitMs: number
+  readonly waitP99Ms: number
 }
 
 /** What the callers of a part of the requests got. */
@@ -164,6 +193,7 @@
   readonly #waits: number[] = []
   readonly #spreads: number[] = []
   readonly #served = new Map<string, ServedCounts>()
+  readonly #starts = new Map<string, { waitMs: number, hasLeft: boolean }[]>()
   #requests = 0
   #waitedInVain = 0
   #refused = 0
@@ -194,7 +224,8 @@
       waitP99Ms: Math.round(waits[Math.floor(0.99 * waits.length)] ?? 0),
       spread: this.#spreads.reduce((sum, spread) => sum + spread, 0) / this.#spreads.length,
       asks: this.#asks / this.#requests,
-      served: this.#served
+      served: this.#served,
+      domains: new Map([...this.#starts].sort().map(([domain, starts]) => [domain, summarizeStarts(starts)]))
     }
   }
 
@@ -215,14 +246,15 @@
         this.#scheduleAfter(timeoutMs, () => { resolve(undefined) })
         if (record.domain === this.#scenario.silentDomain) return
         if (this.#isWarm) this.#asks += 1
-        this.#scheduleAfter(DATAGRAM_MS, () => {
+        const datagramMs = DATAGRAM_MS + this.#getLinkMs(record.domain, pickDomain(index))
+        this.#scheduleAfter(datagramMs, () => {
           const nowMs = this.#scheduler.nowMs
           const endpoint = this.#endpoints.get(record.id)!
           endpoint.meter.noteReport({ running: endpoint.running, waiting: endpoint.held - endpoint.running, memoryUsed: undefined, memoryTotal: undefined }, nowMs)
           const load = endpoint.meter.countRequests()!
           const reply: PermitReply = room !== undefined && !endpoint.meter.hasRoom(room) ? { kind: 'busy', load } : endpoint.permits.reserve(rate, waitMaxMs, nowMs)
           if (reply.kind === 'granted') endpoint.meter.noteGranted(0, nowMs)
-          this.#scheduleAfter(DATAGRAM_MS, () => { resolve(reply.kind === 'granted' && room !== undefined ? { ...reply, load } : reply) })
+          this.#scheduleAfter(datagramMs, () => { resolve(reply.kind === 'granted' && room !== undefined ? { ...reply, load } : reply) })
         })
       }),
       askShare: async () => undefined,
@@ -240,8 +272,9 @@
     context.coldLimits.setBounds({ overshoot: 1.5, slack: 5 })
     context.coldLimits.noteListed(-10_000)
     context.routes.accept({ version: 1, routes: new Map(), services: new Map([[SERVICE, { name: SERVICE, coldPerS: COLD_PER_S, engine: ENGINE }]]), limits: { headerBytesMax: 1, bodyBytesMax: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 } })
-    const records = [...this.#endpoints.keys()].map((endpoint, at) => ({ id: endpoint, bornMs: 1, service: SERVICE, address: { host: endpoint, port: 1 }, domain: pickDomain(at), state: 'ready' as const, slots: SLOTS, coldRemainingMs: 0 }))
+    const records = [...this.#endpoints.keys()].map((endpoint, at) => ({ id: endpoint, bornMs: 1, service: SERVICE, address: { host: endpoint, port: 1 }, domain: this.#locate(at), state: 'ready' as const, slots: SLOTS, coldRemainingMs: 0 }))
     context.endpoints.replaceAll(records, false, 0)
+    context.domainShares.setPrice(this.#scenario.domains?.waitMsPerMb)
     if (!knowsAge) context.peers.getCountsAgeMs = () => 0
     return context
   }
@@ -254,7 +287,9 @@
     const { gateways } = this.#scenario
     this.#scheduleAfter(share * (HEARTBEAT_MS + HEARTBEAT_PER_PEER_MS * (gateways - 1)), () => {
       const state = { id: `g${index}`, bornMs: 1, callerAddress: '', domain: pickDomain(index), isReady: true, inFlight: this.#gateways[index]!.selection.listInFlight() }
-      for (const [at, gateway] of this.#gateways.entries()) if (at !== index) gateway.peers.noteHeartbeat(state, this.#scheduler.nowMs)
+      const frozen = this.#scenario.domains?.frozen
+      const isFrozen = frozen !== undefined && frozen.domain === state.domain && this.#scheduler.nowMs >= frozen.fromMs
+      if (!isFrozen) for (const [at, gateway] of this.#gateways.entries()) if (at !== index) gateway.peers.noteHeartbeat(state, this.#scheduler.nowMs)
       this.#scheduleHeartbeat(index, 1)
     })
   }
@@ -272,7 +307,7 @@
     const meanMs = DURATION_MS / (usage * SLOTS * endpoints)
     this.#scheduleAfter(-meanMs * Math.log(1 - this.#random.pickFloat()), () => {
       if (this.#isWarm) this.#requests += 1
-      const index = this.#random.pickInt(gateways)
+      const index = this.#pickGateway(gateways)
       const call: Call = { kind: this.#pickKind(), team: this.#pickTeam(), isLarge: this.#random.pickFloat() < 0.1, gateway: this.#gateways[index]!, domain: pickDomain(index), atMs: this.#scheduler.nowMs, isReturned: false }
       this.#count(call, counts => { counts.requests += 1 })
       this.#send(call)
@@ -280,6 +315,23 @@
     })
   }
 
+  #pickGateway (gateways: number): number {
+    const { domains } = this.#scenario
+    if (domains === undefined) return this.#random.pickInt(gateways)
+    const domain = pickWeighted(domains.demand(this.#scheduler.nowMs), this.#random.pickFloat())
+    return domain + DOMAINS.length * this.#random.pickInt(Math.floor((gateways - 1 - domain) / DOMAINS.length) + 1)
+  }
+
+  /** Failure domain of an endpoint. */
+  #locate (at: number): string {
+    const { domains, endpoints } = this.#scenario
+    return domains === undefined ? pickDomain(at) : DOMAINS[pickWeighted(domains.endpoints, (at + 0.5) / endpoints)]!
+  }
+
+  #getLinkMs (from: string, to: string): number {
+    return from === to ? 0 : this.#scenario.domains?.linkMs ?? 0
+  }
+
   #pickKind (): LoadKind {
     const { kinds } = this.#scenario
     return kinds[pickWeighted(kinds.map(({ share }) => share), this.#random.pickFloat())]!
@@ -299,8 +351,8 @@
     RoomAdmission.create({ wait, mustStart: !this.#scenario.waitsForRoom, tried: new Set(), waitMaxMs: 200 }, gateway, result => {
       switch (result.kind) {
         case 'admitted': {
-          const { id } = result.selection.endpoint.record
-          this.#scheduleAfter(CONNECT_MS, () => { this.#arrive(call, id, nowMs) })
+          const { id, domain } = result.selection.endpoint.record
+          this.#scheduleAfter(CONNECT_MS + 3 * this.#getLinkMs(domain, call.domain), () => { this.#arrive(call, id, domain, nowMs) })
           break
         }
         case 'limited':
@@ -323,7 +375,7 @@
     })
   }
 
-  #arrive (call: Call, id: string, sentAtMs: number): void {
+  #arrive (call: Call, id: string, domain: string, sentAtMs: number): void {
     const { gateway, kind, isReturned } = call
     const endpoint = this.#endpoints.get(id)!
     const nowMs = this.#scheduler.nowMs
@@ -337,7 +389,10 @@
       end()
     }
     const start = (waitedMs: number): void => {
-      if (this.#isWarm) this.#waits.push(waitedMs)
+      if (this.#isWarm) {
+        this.#waits.push(waitedMs)
+        this.#noteStart(call, domain)
+      }
       const factor = this.#getSlowdown()
       const firstEventAtMs = this.#scheduler.nowMs + factor * FIRST_EVENT_MS
       const durationMs = factor * DURATION_MS * (0.5 + this.#random.pickFloat())
@@ -358,11 +413,18 @@
         gateway.selection.noteEnd(id, 'ok', durationMs, gateway.getNowMs())
         gateway.retryAfter.noteServed(SERVICE, gateway.getNowMs())
         gateway.lateLane.noteAnswered(SERVICE, durationMs)
+        gateway.domainShares.noteRequest(SERVICE, REQUEST_BYTES)
       })
     }
     endpoint.accept({ atMs: nowMs, urgency: computeUrgency(kind.priority, isLate), leavesAtMs, start, leave })
   }
 
+  #noteStart (call: Call, domain: string): void {
+    const starts = this.#starts.get(call.domain) ?? []
+    this.#starts.set(call.domain, starts)
+    starts.push({ waitMs: this.#scheduler.nowMs - call.atMs, hasLeft: domain !== call.domain })
+  }
+
   #getSlowdown (): number {
     const { slowdown } = this.#scenario
     const { nowMs } = this.#scheduler
@@ -389,6 +451,16 @@
   return found === -1 ? weights.length - 1 : found
 }
 
+function summarizeStarts (starts: readonly { readonly waitMs: number, readonly hasLeft: boolean }[]): DomainFigures {
+  const waits = starts.map(({ waitMs }) => waitMs).sort((a, b) => a - b)
+  return {
+    requests: starts.length,
+    left: starts.filter(({ hasLeft }) => hasLeft).length / starts.length,
+    waitMs: Math.round(waits.reduce((sum, waitMs) => sum + waitMs, 0) / waits.length),
+    waitP99Ms: Math.round(waits[Math.floor(0.99 * waits.length)] ?? 0)
+  }
+}
+
 function pickDomain (index: number): string {
   return DOMAINS[index % DOMAINS.length]!
 }
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -196,7 +196,7 @@
     const selection = this.selection.choose({
       candidates,
       reach: this.#chooseReach(service, isHomeFull),
-      distance: this.#computeDistance(service, candidates),
+      distance: this.#computeDistance(service, candidates, isHomeFull),
       exclude,
       avoidedDomains: new Set([...avoidedDomains, ...this.serviceLoad.listSilentDomains(service, nowMs)]),
       getAccess: this.#buildAccess(service, nowMs),
@@ -389,16 +389,17 @@
   }
 
   #chooseReach (service: string, isHomeFull: boolean): Reach {
-    if (!this.domainShares.isActive || isHomeFull) return 'any'
+    if (!this.domainShares.isActive) return 'any'
+    if (isHomeFull) return 'far'
     const { share } = this.domainShares.getDecision(service)
     return share > 0 && this.pickFloat() < share ? 'far' : 'near'
   }
 
-  /** What leaving the failure domain costs, as load in requests. */
-  #computeDistance (service: string, candidates: readonly EndpointView[]): number {
+  /** What leaving the failure domain costs, as load in requests: at most a full endpoint, nothing when there is no room at home. */
+  #computeDistance (service: string, candidates: readonly EndpointView[], isHomeFull: boolean): number {
     const durationMs = this.lateLane.findDurationMs(service)
     if (!this.domainShares.isActive || durationMs === undefined) return DISTANCE_DEFAULT
-    return this.domainShares.getDecision(service).costMs * (candidates[0]?.record.slots ?? 1) / durationMs
+    return isHomeFull ? 0 : Math.min(1, this.domainShares.getDecision(service).costMs / durationMs) * (candidates[0]?.record.slots ?? 1)
   }
 
   #adjustShare (service: string, candidates: readonly EndpointView[], nowMs: number): void {
--- a/src/gateway/rank-link.ts
+++ b/src/gateway/rank-link.ts
@@ -4,7 +4,7 @@
 import type { RemoteInfo, Socket } from 'node:dgram'
 import type { PermitReply } from '../plugins/gateway/permits.js'
 import type { Address } from './model.js'
-import { decodeReply, decodeRequest, encodeEnvelope } from './rank-messages.js'
+import { decodeReply, decodeRequest, encodeEnvelope, isDeflated } from './rank-messages.js'
 import type { AgentReply, AgentRequest, PermitRequest, RankReply, RankRequest } from './rank-messages.js'
 
 /** Interval in ms at which a request for a permit is sent again while there is no answer. */
@@ -21,6 +21,8 @@
   readonly #socket: Socket
   readonly #port: number
   readonly #noteBytes: NoteBytes
+  /** Hosts whose agents have sent a deflated reply, and so take deflated requests. */
+  readonly #inflatingHosts = new Set<string>()
   readonly #pending = new Map<number, { readonly kind: AgentRequest['kind'], readonly finish: (reply: AgentReply | undefined) => void }>()
   #nextId = 1
 
@@ -35,6 +37,7 @@
           const pending = this.#pending.get(id)
           if (pending === undefined) return
           noteBytes(pending.kind, sender.address, bytes.length)
+          if (isDeflated(bytes)) this.#inflatingHosts.add(sender.address)
           pending.finish(content)
         }
       })
@@ -73,7 +76,7 @@
 
   async #exchange (host: string, request: AgentRequest, timeoutMs: number, resendMs: number): Promise<AgentReply | undefined> {
     const id = this.#nextId++
-    const bytes = encodeEnvelope(id, request)
+    const bytes = encodeEnvelope(id, request.kind === 'read' ? { ...request, inflates: true } : request, this.#inflatingHosts.has(host))
     return await new Promise(resolve => {
       const finish = (reply: AgentReply | undefined): void => {
         clearTimeout(timer)
@@ -108,7 +111,7 @@
         Left: reason => { if (reason === 'unusable') handleError(`unusable request of ${sender.address}`) },
         Right: ({ id, content }) => {
           answer(content).then(
-            reply => { this.#socket.send(encodeEnvelope(id, reply), sender.port, sender.address) },
+            reply => { this.#socket.send(encodeEnvelope(id, reply, content.kind === 'read' && content.inflates === true), sender.port, sender.address) },
             (error: unknown) => { handleError(String(error)) }
           )
         }
--- a/src/gateway/rank-messages.ts
+++ b/src/gateway/rank-messages.ts
@@ -1,5 +1,6 @@
 /** Messages between gateways and agents, and their decoders. */
 
+import { deflateRawSync, inflateRawSync } from 'node:zlib'
 import { pack } from 'msgpackr'
 import { Left, Right } from 'purify-ts'
 import type { Either } from 'purify-ts'
@@ -23,10 +24,19 @@
 /** Largest slowdown factor of a rank that makes sense. */
 const PACE_MAX = 1_000
 
+/** First byte of a deflated message, which no packed message begins with. */
+const DEFLATED = 0xc1
+
+/** Bytes from which a message is deflated: counters and maps, of which most numbers are alike. */
+const DEFLATE_MIN_BYTES = 512
+
+/** Largest size in bytes of a message; a datagram of 64 KB can be inflated to a thousand times its size. */
+const MESSAGE_BYTES_MAX = 1024 * 1024
+
 /** Request of a map coordinator to the agent of a rank. */
 export type RankRequest =
-  /** `countsSince` is the reading of the counters that the gateway has, if any. */
-  | { readonly kind: 'read', readonly wantsCounts: boolean, readonly wantsMap: boolean, readonly countsSince?: number }
+  /** `countsSince` is the reading of the counters that the gateway has, if any; `inflates` tells that the reply may be deflated. */
+  | { readonly kind: 'read', readonly wantsCounts: boolean, readonly wantsMap: boolean, readonly countsSince?: number, readonly inflates?: boolean }
   | { readonly kind: 'order', readonly epoch: number, readonly order: RankOrder }
 
 /** Asks an agent for a permit to send a request to its worker. */
@@ -77,7 +87,7 @@
 })
 
 const isAgentRequest = isOneOf({
-  read: isRecordOf({ wantsCounts: isFlag, wantsMap: isFlag, countsSince: isAbsentOr(isInteger) }),
+  read: isRecordOf({ wantsCounts: isFlag, wantsMap: isFlag, countsSince: isAbsentOr(isInteger), inflates: isAbsentOr(isFlag) }),
   order: isRecordOf({ epoch: isInteger, order: isOrder }),
   permit: isRecordOf({ rate: isRate, waitMaxMs: isBetween(-DURATION_MAX_MS, DURATION_MAX_MS), room: isAbsentOr(isRecordOf({ loadMax: isBetween(0, Number.MAX_VALUE), tokens: isBetween(0, Number.MAX_VALUE) })) })
 })
@@ -109,9 +119,18 @@
   countsSince: isAbsentOr(isInteger)
 })
 
-/** @returns the bytes of a request or reply */
-export function encodeEnvelope<T> (id: number, content: T): Buffer {
-  return pack({ version: RANK_LINK_VERSION, id, content })
+/**
+ * @param isDeflated - whether the receiver takes deflated messages; small ones are never deflated
+ * @returns the bytes of a request or reply
+ */
+export function encodeEnvelope<T> (id: number, content: T, isDeflated = false): Buffer {
+  const bytes = pack({ version: RANK_LINK_VERSION, id, content })
+  return isDeflated && bytes.length >= DEFLATE_MIN_BYTES ? Buffer.concat([Buffer.of(DEFLATED), deflateRawSync(bytes, { level: 1 })]) : bytes
+}
+
+/** Whether a message is deflated, so that its sender also takes deflated ones. */
+export function isDeflated (bytes: Buffer): boolean {
+  return bytes[0] === DEFLATED
 }
 
 /** @returns the request, or why there is none */
@@ -129,8 +148,19 @@
   return isRankState(state) ? state : undefined
 }
 
+/** @returns the packed message; empty when it cannot be inflated */
+function inflate (bytes: Buffer): Buffer {
+  if (!isDeflated(bytes)) return bytes
+  try {
+    return inflateRawSync(bytes.subarray(1), { maxOutputLength: MESSAGE_BYTES_MAX })
+  } catch {
+    // Not a message of this protocol; whoever asked asks again.
+    return Buffer.alloc(0)
+  }
+}
+
 function decodeEnvelope<T> (bytes: Buffer, hasForm: Check): Either<MessageFault, Envelope<T>> {
-  const message = decodeObject(bytes) as { readonly version?: unknown, readonly id?: unknown, readonly content?: unknown } | undefined
+  const message = decodeObject(inflate(bytes)) as { readonly version?: unknown, readonly id?: unknown, readonly content?: unknown } | undefined
   if (message?.version !== RANK_LINK_VERSION) return Left('foreign')
   const { id, content } = message
   return isInteger(id) && hasForm(content) ? Right({ id: id as number, content: content as T }) : Left('unusable')
--- a/test/adapter/dialect.test.ts
+++ b/test/adapter/dialect.test.ts
@@ -74,6 +74,7 @@
   const faults = parseAgentSettings('[host]\nname = "h"\nip = "10.0.0.1"\n[listen]\nlink_port = 70000\n[worker]\naddress = "10.0.0.1:80800"\n').swap().extract()
   t.deepEqual(faults, ['listen.link_port: expected a port, found 70000', 'worker.address: expected IP:PORT, found "10.0.0.1:80800"'])
   t.true(String(parseGatewaySettings('[stop]\ngrace_s = 1e300\n').swap().extract()).includes('stop.grace_s: expected a number up to 1000000, found 1e+300'))
+  t.true(String(parseGatewaySettings('[domains]\nwait_ms_per_mb = -1\n').swap().extract()).includes('domains.wait_ms_per_mb: expected a number of 0 or more, found -1'))
 })
 
 // Guards against a limit that keeps every request away from an endpoint, or ends the process, because it makes no sense.
--- a/test/gateway/link.test.ts
+++ b/test/gateway/link.test.ts
@@ -72,6 +72,33 @@
   t.snapshot(replies)
 })
 
+// Guards against deflated requests to agents of the version before, which would drop them.
+test('requests are deflated once the agent has sent a deflated reply, and bytes count as they are sent', async t => {
+  const port = await findUdpPort()
+  const fail = (reason: string): void => { t.fail(reason) }
+  const maps: unknown[] = []
+  const server = RankServer.create(async request => {
+    if (request.kind === 'order') maps.push(request.order)
+    return { state: undefined, ...(request.kind === 'read' ? { counts: new Array<number>(2_000).fill(1) } : {}) }
+  }, fail)
+  await server.start({ host: '127.0.0.1', port })
+  const sizes: number[] = []
+  const client = RankClient.create(port, fail, (kind, _host, bytes) => { if (kind === 'order') sizes.push(bytes) })
+  await client.start({ host: '127.0.0.1', port: 0 })
+  t.teardown(() => {
+    client.stop()
+    server.stop()
+  })
+  const order = { kind: 'prepare' as const, version: 1, map: [[new Array<number>(1_000).fill(7)]] }
+  await client.sendRequest('127.0.0.1', { kind: 'order', epoch: 1, order }, 500)
+  const reply = await client.sendRequest('127.0.0.1', { kind: 'read', wantsCounts: true, wantsMap: false }, 500)
+  await client.sendRequest('127.0.0.1', { kind: 'order', epoch: 1, order }, 500)
+  t.is(reply?.counts?.length, 2_000)
+  t.deepEqual(maps, [order, order])
+  t.is(sizes.length, 4)
+  t.true(sizes[2]! < sizes[0]! / 4, sizes.join(' '))
+})
+
 // Guards against log output that grows without bound or blocks the process.
 test('log lines beyond the rate are dropped and counted', async t => {
   const dropped: number[] = []
--- a/test/gateway/messages.test.ts
+++ b/test/gateway/messages.test.ts
@@ -1,4 +1,5 @@
 import test from 'ava'
+import { deflateRawSync } from 'node:zlib'
 import { createSocket } from 'node:dgram'
 import { setTimeout as wait } from 'node:timers/promises'
 import fc from 'fast-check'
@@ -7,7 +8,7 @@
 import { GatewayLink } from '../../src/gateway/link.js'
 import { decodeMessage } from '../../src/gateway/link-messages.js'
 import type { Heartbeat } from '../../src/gateway/link-messages.js'
-import { decodeReply, decodeRequest, encodeEnvelope } from '../../src/gateway/rank-messages.js'
+import { decodeReply, decodeRequest, encodeEnvelope, isDeflated } from '../../src/gateway/rank-messages.js'
 import { hashName } from '../../src/kernel/hash.js'
 import { decodeCounts, encodeCounts } from '../../src/plugins/gateway/count-table.js'
 import { RecentPopularity } from '../../src/plugins/lockstep/popularity.js'
@@ -101,10 +102,23 @@
   t.true(popularity.getTotal() > 29 && popularity.getTotal() <= 30, String(popularity.getTotal()))
 })
 
+// Guards against datagrams that take all memory once they are inflated.
+test('messages are deflated for receivers that take it, and inflated up to a bound', t => {
+  const reply = { state: undefined, counts: Array.from({ length: 2_000 }, (_value, at) => at % 3), countsId: 4, countsSince: 3 }
+  const bytes = encodeEnvelope(7, reply, true)
+  t.true(bytes.length < encodeEnvelope(7, reply).length / 2)
+  t.deepEqual(decodeReply(bytes).extract(), { id: 7, content: reply })
+  t.false(isDeflated(encodeEnvelope(7, { kind: 'granted', delayMs: 5 }, true)))
+  const huge = Buffer.concat([Buffer.of(0xc1), deflateRawSync(Buffer.alloc(50 * 1024 * 1024))])
+  t.is(decodeReply(huge).extract(), 'foreign')
+})
+
 test('no bytes of a datagram end a process', t => {
   const values = fc.anything({ maxDepth: 4, withNullPrototype: true })
   const messages = fc.oneof(
     fc.uint8Array().map(bytes => Buffer.from(bytes)),
+    fc.uint8Array().map(bytes => Buffer.from([0xc1, ...bytes])),
+    fc.uint8Array().map(bytes => Buffer.concat([Buffer.of(0xc1), deflateRawSync(bytes)])),
     values.map(content => encodeAny({ version: 1, id: 1, content })),
     fc.record({ version: fc.constant(1), kind: fc.constantFrom('limits', 'evidence', 'evidence-request', 'share-request', 'share-reply', 'watch-news', 'ping', 'ack', 'ping-request', 'members-request', 'members', undefined), state: values, news: values, address: values, limits: values, evidence: values, sender: fc.oneof(fc.constant(['g2', 1, 1]), values), updates: values, entries: values, counts: values, sequence: values, digest: values, target: values }).map(encodeAny),
     fc.tuple(fc.nat(), fc.nat(255)).map(([at, byte]) => {
