Find the next waiting request without sorting all of them

Cause: each ask for a slot sorted all requests that wait at the gateway, each start looked through all of them for the oldest and for others of its priority. This happens most when most wait.

Change: room-order.ts keeps them in sorted lists: those that are not late and those that are, in the order of their turns; by the time at which they become late; by the time until which they can start. Whether a request that comes is hopeless is still found by looking at all others.

--- a/src/gateway/request-work.ts
+++ b/src/gateway/request-work.ts
@@ -2,7 +2,7 @@
 
 import type { ExchangeOptions } from './exchange-options.js'
 import type { CallerRequest } from './model.js'
-import type { RoomWait } from './room-queue.js'
+import type { RoomWait } from './room-order.js'
 import { isReturned } from './urgency.js'
 
 /** Shortest time in ms without an event after which callers leave, and the number of latency targets when that is longer. */
--- a/src/gateway/room-admission.ts
+++ b/src/gateway/room-admission.ts
@@ -3,7 +3,8 @@
 import { Admission } from './admission.js'
 import type { AdmissionContext, AdmissionOptions, AdmissionResult } from './admission.js'
 import type { GatewayContext } from './context.js'
-import type { RoomTicket, RoomWait } from './room-queue.js'
+import type { RoomWait } from './room-order.js'
+import type { RoomTicket } from './room-queue.js'
 
 /** Endpoints that a request in the queue asks at a time. */
 const QUEUED_ASKS = 2
--- a/src/gateway/room-queue.ts
+++ b/src/gateway/room-queue.ts
@@ -4,9 +4,10 @@
  * and what cannot be served before its caller leaves is refused at once instead of taking a slot.
  */
 
-import { assertNever } from '../kernel/errors.js'
 import { FairTags } from '../plugins/admission/fair-tags.js'
 import type { GatewayContext } from './context.js'
+import { classify, compareClass, RoomOrder } from './room-order.js'
+import type { OrderedWait, RoomWait } from './room-order.js'
 
 /** Interval in ms at which the first request in the queue asks an endpoint for a slot; a random half is added. */
 const ASK_INTERVAL_MS = 15
@@ -32,23 +33,6 @@
 /** Weight of the latest value in moving averages. */
 const AVERAGE_WEIGHT = 0.2
 
-/** A request that waits for a slot. */
-export interface RoomWait {
-  readonly requestId: string
-  readonly service: string
-  /** Empty when requests belong to no team. */
-  readonly team: string
-  /** 0 is the most urgent. */
-  readonly priority: number
-  readonly tokens: number
-  /** Whether its caller was refused before. */
-  readonly isReturned: boolean
-  /** Monotonic time in ms of the latest start with which the answer is on time. */
-  readonly onTimeUntilMs: number
-  /** Monotonic time in ms of the latest start before the caller leaves. */
-  readonly untilMs: number
-}
-
 /** Callbacks of a request in the queue. */
 export interface RoomHandlers {
   /** Asks endpoints for a slot and leaves `reserved` others free; the ticket then gets the answer. */
@@ -67,14 +51,8 @@
   leave (): void
 }
 
-/** How useful the start of a request still is. */
-type WaitClass = 'on-time' | 'returned' | 'late'
-
-interface Waiter {
-  readonly wait: RoomWait
+interface Waiter extends OrderedWait {
   readonly handlers: RoomHandlers
-  readonly enteredAtMs: number
-  readonly startTag: number
 }
 
 /** Parts of the gateway that a queue uses. */
@@ -82,7 +60,7 @@
 
 /** Waiting requests of one service. */
 class ServiceQueue {
-  readonly waiters = new Set<Waiter>()
+  readonly waiters = RoomOrder.create<Waiter>()
   readonly tagsByPriority = new Map<number, FairTags>()
   topPriority = Infinity
   topPriorityAtMs = -Infinity
@@ -106,10 +84,10 @@
 
   /** Removes a request, and the turns of its priority when no other waits. */
   remove (waiter: Waiter): void {
-    this.waiters.delete(waiter)
+    this.waiters.remove(waiter)
     if (this.asking === waiter) this.asking = undefined
     const { priority } = waiter.wait
-    if (![...this.waiters].some(({ wait }) => wait.priority === priority)) this.tagsByPriority.delete(priority)
+    if (!this.waiters.hasPriority(priority)) this.tagsByPriority.delete(priority)
   }
 
   /** Removes a request that did not start. */
@@ -171,7 +149,8 @@
   /** Whether a request would start after one that waits already. */
   hasEarlier (wait: RoomWait): boolean {
     const nowMs = this.#context.getNowMs()
-    return [...this.#getQueue(wait.service).waiters].some(other => compareClass(other.wait, wait, nowMs) <= 0)
+    const first = this.#getQueue(wait.service).waiters.findFirst(nowMs)
+    return first !== undefined && compareClass(first.wait, wait, nowMs) <= 0
   }
 
   /**
@@ -203,8 +182,8 @@
         if (!queue.waiters.has(waiter)) return
         queue.tagsByPriority.get(wait.priority)?.noteStarted(waiter.startTag)
         queue.remove(waiter)
-        const oldestMs = Math.min(...[...queue.waiters].map(({ enteredAtMs }) => enteredAtMs))
-        queue.startsSinceOldest = oldestMs < waiter.enteredAtMs ? queue.startsSinceOldest + 1 : 0
+        const oldest = queue.waiters.findOldest(this.#context.getNowMs())
+        queue.startsSinceOldest = oldest !== undefined && oldest.enteredAtMs < waiter.enteredAtMs ? queue.startsSinceOldest + 1 : 0
         this.#report(waiter, 'started')
         this.#schedule(queue, 0)
       },
@@ -221,7 +200,7 @@
    * less urgent and late already have not started for long. Its caller had better come back.
    */
   #isHopeless ({ waiters }: ServiceQueue, wait: RoomWait, nowMs: number): boolean {
-    const waiting = [...waiters].filter(other => other.wait.priority <= wait.priority)
+    const waiting = [...waiters.list()].filter(other => other.wait.priority <= wait.priority)
     const isBlocked = waiting.some(other => compareClass(other.wait, wait, nowMs) <= 0 && hasWaitedLong(other, other.wait.onTimeUntilMs, nowMs))
     return isBlocked && waiting.some(other => classify(other.wait, nowMs) === 'late' && hasWaitedLong(other, other.wait.untilMs, nowMs))
   }
@@ -229,13 +208,13 @@
   /** Refuses requests whose time is over, and lets the first of the others ask. */
   #check (queue: ServiceQueue): void {
     const nowMs = this.#context.getNowMs()
-    for (const waiter of [...queue.waiters]) {
-      if (nowMs < waiter.wait.untilMs || waiter === queue.asking) continue
+    for (const waiter of queue.waiters.listEnded(nowMs)) {
+      if (waiter === queue.asking) continue
       queue.giveUp(waiter)
       this.#refuse(waiter)
     }
     if (queue.asking !== undefined || queue.cancelTimer !== undefined) return
-    const first = chooseFirst(queue, nowMs)
+    const first = findNext(queue, nowMs)
     if (first === undefined) return
     queue.asking = first
     first.handlers.ask(isTurnOfOldest(queue) ? 0 : countReservedSlots(queue, first.wait, nowMs))
@@ -277,27 +256,6 @@
   return nowMs - enteredAtMs > WAIT_SHARE_MAX * (untilMs - enteredAtMs)
 }
 
-function classify ({ isReturned, onTimeUntilMs }: RoomWait, nowMs: number): WaitClass {
-  return isReturned ? 'returned' : nowMs < onTimeUntilMs ? 'on-time' : 'late'
-}
-
-/** Late requests start last. Callers that were refused before start after those of their priority that can be on time, and before any less urgent one. */
-function compareClass (a: RoomWait, b: RoomWait, nowMs: number): number {
-  const [first, second] = [classify(a, nowMs), classify(b, nowMs)]
-  if ((first === 'late') !== (second === 'late')) return first === 'late' ? 1 : -1
-  if (a.priority !== b.priority) return a.priority - b.priority
-  return rankClass(first) - rankClass(second)
-}
-
-function rankClass (waitClass: WaitClass): number {
-  switch (waitClass) {
-    case 'on-time': return 0
-    case 'returned': return 1
-    case 'late': return 2
-    default: return assertNever(waitClass)
-  }
-}
-
 /** Only requests of the most urgent priority that can be on time take the last free slot of an endpoint. */
 function countReservedSlots ({ topPriority }: ServiceQueue, wait: RoomWait, nowMs: number): number {
   return wait.priority > topPriority || classify(wait, nowMs) !== 'on-time' ? RESERVED_SLOTS : 0
@@ -307,7 +265,6 @@
   return startsSinceOldest >= OLDEST_EVERY - 1
 }
 
-function chooseFirst (queue: ServiceQueue, nowMs: number): Waiter | undefined {
-  const ordered = [...queue.waiters].sort((a, b) => compareClass(a.wait, b.wait, nowMs) || a.startTag - b.startTag || a.enteredAtMs - b.enteredAtMs)
-  return isTurnOfOldest(queue) ? ordered.reduce<Waiter | undefined>((oldest, next) => oldest === undefined || next.enteredAtMs < oldest.enteredAtMs ? next : oldest, undefined) : ordered[0]
+function findNext (queue: ServiceQueue, nowMs: number): Waiter | undefined {
+  return isTurnOfOldest(queue) ? queue.waiters.findOldest(nowMs) : queue.waiters.findFirst(nowMs)
 }
