Keep a total by service of the requests that other gateways have in flight

Cause: each choice of an endpoint sums the counts of all endpoints of its service, only to find out whether they are old; each count hashes a name.

Change: the peers keep the sum for the list of endpoints that was asked for last, and add to it what each report changes. It equals the sum for all lists, names with the same hash included. The selection does not use it yet.

--- a/src/plugins/gateway/peers.ts
+++ b/src/plugins/gateway/peers.ts
@@ -2,6 +2,7 @@
 
 import { hashName } from '../../kernel/hash.js'
 import { decodeCounts } from './count-table.js'
+import type { EndpointView } from './endpoints.js'
 import type { MemberIdentity } from './members.js'
 import type { SharedStatements } from './named-limits.js'
 import { registerPlugin } from '../../kernel/plugin.js'
@@ -59,6 +60,14 @@
   isAlive (id: string): boolean
   /** Requests that other gateways have in flight at an endpoint. */
   countInFlight (endpoint: string): number
+  /**
+   * Sums `countInFlight` over the endpoints of a service. Cheap while the list is the same object as in the last call for the service.
+   *
+   * @param service - name of the service
+   * @param endpoints - its endpoints; the list must not change afterwards
+   * @returns requests that other gateways have in flight at all of them
+   */
+  countInFlightOf (service: string, endpoints: readonly EndpointView[]): number
   /** Mean age in ms of the counts of the ready gateways; 0 when there are none. */
   getCountsAgeMs (nowMs: number): number
   /** Slowdown factor of an endpoint as other gateways report it; 1 when none does. */
@@ -76,6 +85,14 @@
   readonly countsAtMs: number
 }
 
+/** Requests in flight at other gateways at all endpoints of one service. */
+interface ServiceTotal {
+  readonly endpoints: readonly EndpointView[]
+  /** How many of the endpoints have a name with this hash. */
+  readonly namesByHash: ReadonlyMap<number, number>
+  sum: number
+}
+
 /** Last reports of the other gateways. */
 export class PeersPlugin implements Plugin, PeersPort {
   readonly name = 'peers'
@@ -87,6 +104,7 @@
   #knownList: readonly string[] | undefined
   /** Requests in flight at other gateways by the hash of the endpoint's name. */
   readonly #inFlight = new Map<number, number>()
+  readonly #totals = new Map<string, ServiceTotal>()
 
   private constructor (self: string) {
     this.#known.add(self)
@@ -179,6 +197,16 @@
     return this.#inFlight.get(hashName(endpoint)) ?? 0
   }
 
+  countInFlightOf (service: string, endpoints: readonly EndpointView[]): number {
+    const known = this.#totals.get(service)
+    if (known?.endpoints === endpoints) return known.sum
+    const namesByHash = new Map<number, number>()
+    for (const { record: { id } } of endpoints) namesByHash.set(hashName(id), (namesByHash.get(hashName(id)) ?? 0) + 1)
+    const sum = [...namesByHash].reduce((total, [hash, names]) => total + names * (this.#inFlight.get(hash) ?? 0), 0)
+    this.#totals.set(service, { endpoints, namesByHash, sum })
+    return sum
+  }
+
   getCountsAgeMs (nowMs: number): number {
     let ageMs = 0
     let ready = 0
@@ -212,9 +240,11 @@
   #addLoad ({ state, counts }: Peer, sign: 1 | -1): void {
     const listed = counts === undefined ? Object.entries(state.inFlight).map(([endpoint, count]) => [hashName(endpoint), count] as const) : decodeCounts(counts)
     for (const [hash, count] of listed) {
-      const sum = (this.#inFlight.get(hash) ?? 0) + sign * count
-      if (sum <= 0) this.#inFlight.delete(hash)
+      const previous = this.#inFlight.get(hash) ?? 0
+      const sum = Math.max(0, previous + sign * count)
+      if (sum === 0) this.#inFlight.delete(hash)
       else this.#inFlight.set(hash, sum)
+      for (const total of this.#totals.values()) total.sum += (total.namesByHash.get(hash) ?? 0) * (sum - previous)
     }
   }
 }
