Test answers to periodic heartbeats, and news of an era that only some gateways know

Cause: nothing would have shown two gateways of the bounded exchange that take each other's replies for periodic heartbeats, a listener that misses a new era because its revisions are lower, or a watcher that tells revisions of the era before as those of the new one.

Change: the fleet in virtual time counts periodic heartbeats; two gateways that hear one of each other send at most one reply each and are quiet afterwards. Watchers of two eras make a listener ask once for each era and wait shortly until they agree.

--- a/test/gateway/exchange-fleet.ts
+++ b/test/gateway/exchange-fleet.ts
@@ -48,6 +48,8 @@
   readonly lost: { readonly id: string, readonly atMs: number }[]
   bytes: number
   datagrams: number
+  /** Periodic heartbeats among the datagrams. */
+  heartbeats: number
 }
 
 /** Simulated gateways and the network between them. */
@@ -121,7 +123,7 @@
   }
 
   #start (id: string, domain: number, at?: number): FleetGateway {
-    const gateway = { id, domain, isOld: this.gateways.length < this.#options.old, peers: PeersPlugin.create(id), bornMs: 1_700_000_000_000 + Math.round(this.nowMs), isReady: true, isRunning: true, held: undefined, paces: {}, lost: [], bytes: 0, datagrams: 0 } as unknown as FleetGateway
+    const gateway = { id, domain, isOld: this.gateways.length < this.#options.old, peers: PeersPlugin.create(id), bornMs: 1_700_000_000_000 + Math.round(this.nowMs), isReady: true, isRunning: true, held: undefined, paces: {}, lost: [], bytes: 0, datagrams: 0, heartbeats: 0 } as unknown as FleetGateway
     if (at === undefined) this.gateways.push(gateway)
     else this.gateways[at] = gateway
     this.#byId.set(id, gateway)
@@ -162,7 +164,8 @@
         // A gateway that counts few others stays with heartbeats.
         countTargets: () => gateway.isOld ? 0 : targets.size,
         listTargets: () => [...targets],
-        sendHeartbeat: (_, ids, content) => {
+        sendHeartbeat: (purpose, ids, content) => {
+          if (purpose === 'heartbeat') gateway.heartbeats += ids.length
           // Older versions have no incarnation to tell or to read.
           const heartbeat = { version: 1, address: { host: '10.0.0.1', port: 1 }, ...content }
           const bytes = pack(heartbeat).length
--- a/test/gateway/state-exchange.test.ts
+++ b/test/gateway/state-exchange.test.ts
@@ -126,3 +126,27 @@
   t.true(fleet.isAgreed(() => true))
   t.is(countLost(fleet), 0)
 })
+
+// Guards against gateways of the bounded exchange that take each other's replies for periodic heartbeats, and answer for ever.
+test('gateways of the bounded exchange answer each periodic heartbeat once', t => {
+  const fleet = Fleet.create({ gateways: 20, loss: 0, seed: 7 })
+  const countHeartbeats = (ms: number): number => {
+    for (const gateway of fleet.gateways) gateway.heartbeats = 0
+    fleet.run(ms)
+    return fleet.gateways.reduce((sum, { heartbeats }) => sum + heartbeats, 0)
+  }
+  fleet.run(5_000)
+  t.true(fleet.gateways.every(({ exchange }) => exchange.mode === 'bounded'))
+  t.is(countHeartbeats(15_000), 0)
+  const [first, second] = fleet.gateways as [FleetGateway, FleetGateway]
+  const meet = (from: FleetGateway, to: FleetGateway): void => {
+    const state = { id: from.id, bornMs: from.bornMs, callerAddress: '10.0.0.1:8080', domain: `domain-${from.domain}`, isReady: true, inFlight: {} }
+    to.exchange.handleHeartbeat({ version: 1, address: { host: '10.0.0.1', port: 1 }, state, strikes: [] })
+  }
+  meet(first, second)
+  meet(second, first)
+  const answered = countHeartbeats(2_000)
+  t.true(answered >= 1 && answered <= 2, String(answered))
+  t.is(countHeartbeats(15_000), 0)
+  t.true(fleet.isAgreed(() => true))
+})
--- a/test/gateway/watch-roles.test.ts
+++ b/test/gateway/watch-roles.test.ts
@@ -1,7 +1,7 @@
 import test from 'ava'
 import { pack } from 'msgpackr'
 import { decodeMessage } from '../../src/gateway/link-messages.js'
-import { RELAY_GRACE_MS, WatchRoles, chooseWatchers } from '../../src/gateway/watch-roles.js'
+import { FOLLOWED_KINDS, RELAY_GRACE_MS, WatchRoles, chooseWatchers } from '../../src/gateway/watch-roles.js'
 import type { WatchNews } from '../../src/gateway/watch-roles.js'
 import { BOUNDS, WatchSimulation } from './watch-simulation.js'
 import type { Delays } from './watch-simulation.js'
@@ -152,6 +152,49 @@
   t.deepEqual(chosen, ['starting', 'unheard', 'listener', 'listener', 'unheard', 'unheard', 'listener', 'unheard', 'unheard', 'alone'])
 })
 
+// Guards against a new era that is missed or asked for again and again, and against news of the one before that hide it.
+test('news of an era that only some gateways know make the others ask once, and news of the era before change nothing', t => {
+  const roles = createListener()
+  const late: WatchNews = { ...NEWS, id: 'w2', era: 2, changed: [50, 50, 50], seen: [50, 50, 50] }
+  const early: WatchNews = { ...NEWS, era: 3, changed: [0, 0, 0], seen: [1, 0, 0] }
+  const all = ['endpoints', 'configuration', 'evacuations']
+  const roleOf = (atMs: number): string => roles.chooseRole(OTHERS, false, atMs)
+  roles.noteNews(late, 5_000)
+  t.deepEqual([roleOf(5_300), roles.listOverdue(5_300)], ['listener', all])
+  for (const kind of FOLLOWED_KINDS) roles.noteProgress(kind, { era: 2, seen: 50, changed: 50 }, 5_400)
+  // The revisions of the new era are lower. The watcher that does not know it yet counts as behind.
+  roles.noteNews(early, 6_000)
+  roles.noteNews(late, 6_050)
+  t.deepEqual([roleOf(6_300), roles.listOverdue(6_300)], ['listener', all])
+  roles.noteNews(early, 7_000)
+  roles.noteNews(late, 7_050)
+  t.deepEqual([roleOf(7_300), roles.listOverdue(7_300)], ['unheard', []])
+  for (const kind of FOLLOWED_KINDS) roles.noteProgress(kind, { era: 3, seen: 2, changed: 2 }, 7_400)
+  roles.noteNews({ ...late, changed: [60, 60, 60], seen: [60, 60, 60] }, 7_500)
+  t.deepEqual(roles.listOverdue(8_500), [])
+  // Once the other watcher knows the era as well, both can be relied on.
+  roles.noteNews({ ...early, id: 'w2' }, 8_600)
+  roles.noteNews(early, 8_600)
+  t.deepEqual([roleOf(8_700), roles.listOverdue(8_900)], ['listener', []])
+  // A second change of the era is told like the first one.
+  roles.noteNews({ ...early, era: 4 }, 9_000)
+  t.deepEqual(roles.listOverdue(9_300), all)
+})
+
+// Guards against revisions of the era before in the news of a watcher that has listed some kinds only.
+test('a watcher tells revisions of the newest era only', t => {
+  const [id] = chooseWatchers('x', OTHERS.map(other => other.id)) as [string]
+  const roles = WatchRoles.create({ id, domain: 'x' }, 0)
+  const waits = { endpoints: 4_000, configuration: 4_000, evacuations: 4_000 }
+  for (const kind of FOLLOWED_KINDS) roles.noteProgress(kind, { era: 2, seen: 50, changed: 40 }, 4_000)
+  t.is(roles.chooseRole(OTHERS.filter(other => other.id !== id), true, 4_000), 'watcher')
+  t.deepEqual(roles.takeNews(waits, 4_000), { id, era: 2, isHearing: true, changed: [40, 40, 40], seen: [50, 50, 50] })
+  roles.noteProgress('configuration', { era: 3, seen: 7, changed: 6 }, 4_100)
+  t.deepEqual(roles.takeNews(waits, 4_100), { id, era: 3, isHearing: true, changed: [0, 6, 0], seen: [0, 7, 0] })
+  roles.noteProgress('endpoints', { era: 3, seen: 9, changed: undefined }, 4_200)
+  t.deepEqual(roles.takeNews(waits, 4_300), { id, era: 3, isHearing: true, changed: [0, 6, 0], seen: [9, 7, 0] })
+})
+
 // Guards against values of a datagram that end a gateway or make it give up its watches for ever.
 test('a message with values that cannot be used is none', t => {
   const encode = (news: unknown): Buffer => pack({ version: 1, kind: 'watch-news', news })
