Give silent watchers up in time where notice_ms is below 3 s

Cause: a listener relied on the watchers of its domain for 2.5 s after their last message, whatever notice_ms demands. Where others count silent gateways as ready for longer than that, as the bounded exchange does, no other watcher takes the place meanwhile, so that a listener whose connection goes silent as all its watchers freeze noticed up to 620 ms after a bound of 2 s.

Change: it relies on them for 0.5 s less than notice_ms, for 2.5 s at most as before and 1.3 s at least. The simulation of watches takes the bounds, and the time after which a gateway counts as gone.

At 3,000 and more nothing changes.

--- a/src/gateway/followed-store.ts
+++ b/src/gateway/followed-store.ts
@@ -48,7 +48,7 @@
   private constructor (options: FollowedStoreOptions) {
     this.#options = options
     this.#times = computeFollowerTimes(options.bounds)
-    this.#roles = WatchRoles.create(options.self, performance.now())
+    this.#roles = WatchRoles.create(options.self, performance.now(), options.bounds.noticeMs)
     this.#followers = this.#createFollowers()
   }
 
--- a/src/gateway/watch-roles.ts
+++ b/src/gateway/watch-roles.ts
@@ -27,8 +27,12 @@
 /** Time in ms after the start, in which little has been heard of others, with short waits. */
 export const START_MS = 3_000
 
-/** Time in ms after the last message of a watcher for which others rely on it. */
-export const UNHEARD_MS = 2_500
+/** Longest and shortest time in ms after the last message of a watcher for which others rely on it; shorter ones would end between two messages. */
+const UNHEARD_MAX_MS = 2_500
+const UNHEARD_MIN_MS = 1_300
+
+/** Time in ms that is left to notice a silent connection once no watcher is relied on: the next housekeeping and a call. */
+const UNHEARD_MARGIN_MS = 500
 
 /** Interval in ms of a watcher's messages, and the delay of the one that follows a change, in case the first one is lost. */
 export const NEWS_INTERVAL_MS = 1_000
@@ -110,6 +114,7 @@
 export class WatchRoles {
   readonly #self: ReadyGateway
   readonly #startedAtMs: number
+  readonly #unheardMs: number
   readonly #kinds = new Map<FollowedKind, KindState>()
   readonly #heard = new Map<string, HeardNews>()
   #role: WatchRole = 'starting'
@@ -119,18 +124,20 @@
   #hasNews = false
   #wasHearing = true
 
-  private constructor (self: ReadyGateway, startedAtMs: number) {
+  private constructor (self: ReadyGateway, startedAtMs: number, noticeMs: number) {
     this.#self = self
     this.#startedAtMs = startedAtMs
+    this.#unheardMs = Math.max(UNHEARD_MIN_MS, Math.min(UNHEARD_MAX_MS, noticeMs - UNHEARD_MARGIN_MS))
   }
 
   /**
    * @param self - this gateway
    * @param startedAtMs - monotonic time in ms at which it started
+   * @param noticeMs - time in ms within which a silent connection must be noticed; kept from 1,800 on
    * @returns roles of a gateway that knows no others
    */
-  static create (self: ReadyGateway, startedAtMs: number): WatchRoles {
-    return new WatchRoles(self, startedAtMs)
+  static create (self: ReadyGateway, startedAtMs: number, noticeMs: number): WatchRoles {
+    return new WatchRoles(self, startedAtMs, noticeMs)
   }
 
   get role (): WatchRole {
@@ -166,7 +173,7 @@
    * @returns the role
    */
   chooseRole (others: readonly ReadyGateway[], isReady: boolean, nowMs: number): WatchRole {
-    for (const [id, { atMs }] of this.#heard) if (nowMs - atMs > UNHEARD_MS) this.#heard.delete(id)
+    for (const [id, { atMs }] of this.#heard) if (nowMs - atMs > this.#unheardMs) this.#heard.delete(id)
     this.#role = this.#findRole(others.filter(({ domain }) => domain === this.#self.domain), isReady, nowMs)
     return this.#role
   }
--- a/test/gateway/watch-roles.test.ts
+++ b/test/gateway/watch-roles.test.ts
@@ -83,6 +83,29 @@
   }
 })
 
+// Guards against listeners that rely for too long on watchers which are silent, where others learn late that these are gone.
+test('silent listeners notice in time that all watchers of their domain are frozen, whatever the bounds demand', t => {
+  for (const noticeMs of [2_000, 2_500, 3_000, 4_000]) {
+    for (const goneMs of [1_500, 3_500]) {
+      const latest = SEEDS.map(seed => {
+        const simulation = WatchSimulation.create({ ...FLEET, seed, loss: 0.2, bounds: { noticeMs, applyMs: noticeMs - 1_000 }, goneMs })
+        const startMs = 10_000 + seed * 170
+        simulation.run(startMs)
+        for (const watcher of simulation.listWatchers('d0')) simulation.disturb(watcher, { isFrozen: true })
+        for (const listener of simulation.listListeners('d0')) simulation.silence(listener)
+        for (const afterMs of [0, 370, 900, 1_500, 2_500, 4_000]) {
+          simulation.run(startMs + afterMs)
+          simulation.write()
+        }
+        simulation.run(startMs + 8_000)
+        return simulation.measure().latestMs
+      })
+      t.log(`noticed within ${noticeMs} ms, gone after ${goneMs} ms: ${Math.max(...latest)} ms after the bound`)
+      t.true(Math.max(...latest) <= 0, `${noticeMs}, ${goneMs}: ${Math.max(...latest)} ms late`)
+    }
+  }
+})
+
 // Guards against roles that cost as many calls as each gateway following the store for itself, and against messages that grow with the fleet.
 test('roles save calls', t => {
   const figures = [1, 2, 3].flatMap(domains => [4, 14, 20].map(perDomain => {
@@ -117,7 +140,7 @@
 
 /** @returns roles of a listener that has seen revision 5 of each kind in era 2 */
 function createListener (): WatchRoles {
-  const roles = WatchRoles.create({ id: 'self', domain: 'x' }, 0)
+  const roles = WatchRoles.create({ id: 'self', domain: 'x' }, 0, BOUNDS.noticeMs)
   for (const kind of ['endpoints', 'configuration', 'evacuations'] as const) roles.noteProgress(kind, { era: 2, seen: 5, changed: undefined }, 4_000)
   return roles
 }
@@ -184,7 +207,7 @@
 // Guards against revisions of the era before in the news of a watcher that has listed some kinds only.
 test('a watcher tells revisions of the newest era only', t => {
   const [id] = chooseWatchers('x', OTHERS.map(other => other.id)) as [string]
-  const roles = WatchRoles.create({ id, domain: 'x' }, 0)
+  const roles = WatchRoles.create({ id, domain: 'x' }, 0, BOUNDS.noticeMs)
   const waits = { endpoints: 4_000, configuration: 4_000, evacuations: 4_000 }
   for (const kind of FOLLOWED_KINDS) roles.noteProgress(kind, { era: 2, seen: 50, changed: 40 }, 4_000)
   t.is(roles.chooseRole(OTHERS.filter(other => other.id !== id), true, 4_000), 'watcher')
--- a/test/gateway/watch-simulation.ts
+++ b/test/gateway/watch-simulation.ts
@@ -2,6 +2,7 @@
 
 import { Random } from '../../src/kernel/random.js'
 import { computeFollowerTimes } from '../../src/gateway/store.js'
+import type { FollowerBounds, FollowerTimes } from '../../src/gateway/store.js'
 import { FOLLOWED_KINDS, LISTENER_WAIT_MS, RELAY_MARGIN_MS, WatchRoles } from '../../src/gateway/watch-roles.js'
 import type { WatchNews } from '../../src/gateway/watch-roles.js'
 
@@ -14,7 +15,6 @@
 
 /** Bounds of the smallest fleets in ms. */
 export const BOUNDS = { noticeMs: 3_000, applyMs: 2_000 }
-const TIMES = computeFollowerTimes(BOUNDS)
 
 /** What may go wrong with one gateway. */
 export interface GatewayFaults {
@@ -37,6 +37,10 @@
   readonly loss?: number
   /** Whether gateways take roles; otherwise each follows the store for itself. */
   readonly hasRoles?: boolean
+  /** `BOUNDS` when absent. */
+  readonly bounds?: FollowerBounds
+  /** Time in ms after which a gateway that is silent is not ready; that of heartbeats when absent. */
+  readonly goneMs?: number
 }
 
 interface SimulatedGateway {
@@ -76,6 +80,8 @@
   readonly gateways: readonly SimulatedGateway[]
   readonly #random: Random
   readonly #options: SimulationOptions
+  readonly #bounds: FollowerBounds
+  readonly #times: FollowerTimes
   readonly #changes: Array<{ readonly revision: number, readonly ackedAtMs: number }> = []
   #datagrams: Array<{ readonly atMs: number, readonly to: SimulatedGateway, readonly news: WatchNews }> = []
   #calls = 0
@@ -84,6 +90,8 @@
 
   private constructor (options: SimulationOptions) {
     this.#options = options
+    this.#bounds = options.bounds ?? BOUNDS
+    this.#times = computeFollowerTimes(this.#bounds)
     this.#random = Random.create(options.seed)
     this.gateways = Array.from({ length: options.domains * options.perDomain }, (_value, at) => this.#createGateway(`g${at}`, `d${at % options.domains}`))
   }
@@ -128,7 +136,7 @@
   restart (gateway: SimulatedGateway): void {
     Object.assign(gateway, { isRunning: true, pending: undefined, failures: 0, isConnectionSilent: false, nextCallAtMs: this.nowMs, seen: this.#revision, disturbedUntilMs: this.nowMs })
     gateway.heardAtMs.clear()
-    gateway.roles = WatchRoles.create(gateway, this.nowMs)
+    gateway.roles = WatchRoles.create(gateway, this.nowMs, this.#bounds.noticeMs)
     for (const { revision } of this.#changes) if (!gateway.appliedAtMs.has(revision)) gateway.appliedAtMs.set(revision, this.nowMs)
   }
 
@@ -147,7 +155,7 @@
   measure (): Delays {
     const delays = this.gateways.filter(({ isRunning }) => isRunning).flatMap(gateway => this.#changes.map(({ revision, ackedAtMs }) => {
       const appliedAtMs = gateway.appliedAtMs.get(revision) ?? this.nowMs
-      return { isCalm: gateway.disturbedUntilMs === -Infinity, delayMs: appliedAtMs - ackedAtMs, lateMs: appliedAtMs - Math.max(ackedAtMs + BOUNDS.applyMs, gateway.disturbedUntilMs + BOUNDS.noticeMs) }
+      return { isCalm: gateway.disturbedUntilMs === -Infinity, delayMs: appliedAtMs - ackedAtMs, lateMs: appliedAtMs - Math.max(ackedAtMs + this.#bounds.applyMs, gateway.disturbedUntilMs + this.#bounds.noticeMs) }
     }))
     const perS = (count: number): number => Math.round(count / this.gateways.length / (this.nowMs / 1_000) * 100) / 100
     return {
@@ -170,14 +178,14 @@
       faults: { isFrozen: false, isCutFromStore: false, isCutFromPeers: false, losesNews: false },
       appliedAtMs: new Map(),
       disturbedUntilMs: -Infinity,
-      roles: WatchRoles.create({ id, domain }, 0),
+      roles: WatchRoles.create({ id, domain }, 0, this.#bounds.noticeMs),
       isRunning: true,
-      waitMs: TIMES.waitMs,
+      waitMs: this.#times.waitMs,
       seen: 0,
       failures: 0,
       mustRenew: false,
       isConnectionSilent: false,
-      nextCallAtMs: Math.floor(this.#random.pickFloat() * TIMES.waitMs),
+      nextCallAtMs: Math.floor(this.#random.pickFloat() * this.#times.waitMs),
       pending: undefined,
       heardAtMs: new Map()
     }
@@ -204,7 +212,7 @@
     gateway.seen = this.#revision
     gateway.failures = 0
     gateway.pending = undefined
-    gateway.nextCallAtMs = this.nowMs + (hasChanged ? TIMES.collectMs : 0)
+    gateway.nextCallAtMs = this.nowMs + (hasChanged ? this.#times.collectMs : 0)
     for (const kind of FOLLOWED_KINDS) gateway.roles.noteProgress(kind, { era: 1, seen: this.#revision, changed: hasChanged ? this.#revision : undefined }, this.nowMs)
     if (hasChanged) this.#sendNews(gateway)
   }
@@ -230,18 +238,18 @@
       if (other !== gateway && other.isRunning && !other.faults.isFrozen && !other.faults.isCutFromPeers && !gateway.faults.isCutFromPeers) gateway.heardAtMs.set(other.id, this.nowMs)
     }
     const role = gateway.roles.chooseRole(this.#listReady(gateway), true, this.nowMs)
-    gateway.waitMs = role === 'listener' ? LISTENER_WAIT_MS : role === 'watcher' ? TIMES.waitMs - RELAY_MARGIN_MS : TIMES.waitMs
+    gateway.waitMs = role === 'listener' ? LISTENER_WAIT_MS : role === 'watcher' ? this.#times.waitMs - RELAY_MARGIN_MS : this.#times.waitMs
     if (gateway.pending !== undefined && gateway.pending.waitMs > gateway.waitMs + 1_000) this.#renew(gateway)
     if (gateway.roles.listOverdue(this.nowMs).length > 0) this.#renew(gateway)
     this.#sendNews(gateway)
   }
 
   #listReady (gateway: SimulatedGateway): readonly SimulatedGateway[] {
-    return this.gateways.filter(other => other !== gateway && this.nowMs - (gateway.heardAtMs.get(other.id) ?? -Infinity) <= HEARTBEAT_TIMEOUT_MS)
+    return this.gateways.filter(other => other !== gateway && this.nowMs - (gateway.heardAtMs.get(other.id) ?? -Infinity) <= (this.#options.goneMs ?? HEARTBEAT_TIMEOUT_MS))
   }
 
   #sendNews (gateway: SimulatedGateway): void {
-    const limitMs = TIMES.waitMs + TIMES.collectMs + 1_000
+    const limitMs = this.#times.waitMs + this.#times.collectMs + 1_000
     const news = gateway.roles.takeNews({ endpoints: limitMs, configuration: limitMs, evacuations: limitMs }, this.nowMs)
     if (news === undefined) return
     const recipients = new Set(gateway.roles.listRecipients(this.#listReady(gateway)))
