Keep the patience of callers in one place

Cause: the 2 s without an event after which callers leave stood in the estimate of a request, and behind the waits of late requests, of requests held for a lost group and of stalled streams.

Change: patience.ts; the waits are computed from it.

--- a/src/gateway/late-lane.ts
+++ b/src/gateway/late-lane.ts
@@ -5,10 +5,11 @@
  */
 
 import type { GatewayContext } from './context.js'
+import { FIRST_EVENT_MIN_MS, PATIENCE_MIN_MS } from './patience.js'
 import type { HeldRequest } from './recovery.js'
 
-/** Longest time in ms for which a late request waits; callers leave after 2 s without an event. */
-const WAIT_MAX_MS = 1_500
+/** Longest time in ms for which a late request waits. */
+const WAIT_MAX_MS = PATIENCE_MIN_MS - FIRST_EVENT_MIN_MS
 
 /** Interval in ms at which waiting requests are looked at again. */
 const CHECK_INTERVAL_MS = 50
--- a/src/gateway/recovery.ts
+++ b/src/gateway/recovery.ts
@@ -8,9 +8,10 @@
 import type { EndpointView } from '../plugins/gateway/endpoints.js'
 import type { GroupChange, GroupState } from '../plugins/gateway/outages.js'
 import type { GatewayContext } from './context.js'
+import { PATIENCE_MIN_MS } from './patience.js'
 
-/** Longest time in ms for which a request is held; callers leave after 2 s without an event, and the first one takes up to 0.4 s. */
-const HOLD_MAX_MS = 800
+/** Longest time in ms for which a request is held; its first event then takes up to 0.4 s. */
+const HOLD_MAX_MS = 0.4 * PATIENCE_MIN_MS
 
 /** Largest number of requests held at a time; more are refused. */
 const HELD_MAX = 1_000
--- a/src/gateway/running-attempt.ts
+++ b/src/gateway/running-attempt.ts
@@ -6,14 +6,15 @@
 import type { AnswerKind } from './answer-kind.js'
 import type { LivenessPort } from '../plugins/gateway/liveness.js'
 import type { AnswerHead, RepeatPolicy } from './model.js'
+import { FIRST_EVENT_MIN_MS, PATIENCE_MIN_MS } from './patience.js'
 import type { SendableHeaders } from './sendable.js'
 import type { Attempt } from './upstream.js'
 
 /** Time in ms for which an event of a stream may be incomplete; endpoints write events as a whole. */
 const PARTIAL_EVENT_MAX_MS = 1_000
 
-/** Time in ms after an event for which an endpoint may send comments, but no event; callers leave after 2 s. */
-const COMMENTS_MAX_MS = 1_500
+/** Time in ms after an event for which an endpoint may send comments, but no event; another one must still be in time. */
+const COMMENTS_MAX_MS = PATIENCE_MIN_MS - FIRST_EVENT_MIN_MS
 
 /** Checks that must have found a stream stalled: after the gateway itself stood still, the next event waits unread in its socket. */
 const STALL_CHECKS_MIN = 3
