Count and log the bounds of callers with the log of limits

Cause: LimitLog and the server of the gateway gathered what gave way, counted it and logged it once in an interval, each in its own way.

Change: LimitLog takes the interval, and what it counts and logs with. A line of the gateway comes 500 ms after the first request beyond a bound rather than with the next check of the connections.

Measured: a new test, which also holds without the change: three refusals give one line with their number, a fourth one a second line, and the metric counts four.

--- a/src/edge/connections/limit-log.ts
+++ b/src/edge/connections/limit-log.ts
@@ -1,30 +1,31 @@
-import type { Logger } from '../log/logger.js'
-import type { Metrics } from '../metrics/metrics.js'
-
 /** Limit on callers and strangers that was reached. */
 export type LimitReason = 'connections' | 'replaced' | 'unread' | 'overdue' | 'requests' | 'memory' | 'handshakes' | 'hello'
 
-/** Least time between two log lines on one limit, in ms: a crowd would write one for each of its connections. */
-const LOG_INTERVAL_MS = 1_000
+/** Where a `LimitLog` writes. */
+export interface LimitLogOptions<Limit> {
+  /** Least time in ms between two log lines on one limit: a crowd would write one for each of its connections. */
+  readonly intervalMs: number
+  /** Counts one time that a limit was reached, for the metrics. */
+  count (limit: Limit): void
+  /** Logs how often a limit was reached since its last line. */
+  write (limit: Limit, count: number): void
+}
 
-/** Counts each time that a limit was reached, and logs it at most once a second. */
-export class LimitLog {
-  readonly #logger: Logger
-  readonly #metrics: Metrics
-  readonly #pending = new Map<LimitReason, number>()
+/** Counts each time that a limit was reached, and logs it at most once in an interval. */
+export class LimitLog<Limit extends string = LimitReason> {
+  readonly #options: LimitLogOptions<Limit>
+  readonly #pending = new Map<Limit, number>()
 
-  private constructor (logger: Logger, metrics: Metrics) {
-    this.#logger = logger
-    this.#metrics = metrics
+  private constructor (options: LimitLogOptions<Limit>) {
+    this.#options = options
   }
 
   /**
-   * @param logger - log of the process
-   * @param metrics - metrics of the process
+   * @param options - log and metrics of the process
    * @returns a log without pending lines
    */
-  static create (logger: Logger, metrics: Metrics): LimitLog {
-    return new LimitLog(logger, metrics)
+  static create<Limit extends string = LimitReason> (options: LimitLogOptions<Limit>): LimitLog<Limit> {
+    return new LimitLog(options)
   }
 
   /**
@@ -32,15 +33,16 @@
    *
    * @param limit - the limit
    */
-  note (limit: LimitReason): void {
-    this.#metrics.count('limits_reached', limit)
+  note (limit: Limit): void {
+    this.#options.count(limit)
     const count = this.#pending.get(limit)
     this.#pending.set(limit, (count ?? 0) + 1)
-    if (count === undefined) setTimeout(() => { this.#write(limit) }, LOG_INTERVAL_MS).unref()
+    if (count === undefined) setTimeout(() => { this.#write(limit) }, this.#options.intervalMs).unref()
   }
 
-  #write (limit: LimitReason): void {
-    this.#logger.write('limit-reached', { limit, count: this.#pending.get(limit) ?? 0 })
+  #write (limit: Limit): void {
+    const count = this.#pending.get(limit) ?? 0
     this.#pending.delete(limit)
+    this.#options.write(limit, count)
   }
 }
--- a/src/edge/process.ts
+++ b/src/edge/process.ts
@@ -34,6 +34,9 @@
 /** Seeds of the kernel's random number generator are below this value. */
 const SEED_RANGE = 2 ** 31
 
+/** Least time in ms between two log lines on one limit. */
+const LIMIT_LOG_INTERVAL_MS = 1_000
+
 /** The kernel of one process with its connections to the outside that do not depend on the role. */
 export class ProcessEdge {
   readonly kernel: Kernel
@@ -56,7 +59,11 @@
     this.#settings = settings
     this.logger = Logger.create({ processId: self.id })
     this.metrics = Metrics.create({ role })
-    this.limits = LimitLog.create(this.logger, this.metrics)
+    this.limits = LimitLog.create({
+      intervalMs: LIMIT_LOG_INTERVAL_MS,
+      count: limit => { this.metrics.count('limits_reached', limit) },
+      write: (limit, count) => { this.logger.write('limit-reached', { limit, count }) }
+    })
     this.tls = TlsSources.create(this.logger)
     const platformTls = this.tls.loadDialler(settings.platform.tls)
     this.platform = PlatformClient.create({
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -3,6 +3,7 @@
 import { createHash } from 'node:crypto'
 import { createServer } from 'node:http'
 import type { Server, ServerResponse } from 'node:http'
+import { LimitLog } from '../edge/connections/limit-log.js'
 import { ERROR_RESPONSES, assertNever } from '../kernel/errors.js'
 import type { ErrorKind } from '../kernel/errors.js'
 import { ByteCollector } from './byte-collector.js'
@@ -24,6 +25,9 @@
 /** Interval in ms at which the server checks for callers that exceed the timeouts. */
 const SLOW_CALLER_CHECK_INTERVAL_MS = 500
 
+/** Least time in ms between two log lines on one bound. */
+const BOUND_LOG_INTERVAL_MS = 500
+
 /** Retry delay for callers in ms while no configuration is known. */
 const UNCONFIGURED_RETRY_MS = 300
 
@@ -58,8 +62,7 @@
   readonly #server: Server
   readonly #connections: CallerConnections
   readonly #bounds: CallerBounds
-  /** Times that each bound was met since the last check. */
-  readonly #boundsMet = new Map<Bound, number>()
+  readonly #boundLog: LimitLog<Bound>
   #checkTimer: NodeJS.Timeout | undefined
   #stage: LeaveStage = 'serving'
   /** Monotonic time in ms at which requests are cut; infinite unless the process is stopping. */
@@ -82,7 +85,12 @@
       getBounds: () => this.#bounds,
       mayRunAhead: () => context.requestRoom.mayRunAhead,
       start: request => { this.#runStep(request.response, () => { this.#handleRequest(request) }) },
-      noteBound: bound => { this.#noteBound(bound) }
+      noteBound: bound => { this.#boundLog.note(bound) }
+    })
+    this.#boundLog = LimitLog.create<Bound>({
+      intervalMs: BOUND_LOG_INTERVAL_MS,
+      count: bound => { context.metrics.count('bounds_met', bound) },
+      write: (bound, count) => { context.boundary.run('housekeeping', () => { context.log('bound-met', { bound, count, connections: this.#connections.size, requests: context.requestRoom.countRequests() }) }) }
     })
   }
 
@@ -142,13 +150,6 @@
 
   #check (): void {
     this.#connections.check(this.#context.memory.isCongested)
-    for (const [bound, count] of this.#boundsMet) this.#context.log('bound-met', { bound, count, connections: this.#connections.size, requests: this.#context.requestRoom.countRequests() })
-    this.#boundsMet.clear()
-  }
-
-  #noteBound (bound: Bound): void {
-    this.#context.metrics.count('bounds_met', bound)
-    this.#boundsMet.set(bound, (this.#boundsMet.get(bound) ?? 0) + 1)
   }
 
   #handleRequest (received: ReceivedRequest): void {
@@ -245,7 +246,7 @@
     }
     const room = this.#context.requestRoom.take(response, { address: connection.address, team: team?.name })
     if (room !== 'taken') {
-      this.#noteBound(room)
+      this.#boundLog.note(room)
       this.#refuse(response, request, 'overloaded', { retryAfterMs: FULL_RETRY_MS, reason: room })
       return false
     }
--- a/test/gateway/caller-limits.test.ts
+++ b/test/gateway/caller-limits.test.ts
@@ -60,6 +60,22 @@
   })
 })
 
+// Guards against a log line for each request of a crowd, and against a crowd that is not logged at all.
+test('requests beyond a bound are counted one by one, and logged together', async t => {
+  const harness = await startHarness('idempotent', { e1: (_request, response) => { response.end('ok') } })
+  t.teardown(() => { harness.close() })
+  harness.context.requestRoom.updateBounds({ requestsMax: 0, aheadMax: 0 })
+  const listMet = (): readonly unknown[] => harness.lines.map(line => JSON.parse(line) as Record<string, unknown>).filter(({ event }) => event === 'bound-met').map(({ bound, count }) => `${String(bound)} ${String(count)}`)
+  const results = [await harness.call(), await harness.call(), await harness.call()]
+  t.deepEqual(results.map(({ status }) => status), [503, 503, 503])
+  await wait(700)
+  t.deepEqual(listMet(), ['requests 3'])
+  await harness.call()
+  await wait(700)
+  t.deepEqual(listMet(), ['requests 3', 'requests 1'])
+  t.regex(await harness.context.metrics.format(), /bounds_met_total\{bound="requests",role="gateway"\} 4/)
+})
+
 const hold: (release: (() => void)[]) => Script = release => (_request, response) => {
   response.setHeader('Heatherdoor-Response-Signature', 'signed')
   release.push(() => { response.end('ok') })
