Let decisions of a gateway be explained without an effect

Cause: operators want to know where a request would go now; the live decisions count, draw random numbers and create records as they decide. Change: the selection returns its score by term and lists candidates with what excludes each, by the code that choose uses. The room queue, the recovery queue, retry delays, bounds and planned stops say what they would decide. Getters of the room queue create no queue. Tests of selection, admission, recovery, limits, cold, pause, exchange, leaving, callers and decisions pass.

--- a/src/gateway/caller-limits.ts
+++ b/src/gateway/caller-limits.ts
@@ -161,17 +161,23 @@
    */
   take (owner: object, origin: RequestOrigin): RoomResult {
     const { address, team } = origin
-    const { requestsMax } = this.#bounds
-    const total = this.#owners.size
-    if (total >= requestsMax) return 'requests'
-    if (!hasShare(this.#addresses.get(address) ?? 0, total, requestsMax)) return 'address'
-    if (team !== undefined && !hasShare(this.#teams.get(team) ?? 0, total, requestsMax)) return 'team'
+    const bound = this.findBound(origin)
+    if (bound !== undefined) return bound
     this.#owners.set(owner, origin)
     addCount(this.#addresses, address, 1)
     if (team !== undefined) addCount(this.#teams, team, 1)
     return 'taken'
   }
 
+  /** @returns the bound that leaves no room for a request; undefined when there is room */
+  findBound ({ address, team }: { readonly address?: string, readonly team: string | undefined }): Exclude<RoomResult, 'taken'> | undefined {
+    const { requestsMax } = this.#bounds
+    const total = this.#owners.size
+    if (total >= requestsMax) return 'requests'
+    if (address !== undefined && !hasShare(this.#addresses.get(address) ?? 0, total, requestsMax)) return 'address'
+    return team !== undefined && !hasShare(this.#teams.get(team) ?? 0, total, requestsMax) ? 'team' : undefined
+  }
+
   release (owner: object): void {
     const origin = this.#owners.get(owner)
     if (origin === undefined) return
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -13,7 +13,8 @@
 import type { OutagesPort } from '../plugins/gateway/outages.js'
 import type { PartCrashesPort } from '../plugins/gateway/part-crashes.js'
 import type { PeersPort } from '../plugins/gateway/peers.js'
-import type { Selection, SelectionPort } from '../plugins/gateway/selection.js'
+import type { ExplainedCandidate } from '../plugins/gateway/candidate-standing.js'
+import type { ExplainedRequest, Selection, SelectionPort } from '../plugins/gateway/selection.js'
 import type { RetriesPort } from '../plugins/gateway/retries.js'
 import type { RoutesPort } from '../plugins/gateway/routes.js'
 import type { ServiceLoadPort } from '../plugins/gateway/service-load.js'
@@ -178,24 +179,23 @@
    * @returns the choice; undefined when no endpoint can take a request now
    */
   choose (service: string, exclude: ReadonlySet<string>, avoidedDomains: ReadonlySet<string>, nowMs: number): Selection | undefined {
-    const selection = this.selection.choose({
-      candidates: this.#listWorking(service, nowMs),
-      exclude,
-      avoidedDomains: new Set([...avoidedDomains, ...this.serviceLoad.listSilentDomains(service, nowMs)]),
-      getAccess: this.#buildAccess(service, nowMs),
-      fraction: this.pickFloat(),
-      countsAgeMs: this.peers.getCountsAgeMs(nowMs),
-      durationMs: this.lateLane.findDurationMs(service),
-      pickFloat: () => this.pickFloat(),
-      countElsewhere: endpoint => this.peers.countInFlight(endpoint),
-      isUnresponsive: endpoint => this.liveness.isUnresponsive(endpoint),
-      getPace: endpoint => this.paces[endpoint] ?? this.peers.getPace(endpoint)
-    }, nowMs)
+    const request = this.#buildSelectionRequest(service, exclude, avoidedDomains, nowMs)
+    const selection = this.selection.choose({ ...request, fraction: this.pickFloat(), pickFloat: () => this.pickFloat() }, nowMs)
     if (selection?.isSampled === true && selection.access.kind === 'permit') this.#admittedByAgents.add(service)
     else if (selection?.isSampled === false) this.#admittedByAgents.delete(service)
     return selection
   }
 
+  /**
+   * Lists the endpoints of a service that may work, the one that `choose` would take for a new request first; changes nothing.
+   *
+   * @param service - name of the service
+   * @param nowMs - monotonic time in ms
+   */
+  explainChoice (service: string, nowMs: number): readonly ExplainedCandidate[] {
+    return this.selection.explain(this.#buildSelectionRequest(service, new Set(), new Set(), nowMs), nowMs)
+  }
+
   /** Whether agents decide which requests of a service start, as the counts of other gateways are old. */
   isAdmittedByAgents (service: string): boolean {
     return this.#admittedByAgents.has(service)
@@ -232,16 +232,21 @@
    * @returns the endpoint and the owner to ask; undefined when there is none
    */
   chooseLender (service: string, nowMs: number): Lender | undefined {
+    const lenders = this.listLenders(service, nowMs)
+    const lender = lenders[Math.floor(this.pickFloat() * lenders.length)]
+    if (lender === undefined) return undefined
+    const owner = lender.owners[Math.floor(this.pickFloat() * lender.owners.length)]!
+    return { selection: { endpoint: lender.endpoint, inFlight: 0, access: lender.access, isSampled: false }, owner }
+  }
+
+  /** Lists the endpoints of which other gateways that are alive may have a share left. */
+  listLenders (service: string, nowMs: number): readonly { readonly endpoint: EndpointView, readonly access: EndpointAccess, readonly owners: readonly string[] }[] {
     const getAccess = this.#buildAccess(service, nowMs)
-    const lenders = this.#listWorking(service, nowMs).flatMap(endpoint => {
+    return this.#listWorking(service, nowMs).flatMap(endpoint => {
       const access = getAccess(endpoint)
       const owners = access.kind === 'borrow' ? access.owners.filter(owner => this.peers.isAlive(owner)) : []
       return owners.length === 0 ? [] : [{ endpoint, access, owners }]
     })
-    const lender = lenders[Math.floor(this.pickFloat() * lenders.length)]
-    if (lender === undefined) return undefined
-    const owner = lender.owners[Math.floor(this.pickFloat() * lender.owners.length)]!
-    return { selection: { endpoint: lender.endpoint, inFlight: 0, access: lender.access, isSampled: false }, owner }
   }
 
   /** Spends a share of this gateway for another one. @returns false when there is none */
@@ -376,6 +381,20 @@
     return this.listAvailable(service).filter(endpoint => !this.outages.isLost(endpoint, nowMs))
   }
 
+  #buildSelectionRequest (service: string, exclude: ReadonlySet<string>, avoidedDomains: ReadonlySet<string>, nowMs: number): ExplainedRequest {
+    return {
+      candidates: this.#listWorking(service, nowMs),
+      exclude,
+      avoidedDomains: new Set([...avoidedDomains, ...this.serviceLoad.listSilentDomains(service, nowMs)]),
+      getAccess: this.#buildAccess(service, nowMs),
+      countsAgeMs: this.peers.getCountsAgeMs(nowMs),
+      durationMs: this.lateLane.findDurationMs(service),
+      countElsewhere: endpoint => this.peers.countInFlight(endpoint),
+      isUnresponsive: endpoint => this.liveness.isUnresponsive(endpoint),
+      getPace: endpoint => this.paces[endpoint] ?? this.peers.getPace(endpoint)
+    }
+  }
+
   #buildAccess (service: string, nowMs: number): (endpoint: EndpointView) => EndpointAccess {
     const spec = this.routes.findService(service)
     const gateways = this.peers.listKnown()
--- a/src/gateway/exchange.ts
+++ b/src/gateway/exchange.ts
@@ -8,7 +8,7 @@
 import { hasChunkForm } from './chunk-form.js'
 import { RoomAdmission } from './room-admission.js'
 import type { RoomResult } from './room-admission.js'
-import { buildRoomWait } from './request-work.js'
+import { buildRoomWait, computePermitWaitMs } from './request-work.js'
 import type { EventBatch } from './events.js'
 import type { GatewayContext } from './context.js'
 import type { MonitoredRequest } from './crash-monitor.js'
@@ -31,9 +31,6 @@
 /** Backoff in ms before a request that an endpoint refused is sent to another one. */
 const REFUSED_BACKOFF_MS = 30
 
-/** Share of the latency target of a route for which a request waits for a permit of an endpoint when no other endpoint can take it. */
-const PERMIT_WAIT_SHARE = 0.5
-
 /** One request from its receipt to the end of the answer. */
 export class Exchange {
   readonly #options: ExchangeOptions
@@ -144,7 +141,7 @@
 
   #admit (): void {
     const leftMs = this.#deadlineAtMs - this.#context.getNowMs()
-    const waitMaxMs = Math.min(PERMIT_WAIT_SHARE * this.#options.route.latencyTargetMs, leftMs - ATTEMPT_MIN_MS)
+    const waitMaxMs = computePermitWaitMs(this.#options.route, leftMs)
     const wait = buildRoomWait(this.#options, this.#deadlineAtMs, this.#context.roomQueue.getFirstEventMs(this.#options.service))
     // A caller that has received part of the answer leaves when it waits long for the rest.
     this.#admission = RoomAdmission.create({ wait, mustStart: this.#stream.lastEventId !== undefined, tried: this.#tried, waitMaxMs }, this.#context, result => { this.#runStep(() => { this.#handleAdmission(result) }) })
--- a/src/gateway/recovery.ts
+++ b/src/gateway/recovery.ts
@@ -121,6 +121,18 @@
     }
   }
 
+  /** @returns longest time in ms for which a request would be held */
+  computeHoldMs (request: Omit<HeldRequest, 'requestId'>): number {
+    return computeHoldUntilMs(request) - this.#context.getNowMs()
+  }
+
+  /** Whether a request would be held for `remainingMs`. */
+  mayHold (request: Omit<HeldRequest, 'requestId'>, remainingMs: number): boolean {
+    const nowMs = this.#context.getNowMs()
+    const untilMs = computeHoldUntilMs(request)
+    return nowMs + remainingMs <= untilMs && nowMs < untilMs && (this.#waiters.get(request.service)?.size ?? 0) < HELD_MAX
+  }
+
   /**
    * Holds a request until its service works again.
    *
@@ -129,11 +141,10 @@
    * @returns cancels the wait; undefined when it would be too long
    */
   hold (request: HeldRequest, resume: () => void): (() => void) | undefined {
-    const nowMs = this.#context.getNowMs()
-    const untilMs = Math.min(request.receivedAtMs + HOLD_MAX_MS, request.deadlineAtMs)
+    const untilMs = computeHoldUntilMs(request)
     const remainingMs = this.findRemainingMs(request.service)
     const waiters = this.#waiters.get(request.service) ?? new Set<Waiter>()
-    if (remainingMs === undefined || nowMs + remainingMs > untilMs || nowMs >= untilMs || waiters.size >= HELD_MAX) return undefined
+    if (remainingMs === undefined || !this.mayHold(request, remainingMs)) return undefined
     const waiter: Waiter = { request, untilMs, resume }
     waiters.add(waiter)
     this.#waiters.set(request.service, waiters)
@@ -184,3 +195,8 @@
     for (const waiter of ordered) if (waiters.delete(waiter)) waiter.resume()
   }
 }
+
+/** @returns monotonic time in ms until which a request is held at most */
+function computeHoldUntilMs ({ receivedAtMs, deadlineAtMs }: Pick<HeldRequest, 'receivedAtMs' | 'deadlineAtMs'>): number {
+  return Math.min(receivedAtMs + HOLD_MAX_MS, deadlineAtMs)
+}
--- a/src/gateway/request-work.ts
+++ b/src/gateway/request-work.ts
@@ -1,7 +1,8 @@
 /** Estimates of a request from what its caller and its route say: its work, and until when it is useful to start it. */
 
 import type { ExchangeOptions } from './exchange-options.js'
-import type { CallerRequest } from './model.js'
+import type { CallerRequest, Route } from './model.js'
+import { ATTEMPT_MIN_MS } from './repeat.js'
 import type { RoomWait } from './room-queue.js'
 import { isReturned } from './urgency.js'
 
@@ -9,21 +10,34 @@
 const PATIENCE_MIN_MS = 2_000
 const PATIENCE_TARGETS = 4
 
+/** Share of the latency target of a route for which a request waits for a permit of an endpoint when no other endpoint can take it. */
+const PERMIT_WAIT_SHARE = 0.5
+
 /** Shortest time in ms allowed for the first event after the latest start. */
 const FIRST_EVENT_MIN_MS = 500
 
+/** What is known of a request that may wait. */
+export interface RoomWaitSource extends Pick<ExchangeOptions, 'team' | 'route' | 'service' | 'receivedAtMs'> {
+  readonly request: Pick<CallerRequest, 'requestId' | 'deadlineMs' | 'promptTokens' | 'answerTokensMax' | 'answerTokensHint'>
+}
+
 /** @returns tokens of memory that the request takes at an endpoint at most; 0 when its caller does not say */
 export function countTokens ({ promptTokens = 0, answerTokensMax = 0, answerTokensHint }: Pick<CallerRequest, 'promptTokens' | 'answerTokensMax' | 'answerTokensHint'>): number {
   return promptTokens + Math.min(answerTokensMax, answerTokensHint ?? answerTokensMax)
 }
 
+/** @returns longest time in ms for which a request with `leftMs` to go waits for a permit when no endpoint can take it at once */
+export function computePermitWaitMs ({ latencyTargetMs }: Pick<Route, 'latencyTargetMs'>, leftMs: number): number {
+  return Math.min(PERMIT_WAIT_SHARE * latencyTargetMs, leftMs - ATTEMPT_MIN_MS)
+}
+
 /**
  * @param exchange - the request
  * @param deadlineAtMs - monotonic time in ms at which its caller leaves
  * @param firstEventMs - mean time in ms from the start of a request to its first event
  * @returns what decides on its turn when it has to wait for a slot
  */
-export function buildRoomWait ({ request, team, route, service, receivedAtMs }: Pick<ExchangeOptions, 'request' | 'team' | 'route' | 'service' | 'receivedAtMs'>, deadlineAtMs: number, firstEventMs: number): RoomWait {
+export function buildRoomWait ({ request, team, route, service, receivedAtMs }: RoomWaitSource, deadlineAtMs: number, firstEventMs: number): RoomWait {
   const patienceMs = Math.max(PATIENCE_MIN_MS, PATIENCE_TARGETS * route.latencyTargetMs)
   return {
     requestId: request.requestId,
--- a/src/gateway/responses.ts
+++ b/src/gateway/responses.ts
@@ -3,6 +3,7 @@
 import type { ServerResponse } from 'node:http'
 import { ERROR_RESPONSES } from '../kernel/errors.js'
 import type { ErrorKind } from '../kernel/errors.js'
+import type { RefusalCause } from '../plugins/gateway/retry-after.js'
 import type { GatewayContext } from './context.js'
 import type { Dialect } from './model.js'
 import type { BufferedAnswer } from './running-attempt.js'
@@ -21,15 +22,19 @@
 }
 
 /** @returns time in ms until the caller should retry; undefined for a request that crashes endpoints, which should not be retried */
-export function computeRetryAfterMs (context: Pick<GatewayContext, 'findPauseMs' | 'recovery' | 'retryAfter' | 'getNowMs' | 'pickFloat'>, { service, error, isGroupLost, deadlineAtMs }: Refusal): number | undefined {
-  if (error === 'quarantined') return undefined
-  const nowMs = context.getNowMs()
+export function computeRetryAfterMs (context: Pick<GatewayContext, 'findPauseMs' | 'recovery' | 'retryAfter' | 'getNowMs' | 'pickFloat'>, refusal: Refusal): number | undefined {
+  if (refusal.error === 'quarantined') return undefined
+  return context.retryAfter.computeRetryAfterMs(refusal.service, buildRefusalCause(context, refusal), context.pickFloat(), context.getNowMs())
+}
+
+/** @returns what decides when the caller of a refused request should retry */
+export function buildRefusalCause (context: Pick<GatewayContext, 'findPauseMs' | 'recovery' | 'getNowMs'>, { service, error, isGroupLost, deadlineAtMs }: Refusal): RefusalCause {
   const pauseMs = context.findPauseMs(service)
-  if (pauseMs !== undefined) return context.retryAfter.computeRetryAfterMs(service, { kind: 'paused', remainingMs: pauseMs }, context.pickFloat(), nowMs)
+  if (pauseMs !== undefined) return { kind: 'paused', remainingMs: pauseMs }
   const remainingMs = context.recovery.findRemainingMs(service)
   const isLost = error === 'no-endpoint' || isGroupLost || remainingMs !== undefined
-  const longestMs = Math.max(0, RETRY_AFTER_SHARE_MAX * (deadlineAtMs - nowMs))
-  return context.retryAfter.computeRetryAfterMs(service, isLost ? { kind: 'lost', remainingMs, longestMs } : { kind: 'full' }, context.pickFloat(), nowMs)
+  const longestMs = Math.max(0, RETRY_AFTER_SHARE_MAX * (deadlineAtMs - context.getNowMs()))
+  return isLost ? { kind: 'lost', remainingMs, longestMs } : { kind: 'full' }
 }
 
 /** Passes on the answer of an endpoint. */
--- a/src/gateway/room-queue.ts
+++ b/src/gateway/room-queue.ts
@@ -49,6 +49,17 @@
   readonly untilMs: number
 }
 
+/** What would become of a request that came now. */
+export interface RoomOutlook {
+  /** Requests in the queue of its service, and those of them that would start before it. */
+  readonly waiting: number
+  readonly earlier: number
+  /** Whether it would be refused instead of joining the queue. */
+  readonly isHopeless: boolean
+  /** Slots of an endpoint that it leaves free when it starts. */
+  readonly reservedSlots: number
+}
+
 /** Callbacks of a request in the queue. */
 export interface RoomHandlers {
   /** Asks endpoints for a slot and leaves `reserved` others free; the ticket then gets the answer. */
@@ -99,11 +110,16 @@
 
   /** Records that a request of a priority has come. */
   notePriority (priority: number, nowMs: number): void {
-    if (priority > this.topPriority && nowMs - this.topPriorityAtMs < TOP_PRIORITY_MS) return
+    if (priority !== this.computeTopPriority(priority, nowMs)) return
     this.topPriority = priority
     this.topPriorityAtMs = nowMs
   }
 
+  /** @returns the most urgent priority once a request of the given one has come */
+  computeTopPriority (priority: number, nowMs: number): number {
+    return priority > this.topPriority && nowMs - this.topPriorityAtMs < TOP_PRIORITY_MS ? this.topPriority : priority
+  }
+
   /** Removes a request, and the turns of its priority when no other waits. */
   remove (waiter: Waiter): void {
     this.waiters.delete(waiter)
@@ -151,7 +167,7 @@
 
   /** @returns mean time in ms from the start of a request to the first event of its answer; 0 before any was measured */
   getFirstEventMs (service: string): number {
-    return this.#getQueue(service).firstEventMs
+    return this.#queues.get(service)?.firstEventMs ?? 0
   }
 
   /** @returns slots of an endpoint that a request leaves free when it starts now */
@@ -159,7 +175,19 @@
     const nowMs = this.#context.getNowMs()
     const queue = this.#getQueue(wait.service)
     queue.notePriority(wait.priority, nowMs)
-    return countReservedSlots(queue, wait, nowMs)
+    return countReservedSlots(queue.topPriority, wait, nowMs)
+  }
+
+  /** Says what would become of a request that came now; changes nothing. */
+  explain (wait: RoomWait): RoomOutlook {
+    const nowMs = this.#context.getNowMs()
+    const queue = this.#queues.get(wait.service) ?? ServiceQueue.create()
+    return {
+      waiting: queue.waiters.size,
+      earlier: listEarlier(queue, wait, nowMs).length,
+      isHopeless: this.#isHopeless(queue, wait, nowMs),
+      reservedSlots: countReservedSlots(queue.computeTopPriority(wait.priority, nowMs), wait, nowMs)
+    }
   }
 
   /** Records a request that started without waiting. */
@@ -171,7 +199,8 @@
   /** Whether a request would start after one that waits already. */
   hasEarlier (wait: RoomWait): boolean {
     const nowMs = this.#context.getNowMs()
-    return [...this.#getQueue(wait.service).waiters].some(other => compareClass(other.wait, wait, nowMs) <= 0)
+    const queue = this.#queues.get(wait.service)
+    return queue !== undefined && listEarlier(queue, wait, nowMs).length > 0
   }
 
   /**
@@ -238,7 +267,7 @@
     const first = chooseFirst(queue, nowMs)
     if (first === undefined) return
     queue.asking = first
-    first.handlers.ask(isTurnOfOldest(queue) ? 0 : countReservedSlots(queue, first.wait, nowMs))
+    first.handlers.ask(isTurnOfOldest(queue) ? 0 : countReservedSlots(queue.topPriority, first.wait, nowMs))
   }
 
   /** Lets the next request ask later, never within the call of another one. */
@@ -299,10 +328,15 @@
 }
 
 /** Only requests of the most urgent priority that can be on time take the last free slot of an endpoint. */
-function countReservedSlots ({ topPriority }: ServiceQueue, wait: RoomWait, nowMs: number): number {
+function countReservedSlots (topPriority: number, wait: RoomWait, nowMs: number): number {
   return wait.priority > topPriority || classify(wait, nowMs) !== 'on-time' ? RESERVED_SLOTS : 0
 }
 
+/** Lists the requests in a queue after which another one would start. */
+function listEarlier ({ waiters }: ServiceQueue, wait: RoomWait, nowMs: number): readonly Waiter[] {
+  return [...waiters].filter(other => compareClass(other.wait, wait, nowMs) <= 0)
+}
+
 function isTurnOfOldest ({ startsSinceOldest }: ServiceQueue): boolean {
   return startsSinceOldest >= OLDEST_EVERY - 1
 }
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -32,10 +32,10 @@
 const BODY_MARGIN_MS = 1_000
 
 /** Retry delay for callers in ms when the room for requests, or the memory for bodies or answers, is used up. */
-const FULL_RETRY_MS = 200
+export const FULL_RETRY_MS = 200
 
 /** Retry delay for callers in ms when this process is stopping; other gateways are available at once. */
-const LEAVING_RETRY_MS = 0
+export const LEAVING_RETRY_MS = 0
 
 /** What is known of a refusal in addition to its kind. */
 interface RefusalDetails {
@@ -117,6 +117,11 @@
     this.#endsAtMs = endsAtMs
   }
 
+  /** Whether a request that must be answered by `deadlineAtMs` is refused because of a planned stop. */
+  isTooLate (deadlineAtMs: number): boolean {
+    return this.#stage === 'refusing' || this.#stage === 'closed' || deadlineAtMs + END_MARGIN_MS > this.#endsAtMs
+  }
+
   /** Moves to the next stage of a planned stop. */
   updateStage (stage: LeaveStage): void {
     this.#stage = stage
@@ -228,8 +233,7 @@
         assertNever(decision)
     }
     const { route, team } = decision
-    const endsAtMs = receivedAtMs + Math.min(request.deadlineMs ?? Infinity, route.timeoutMs) + END_MARGIN_MS
-    if (this.#stage === 'refusing' || this.#stage === 'closed' || endsAtMs > this.#endsAtMs) {
+    if (this.isTooLate(receivedAtMs + Math.min(request.deadlineMs ?? Infinity, route.timeoutMs))) {
       // A connection that stays open would bring the next request as well.
       response.setHeader('Connection', 'close')
       this.#refuse(response, request, 'leaving', { retryAfterMs: LEAVING_RETRY_MS })
--- a/src/gateway/start-gate.ts
+++ b/src/gateway/start-gate.ts
@@ -7,6 +7,11 @@
 /** Time in ms until a service works again for which a request that is still on time is held instead of refused. */
 const HOLD_ON_TIME_MS = 200
 
+/** Whether a request is held for an outage: a caller that can come back later is refused, so that those that cannot do so again are served first. */
+export function isWorthHolding (isLate: boolean, remainingMs: number): boolean {
+  return isLate || remainingMs <= HOLD_ON_TIME_MS
+}
+
 /** Gate of one request. */
 export class StartGate {
   readonly #context: Pick<GatewayContext, 'isAdmittedByAgents' | 'lateLane' | 'recovery'>
@@ -43,9 +48,7 @@
       this.#join(isLate && mayWait)
       return
     }
-    // A caller that can come back later is refused, so that those that cannot do so again are served first.
-    const mayHold = mayWait && (isLate || remainingMs <= HOLD_ON_TIME_MS)
-    this.#cancelHold = mayHold ? this.#context.recovery.hold(this.#request, () => { this.enter(true, mayWait) }) : undefined
+    this.#cancelHold = mayWait && isWorthHolding(isLate, remainingMs) ? this.#context.recovery.hold(this.#request, () => { this.enter(true, mayWait) }) : undefined
     if (this.#cancelHold === undefined) this.#handlers.refuse()
   }
 
--- a/src/plugins/gateway/retry-after.ts
+++ b/src/plugins/gateway/retry-after.ts
@@ -47,6 +47,14 @@
    * @returns wait before the retry in ms
    */
   computeRetryAfterMs (service: string, cause: RefusalCause, fraction: number, nowMs: number): number
+  /** Says between which times in ms the wait of a caller that is refused now would be; counts nothing. */
+  explain (service: string, cause: RefusalCause, nowMs: number): RetryRange
+}
+
+/** Times in ms between which callers come back at random. */
+export interface RetryRange {
+  readonly minMs: number
+  readonly maxMs: number
 }
 
 /** Derives retry delays from the share of refused requests of each service. */
@@ -72,14 +80,25 @@
 
   computeRetryAfterMs (service: string, cause: RefusalCause, fraction: number, nowMs: number): number {
     this.#refused.get(service).add(nowMs)
-    const refused = this.#refused.get(service).count(nowMs)
-    const share = refused / (refused + this.#served.get(service).count(nowMs))
-    switch (cause.kind) {
-      case 'full': return (BASE_WAIT_MS + LOAD_WAIT_MS * share) * (1 + JITTER * fraction)
-      case 'lost': return cause.remainingMs === undefined ? Math.min(cause.longestMs, RECOVERY_WAIT_MS * (1 + JITTER * fraction)) : Math.min(cause.longestMs, Math.max(cause.remainingMs + RETURN_MARGIN_MS, RECOVERY_WAIT_MS * (1 + JITTER * fraction)))
-      case 'paused': return cause.remainingMs + BASE_WAIT_MS * (1 + JITTER * fraction)
-      default: return assertNever(cause)
-    }
+    return computeWaitMs(cause, this.#computeRefusedShare(service, this.#refused.count(service, nowMs), nowMs), fraction)
+  }
+
+  explain (service: string, cause: RefusalCause, nowMs: number): RetryRange {
+    const share = this.#computeRefusedShare(service, this.#refused.count(service, nowMs) + 1, nowMs)
+    return { minMs: computeWaitMs(cause, share, 0), maxMs: computeWaitMs(cause, share, 1) }
+  }
+
+  #computeRefusedShare (service: string, refused: number, nowMs: number): number {
+    return refused / (refused + this.#served.count(service, nowMs))
+  }
+}
+
+function computeWaitMs (cause: RefusalCause, share: number, fraction: number): number {
+  switch (cause.kind) {
+    case 'full': return (BASE_WAIT_MS + LOAD_WAIT_MS * share) * (1 + JITTER * fraction)
+    case 'lost': return cause.remainingMs === undefined ? Math.min(cause.longestMs, RECOVERY_WAIT_MS * (1 + JITTER * fraction)) : Math.min(cause.longestMs, Math.max(cause.remainingMs + RETURN_MARGIN_MS, RECOVERY_WAIT_MS * (1 + JITTER * fraction)))
+    case 'paused': return cause.remainingMs + BASE_WAIT_MS * (1 + JITTER * fraction)
+    default: return assertNever(cause)
   }
 }
 
--- a/src/plugins/gateway/routes.ts
+++ b/src/plugins/gateway/routes.ts
@@ -21,6 +21,8 @@
   findService (name: string): ServiceSpec | undefined
   listServices (): readonly ServiceSpec[]
   decide (host: string, path: string, credential: string | undefined): RouteDecision
+  /** Decides as for a request with a credential of the named team. */
+  decideForTeam (host: string, path: string, team: string): RouteDecision
 }
 
 /** Matches requests to routes by host and path prefix. */
@@ -62,12 +64,20 @@
   }
 
   decide (host: string, path: string, credential: string | undefined): RouteDecision {
+    return this.#decide(host, path, teams => credential === undefined ? undefined : teams?.get(credential))
+  }
+
+  decideForTeam (host: string, path: string, team: string): RouteDecision {
+    return this.#decide(host, path, teams => [...teams?.values() ?? []].find(({ name }) => name === team))
+  }
+
+  #decide (host: string, path: string, findTeam: (teams: GatewayConfiguration['teams']) => TeamRef | undefined): RouteDecision {
     const current = this.#current
     if (current === undefined) return { kind: 'unconfigured' }
     const { version } = current
     const route = current.routes.get(host)?.find(({ pathPrefix }) => path.startsWith(pathPrefix))
     if (route === undefined) return { kind: 'unknown-path', version }
-    const team = credential === undefined ? undefined : current.teams?.get(credential)
+    const team = findTeam(current.teams)
     if (current.teams !== undefined && !route.isPublic && team === undefined) return { kind: 'unauthenticated', version }
     return { kind: 'allowed', version, route, team }
   }
--- a/src/plugins/gateway/selection.ts
+++ b/src/plugins/gateway/selection.ts
@@ -3,6 +3,8 @@
  * only its own requests and the slightly outdated counts of the other gateways.
  */
 
+import { compareCandidates } from './candidate-standing.js'
+import type { ExplainedCandidate, Exclusion, ScoreTerms, Standing } from './candidate-standing.js'
 import type { EndpointAccess } from './cold-limits.js'
 import type { EndpointView } from './endpoints.js'
 import { registerPlugin } from '../../kernel/plugin.js'
@@ -71,6 +73,9 @@
   getPace (endpoint: string): number
 }
 
+/** Inputs of an explanation, which draws no random numbers. */
+export type ExplainedRequest = Omit<SelectionRequest, 'fraction' | 'pickFloat'>
+
 /** The endpoint chosen and its load. */
 export interface Selection {
   readonly endpoint: EndpointView
@@ -84,6 +89,8 @@
 /** Chooses endpoints and measures their attempts. */
 export interface SelectionPort {
   choose (request: SelectionRequest, nowMs: number): Selection | undefined
+  /** Lists the candidates, the one that `choose` would take now first; changes nothing. */
+  explain (request: ExplainedRequest, nowMs: number): readonly ExplainedCandidate[]
   noteStart (endpoint: EndpointView): void
   noteEnd (endpoint: string, result: AttemptResult, elapsedMs: number, nowMs: number): void
   /** Requests that this gateway has in flight, by endpoint. */
@@ -97,6 +104,14 @@
   readonly access: EndpointAccess
 }
 
+/** The candidates that remain, and what decides between them. */
+interface Pool {
+  readonly members: readonly Candidate[]
+  readonly isSampled: boolean
+  readonly isOutlived: boolean
+  readonly fastestMs: number
+}
+
 interface EndpointMeasures {
   inFlight: number
   latencyMs: number
@@ -128,30 +143,40 @@
   handle (_event: unknown, _context: Context): void {}
 
   choose (request: SelectionRequest, nowMs: number): Selection | undefined {
-    const eligible = request.candidates.map(endpoint => ({ endpoint, access: request.getAccess(endpoint) })).filter(({ access }) => access.kind !== 'denied' && access.kind !== 'borrow')
-    const untried = eligible.filter(({ endpoint: { record } }) => !request.exclude.has(record.id))
-    const reachable = untried.filter(({ endpoint: { record } }) => this.#get(record.id).unreachableUntilMs <= nowMs && !request.isUnresponsive(record.id))
-    const isSampled = this.#areCountsOld(request)
-    const elsewhere = reachable.filter(({ endpoint: { record } }) => isSampled && !request.avoidedDomains.has(record.domain))
-    const pool = [elsewhere, reachable, untried].find(candidates => candidates.length > 0) ?? eligible
-    const compared = isSampled ? this.#pickSample(pool, request) : pool
-    // Requests that were in flight longer ago than one takes have ended since.
-    const isOutlived = isSampled && request.countsAgeMs > (request.durationMs ?? DURATION_DEFAULT_MS)
-    const fastestMs = Math.min(...pool.map(({ endpoint: { record } }) => this.#get(record.id).latencyMs || Infinity))
+    const getMeasures = (id: string): EndpointMeasures => this.#get(id)
+    const pool = this.#buildPool(request, nowMs, getMeasures)
+    const { members, isSampled } = pool
+    const compared = isSampled ? this.#pickSample(members, request) : members
     let best: Selection | undefined
     let bestScore = Infinity
     const first = Math.floor(request.fraction * compared.length)
     for (const { endpoint, access } of [...compared.slice(first), ...compared.slice(0, first)]) {
-      const inFlight = this.#get(endpoint.record.id).inFlight + (isOutlived ? 0 : request.countElsewhere(endpoint.record.id))
-      const load = inFlight + (isContended(access) ? LIMITED_PENALTY * endpoint.record.slots : 0)
-      const score = this.#computeScore(endpoint, load, fastestMs) * request.getPace(endpoint.record.id)
-      if (score >= bestScore) continue
+      const { inFlight, total } = this.#computeScore({ endpoint, access }, request, pool, getMeasures)
+      if (total >= bestScore) continue
       best = { endpoint, inFlight, access, isSampled }
-      bestScore = score
+      bestScore = total
     }
     return best
   }
 
+  explain (request: ExplainedRequest, nowMs: number): readonly ExplainedCandidate[] {
+    const getMeasures = (id: string): Readonly<EndpointMeasures> => this.#measures.get(id) ?? NO_MEASURES
+    const pool = this.#buildPool(request, nowMs, getMeasures)
+    const sampled = pool.isSampled ? new Set(listSampled(pool.members).map(({ endpoint }) => endpoint)) : undefined
+    const sampleSize = Math.min(SAMPLE_OWN_DOMAIN + SAMPLE_ANY_DOMAIN, sampled?.size ?? 0)
+    const members = new Set(pool.members.map(({ endpoint }) => endpoint))
+    return request.candidates.map((endpoint): ExplainedCandidate => {
+      const access = request.getAccess(endpoint)
+      const { inFlight, terms, total } = this.#computeScore({ endpoint, access }, request, pool, getMeasures)
+      const describe = (): Standing => {
+        if (!members.has(endpoint)) return { kind: 'excluded', by: describeExclusion({ endpoint, access }, request, getMeasures(endpoint.record.id), nowMs) }
+        if (sampled === undefined) return { kind: 'compared' }
+        return sampled.has(endpoint) ? { kind: 'may-be-sampled', sampleSize } : { kind: 'excluded', by: { kind: 'contended' } }
+      }
+      return { endpoint, access, inFlight, terms, total, standing: describe() }
+    }).sort(compareCandidates)
+  }
+
   noteStart (endpoint: EndpointView): void {
     this.#get(endpoint.record.id).inFlight += 1
   }
@@ -183,7 +208,7 @@
   }
 
   /** Whether other gateways have probably started too many requests since they sent their counts: as many as are in flight in the time that one takes. */
-  #areCountsOld ({ candidates, countElsewhere, countsAgeMs, durationMs }: SelectionRequest): boolean {
+  #areCountsOld ({ candidates, countElsewhere, countsAgeMs, durationMs }: ExplainedRequest): boolean {
     const elsewhere = candidates.reduce((sum, { record: { id } }) => sum + countElsewhere(id), 0)
     const slots = candidates[0]?.record.slots ?? 1
     return elsewhere * countsAgeMs / (durationMs ?? DURATION_DEFAULT_MS) > UNSEEN_ENDPOINTS_MAX * slots
@@ -191,19 +216,41 @@
 
   /** Picks some endpoints at random, most of them in the own failure domain; contended ones only when there are no others. */
   #pickSample (pool: readonly Candidate[], { pickFloat }: SelectionRequest): readonly Candidate[] {
-    const open = pool.filter(({ access }) => !isContended(access))
-    const preferred = open.length > 0 ? open : pool
+    const preferred = listSampled(pool)
     const near = preferred.filter(({ endpoint: { record } }) => record.domain === this.#domain)
     const own = pickSome(near, SAMPLE_OWN_DOMAIN, pickFloat)
     return [...own, ...pickSome(preferred.filter(candidate => !own.includes(candidate)), SAMPLE_OWN_DOMAIN + SAMPLE_ANY_DOMAIN - own.length, pickFloat)]
   }
 
+  /** Finds the candidates that a choice compares, or draws a sample of. */
+  #buildPool (request: ExplainedRequest, nowMs: number, getMeasures: GetMeasures): Pool {
+    const eligible = request.candidates.map(endpoint => ({ endpoint, access: request.getAccess(endpoint) })).filter(({ access }) => access.kind !== 'denied' && access.kind !== 'borrow')
+    const untried = eligible.filter(({ endpoint: { record } }) => !request.exclude.has(record.id))
+    const reachable = untried.filter(({ endpoint: { record } }) => getMeasures(record.id).unreachableUntilMs <= nowMs && !request.isUnresponsive(record.id))
+    const isSampled = this.#areCountsOld(request)
+    const elsewhere = reachable.filter(({ endpoint: { record } }) => isSampled && !request.avoidedDomains.has(record.domain))
+    const members = [elsewhere, reachable, untried].find(candidates => candidates.length > 0) ?? eligible
+    return {
+      members,
+      isSampled,
+      // Requests that were in flight longer ago than one takes have ended since.
+      isOutlived: isSampled && request.countsAgeMs > (request.durationMs ?? DURATION_DEFAULT_MS),
+      fastestMs: Math.min(...members.map(({ endpoint: { record } }) => getMeasures(record.id).latencyMs || Infinity))
+    }
+  }
+
   /** Expected wait relative to an idle endpoint with the lowest latency; lower is better. */
-  #computeScore ({ record }: EndpointView, load: number, fastestMs: number): number {
-    const { latencyMs, failures } = this.#get(record.id)
-    const slowdown = latencyMs === 0 || !Number.isFinite(fastestMs) ? 1 : Math.sqrt(latencyMs / fastestMs)
-    const remotePenalty = record.domain === this.#domain ? 0 : REMOTE_PENALTY
-    return (load + 1 + remotePenalty) / record.slots * slowdown + FAILURE_PENALTY * failures * failures
+  #computeScore ({ endpoint: { record }, access }: Candidate, request: ExplainedRequest, { isOutlived, fastestMs }: Pool, getMeasures: GetMeasures): { readonly inFlight: number, readonly terms: ScoreTerms, readonly total: number } {
+    const { inFlight: own, latencyMs, failures } = getMeasures(record.id)
+    const inFlight = own + (isOutlived ? 0 : request.countElsewhere(record.id))
+    const terms = {
+      load: inFlight + (isContended(access) ? LIMITED_PENALTY * record.slots : 0) + 1,
+      distance: record.domain === this.#domain ? 0 : REMOTE_PENALTY,
+      slowdown: latencyMs === 0 || !Number.isFinite(fastestMs) ? 1 : Math.sqrt(latencyMs / fastestMs),
+      failures: FAILURE_PENALTY * failures * failures,
+      pace: request.getPace(record.id)
+    }
+    return { inFlight, terms, total: ((terms.load + terms.distance) / record.slots * terms.slowdown + terms.failures) * terms.pace }
   }
 
   #get (id: string): EndpointMeasures {
@@ -216,6 +263,25 @@
   }
 }
 
+type GetMeasures = (id: string) => Readonly<EndpointMeasures>
+
+const NO_MEASURES: Readonly<EndpointMeasures> = { inFlight: 0, latencyMs: 0, failures: 0, unreachableUntilMs: 0, consecutiveUnreachable: 0 }
+
+/** Says why a candidate is not in the pool: the conditions of `#buildPool` in their order. */
+function describeExclusion ({ endpoint: { record }, access }: Candidate, { exclude, isUnresponsive }: ExplainedRequest, { unreachableUntilMs }: Readonly<EndpointMeasures>, nowMs: number): Exclusion {
+  if (access.kind === 'denied') return { kind: 'denied', remainingMs: access.untilMs - nowMs }
+  if (access.kind === 'borrow') return { kind: 'no-share', owners: access.owners.length }
+  if (exclude.has(record.id)) return { kind: 'tried' }
+  if (unreachableUntilMs > nowMs) return { kind: 'unreachable', remainingMs: unreachableUntilMs - nowMs }
+  return isUnresponsive(record.id) ? { kind: 'unresponsive' } : { kind: 'silent-domain' }
+}
+
+/** Lists the candidates of which samples are drawn: contended ones only when there are no others. */
+function listSampled (pool: readonly Candidate[]): readonly Candidate[] {
+  const open = pool.filter(({ access }) => !isContended(access))
+  return open.length > 0 ? open : pool
+}
+
 /** Whether requests for the endpoint are being denied, or only shares of its limit are left. */
 function isContended (access: EndpointAccess): boolean {
   return access.kind === 'share' || (access.kind === 'permit' && access.isContended)
--- a/src/plugins/gateway/window.ts
+++ b/src/plugins/gateway/window.ts
@@ -71,6 +71,11 @@
     return new NamedWindows(lengthMs)
   }
 
+  /** @returns number of events in the window with this name; creates none */
+  count (name: string, nowMs: number): number {
+    return this.#windows.get(name)?.count(nowMs) ?? 0
+  }
+
   /** @returns the window with this name */
   get (name: string): SlidingWindow {
     let window = this.#windows.get(name)
