Explain where a request would go at a running gateway

Cause: nothing told operators why a request goes to one endpoint, waits or is refused before it is sent. Change: GET /explain on the listener for metrics answers those who have the key of the optional setting [operators] key; without the setting it is 404 and all else is as before. It gives route, team, priority, admission and the candidates with score by term or what excludes each. A gateway program without a store on loopback: 404 without the key, "unconfigured" with it, 401 with another one.

--- a/src/gateway/process.ts
+++ b/src/gateway/process.ts
@@ -1,5 +1,6 @@
 /** Process of a gateway: forwards requests of callers to endpoints and watches a metadata store. */
 
+import type { IncomingHttpHeaders } from 'node:http'
 import type { Either } from 'purify-ts'
 import { Logger } from '../edge/log/logger.js'
 import { Metrics } from '../edge/metrics/metrics.js'
@@ -12,6 +13,7 @@
 import { computeCallerBounds, computeDescriptorsMax, readProcessLimits } from './caller-limits.js'
 import type { CallerBoundSettings, CallerBounds } from './caller-limits.js'
 import { GatewayContext, processClock } from './context.js'
+import { answerExplain } from './explain-answer.js'
 import { EvidenceSync } from './evidence-sync.js'
 import { EndpointProbe } from './endpoint-probe.js'
 import { LineWriter } from './lines.js'
@@ -21,11 +23,12 @@
 import { MapService } from './maps.js'
 import { PlannedStop } from './planned-stop.js'
 import { RankClient } from './rank-link.js'
+import { explainRequest } from './request-explainer.js'
 import { CallerServer } from './server.js'
 import { FollowedStore } from './followed-store.js'
 import { StateExchange } from './state-exchange.js'
 import { StatusListener } from './status-listener.js'
-import type { StatusAnswer } from './status-listener.js'
+import type { StatusAnswer, StatusListenerOptions } from './status-listener.js'
 import type { FollowerBounds, StoreFailure, StoreKind } from './store.js'
 
 /** Time in ms over which all gateways spread what they write again after the store has come back from an older copy. */
@@ -62,6 +65,12 @@
   close (): void
 }
 
+/** Settings of what operators may ask. */
+export interface OperatorSettings {
+  /** Key with which explanations are answered; undefined when none are. */
+  readonly key: string | undefined
+}
+
 /** Settings of a gateway. */
 export interface GatewaySettings {
   readonly host: string
@@ -83,6 +92,8 @@
   readonly memoryMb: number | undefined
   /** Bounds on what callers may take together. */
   readonly callers: CallerBoundSettings
+  /** What operators may ask. */
+  readonly operators: OperatorSettings
   /** How long callers may cache the addresses of the directory, in ms. */
   readonly addressHoldMs: number
 }
@@ -197,7 +208,7 @@
     await this.#open(settings.callerListener, async () => { await this.#callers.start(settings.callerListener) })
     await this.#listen(settings.readyListener, path => ({ status: this.#dialect.answerReady(path, this.isReady) }))
     await this.#listen(settings.directoryListener, path => this.#answerDirectory(path))
-    await this.#listen(settings.metricsListener, async () => ({ status: 200, type: 'text/plain; version=0.0.4', body: await this.#metrics.format() }))
+    await this.#listen(settings.metricsListener, async (path, headers) => this.#answerExplain(path, headers) ?? ({ status: 200, type: 'text/plain; version=0.0.4', body: await this.#metrics.format() }))
     for (const follower of this.#followed.listFollowers()) this.#runLoop('follower', async () => { await follower.run() })
     this.#runLoop('discovery', async () => { await this.#discover() })
     setInterval(() => { this.#runHousekeeping() }, TICK_INTERVAL_MS)
@@ -348,7 +359,12 @@
     return body === undefined ? { status: 404 } : { status: 200, type: 'application/json', body }
   }
 
-  async #listen (address: Address, answer: (path: string) => StatusAnswer | Promise<StatusAnswer>): Promise<void> {
+  #answerExplain (path: string, headers: IncomingHttpHeaders): StatusAnswer | undefined {
+    const { host, domain, operators } = this.#settings
+    return answerExplain({ path, headers }, operators.key, question => explainRequest(question, { context: this.#context, gateway: host, domain, isTooLate: deadlineAtMs => this.#callers.isTooLate(deadlineAtMs) }))
+  }
+
+  async #listen (address: Address, answer: StatusListenerOptions['answer']): Promise<void> {
     const listener = StatusListener.create({
       bounds: this.#bounds,
       answer,
--- a/src/gateway/status-listener.ts
+++ b/src/gateway/status-listener.ts
@@ -1,7 +1,7 @@
 /** Listener that answers small requests of operators and of callers that ask for addresses, within the bounds of the process. */
 
 import { createServer } from 'node:http'
-import type { Server } from 'node:http'
+import type { IncomingHttpHeaders, Server } from 'node:http'
 import type { ReceivedRequest } from './caller-connection.js'
 import { CallerConnections } from './caller-connections.js'
 import type { Bound, CallerBounds } from './caller-limits.js'
@@ -29,7 +29,7 @@
 /** What a listener is created with. */
 export interface StatusListenerOptions {
   readonly bounds: Pick<CallerBounds, 'listenerConnectionsMax' | 'heldBytesMax'>
-  readonly answer: (path: string) => StatusAnswer | Promise<StatusAnswer>
+  readonly answer: (path: string, headers: IncomingHttpHeaders) => StatusAnswer | Promise<StatusAnswer>
   readonly noteBound: (bound: Bound) => void
   /** Called when `answer` fails; the connection is closed. */
   readonly handleError: (reason: string) => void
@@ -78,9 +78,15 @@
     setInterval(() => { this.#connections.check(false) }, CHECK_INTERVAL_MS).unref()
   }
 
+  /** Closes the listener and every connection. */
+  stop (): void {
+    this.#server.close()
+    this.#server.closeAllConnections()
+  }
+
   #answer ({ message, response }: ReceivedRequest): void {
     message.resume()
-    Promise.resolve(this.#options.answer(message.url ?? '')).then(({ status, type, body = '' }) => {
+    Promise.resolve(this.#options.answer(message.url ?? '', message.headers)).then(({ status, type, body = '' }) => {
       response.writeHead(status, { 'Content-Length': String(Buffer.byteLength(body)), ...(type === undefined ? {} : { 'Content-Type': type }) })
       response.end(body)
     }, (error: unknown) => {
