Add explain HOST PATH to the command line

Cause: the answer of a gateway is JSON for programs. Change: explain with a path asks a gateway and prints text or JSON. Exit codes 5 to 9 tell an unknown path, an unknown caller, a gateway that is not informed, one that is not reached and a wrong key apart.

--- a/src/cli/commands/status.ts
+++ b/src/cli/commands/status.ts
@@ -1,6 +1,7 @@
 import type { CommandContext, OperationsResult } from '../context.js'
 import { EXIT, buildDone, buildFailure } from '../result.js'
 import type { CommandResult } from '../result.js'
+import { formatTable } from '../table.js'
 
 /** Fields of `/v1/status` that the table shows. */
 interface Status {
@@ -56,8 +57,3 @@
 function formatList (names: readonly string[]): string {
   return names.length === 0 ? '-' : names.join(',')
 }
-
-function formatTable (rows: readonly (readonly string[])[]): string {
-  const widths = COLUMNS.map((_name, column) => Math.max(...rows.map(row => row[column]?.length ?? 0)))
-  return rows.map(row => `${row.map((cell, column) => cell.padEnd(widths[column] ?? 0)).join('  ').trimEnd()}\n`).join('')
-}
--- a/src/cli/context.ts
+++ b/src/cli/context.ts
@@ -23,6 +23,12 @@
    * @returns the response, or why there is none
    */
   readOperations (settings: CliSettings, url: string): Promise<OperationsResult>
+  /**
+   * @param url - URL with path and query
+   * @param headers - headers with the key
+   * @returns the response with its body whatever its status is, or why there is none
+   */
+  readGateway (url: string, headers: Readonly<Record<string, string>>): Promise<OperationsResult>
   /** @returns wall-clock time, ISO 8601 */
   getTime (): string
   /**
--- a/src/cli/environment.ts
+++ b/src/cli/environment.ts
@@ -29,6 +29,7 @@
       })
     },
     readOperations,
+    readGateway,
     getTime: () => new Date().toISOString(),
     createRandomHex: length => randomBytes(Math.ceil(length / 2)).toString('hex').slice(0, length),
     wait: async ms => { await waitMs(ms) },
@@ -56,6 +57,20 @@
   }
 }
 
+async function readGateway (url: string, headers: Readonly<Record<string, string>>): Promise<OperationsResult> {
+  const agent = new Agent()
+  try {
+    const response = await request(url, { dispatcher: agent, headersTimeout: OPERATIONS_TIMEOUT_MS, bodyTimeout: OPERATIONS_TIMEOUT_MS, headers })
+    const text = await response.body.text()
+    const isJson = response.headers['content-type'] === 'application/json'
+    return { kind: 'answered', status: response.statusCode, body: isJson ? JSON.parse(text) as unknown : undefined }
+  } catch (error) {
+    return { kind: 'unreachable', reason: error instanceof Error ? error.message : String(error) }
+  } finally {
+    await agent.destroy()
+  }
+}
+
 function readCredential (file: string): string {
   return readFileSync(file, 'utf8').trim()
 }
--- a/src/cli/options.ts
+++ b/src/cli/options.ts
@@ -14,9 +14,9 @@
  */
 export function getText (options: Options, name: string): string {
   const value = options[name]
-  if (typeof value !== 'string' && typeof value !== 'number') throw new ArgumentError(`--${name} is needed once, with a value`)
+  if (typeof value !== 'string' && typeof value !== 'number') throw new ArgumentError(`--${formatName(name)} is needed once, with a value`)
   const text = String(value).trim()
-  if (text === '') throw new ArgumentError(`--${name} must not be empty`)
+  if (text === '') throw new ArgumentError(`--${formatName(name)} must not be empty`)
   return text
 }
 
@@ -31,7 +31,7 @@
   const value = options[name]
   if (value === undefined) return undefined
   if (typeof value !== 'number' || !Number.isSafeInteger(value) || value < min) {
-    throw new ArgumentError(`--${name} must be an integer of at least ${min}, not ${JSON.stringify(value)}`)
+    throw new ArgumentError(`--${formatName(name)} must be an integer of at least ${min}, not ${JSON.stringify(value)}`)
   }
   return value
 }
@@ -45,7 +45,7 @@
  */
 export function getInteger (options: Options, name: string, min: number): number {
   const value = findInteger(options, name, min)
-  if (value === undefined) throw new ArgumentError(`--${name} is needed`)
+  if (value === undefined) throw new ArgumentError(`--${formatName(name)} is needed`)
   return value
 }
 
@@ -57,3 +57,8 @@
 export function isFlagSet (options: Options, name: string): boolean {
   return options[name] === true
 }
+
+/** cac names options in camel case. */
+function formatName (name: string): string {
+  return name.replace(/[A-Z]/g, letter => `-${letter.toLowerCase()}`)
+}
--- a/src/cli/program.ts
+++ b/src/cli/program.ts
@@ -11,6 +11,7 @@
 import { runDomain } from './commands/domain.js'
 import { runDrain } from './commands/drain.js'
 import { runExplain } from './commands/explain.js'
+import { runExplainRequest } from './commands/explain-request.js'
 import { runOperatorKey } from './commands/operator-key.js'
 import { runProfiles } from './commands/profiles.js'
 import { runShow } from './commands/show.js'
@@ -65,6 +66,7 @@
   addLocalCommands(cli, addCommand)
   addChangeCommands(cli, addCommand, environment)
   addReadCommands(cli, addCommand, environment)
+  addExplainCommand(cli, addCommand, environment)
   try {
     /* cac parses an empty value as the number 0, which is a valid version. */
     if (args.some(arg => /^(--[a-z-]+=)?$/.test(arg))) throw new ArgumentError('an argument is empty')
@@ -121,8 +123,25 @@
       const last = findInteger(options, 'last', 1) ?? AUDIT_COUNT_DEFAULT
       return runWithSettings(options, environment, async context => await runAudit(context, last))
     })
-  addCommand(cli.command('explain <request-id>', 'Print what became of a request, step by step'),
-    id => options => runWithSettings(options, environment, async context => await runExplain(context, String(id))))
+}
+
+function addExplainCommand (cli: CAC, addCommand: AddCommand, environment: CommandEnvironment): void {
+  addCommand(cli.command('explain <request-id|host> [path]', 'Print what became of a request, step by step; with a path, where a request would go now')
+    .option('--gateway <url>', 'Gateway that is asked about a host and a path, by its listener for metrics').option('--key-file <file>', 'File with the key of the operators')
+    .option('--team <name>', 'Team of the caller').option('--prompt-tokens <count>', 'Tokens of the prompt').option('--answer-tokens <count>', 'Most tokens of the answer'),
+  (first, path) => async options => {
+    if (path === undefined && options['gateway'] !== undefined) throw new ArgumentError('a path is needed after the host')
+    if (path === undefined) return await runWithSettings(options, environment, async context => await runExplain(context, String(first)))
+    return await runExplainRequest(environment, {
+      host: String(first),
+      path: String(path),
+      gateway: getText(options, 'gateway'),
+      keyFile: getText(options, 'keyFile'),
+      team: options['team'] === undefined ? undefined : getText(options, 'team'),
+      promptTokens: findInteger(options, 'promptTokens', 0),
+      answerTokens: findInteger(options, 'answerTokens', 0)
+    })
+  })
 }
 
 function getAuthor (options: Options): { readonly by: string, readonly reason: string } {
--- a/src/cli/result.ts
+++ b/src/cli/result.ts
@@ -1,7 +1,7 @@
 /** Results of commands and their exit codes. */
 
 /** Exit codes of the command line. */
-export const EXIT = { done: 0, failed: 1, badInput: 2, versionConflict: 3, platformUnavailable: 4 } as const
+export const EXIT = { done: 0, failed: 1, badInput: 2, versionConflict: 3, platformUnavailable: 4, unknownPath: 5, unknownCaller: 6, gatewayNotInformed: 7, gatewayNotReached: 8, wrongKey: 9 } as const
 
 /** One of the exit codes. */
 export type ExitCode = typeof EXIT[keyof typeof EXIT]
--- a/test/cli/fake.ts
+++ b/test/cli/fake.ts
@@ -100,6 +100,7 @@
   readonly folder = mkdtempSync(join(tmpdir(), 'heatherdoor-'))
   readonly transcript: string[] = []
   operations: (url: string) => OperationsResult = () => ({ kind: 'unreachable', reason: 'connection refused' })
+  gateway: (url: string, headers: Readonly<Record<string, string>>) => OperationsResult = () => ({ kind: 'unreachable', reason: 'connection refused' })
   auditLimits: AuditLimits = { pageMaxBytes: 100_000, pagesKept: 4, partVersionsKept: 3 }
   #ids = 0
 
@@ -118,7 +119,7 @@
   /* File names are relative to the session's folder; an argument with spaces stands in double quotes. */
   async run (line: string): Promise<number> {
     const args = [...line.matchAll(/"([^"]*)"|\S+/g)].map(match => match[1] ?? match[0])
-      .map(arg => arg.endsWith('.toml') ? join(this.folder, arg) : arg)
+      .map(arg => /\.(toml|key)$/.test(arg) ? join(this.folder, arg) : arg)
     const printed: string[] = []
     const writeText = (text: string): void => { printed.push(text.replaceAll(`${this.folder}/`, '').trimEnd()) }
     const index = this.transcript.push('') - 1
@@ -135,6 +136,7 @@
     return {
       openStore: () => this.store,
       readOperations: async (_settings, url) => this.operations(url),
+      readGateway: async (url, headers) => this.gateway(url, headers),
       getTime: () => `2026-03-01T00:00:${String(this.#ids).padStart(2, '0')}.000Z`,
       createRandomHex: length => String(++this.#ids).padStart(length, '0'),
       wait: async () => {},
