--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -13,7 +13,8 @@
 import type { OutagesPort } from '../plugins/gateway/outages.js'
 import type { PartCrashesPort } from '../plugins/gateway/part-crashes.js'
 import type { PeersPort } from '../plugins/gateway/peers.js'
-import type { Reach, Selection, SelectionPort } from '../plugins/gateway/selection.js'
+import type { ExplainedCandidate } from '../plugins/gateway/candidate-standing.js'
+import type { ExplainedRequest, Reach, Selection, SelectionPort } from '../plugins/gateway/selection.js'
 import type { RetriesPort } from '../plugins/gateway/retries.js'
 import type { RoutesPort } from '../plugins/gateway/routes.js'
 import type { DomainRoom, DomainSharesPort } from '../plugins/gateway/domain-shares.js'
@@ -37,6 +38,9 @@
 /** Load, in requests, added to an endpoint in another failure domain where gateways do not decide on leaving. */
 const DISTANCE_DEFAULT = 0.4
 
+/** Share of requests that leave their failure domain above which an explained request counts as one of them. */
+const LIKELY_SHARE = 0.5
+
 /** Part of a share from one log line on it to the next. */
 const SHARE_LOG_STEP = 0.1
 
@@ -193,26 +197,26 @@
   choose (service: string, exclude: ReadonlySet<string>, avoidedDomains: ReadonlySet<string>, nowMs: number, isHomeFull = false): Selection | undefined {
     const candidates = this.#listWorking(service, nowMs)
     if (this.domainShares.isDue(service, nowMs)) this.#adjustShare(service, candidates, nowMs)
-    const selection = this.selection.choose({
-      candidates,
-      reach: this.#chooseReach(service, isHomeFull),
-      distance: this.#computeDistance(service, candidates, isHomeFull),
-      exclude,
-      avoidedDomains: new Set([...avoidedDomains, ...this.serviceLoad.listSilentDomains(service, nowMs)]),
-      getAccess: this.#buildAccess(service, nowMs),
-      fraction: this.pickFloat(),
-      countsAgeMs: this.peers.getCountsAgeMs(nowMs),
-      durationMs: this.lateLane.findDurationMs(service),
-      pickFloat: () => this.pickFloat(),
-      countElsewhere: endpoint => this.peers.countInFlight(endpoint),
-      isUnresponsive: endpoint => this.liveness.isUnresponsive(endpoint),
-      getPace: endpoint => this.paces[endpoint] ?? this.peers.getPace(endpoint)
-    }, nowMs)
+    const request = this.#buildSelectionRequest(service, { candidates, reach: this.#chooseReach(service, isHomeFull), distance: this.#computeDistance(service, candidates, isHomeFull), exclude, avoidedDomains }, nowMs)
+    const selection = this.selection.choose({ ...request, fraction: this.pickFloat(), pickFloat: () => this.pickFloat() }, nowMs)
     if (selection?.isSampled === true && selection.access.kind === 'permit') this.#admittedByAgents.add(service)
     else if (selection?.isSampled === false) this.#admittedByAgents.delete(service)
     return selection
   }
 
+  /**
+   * Lists the endpoints of a service that may work, the one that `choose` would take for a new request first; changes nothing.
+   *
+   * @param service - name of the service
+   * @param nowMs - monotonic time in ms
+   */
+  explainChoice (service: string, nowMs: number): readonly ExplainedCandidate[] {
+    const candidates = this.#listWorking(service, nowMs)
+    const { share } = this.domainShares.getDecision(service)
+    const reach = !this.domainShares.isActive ? 'any' : share > LIKELY_SHARE ? 'far' : 'near'
+    return this.selection.explain(this.#buildSelectionRequest(service, { candidates, reach, distance: this.#computeDistance(service, candidates, false), exclude: new Set(), avoidedDomains: new Set() }, nowMs), nowMs)
+  }
+
   /** Whether agents decide which requests of a service start, as the counts of other gateways are old. */
   isAdmittedByAgents (service: string): boolean {
     return this.#admittedByAgents.has(service)
@@ -249,16 +253,21 @@
    * @returns the endpoint and the owner to ask; undefined when there is none
    */
   chooseLender (service: string, nowMs: number): Lender | undefined {
+    const lenders = this.listLenders(service, nowMs)
+    const lender = lenders[Math.floor(this.pickFloat() * lenders.length)]
+    if (lender === undefined) return undefined
+    const owner = lender.owners[Math.floor(this.pickFloat() * lender.owners.length)]!
+    return { selection: { endpoint: lender.endpoint, inFlight: 0, access: lender.access, isSampled: false }, owner }
+  }
+
+  /** Lists the endpoints of which other gateways that are alive may have a share left. */
+  listLenders (service: string, nowMs: number): readonly { readonly endpoint: EndpointView, readonly access: EndpointAccess, readonly owners: readonly string[] }[] {
     const getAccess = this.#buildAccess(service, nowMs)
-    const lenders = this.#listWorking(service, nowMs).flatMap(endpoint => {
+    return this.#listWorking(service, nowMs).flatMap(endpoint => {
       const access = getAccess(endpoint)
       const owners = access.kind === 'borrow' ? access.owners.filter(owner => this.peers.isAlive(owner)) : []
       return owners.length === 0 ? [] : [{ endpoint, access, owners }]
     })
-    const lender = lenders[Math.floor(this.pickFloat() * lenders.length)]
-    if (lender === undefined) return undefined
-    const owner = lender.owners[Math.floor(this.pickFloat() * lender.owners.length)]!
-    return { selection: { endpoint: lender.endpoint, inFlight: 0, access: lender.access, isSampled: false }, owner }
   }
 
   /** Spends a share of this gateway for another one. @returns false when there is none */
@@ -434,6 +443,22 @@
     return this.listAvailable(service).filter(endpoint => !this.outages.isLost(endpoint, nowMs))
   }
 
+  #buildSelectionRequest (service: string, { candidates, reach, distance, exclude, avoidedDomains }: Pick<ExplainedRequest, 'candidates' | 'reach' | 'distance' | 'exclude' | 'avoidedDomains'>, nowMs: number): ExplainedRequest {
+    return {
+      candidates,
+      reach,
+      distance,
+      exclude,
+      avoidedDomains: new Set([...avoidedDomains, ...this.serviceLoad.listSilentDomains(service, nowMs)]),
+      getAccess: this.#buildAccess(service, nowMs),
+      countsAgeMs: this.peers.getCountsAgeMs(nowMs),
+      durationMs: this.lateLane.findDurationMs(service),
+      countElsewhere: endpoint => this.peers.countInFlight(endpoint),
+      isUnresponsive: endpoint => this.liveness.isUnresponsive(endpoint),
+      getPace: endpoint => this.paces[endpoint] ?? this.peers.getPace(endpoint)
+    }
+  }
+
   #buildAccess (service: string, nowMs: number): (endpoint: EndpointView) => EndpointAccess {
     const spec = this.routes.findService(service)
     const gateways = this.peers.listKnown()
--- a/src/gateway/room-queue.ts
+++ b/src/gateway/room-queue.ts
@@ -33,6 +33,17 @@
 /** Weight of the latest value in moving averages. */
 const AVERAGE_WEIGHT = 0.2
 
+/** What would become of a request that came now. */
+export interface RoomOutlook {
+  /** Requests in the queue of its service, and those of them that would start before it. */
+  readonly waiting: number
+  readonly earlier: number
+  /** Whether it would be refused instead of joining the queue. */
+  readonly isHopeless: boolean
+  /** Slots of an endpoint that it leaves free when it starts. */
+  readonly reservedSlots: number
+}
+
 /** Callbacks of a request in the queue. */
 export interface RoomHandlers {
   /** Asks endpoints for a slot and leaves `reserved` others free; the ticket then gets the answer. */
@@ -77,11 +88,16 @@
 
   /** Records that a request of a priority has come. */
   notePriority (priority: number, nowMs: number): void {
-    if (priority > this.topPriority && nowMs - this.topPriorityAtMs < TOP_PRIORITY_MS) return
+    if (priority !== this.computeTopPriority(priority, nowMs)) return
     this.topPriority = priority
     this.topPriorityAtMs = nowMs
   }
 
+  /** @returns the most urgent priority once a request of the given one has come */
+  computeTopPriority (priority: number, nowMs: number): number {
+    return priority > this.topPriority && nowMs - this.topPriorityAtMs < TOP_PRIORITY_MS ? this.topPriority : priority
+  }
+
   /** Removes a request, and the turns of its priority when no other waits. */
   remove (waiter: Waiter): void {
     this.waiters.remove(waiter)
@@ -129,7 +145,7 @@
 
   /** @returns mean time in ms from the start of a request to the first event of its answer; 0 before any was measured */
   getFirstEventMs (service: string): number {
-    return this.#getQueue(service).firstEventMs
+    return this.#queues.get(service)?.firstEventMs ?? 0
   }
 
   /** @returns slots of an endpoint that a request leaves free when it starts now */
@@ -137,7 +153,19 @@
     const nowMs = this.#context.getNowMs()
     const queue = this.#getQueue(wait.service)
     queue.notePriority(wait.priority, nowMs)
-    return countReservedSlots(queue, wait, nowMs)
+    return countReservedSlots(queue.topPriority, wait, nowMs)
+  }
+
+  /** Says what would become of a request that came now; changes nothing. */
+  explain (wait: RoomWait): RoomOutlook {
+    const nowMs = this.#context.getNowMs()
+    const queue = this.#queues.get(wait.service) ?? ServiceQueue.create()
+    return {
+      waiting: queue.waiters.size,
+      earlier: listEarlier(queue, wait, nowMs).length,
+      isHopeless: this.#isHopeless(queue, wait, nowMs),
+      reservedSlots: countReservedSlots(queue.computeTopPriority(wait.priority, nowMs), wait, nowMs)
+    }
   }
 
   /** Records a request that started without waiting. */
@@ -149,7 +177,7 @@
   /** Whether a request would start after one that waits already. */
   hasEarlier (wait: RoomWait): boolean {
     const nowMs = this.#context.getNowMs()
-    const first = this.#getQueue(wait.service).waiters.findFirst(nowMs)
+    const first = this.#queues.get(wait.service)?.waiters.findFirst(nowMs)
     return first !== undefined && compareClass(first.wait, wait, nowMs) <= 0
   }
 
@@ -217,7 +245,7 @@
     const first = findNext(queue, nowMs)
     if (first === undefined) return
     queue.asking = first
-    first.handlers.ask(isTurnOfOldest(queue) ? 0 : countReservedSlots(queue, first.wait, nowMs))
+    first.handlers.ask(isTurnOfOldest(queue) ? 0 : countReservedSlots(queue.topPriority, first.wait, nowMs))
   }
 
   /** Lets the next request ask later, never within the call of another one. */
@@ -257,10 +285,15 @@
 }
 
 /** Only requests of the most urgent priority that can be on time take the last free slot of an endpoint. */
-function countReservedSlots ({ topPriority }: ServiceQueue, wait: RoomWait, nowMs: number): number {
+function countReservedSlots (topPriority: number, wait: RoomWait, nowMs: number): number {
   return wait.priority > topPriority || classify(wait, nowMs) !== 'on-time' ? RESERVED_SLOTS : 0
 }
 
+/** Lists the requests in a queue after which another one would start. */
+function listEarlier ({ waiters }: ServiceQueue, wait: RoomWait, nowMs: number): readonly Waiter[] {
+  return [...waiters.list()].filter(other => compareClass(other.wait, wait, nowMs) <= 0)
+}
+
 function isTurnOfOldest ({ startsSinceOldest }: ServiceQueue): boolean {
   return startsSinceOldest >= OLDEST_EVERY - 1
 }
