--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -453,6 +453,7 @@
       getAccess: this.#buildAccess(service, nowMs),
       countsAgeMs: this.peers.getCountsAgeMs(nowMs),
       durationMs: this.lateLane.findDurationMs(service),
+      inFlightElsewhere: this.peers.countInFlightOf(service, this.endpoints.listUsable(service)),
       countElsewhere: endpoint => this.peers.countInFlight(endpoint),
       isUnresponsive: endpoint => this.liveness.isUnresponsive(endpoint),
       getPace: endpoint => this.paces[endpoint] ?? this.peers.getPace(endpoint)
--- a/src/plugins/gateway/selection.ts
+++ b/src/plugins/gateway/selection.ts
@@ -71,6 +71,8 @@
   readonly durationMs: number | undefined
   /** @returns a random number from 0 to 1, for samples */
   pickFloat (): number
+  /** Requests that other gateways have in flight at the endpoints of the service. */
+  readonly inFlightElsewhere: number
   /** Requests that other gateways have in flight at an endpoint. */
   countElsewhere (endpoint: string): number
   /** Whether an endpoint is unresponsive although others of its service are active. */
@@ -214,10 +216,9 @@
   }
 
   /** Whether other gateways have probably started too many requests since they sent their counts: as many as are in flight in the time that one takes. */
-  #areCountsOld ({ candidates, countElsewhere, countsAgeMs, durationMs }: ExplainedRequest): boolean {
-    const elsewhere = candidates.reduce((sum, { record: { id } }) => sum + countElsewhere(id), 0)
+  #areCountsOld ({ candidates, inFlightElsewhere, countsAgeMs, durationMs }: ExplainedRequest): boolean {
     const slots = candidates[0]?.record.slots ?? 1
-    return elsewhere * countsAgeMs / (durationMs ?? DURATION_DEFAULT_MS) > UNSEEN_ENDPOINTS_MAX * slots
+    return inFlightElsewhere * countsAgeMs / (durationMs ?? DURATION_DEFAULT_MS) > UNSEEN_ENDPOINTS_MAX * slots
   }
 
   /** Leaves out other failure domains while an endpoint in the own one works and, where that is known, has a free slot. */
--- a/test/gateway/selection.test.ts
+++ b/test/gateway/selection.test.ts
@@ -6,7 +6,9 @@
 import { ENGINE, buildSelf, buildView, createSelection } from './views.js'
 
 function createRequest (candidates: readonly EndpointView[], changes: Partial<SelectionRequest> = {}): SelectionRequest {
-  return { candidates, exclude: new Set(), avoidedDomains: new Set(), getAccess: () => ({ kind: 'unlimited' }), fraction: 0, countsAgeMs: 0, durationMs: undefined, pickFloat: () => 0, reach: 'any', distance: 0.4, countElsewhere: () => 0, isUnresponsive: () => false, getPace: () => 1, ...changes }
+  const { countElsewhere = () => 0 } = changes
+  const inFlightElsewhere = candidates.reduce((sum, { record: { id } }) => sum + countElsewhere(id), 0)
+  return { candidates, exclude: new Set(), avoidedDomains: new Set(), getAccess: () => ({ kind: 'unlimited' }), fraction: 0, countsAgeMs: 0, durationMs: undefined, pickFloat: () => 0, reach: 'any', distance: 0.4, inFlightElsewhere, countElsewhere, isUnresponsive: () => false, getPace: () => 1, ...changes }
 }
 
 /** Chooses endpoints for requests that stay in flight and counts them by endpoint. */
