--- a/test/gateway/domain-load.test.ts
+++ b/test/gateway/domain-load.test.ts
@@ -64,6 +64,15 @@
   })
 }
 
+// Guards against requests that are refused for the sake of bytes.
+test('while all failure domains are overloaded, no more requests are refused than without a decision', async t => {
+  const before = await simulate({ ...EVEN, waitMsPerMb: undefined }, { usage: 1.1 })
+  const after = await simulate(EVEN, { usage: 1.1 })
+  t.log(format('no decision', before))
+  t.log(format('decided', after))
+  t.true(after.refused <= before.refused)
+})
+
 // Guards against a decision that does not weigh what leaving costs.
 test('the dearer the bytes and the slower the link, the fewer requests leave', async t => {
   const results = [await simulate({ ...HOT, waitMsPerMb: 0 }), await simulate(HOT), await simulate({ ...HOT, waitMsPerMb: 1_000_000 })]
