Test half-closed connections and readers of a byte a second on the own interface

Cause: of the crowds that the issue names, these two had no test on this interface. Nothing in the product changed for them.

--- a/test/processes/crowds-own-interface.test.ts
+++ b/test/processes/crowds-own-interface.test.ts
@@ -106,6 +106,25 @@
   t.is((await live.sendCompletion(0, 'ordinary')).status, 200, 'an ordinary request is answered')
 }
 
+/** Replaces the endpoints by ones whose answers are large. */
+async function answerAtLength (t: ExecutionContext, live: LiveDeployment): Promise<void> {
+  const answer = Buffer.concat([Buffer.from(`HTTP/1.1 200 OK\r\ncontent-length: ${ANSWER_BYTES}\r\n\r\n`), Buffer.alloc(ANSWER_BYTES, 'x')])
+  for (const index of [0, 1]) {
+    live.signal(`service-${index}`, 'SIGKILL')
+    await live.waitForExit(`service-${index}`)
+    const endpoint = createServer(socket => {
+      socket.on('error', () => {})
+      socket.on('data', data => { socket.write(String(data).startsWith('GET /v1/load') ? 'HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n' : answer) })
+    }).listen(live.findTargetPort('counter', index), IP)
+    t.teardown(() => { endpoint.close() })
+  }
+  await wait(3_000)
+}
+
+function formatLargeRequest (live: LiveDeployment): string {
+  return `GET /services/counter/large HTTP/1.1\r\nhost: entry\r\nauthorization: Bearer ${live.files.teamKey}\r\n\r\n`
+}
+
 async function startDeployment (t: ExecutionContext, serviceMs: number): Promise<LiveDeployment> {
   const live = await LiveDeployment.start({ serviceMs, limits: LIMITS })
   t.teardown(async () => { await live.kill() })
@@ -126,28 +145,48 @@
   }))
 })
 
+// Guards against requests that are run for a caller that has ended its side and reads nothing.
+test.serial('requests that are sent ahead before a connection is half closed leave an entry within its memory', async t => {
+  const live = await startDeployment(t, 50)
+  const { token = '', home = '' } = (await live.listTokens(0))[0] ?? {}
+  live.signal(home, 'SIGSTOP')
+  await checkCrowd(t, live, 'entry-0', async () => Array.from({ length: 40 }, (_, connection) => {
+    const socket = openUnread(live.files.findEntryPorts(0).callers)
+    const requests = Array.from({ length: 200 }, (_value, request) => `${formatBooking(live, `${token}.half-${connection}-${request}`)}${BOOKING}`)
+    return socket.end(requests.join(''))
+  }))
+})
+
 // Guards against answers that are each within the limit of one response, but take all memory together.
 test.serial('large answers on connections that are not read leave an entry within its memory', async t => {
   const connections = 100
-  const answer = Buffer.concat([Buffer.from(`HTTP/1.1 200 OK\r\ncontent-length: ${ANSWER_BYTES}\r\n\r\n`), Buffer.alloc(ANSWER_BYTES, 'x')])
   const live = await startDeployment(t, 50)
-  for (const index of [0, 1]) {
-    live.signal(`service-${index}`, 'SIGKILL')
-    await live.waitForExit(`service-${index}`)
-    const endpoint = createServer(socket => {
-      socket.on('error', () => {})
-      socket.on('data', data => { socket.write(String(data).startsWith('GET /v1/load') ? 'HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n' : answer) })
-    }).listen(live.findTargetPort('counter', index), IP)
-    t.teardown(() => { endpoint.close() })
-  }
-  await wait(3_000)
+  await answerAtLength(t, live)
   await checkCrowd(t, live, 'entry-0', async () => Array.from({ length: connections }, () => {
     const socket = openUnread(live.files.findEntryPorts(0).callers)
-    socket.write(`GET /services/counter/large HTTP/1.1\r\nhost: entry\r\nauthorization: Bearer ${live.files.teamKey}\r\n\r\n`)
+    socket.write(formatLargeRequest(live))
     return socket
   }))
 })
 
+// Guards against answers that pile up behind callers that read a byte a second, and so make some progress.
+test.serial('large answers to callers that read a byte a second leave an entry within its memory', async t => {
+  const connections = 100
+  const live = await startDeployment(t, 50)
+  await answerAtLength(t, live)
+  const callers: Socket[] = []
+  const timer = setInterval(() => { for (const caller of callers) caller.resume() }, 1_000)
+  t.teardown(() => { clearInterval(timer) })
+  await checkCrowd(t, live, 'entry-0', async () => {
+    for (let index = 0; index < connections; index += 1) {
+      const caller = connect({ host: IP, port: live.files.findEntryPorts(0).callers, onread: { buffer: Buffer.alloc(1), callback: () => false } }).on('error', () => {})
+      caller.write(formatLargeRequest(live))
+      callers.push(caller)
+    }
+    return callers
+  })
+})
+
 // Guards against callers that take the descriptors and memory that an entry needs for endpoints, peers and the platform.
 test.serial('many connections, of which part leave in the middle of head, body and answer, leave an entry within its descriptors', async t => {
   const connections = 800
