--- a/test/gateway/exchange-fleet.ts
+++ b/test/gateway/exchange-fleet.ts
@@ -149,6 +149,7 @@
       partCrashes: { list: () => [] },
       liveness: { listUnresponsive: () => [], noteSuspected: () => {} },
       namedLimits: { list: () => ({}) },
+      domainTraffic: { noteHost: () => {} },
       metrics: { count: () => {}, observe: () => {} },
       selection: { listInFlight: () => inFlight },
       peers: gateway.peers,
--- a/test/gateway/exchange-link.test.ts
+++ b/test/gateway/exchange-link.test.ts
@@ -37,6 +37,7 @@
       partCrashes: { list: () => [] },
       liveness: { listUnresponsive: () => [], noteSuspected: () => {} },
       namedLimits: { list: () => ({}) },
+      domainTraffic: { noteHost: () => {} },
       metrics: { count: () => {}, observe: () => {} },
       selection: { listInFlight: () => ({ e1: 1 }) },
       peers,
