Stay in the failure domain only while a slot there is practically certain

Change: beyond an expected wait of 25 ms, or of the cost and 5 ms, all domains are compared as without a decision; loads are levelled within the domain only while requests stay.

--- a/src/gateway/admission.ts
+++ b/src/gateway/admission.ts
@@ -188,12 +188,12 @@
   }
 
   /** Room that the endpoint is asked for; undefined when the counts of all endpoints are known well. */
-  #findRoom ({ endpoint: { record }, isSampled }: Selection, nowMs: number): RoomRequest | undefined {
+  #findRoom ({ endpoint: { record }, isSampled, isNear }: Selection, nowMs: number): RoomRequest | undefined {
     const { service, tokens, reserved, roomAsksMax } = this.#options
     if (!isSampled || reserved === undefined) return undefined
     const slots = Math.max(1, record.slots - reserved)
     const isBalancing = roomAsksMax === undefined && this.#busy.size < BALANCED_ASKS_MAX
-    const domain = this.#context.domainShares.isActive ? record.domain : undefined
+    const domain = isNear === true ? record.domain : undefined
     const meanLoad = isBalancing ? this.#context.serviceLoad.findMeanLoad(service, nowMs, domain) : undefined
     return { tokens, loadMax: meanLoad === undefined ? slots : Math.max(1, Math.min(slots, Math.floor(meanLoad) + 1)) }
   }
--- a/src/gateway/context.ts
+++ b/src/gateway/context.ts
@@ -35,9 +35,13 @@
 import type { Exchange } from './exchange.js'
 import type { Dialect } from './model.js'
 
-/** Load, in requests, added to an endpoint in another failure domain where gateways do not decide on leaving. */
+/** Load, in requests, added to an endpoint in another failure domain while all are compared. */
 const DISTANCE_DEFAULT = 0.4
 
+/** Expected wait in ms for a slot up to which requests stay in their failure domain: what leaving costs and a little more, but no wait that callers notice. */
+const STAY_MARGIN_MS = 5
+const STAY_WAIT_MAX_MS = 25
+
 /** Share of requests that leave their failure domain above which an explained request counts as one of them. */
 const LIKELY_SHARE = 0.5
 
@@ -197,7 +201,8 @@
   choose (service: string, exclude: ReadonlySet<string>, avoidedDomains: ReadonlySet<string>, nowMs: number, isHomeFull = false): Selection | undefined {
     const candidates = this.#listWorking(service, nowMs)
     if (this.domainShares.isDue(service, nowMs)) this.#adjustShare(service, candidates, nowMs)
-    const request = this.#buildSelectionRequest(service, { candidates, reach: this.#chooseReach(service, isHomeFull), distance: this.#computeDistance(service, candidates, isHomeFull), exclude, avoidedDomains }, nowMs)
+    const reach = this.#chooseReach(service, isHomeFull)
+    const request = this.#buildSelectionRequest(service, { candidates, reach, distance: this.#computeDistance(service, reach, candidates), exclude, avoidedDomains }, nowMs)
     const selection = this.selection.choose({ ...request, fraction: this.pickFloat(), pickFloat: () => this.pickFloat() }, nowMs)
     if (selection?.isSampled === true && selection.access.kind === 'permit') this.#admittedByAgents.add(service)
     else if (selection?.isSampled === false) this.#admittedByAgents.delete(service)
@@ -212,9 +217,8 @@
    */
   explainChoice (service: string, nowMs: number): readonly ExplainedCandidate[] {
     const candidates = this.#listWorking(service, nowMs)
-    const { share } = this.domainShares.getDecision(service)
-    const reach = !this.domainShares.isActive ? 'any' : share > LIKELY_SHARE ? 'far' : 'near'
-    return this.selection.explain(this.#buildSelectionRequest(service, { candidates, reach, distance: this.#computeDistance(service, candidates, false), exclude: new Set(), avoidedDomains: new Set() }, nowMs), nowMs)
+    const reach = this.domainShares.getDecision(service).share > LIKELY_SHARE ? 'far' : this.#staysHome(service) ? 'near' : 'any'
+    return this.selection.explain(this.#buildSelectionRequest(service, { candidates, reach, distance: this.#computeDistance(service, reach, candidates), exclude: new Set(), avoidedDomains: new Set() }, nowMs), nowMs)
   }
 
   /** Whether agents decide which requests of a service start, as the counts of other gateways are old. */
@@ -398,17 +402,23 @@
   }
 
   #chooseReach (service: string, isHomeFull: boolean): Reach {
-    if (!this.domainShares.isActive) return 'any'
-    if (isHomeFull) return 'far'
     const { share } = this.domainShares.getDecision(service)
-    return share > 0 && this.pickFloat() < share ? 'far' : 'near'
+    if (this.domainShares.isActive && share > 0 && this.pickFloat() < share) return 'far'
+    if (!this.#staysHome(service)) return 'any'
+    return isHomeFull ? 'far' : 'near'
   }
 
-  /** What leaving the failure domain costs, as load in requests: at most a full endpoint, nothing when there is no room at home. */
-  #computeDistance (service: string, candidates: readonly EndpointView[], isHomeFull: boolean): number {
-    const durationMs = this.lateLane.findDurationMs(service)
-    if (!this.domainShares.isActive || durationMs === undefined) return DISTANCE_DEFAULT
-    return isHomeFull ? 0 : Math.min(1, this.domainShares.getDecision(service).costMs / durationMs) * (candidates[0]?.record.slots ?? 1)
+  /** Whether requests stay that do not leave at once. Where a slot may be long in coming, all failure domains are compared: a request is not kept waiting for the sake of bytes. */
+  #staysHome (service: string): boolean {
+    const { ownWaitMs, costMs } = this.domainShares.getDecision(service)
+    return this.domainShares.isActive && ownWaitMs !== undefined && ownWaitMs <= Math.min(STAY_WAIT_MAX_MS, costMs + STAY_MARGIN_MS)
+  }
+
+  /** What an endpoint in another failure domain counts as holding besides, as load in requests. */
+  #computeDistance (service: string, reach: Reach, candidates: readonly EndpointView[]): number {
+    if (reach === 'far') return 0
+    const durationMs = this.lateLane.findDurationMs(service) ?? Infinity
+    return Math.max(DISTANCE_DEFAULT, Math.min(1, this.domainShares.getDecision(service).costMs / durationMs) * (candidates[0]?.record.slots ?? 1))
   }
 
   #adjustShare (service: string, candidates: readonly EndpointView[], nowMs: number): void {
--- a/src/plugins/gateway/selection.ts
+++ b/src/plugins/gateway/selection.ts
@@ -92,6 +92,8 @@
   readonly access: EndpointAccess
   /** Whether only a sample was compared, because the counts of other gateways are old. */
   readonly isSampled: boolean
+  /** Whether only the own failure domain was compared, while it had room. */
+  readonly isNear?: boolean
 }
 
 /** Chooses endpoints and measures their attempts. */
@@ -161,7 +163,7 @@
     for (const { endpoint, access } of [...compared.slice(first), ...compared.slice(0, first)]) {
       const { inFlight, total } = this.#computeScore({ endpoint, access }, request, pool, getMeasures)
       if (total >= bestScore) continue
-      best = { endpoint, inFlight, access, isSampled }
+      best = { endpoint, inFlight, access, isSampled, ...(request.reach === 'near' && endpoint.record.domain === this.#domain ? { isNear: true } : {}) }
       bestScore = total
     }
     return best
