--- a/test/cli/explain-request.test.ts
+++ b/test/cli/explain-request.test.ts
@@ -4,7 +4,7 @@
 import { answerExplain } from '../../src/gateway/explain-answer.js'
 import { StatusListener } from '../../src/gateway/status-listener.js'
 import { ExplainedGateway } from '../gateway/explained-gateway.js'
-import { findUdpPort } from '../gateway/ports.js'
+import { startOnFreePort } from '../gateway/free-port.js'
 import { ENGINE } from '../gateway/views.js'
 import { Session } from './fake.js'
 
@@ -62,8 +62,7 @@
     handleError: reason => { t.fail(reason) }
   })
   t.teardown(() => { listener.stop() })
-  const port = await findUdpPort()
-  await listener.start({ host: '127.0.0.1', port })
+  const port = await startOnFreePort(async candidate => { await listener.start({ host: '127.0.0.1', port: candidate }) })
   const session = Session.create()
   session.writeFile('right.key', 'a-key-of-operators\n')
   session.writeFile('wrong.key', 'a-key-of-nobody\n')
--- a/test/entry/peer-listener.test.ts
+++ b/test/entry/peer-listener.test.ts
@@ -2,11 +2,12 @@
 import type { ExecutionContext } from 'ava'
 import diagnostics from 'node:diagnostics_channel'
 import { once } from 'node:events'
-import { connect, createServer } from 'node:net'
-import type { AddressInfo, Socket } from 'node:net'
+import { connect } from 'node:net'
+import type { Socket } from 'node:net'
 import { setTimeout as wait } from 'node:timers/promises'
 import { PeerHub } from '../../src/edge/peer/hub.js'
 import type { HubListener } from '../../src/edge/peer/hub.js'
+import { startOnFreePort } from '../gateway/free-port.js'
 
 const IP = '127.0.0.1'
 
@@ -15,14 +16,6 @@
 /** Requests that Node.js may begin of one connection: those of two pieces that the gate passes on. */
 const BEGUN_MAX = 100
 
-async function findPort (): Promise<number> {
-  const server = createServer().listen(0, IP)
-  await once(server, 'listening')
-  const { port } = server.address() as AddressInfo
-  server.close()
-  return port
-}
-
 async function startHub (t: ExecutionContext, id: string, events: string[]): Promise<[PeerHub, number]> {
   const listener: HubListener = {
     handlePeerConnected: peer => { events.push(`${id} connected ${peer.id}`) },
@@ -31,8 +24,7 @@
     handlePeerRefused: reason => { events.push(`${id} refused ${reason}`) }
   }
   const hub = PeerHub.create({ self: { id, role: 'entry', incarnation: 1, domain: 'd', host: 'h', address: IP }, clusterSecret: 's'.repeat(32), getConfigVersion: () => 0 }, listener)
-  const port = await findPort()
-  await hub.start(IP, port)
+  const port = await startOnFreePort(async candidate => { await hub.start(IP, candidate) })
   t.teardown(async () => { await hub.stop() })
   return [hub, port]
 }
--- a/test/gateway/request-explainer.test.ts
+++ b/test/gateway/request-explainer.test.ts
@@ -4,7 +4,7 @@
 import { answerExplain } from '../../src/gateway/explain-answer.js'
 import { parseGatewaySettings } from '../../platform/settings.js'
 import { ExplainedGateway } from './explained-gateway.js'
-import { findUdpPort } from './ports.js'
+import { startOnFreePort } from './free-port.js'
 import { ENGINE } from './views.js'
 
 const KEY = 'a-key-of-operators'
@@ -140,8 +140,7 @@
       handleError: reason => { errors.push(reason) }
     })
     t.teardown(() => { listener.stop() })
-    const port = await findUdpPort()
-    await listener.start({ host: '127.0.0.1', port })
+    const port = await startOnFreePort(async candidate => { await listener.start({ host: '127.0.0.1', port: candidate }) })
     return async (path, headers = {}) => {
       const response = await fetch(`http://127.0.0.1:${port}${path}`, { headers: { connection: 'close', ...headers } })
       return [response.status, await response.text()]
