--- a/test/cli/explain-request.test.ts
+++ b/test/cli/explain-request.test.ts
@@ -4,7 +4,7 @@
 import { answerExplain } from '../../src/gateway/explain-answer.js'
 import { StatusListener } from '../../src/gateway/status-listener.js'
 import { ExplainedGateway } from '../gateway/explained-gateway.js'
-import { startOnFreePort } from '../gateway/free-port.js'
+import { startOnFreePort } from '../gateway/ports.js'
 import { ENGINE } from '../gateway/views.js'
 import { Session } from './fake.js'
 
--- a/test/entry/peer-listener.test.ts
+++ b/test/entry/peer-listener.test.ts
@@ -7,7 +7,7 @@
 import { setTimeout as wait } from 'node:timers/promises'
 import { PeerHub } from '../../src/edge/peer/hub.js'
 import type { HubListener } from '../../src/edge/peer/hub.js'
-import { startOnFreePort } from '../gateway/free-port.js'
+import { startOnFreePort } from '../gateway/ports.js'
 
 const IP = '127.0.0.1'
 
--- a/test/gateway/harness.ts
+++ b/test/gateway/harness.ts
@@ -13,6 +13,7 @@
 import { CallerServer } from '../../src/gateway/server.js'
 import { Kernel } from '../../src/kernel/kernel.js'
 import '../../src/plugins/gateway/index.js'
+import { startOnFreePort } from './ports.js'
 
 /** What a scripted endpoint does with a request. */
 export type Script = (request: IncomingMessage, response: ServerResponse, body: string) => void
@@ -93,8 +94,7 @@
     limits: { headerBytesMax: 16_384, bodyBytesMax: 1_000, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 }
   })
   const server = CallerServer.create(context)
-  const port = await findPort()
-  await server.start({ host: '127.0.0.1', port })
+  const port = await startOnFreePort(async candidate => { await server.start({ host: '127.0.0.1', port: candidate }) })
   return {
     context,
     server,
@@ -135,16 +135,6 @@
   return port
 }
 
-async function findPort (): Promise<number> {
-  const server = createServer()
-  server.listen(0, '127.0.0.1')
-  await once(server, 'listening')
-  const { port } = server.address() as AddressInfo
-  server.close()
-  await once(server, 'close')
-  return port
-}
-
 async function callGateway (port: number, { path = '/a/b', key = 'k1', deadlineMs = 1_500, leaveAfterMs, parts, headers: extra }: CallOptions): Promise<CallerAnswer> {
   return await new Promise((resolve, reject) => {
     const headers = { host: 'h', 'heatherdoor-request-id': `r${nextRequest++}`, authorization: `Bearer ${key}`, 'heatherdoor-deadline-ms': String(deadlineMs), ...(parts === undefined ? {} : { 'heatherdoor-prompt-prefix': parts.map(part => `${part}:40`).join(',') }), ...extra }
--- a/test/gateway/request-explainer.test.ts
+++ b/test/gateway/request-explainer.test.ts
@@ -4,7 +4,7 @@
 import { answerExplain } from '../../src/gateway/explain-answer.js'
 import { parseGatewaySettings } from '../../platform/settings.js'
 import { ExplainedGateway } from './explained-gateway.js'
-import { startOnFreePort } from './free-port.js'
+import { startOnFreePort } from './ports.js'
 import { ENGINE } from './views.js'
 
 const KEY = 'a-key-of-operators'
