Read the limit of descriptors in one place

Cause: caller-limits.ts read and parsed /proc/self/limits as descriptors.ts does. Change: gateways call readDescriptorLimit; parsing has a function of its own for the test, whose expectations are the same. `BOUNDS` was only used for its type. Behaviour is the same.

--- a/src/edge/connections/descriptors.ts
+++ b/src/edge/connections/descriptors.ts
@@ -14,14 +14,22 @@
  */
 export function readDescriptorLimit (): number | undefined {
   try {
-    const soft = /^Max open files\s+(\d+)/m.exec(readFileSync('/proc/self/limits', 'utf8'))?.[1]
-    return soft === undefined ? undefined : Number(soft)
+    return parseDescriptorLimit(readFileSync('/proc/self/limits', 'utf8'))
   } catch {
     // Only Linux has the file.
     return undefined
   }
 }
 
+/**
+ * @param limits - content of `/proc/self/limits`
+ * @returns largest count of descriptors; undefined when it is not limited
+ */
+export function parseDescriptorLimit (limits: string): number | undefined {
+  const soft = /^Max open files\s+(\d+)/m.exec(limits)?.[1]
+  return soft === undefined ? undefined : Number(soft)
+}
+
 /**
  * @param wanted - unauthenticated connections of peers that the settings allow
  * @param descriptors - largest count of descriptors of the process, when it is known
--- a/src/gateway/caller-limits.ts
+++ b/src/gateway/caller-limits.ts
@@ -1,7 +1,5 @@
 /** Bounds on what callers may take of a gateway together, and how the room is shared. */
 
-import { readFileSync } from 'node:fs'
-
 /** Requests of one connection that run at a time, and time in ms for which answers may stay unread, when the settings do not name them. */
 export const REQUESTS_AHEAD_DEFAULT = 8
 export const UNREAD_DEFAULT_MS = 60_000
@@ -60,10 +58,7 @@
 }
 
 /** A bound that can be met; the label of the metric `bounds_met`. */
-export const BOUNDS = ['connections', 'requests', 'address', 'team', 'held', 'unread', 'body'] as const
-
-/** Name of a bound. */
-export type Bound = typeof BOUNDS[number]
+export type Bound = 'connections' | 'requests' | 'address' | 'team' | 'held' | 'unread' | 'body'
 
 /**
  * @param limit - descriptors that the settings and the process allow
@@ -87,22 +82,11 @@
 
 /**
  * @param configured - descriptors that the settings allow
- * @param limitsText - `/proc/self/limits`; undefined when it cannot be read
+ * @param own - limit of the process; undefined when it is not known
  * @returns descriptors that the process may open
  */
-export function computeDescriptorsMax (configured: number | undefined, limitsText: string | undefined): number {
-  const own = Number(/^Max open files\s+(\d+)/m.exec(limitsText ?? '')?.[1] ?? DESCRIPTORS_MAX)
-  return Math.min(configured ?? DESCRIPTORS_MAX, own)
-}
-
-/** @returns the limits of this process; undefined on systems that do not show them */
-export function readProcessLimits (): string | undefined {
-  try {
-    return readFileSync('/proc/self/limits', 'utf8')
-  } catch {
-    // Only Linux has this file; the settings and the default bound the descriptors elsewhere.
-    return undefined
-  }
+export function computeDescriptorsMax (configured: number | undefined, own: number | undefined): number {
+  return Math.min(configured ?? DESCRIPTORS_MAX, own ?? DESCRIPTORS_MAX)
 }
 
 /** Whether one of several that share a room may take more of it. */
--- a/src/gateway/process.ts
+++ b/src/gateway/process.ts
@@ -2,6 +2,7 @@
 
 import type { IncomingHttpHeaders } from 'node:http'
 import type { Either } from 'purify-ts'
+import { readDescriptorLimit } from '../edge/connections/descriptors.js'
 import { Logger } from '../edge/log/logger.js'
 import { Metrics } from '../edge/metrics/metrics.js'
 import { Kernel } from '../kernel/kernel.js'
@@ -10,7 +11,7 @@
 import '../plugins/gateway/index.js'
 import type { RankEngine } from './agent.js'
 import type { Place } from './boundary.js'
-import { computeCallerBounds, computeDescriptorsMax, readProcessLimits } from './caller-limits.js'
+import { computeCallerBounds, computeDescriptorsMax } from './caller-limits.js'
 import type { CallerBoundSettings, CallerBounds } from './caller-limits.js'
 import { GatewayContext, processClock } from './context.js'
 import { answerExplain } from './explain-answer.js'
@@ -179,7 +180,7 @@
     this.#context.retries.setBounds(settings.retries)
     this.#context.domainShares.setPrice(settings.domains.waitMsPerMb)
     if (settings.memoryMb !== undefined) this.#context.memory.updateMemory(settings.memoryMb)
-    this.#bounds = computeCallerBounds(computeDescriptorsMax(settings.callers.descriptorsMax, readProcessLimits()), this.#context.memory.memoryBytes, settings.callers)
+    this.#bounds = computeCallerBounds(computeDescriptorsMax(settings.callers.descriptorsMax, readDescriptorLimit()), this.#context.memory.memoryBytes, settings.callers)
     this.#context.coldLimits.setBounds(settings.cold)
     this.#callers = CallerServer.create(this.#context, this.#bounds)
     this.#link = this.#createLink(linkListener)
--- a/test/gateway/caller-limits.test.ts
+++ b/test/gateway/caller-limits.test.ts
@@ -1,6 +1,7 @@
 import test from 'ava'
 import { connect } from 'node:net'
 import { setTimeout as wait } from 'node:timers/promises'
+import { parseDescriptorLimit } from '../../src/edge/connections/descriptors.js'
 import { RequestRoom, computeCallerBounds, computeDescriptorsMax, decideConnection } from '../../src/gateway/caller-limits.js'
 import type { ConnectionState } from '../../src/gateway/caller-limits.js'
 import { startHarness } from './harness.js'
@@ -18,7 +19,8 @@
 
 test('the smaller limit of the settings and the process holds', t => {
   const text = 'Limit Soft Limit Hard Limit Units\nMax open files            1024                 4096                 files\n'
-  t.deepEqual([computeDescriptorsMax(600, text), computeDescriptorsMax(4_100, text), computeDescriptorsMax(undefined, text), computeDescriptorsMax(undefined, undefined)], [600, 1_024, 1_024, 20_000])
+  const own = parseDescriptorLimit(text)
+  t.deepEqual([computeDescriptorsMax(600, own), computeDescriptorsMax(4_100, own), computeDescriptorsMax(undefined, own), computeDescriptorsMax(undefined, undefined)], [600, 1_024, 1_024, 20_000])
 })
 
 // Guards against one caller or team that takes the room of all others.
