Take the HTTP parser off a connection in one place

Cause: the gate of entries and the connections of gateways each took the listener of the parser off the socket, and each closed the responses that Node.js forgets. Change: takeParser and closeResponses serve both. The rest of the two differs: what holds data back, and whether a body of known length is passed on whole. Behaviour is the same.

--- a/src/edge/connections/gate.ts
+++ b/src/edge/connections/gate.ts
@@ -2,6 +2,7 @@
 
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
+import { closeResponses, takeParser } from './parser.js'
 
 /** Size of the pieces in which received data is passed to the HTTP parser, in bytes. A piece with the ends of requests starts each of them. */
 const PIECE_BYTES = 1024
@@ -33,15 +34,12 @@
   #progressAtMs = performance.now()
 
   private constructor (socket: Socket, requestsMax: number) {
-    const [deliver] = socket.listeners('data')
-    if (deliver === undefined) throw new Error('the HTTP server does not read from the connection')
     this.#socket = socket
     this.#requestsMax = requestsMax
-    this.#deliver = data => { deliver.call(socket, data) }
+    this.#deliver = takeParser(socket)
     socket.on('data', this.#handleData)
-    socket.removeListener('data', deliver as (data: Buffer) => void)
     socket.on('resume', this.#pass)
-    socket.once('close', () => { setImmediate(() => { this.#closeResponses() }) })
+    socket.once('close', () => { setImmediate(() => { closeResponses(this.#unanswered) }) })
   }
 
   /**
@@ -132,11 +130,6 @@
     this.#socket.destroy()
   }
 
-  /** Closes the responses that waited for an earlier one: Node.js tells only the first that its connection is gone. */
-  #closeResponses (): void {
-    for (const response of this.#unanswered) response.destroy().emit('close')
-  }
-
   readonly #handleData = (data: Buffer): void => {
     this.#held = this.#held.length === 0 ? data : Buffer.concat([this.#held, data])
     this.#pass()
--- a/src/gateway/caller-connection.ts
+++ b/src/gateway/caller-connection.ts
@@ -6,6 +6,7 @@
 
 import type { IncomingMessage, ServerResponse } from 'node:http'
 import type { Socket } from 'node:net'
+import { closeResponses, takeParser } from '../edge/connections/parser.js'
 import type { ConnectionState } from './caller-limits.js'
 
 /** Bytes that are parsed at a time outside of a body of known length; it bounds the heads that one connection can have parsed, but not started. */
@@ -66,11 +67,7 @@
     this.#handlers = handlers
     this.address = socket.remoteAddress ?? ''
     this.idleSinceMs = handlers.getNowMs()
-    // The listener of `node:http`, which parses what it gets.
-    const [parse] = socket.listeners('data') as ((piece: Buffer) => void)[]
-    if (parse === undefined) throw new Error('connection without a parser')
-    socket.removeListener('data', parse)
-    this.#parse = piece => { parse.call(socket, piece) }
+    this.#parse = takeParser(socket)
     socket.on('data', (chunk: Buffer) => { this.#read(chunk) })
     socket.once('close', () => { process.nextTick(() => { this.#handleClose() }) })
   }
@@ -240,13 +237,9 @@
     this.socket.destroySoon()
   }
 
-  /** Ends the answers that were waiting for others: `node:http` tells only the one that was being sent. */
   #handleClose (): void {
     this.#noteHeld(0)
     this.#waiting.length = 0
-    for (const { response } of [...this.#open]) {
-      response.destroy()
-      response.emit('close')
-    }
+    closeResponses([...this.#open].map(({ response }) => response))
   }
 }
