--- a/review/common-2/store.js
+++ b/review/common-2/store.js
@@ -10,6 +10,9 @@
 const PAGE_ITEMS = 500
 const PAGE_CHARS = 1_000_000
 
+/** Characters after which the answer to a watch ends in a store that splits it as it does the pages of a list. */
+const WATCH_CHARS = 1_000_000
+
 /** Time in ms for which the history of changes is kept, as the settings say. */
 const HISTORY_MS = 20_000
 
@@ -25,6 +28,8 @@
   #server = createServer((request, response) => { this.#receive(request, response) })
   /** Calls by kind of call, for the record. */
   calls = []
+  /** Whether the answer to a watch ends after about 1 MB; the next watch continues there. */
+  splitsWatches = false
   #watchers = []
 
   static async create (host) {
@@ -177,8 +182,20 @@
   #finishWatch (waiter) {
     this.#waiting.delete(waiter)
     clearTimeout(waiter.timer)
-    const events = this.#listEvents(waiter)
-    const bytes = this.#send(waiter.response, 200, { events: events.map(({ object, deleted }) => ({ object, deleted })), current_rev: this.#revision })
+    const all = this.#listEvents(waiter)
+    const events = this.splitsWatches ? takeChars(all, WATCH_CHARS) : all
+    const revision = events.length < all.length ? events.at(-1).revision : this.#revision
+    const bytes = this.#send(waiter.response, 200, { events: events.map(({ object, deleted }) => ({ object, deleted })), current_rev: revision })
     if (events.length > 0) this.calls.push({ atMs: Date.now(), call: 'watch', kind: waiter.kind, revision: waiter.revision, status: 200, events: events.length, bytes })
   }
 }
+
+/** @returns the first changes, up to the one with which they have `max` characters */
+function takeChars (changes, max) {
+  let chars = 0
+  const end = changes.findIndex(({ object }) => {
+    chars += JSON.stringify(object).length
+    return chars >= max
+  })
+  return end === -1 ? changes : changes.slice(0, end + 1)
+}
