Count the grace period of lapsed endpoints from the return of the store

Cause: for a second after an outage each removal may be an entry that lapsed meanwhile and is kept for 2 s, but these were counted from when the removal was read instead of from the return of the store. The lines tell it apart from a late read: endpoint-changed says "lapsed" at once and "gone" 2 s later.

Change: a follower passes on when the store could be reached again, and the time counts from there. As the first answer may come late, it also ends before the notice time after the start of the last call that failed. The table takes the time instead of a flag, and so do the calls of it in tests; what they expect is as before.

--- a/bench/load-fleet-model.ts
+++ b/bench/load-fleet-model.ts
@@ -273,7 +273,7 @@
     context.coldLimits.noteListed(-10_000)
     context.routes.accept({ version: 1, routes: new Map(), services: new Map([[SERVICE, { name: SERVICE, coldPerS: COLD_PER_S, engine: ENGINE }]]), limits: { headerBytesMax: 1, bodyBytesMax: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 } })
     const records = [...this.#endpoints.keys()].map((endpoint, at) => ({ id: endpoint, bornMs: 1, service: SERVICE, address: { host: endpoint, port: 1 }, domain: this.#locate(at), state: 'ready' as const, slots: SLOTS, coldRemainingMs: 0 }))
-    context.endpoints.replaceAll(records, false, 0)
+    context.endpoints.replaceAll(records, undefined, 0)
     context.domainShares.setPrice(this.#scenario.domains?.waitMsPerMb)
     if (!knowsAge) context.peers.getCountsAgeMs = () => 0
     return context
--- a/src/gateway/followed-store.ts
+++ b/src/gateway/followed-store.ts
@@ -1,6 +1,7 @@
 /** Follows what the store holds for a gateway, and applies it to the gateway's tables. */
 
 import type { Metrics } from '../edge/metrics/metrics.js'
+import { LAPSE_GRACE_MS } from '../plugins/gateway/endpoints.js'
 import type { EndpointChange } from '../plugins/gateway/endpoints.js'
 import { assertNever } from '../kernel/errors.js'
 import type { GatewayContext } from './context.js'
@@ -8,7 +9,7 @@
 import type { EndpointRecord, GatewayConfiguration } from './model.js'
 import type { GatewayStore } from './process.js'
 import { StoreFollower, computeFollowerTimes } from './store.js'
-import type { Change, FollowerBounds, FollowerTimes, ListingCause } from './store.js'
+import type { Change, FollowerBounds, FollowerTimes, ListingCause, StoreReturn } from './store.js'
 import { EraTracker } from './store-era.js'
 import { FOLLOWED_KINDS, LISTENER_WAIT_MS, RELAY_MARGIN_MS, WatchRoles } from './watch-roles.js'
 import type { FollowedKind, FollowProgress, ReadyGateway, WatchNews, WatchRole } from './watch-roles.js'
@@ -19,6 +20,9 @@
 /** Time in ms after the end of a watch within which the next answer is expected: the timeout of the call, and a little more. */
 const ANSWER_MARGIN_MS = 1_000
 
+/** Longest time in ms from the end of a lapse until the entry is dropped. */
+const EXPIRY_MARGIN_MS = 200
+
 /** Dependencies of a followed store. */
 export interface FollowedStoreOptions {
   readonly self: ReadyGateway
@@ -127,7 +131,7 @@
         this.#hasEndpoints = true
         this.#noteChanges(this.#replaceEndpoints(items, cause))
       },
-      handleChanges: (changes, wasUnavailable) => { this.#applyEndpointChanges(changes, wasUnavailable) },
+      handleChanges: (changes, returned) => { this.#applyEndpointChanges(changes, returned) },
       handleState: handleState('endpoints'),
       handleProgress: progress => { this.#noteProgress('endpoints', progress) }
     }, eras)
@@ -139,7 +143,7 @@
     }, eras)
     const evacuations = StoreFollower.create(store.evacuations, { ...times, waitMs: EVACUATION_WAIT_MS }, {
       handleList: (items, cause) => {
-        this.#evacuations.replaceAll(items, cause === 'after-era-change', performance.now())
+        this.#evacuations.replaceAll(items, cause.kind === 'after-era-change', performance.now())
         this.#applyEvacuations()
       },
       handleChanges: changes => {
@@ -161,24 +165,25 @@
   #replaceEndpoints (records: readonly EndpointRecord[], cause: ListingCause): readonly EndpointChange[] {
     const { endpoints } = this.#options.context
     const nowMs = performance.now()
-    switch (cause) {
-      case 'current': return endpoints.replaceAll(records, false, nowMs)
-      case 'after-outage': return endpoints.replaceAll(records, true, nowMs)
-      case 'after-era-change': return endpoints.restoreAll(records, nowMs)
+    const { noticeMs } = this.#options.bounds
+    switch (cause.kind) {
+      case 'current': return endpoints.replaceAll(records, undefined, nowMs)
+      case 'after-outage': return endpoints.replaceAll(records, computeLapseEndMs(cause.returned, noticeMs), nowMs)
+      case 'after-era-change': return endpoints.restoreAll(records, computeLapseEndMs(cause.returned, noticeMs), nowMs)
       default: return assertNever(cause)
     }
   }
 
-  #applyEndpointChanges (changes: ReadonlyArray<Change<EndpointRecord>>, wasUnavailable: boolean): void {
+  #applyEndpointChanges (changes: ReadonlyArray<Change<EndpointRecord>>, returned: StoreReturn | undefined): void {
     const { endpoints } = this.#options.context
     const nowMs = performance.now()
-    if (wasUnavailable) {
+    if (returned !== undefined) {
       const items = new Map(endpoints.listAll().map(({ record }) => [record.id, record]))
       for (const change of changes) {
         if (change.kind === 'written') items.set(change.item.id, change.item)
         else items.delete(change.name)
       }
-      this.#noteChanges(endpoints.replaceAll([...items.values()], true, nowMs))
+      this.#noteChanges(endpoints.replaceAll([...items.values()], computeLapseEndMs(returned, this.#options.bounds.noticeMs), nowMs))
       return
     }
     this.#noteChanges(changes.flatMap(change => {
@@ -213,6 +218,19 @@
   }
 }
 
+/**
+ * Computes until when entries are kept that may have lapsed while the store could not be reached. They are
+ * written again soon after its return, and the time counts from there however late a removal is
+ * read. An entry that was removed for good is dropped before the gateway counts as connected again.
+ *
+ * @param returned - when the store could be reached again
+ * @param noticeMs - time in ms after the return from which the gateway counts as connected
+ * @returns a time in monotonic ms
+ */
+export function computeLapseEndMs ({ failedAtMs, answeredAtMs }: StoreReturn, noticeMs: number): number {
+  return Math.min(answeredAtMs + LAPSE_GRACE_MS, failedAtMs + noticeMs - EXPIRY_MARGIN_MS)
+}
+
 /** @returns longest wait of a watch in ms, given the one of a gateway that follows the store for itself */
 function computeWaitMs (role: WatchRole, shortMs: number): number {
   switch (role) {
--- a/src/gateway/store.ts
+++ b/src/gateway/store.ts
@@ -55,19 +55,27 @@
   watch (revision: number, waitMs: number, signal: AbortSignal): Promise<Either<StoreFailure, ChangeBatch<T>>>
 }
 
+/** When a store could be reached again. */
+export interface StoreReturn {
+  /** Start of the last call that failed in monotonic ms; the store may have been back from then on. */
+  readonly failedAtMs: number
+  /** Time of the first answer in monotonic ms. */
+  readonly answeredAtMs: number
+}
+
 /** Why a listing may contradict what the store acknowledged before. */
 export type ListingCause =
-  | 'current'
+  | { readonly kind: 'current' }
   /** The store was unavailable until shortly before; missing entries may have lapsed meanwhile. */
-  | 'after-outage'
+  | { readonly kind: 'after-outage', readonly returned: StoreReturn }
   /** The store has come back from an older copy: entries may be missing, or be older than what it acknowledged. */
-  | 'after-era-change'
+  | { readonly kind: 'after-era-change', readonly returned: StoreReturn }
 
 /** Callbacks of a follower. */
 export interface FollowerHandlers<T> {
   handleList (items: readonly T[], cause: ListingCause): void
-  /** `wasStoreUnavailable` is true shortly after an outage or a change of the era, when missing entries may have lapsed. */
-  handleChanges (changes: readonly Change<T>[], wasStoreUnavailable: boolean): void
+  /** `returned` is given shortly after an outage or a change of the era, when removed entries may have lapsed. */
+  handleChanges (changes: readonly Change<T>[], returned: StoreReturn | undefined): void
   handleState (state: 'lost' | 'found', reason: string): void
   /** Called with the position that each answer leads to, after its entries or changes have been handled. */
   handleProgress? (progress: FollowProgress): void
@@ -133,7 +141,10 @@
   #failures = 0
   #isLost = false
   #hasChanges = false
-  #recoveringUntilMs = 0
+  /** Start of the call in progress, and of the last one that failed, in monotonic ms. */
+  #calledAtMs = 0
+  #failedAtMs = 0
+  #returned: StoreReturn | undefined
   #wake: (() => void) | undefined
   /** Longest wait of the following watches in ms. */
   #waitMs: number
@@ -196,6 +207,7 @@
   }
 
   async #list (): Promise<Position | undefined> {
+    this.#calledAtMs = performance.now()
     const result = await this.#kind.list()
     return result.caseOf<Position | undefined>({
       Left: failure => {
@@ -207,24 +219,30 @@
           this.#noteFailure('outdated')
           return undefined
         }
-        const wasUnavailable = this.#noteAnswer()
-        const isChanged = this.#isEraChanged()
+        const returned = this.#noteAnswer()
         const isFirst = !this.#wasListed
         this.#wasListed = true
-        if (isChanged) this.#recoveringUntilMs = performance.now() + RECOVERY_MS
+        const cause: ListingCause = this.#isEraChanged() ? this.#noteEraChange() : returned === undefined ? { kind: 'current' } : { kind: 'after-outage', returned }
         this.#era = this.#eras.newest
-        this.#handlers.handleList(items, isChanged ? 'after-era-change' : wasUnavailable ? 'after-outage' : 'current')
+        this.#handlers.handleList(items, cause)
         this.#handlers.handleProgress?.({ era: this.#era, seen: revision, changed: isFirst ? undefined : revision })
         return { revision, era: this.#era }
       }
     })
   }
 
+  #noteEraChange (): ListingCause {
+    const nowMs = performance.now()
+    this.#returned = { failedAtMs: nowMs, answeredAtMs: nowMs }
+    return { kind: 'after-era-change', returned: this.#returned }
+  }
+
   async #watch (position: Position): Promise<Position | undefined> {
     const pending = { waitMs: this.#failures > 0 || this.#mustRenew ? LOST_WAIT_MS : this.#waitMs, controller: new AbortController() }
     this.#pending = pending
     this.#mustRenew = false
     this.#hasChanges = false
+    this.#calledAtMs = performance.now()
     const result = await this.#kind.watch(position.revision, pending.waitMs, pending.controller.signal)
     this.#pending = undefined
     return result.caseOf<Position | undefined>({
@@ -242,9 +260,9 @@
     const relation = this.#eras.noteEra(era, position.era)
     switch (relation) {
       case 'same': {
-        const wasUnavailable = this.#noteAnswer()
+        const returned = this.#noteAnswer()
         this.#hasChanges = changes.length > 0
-        if (this.#hasChanges) this.#handlers.handleChanges(changes, wasUnavailable)
+        if (this.#hasChanges) this.#handlers.handleChanges(changes, returned)
         this.#handlers.handleProgress?.({ era: position.era, seen: revision, changed: this.#hasChanges ? changedRevision : undefined })
         return { revision, era: position.era }
       }
@@ -261,22 +279,23 @@
 
   #noteFailure (failure: StoreFailure): void {
     this.#failures += 1
+    this.#failedAtMs = this.#calledAtMs
     // A single failed call may be a closed connection rather than an outage; the next call follows soon.
     if (this.#failures < 2 || this.#isLost) return
     this.#isLost = true
     this.#handlers.handleState('lost', failure)
   }
 
-  /** Records an answer of the store. @returns whether removals in it may be entries that lapsed during an outage */
-  #noteAnswer (): boolean {
+  /** Records an answer of the store. @returns when it came back, if removals in the answer may be entries that lapsed before */
+  #noteAnswer (): StoreReturn | undefined {
     const nowMs = performance.now()
     this.#failures = 0
     if (this.#isLost) {
       this.#isLost = false
-      this.#recoveringUntilMs = nowMs + RECOVERY_MS
+      this.#returned = { failedAtMs: this.#failedAtMs, answeredAtMs: nowMs }
       this.#handlers.handleState('found', '')
     }
-    return nowMs < this.#recoveringUntilMs
+    return this.#returned !== undefined && nowMs < this.#returned.answeredAtMs + RECOVERY_MS ? this.#returned : undefined
   }
 
   #getRetryDelayMs (): number {
--- a/src/plugins/gateway/endpoints.ts
+++ b/src/plugins/gateway/endpoints.ts
@@ -6,7 +6,7 @@
 import type { Ports } from '../../kernel/ports.js'
 import { formatIncarnation } from './notices.js'
 
-/** Time in ms after a store outage during which entries that lapsed in the outage are expected to be written again. */
+/** Time in ms after the return of the store during which entries that lapsed before are expected to be written again. */
 export const LAPSE_GRACE_MS = 2_000
 
 /**
@@ -35,14 +35,17 @@
 
 /** Table of endpoints at a gateway. */
 export interface EndpointsPort {
-  /** Replaces the whole table; entries that lapsed while the store was unavailable are kept for `LAPSE_GRACE_MS`. */
-  replaceAll (records: readonly EndpointRecord[], wasStoreUnavailable: boolean, nowMs: number): readonly EndpointChange[]
+  /**
+   * Replaces the whole table. Missing entries are dropped, or, when they may have lapsed while the store was
+   * unavailable, kept until `lapsesAtMs`, in monotonic ms.
+   */
+  replaceAll (records: readonly EndpointRecord[], lapsesAtMs: number | undefined, nowMs: number): readonly EndpointChange[]
   /**
    * Replaces the table with what a store lists that has come back from an older copy. Missing entries are kept
    * as after an outage. Entries that the store had removed, or listed as draining or of a later start, are not
    * taken back for `CONTRADICTION_HOLD_MS`, unless they are written in the meantime.
    */
-  restoreAll (records: readonly EndpointRecord[], nowMs: number): readonly EndpointChange[]
+  restoreAll (records: readonly EndpointRecord[], lapsesAtMs: number, nowMs: number): readonly EndpointChange[]
   /** Adds or updates an entry and drops any older incarnation at the same address. */
   upsert (record: EndpointRecord, nowMs: number): readonly EndpointChange[]
   remove (id: string): EndpointChange | undefined
@@ -86,30 +89,30 @@
 
   handle (): void {}
 
-  replaceAll (records: readonly EndpointRecord[], wasStoreUnavailable: boolean, nowMs: number): readonly EndpointChange[] {
+  replaceAll (records: readonly EndpointRecord[], lapsesAtMs: number | undefined, nowMs: number): readonly EndpointChange[] {
     const listed = new Set(records.map(record => record.id))
     // A record that is only passed on again says nothing new: its lapse and its cold time go on.
     const changes = records.flatMap(record => this.#entries.get(record.id)?.record === record ? [] : this.upsert(record, nowMs))
     for (const id of this.#heldBack.keys()) if (!listed.has(id) && !this.#entries.has(id)) this.#heldBack.delete(id)
     for (const [id, entry] of this.#entries) {
       if (listed.has(id)) continue
-      if (!wasStoreUnavailable) {
+      if (lapsesAtMs === undefined) {
         this.#noteRemoved(entry.record)
         changes.push(this.#drop(id))
       } else if (entry.lapsesAtMs === undefined) {
-        this.#entries.set(id, { ...entry, lapsesAtMs: nowMs + LAPSE_GRACE_MS })
+        this.#entries.set(id, { ...entry, lapsesAtMs })
         changes.push({ id, change: 'lapsed' })
       }
     }
     return changes
   }
 
-  restoreAll (records: readonly EndpointRecord[], nowMs: number): readonly EndpointChange[] {
+  restoreAll (records: readonly EndpointRecord[], lapsesAtMs: number, nowMs: number): readonly EndpointChange[] {
     this.#heldBack.clear()
     const contradicting = records.filter(record => this.#isContradicted(record))
     const kept = contradicting.flatMap(({ id }) => this.#entries.get(id)?.record ?? [])
     const ids = new Set(contradicting.map(({ id }) => id))
-    const changes = this.replaceAll([...records.filter(({ id }) => !ids.has(id)), ...kept], true, nowMs)
+    const changes = this.replaceAll([...records.filter(({ id }) => !ids.has(id)), ...kept], lapsesAtMs, nowMs)
     for (const record of contradicting) this.#heldBack.set(record.id, { record, untilMs: nowMs + CONTRADICTION_HOLD_MS })
     return changes
   }
--- a/test/adapter/store-era.test.ts
+++ b/test/adapter/store-era.test.ts
@@ -10,7 +10,7 @@
 import { EVACUATION_HOLD_MS, EvacuationTable } from '../../src/gateway/evacuations.js'
 import { EraTracker } from '../../src/gateway/store-era.js'
 import { StoreFollower } from '../../src/gateway/store.js'
-import type { Change, ListingCause, StoreKind } from '../../src/gateway/store.js'
+import type { Change, StoreKind } from '../../src/gateway/store.js'
 
 /** Times without waits, so that a property can be checked many times. */
 const TIMES = { waitMs: 1, collectMs: 0, retryMaxMs: 0 }
@@ -192,7 +192,7 @@
 
 // Guards against a skipped change: the revision that a follower continues from has been given out again, so its watch is answered normally.
 test('a watch that is answered in a new era is followed by a listing', async t => {
-  const causes: ListingCause[] = []
+  const causes: string[] = []
   const changed: string[] = []
   const answers = [
     Right({ changes: [], revision: 10, era: 4 }),
@@ -210,7 +210,7 @@
       return answer ?? Left('no-answer')
     }
   }, TIMES, {
-    handleList: (_items, cause) => { causes.push(cause) },
+    handleList: (_items, cause) => { causes.push(cause.kind) },
     handleChanges: changes => { for (const change of changes) if (change.kind === 'written') changed.push(change.item) },
     handleState () {}
   }, EraTracker.create(era => { eras.push(era) }))
--- a/test/adapter/store.test.ts
+++ b/test/adapter/store.test.ts
@@ -141,8 +141,8 @@
       return result === 'idle' ? Right({ changes: [], revision }) : Left(result as StoreFailure)
     }
   }, TIMES, {
-    handleList: (items, cause) => { notes.push(`list ${items.join()} ${cause}`) },
-    handleChanges: (changes, wasAway) => { notes.push(`${changes.map(({ kind }) => kind).join()} away=${wasAway}`) },
+    handleList: (items, cause) => { notes.push(`list ${items.join()} ${cause.kind}`) },
+    handleChanges: (changes, returned) => { notes.push(`${changes.map(({ kind }) => kind).join()} away=${returned !== undefined}`) },
     handleState: (state, reason) => { notes.push(`${state} ${reason}`.trim()) }
   })
   await follower.run()
--- a/test/gateway/decisions.test.ts
+++ b/test/gateway/decisions.test.ts
@@ -99,22 +99,22 @@
 // Guards against losing every endpoint when all entries lapse during an outage of the store.
 test('lapsed entries are kept for the grace period, removed entries are not', t => {
   const table = EndpointsPlugin.create()
-  table.replaceAll([createRecord('e1'), createRecord('e2')], false, 0)
-  t.deepEqual(table.replaceAll([], true, 100).map(({ change }) => change), ['lapsed', 'lapsed'])
+  table.replaceAll([createRecord('e1'), createRecord('e2')], undefined, 0)
+  t.deepEqual(table.replaceAll([], 100 + LAPSE_GRACE_MS, 100).map(({ change }) => change), ['lapsed', 'lapsed'])
   t.deepEqual(listIds(table), ['e1', 'e2'])
   table.upsert(createRecord('e1'), 200)
   t.deepEqual(table.expire(100 + LAPSE_GRACE_MS), [{ id: 'e2', change: 'gone' }])
   t.deepEqual(listIds(table), ['e1'])
-  table.replaceAll([], false, 5_000)
+  table.replaceAll([], undefined, 5_000)
   t.deepEqual(listIds(table), [])
 })
 
 // Guards against requests to an endpoint that was removed while the store was away, because another one has changed since.
 test('a lapsed entry that is passed on again with the changes of others lapses all the same', t => {
   const table = EndpointsPlugin.create()
-  table.replaceAll([createRecord('e1'), createRecord('e2')], false, 0)
-  table.replaceAll([createRecord('e1')], true, 100)
-  table.replaceAll([...table.listAll().map(({ record }) => record), createRecord('e3')], true, 300)
+  table.replaceAll([createRecord('e1'), createRecord('e2')], undefined, 0)
+  table.replaceAll([createRecord('e1')], 100 + LAPSE_GRACE_MS, 100)
+  table.replaceAll([...table.listAll().map(({ record }) => record), createRecord('e3')], 300 + LAPSE_GRACE_MS, 300)
   t.deepEqual(table.expire(100 + LAPSE_GRACE_MS), [{ id: 'e2', change: 'gone' }])
 })
 
@@ -122,9 +122,9 @@
 test('entries of a store that came back older are used once they are written again, or stay listed', t => {
   const fill = (): EndpointsPlugin => {
     const table = EndpointsPlugin.create()
-    table.replaceAll([createRecord('e1'), createRecord('e2'), createRecord('e3', { state: 'draining' }), createRecord('e4', { bornMs: 9 }), createRecord('e5')], false, 0)
+    table.replaceAll([createRecord('e1'), createRecord('e2'), createRecord('e3', { state: 'draining' }), createRecord('e4', { bornMs: 9 }), createRecord('e5')], undefined, 0)
     table.remove('e2')
-    table.restoreAll([createRecord('e1'), createRecord('e2'), createRecord('e3'), createRecord('e4', { bornMs: 3 })], 100)
+    table.restoreAll([createRecord('e1'), createRecord('e2'), createRecord('e3'), createRecord('e4', { bornMs: 3 })], 100 + LAPSE_GRACE_MS, 100)
     return table
   }
   const table = fill()
@@ -145,7 +145,7 @@
 // Guards against requests to a failure domain that is out of service, or to endpoints that are draining.
 test('only ready endpoints in failure domains that are in service are usable', t => {
   const table = EndpointsPlugin.create()
-  table.replaceAll([createRecord('e1'), createRecord('e2', { domain: 'b' }), createRecord('e3', { state: 'draining' })], false, 0)
+  table.replaceAll([createRecord('e1'), createRecord('e2', { domain: 'b' }), createRecord('e3', { state: 'draining' })], undefined, 0)
   t.deepEqual(listIds(table), ['e1', 'e2'])
   table.setEvacuated(new Set(['a']))
   t.deepEqual(listIds(table), ['e2'])
@@ -160,7 +160,7 @@
   t.deepEqual(table.upsert(createRecord('e9', { bornMs: 5, address: { host: '10.0.0.1', port: 1 } }), 10), [{ id: 'e1', change: 'gone' }, { id: 'e9', change: 'added' }])
   t.deepEqual(table.upsert(createRecord('e1'), 20), [])
   table.noteReplaced('e9')
-  t.deepEqual(table.replaceAll([createRecord('e9', { bornMs: 5 })], false, 30), [])
+  t.deepEqual(table.replaceAll([createRecord('e9', { bornMs: 5 })], undefined, 30), [])
   t.deepEqual(table.upsert(createRecord('e9', { bornMs: 6 }), 40), [{ id: 'e9', change: 'added' }])
   t.is(table.upsert(createRecord('e9', { bornMs: 7 }), 50).at(-1)?.change, 'restarted')
 })
--- a/test/gateway/leaving.test.ts
+++ b/test/gateway/leaving.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava'
 import { setTimeout as wait } from 'node:timers/promises'
+import { LAPSE_GRACE_MS } from '../../src/plugins/gateway/endpoints.js'
 import { startHarness } from './harness.js'
 import type { Script } from './harness.js'
 
@@ -31,7 +32,7 @@
   const statuses = []
   for (let call = 0; call < 6; call += 1) statuses.push((await harness.call()).status)
   const { record } = harness.context.endpoints.find('e1')!
-  harness.context.endpoints.replaceAll([record, harness.context.endpoints.find('e2')!.record], true, harness.context.getNowMs())
+  harness.context.endpoints.replaceAll([record, harness.context.endpoints.find('e2')!.record], harness.context.getNowMs() + LAPSE_GRACE_MS, harness.context.getNowMs())
   statuses.push((await harness.call()).status)
   harness.context.endpoints.remove('e1')
   harness.context.endpoints.upsert(record, harness.context.getNowMs())
