--- a/test/adapter/dialect.test.ts
+++ b/test/adapter/dialect.test.ts
@@ -1,9 +1,11 @@
 import test from 'ava'
+import fc from 'fast-check'
 import { decodeConfiguration, decodeEndpoint } from '../../platform/decode.js'
 import { platformDialect } from '../../platform/dialect.js'
 import type { EventId } from '../../src/gateway/event-id.js'
 import type { SendableHeaders } from '../../src/gateway/sendable.js'
 import { parseAgentSettings, parseGatewaySettings } from '../../platform/settings.js'
+import { PROPERTY } from '../gateway/property.js'
 
 const CALLER = [
   'Host', 'Svc.example:8080', 'Heatherdoor-Request-Id', 'r1', 'Authorization', 'Bearer k1', 'Connection', 'keep-alive, X-Private', 'X-Private', '1',
@@ -21,6 +23,31 @@
   t.is(platformDialect.parseRequest('*', CALLER).extract(), 'path')
 })
 
+function parseParts (...prefixes: readonly string[]): readonly string[] | undefined {
+  return platformDialect.parseRequest('/a', ['Host', 'h', 'Heatherdoor-Request-Id', 'r', ...prefixes.flatMap(prefix => ['Heatherdoor-Prompt-Prefix', prefix])])
+    .map(({ sharedParts }) => sharedParts).orDefault(undefined)
+}
+
+// Guards against a part that crashes endpoints and is never accused, as its entry is not read.
+test('every part of a prompt but the last is read, whatever its form', t => {
+  const long = 'ab'.repeat(20)
+  t.snapshot({
+    'ids of all lengths': parseParts(`a:1,${'b'.repeat(32)}:2,${'c'.repeat(33)}:3,${long}:4,own:5`),
+    'the case of digits': parseParts('AB:1,ab:2,own:3'),
+    'no hexadecimal id, no tokens, too many tokens': parseParts(`doc-7:1,ab,cd:${'9'.repeat(20)}, ef :1,own:1`),
+    'an empty entry': parseParts(',ab:1,,own:1'),
+    'the last part only': parseParts('ab:1'),
+    'two headers': parseParts('ab:1', 'cd:2,own:3')
+  })
+})
+
+// Guards against a limit on the length of ids, beyond which parts are dropped or taken for one another.
+test('two different parts are never read as one, however long their ids are', t => {
+  const id = fc.string({ unit: fc.constantFrom(...'0123456789abcdef'), minLength: 1, maxLength: 90 })
+  fc.assert(fc.property(fc.uniqueArray(id, { minLength: 1, maxLength: 60 }), ids => parseParts([...ids, 'own'].map(part => `${part}:1`).join())?.length === ids.length), PROPERTY)
+  t.pass()
+})
+
 // Guards against credentials, forged gateway headers and connection headers that reach an endpoint.
 test('an attempt forwards only the caller headers that are meant for endpoints', t => {
   t.snapshot(platformDialect.buildAttempt(CALLER as unknown as SendableHeaders, { endpointId: 'e1', deadlineLeftMs: 7_000, team: 't1', priority: 2, lastEventId: 13 as EventId, bodyBytes: 5 }))
--- a/test/gateway/prompt-parts.test.ts
+++ b/test/gateway/prompt-parts.test.ts
@@ -87,6 +87,23 @@
   t.deepEqual(statuses['deadly'], [502, ...new Array<number>(7).fill(503)])
 })
 
+// Guards against parts that are never accused, and crash endpoint after endpoint, because their ids are long.
+test('a part with a long id does not crash endpoint after endpoint', async t => {
+  const harness = await startHarness('idempotent', {}, { attemptsMax: 2 })
+  const endpoints = await startEndpoints(harness, 3)
+  const [shared, deadly] = ['5a', DEADLY_PART].map(part => part.repeat(10).padEnd(40, '0')) as [string, string]
+  const statuses = [(await harness.call({ parts: [shared, 'c0'] })).status]
+  for (let index = 1; index <= 4; index += 1) {
+    statuses.push((await harness.call({ path: `/a/${index}`, parts: [shared, deadly, `d${index}`] })).status)
+    await wait(2 * DOWN_MS)
+  }
+  for (const endpoint of endpoints) endpoint.stop()
+  harness.close()
+  const crashes = endpoints.reduce((sum, endpoint) => sum + endpoint.crashes, 0)
+  t.is(crashes, 1, `${crashes} crashes`)
+  t.deepEqual(statuses, [200, 502, 503, 503, 503])
+})
+
 // Guards against refusing a team's sound requests because the part that they share was first seen in one that crashes endpoints.
 test('requests that share a part with those that crash endpoints are served', async t => {
   const harness = await startHarness('idempotent', {}, { attemptsMax: 2 })
