Accuse every part of a prompt, whatever stands before it

Cause: a crash accused the first 32 parts and dropped the rest without a word. Those that stand first are shared by most requests, so that sound answers cleared all of them and no suspect was left.

Change: parts of a prompt and of a crash have no bound of their own. All accusations together are bounded by what the largest head can list; beyond it the oldest crashes go, and of a single one sound parts, then those in flight the shortest. What goes is counted and logged. Evidence is split into datagrams, suspects first, and heartbeats repeat these in turn.

--- a/src/edge/metrics/table.ts
+++ b/src/edge/metrics/table.ts
@@ -43,6 +43,7 @@
   requests_received: { type: 'counter', help: 'Requests from callers.', label: serviceLabel },
   requests: { type: 'counter', help: 'Requests answered, by `ok` or error kind.', label: resultLabel },
   outcomes: { type: 'counter', help: 'Outcomes told with error answers.', label: outcomeLabel },
+  part_evidence_dropped: { type: 'counter', help: 'What was forgotten of crashes and of parts of prompts for lack of room: accused parts, whole crashes, parts known to be harmless.', label: { name: 'kind', values: { kind: 'list', values: ['accusations', 'crashes', 'harmless'] } } },
   retries: { type: 'counter', help: 'Second and later attempts of requests.' },
   hedges: { type: 'counter', help: 'Second attempts sent while the first still ran.' },
   resumes: { type: 'counter', help: 'Model streams resumed on another endpoint.' },
--- a/src/gateway/crash-monitor.ts
+++ b/src/gateway/crash-monitor.ts
@@ -10,6 +10,7 @@
 import type { CrashEvidence, PartCrashesPort, Suspect } from '../plugins/gateway/part-crashes.js'
 import type { PeersPort } from '../plugins/gateway/peers.js'
 import { CrashProbe } from './crash-probe.js'
+import { formatParts } from './part-names.js'
 import { hasBegun } from './running-attempt.js'
 import type { RunningAttempt } from './running-attempt.js'
 
@@ -98,8 +99,9 @@
   noteBegun ({ team, parts }: MonitoredRequest, startedAtMs: number): void {
     if (parts.length === 0) return
     const cleared = this.#options.partCrashes.noteBegun(parts, team, startedAtMs, this.#options.getNowMs())
+    this.#countDropped()
     if (cleared.length === 0) return
-    for (const { crash, cleared: clearedParts } of cleared) this.#options.log('suspect-cleared', { crash, parts: clearedParts.join(' ') })
+    for (const { crash, cleared: clearedParts } of cleared) this.#options.log('suspect-cleared', { crash, parts: formatParts(clearedParts) })
     this.#options.sendEvidence(cleared)
   }
 
@@ -120,6 +122,7 @@
       const endpoint = this.#options.endpoints.find(item.crash.split(CRASH_SEPARATOR)[0]!)
       if (endpoint !== undefined && formatCrash(endpoint) === item.crash) this.#options.noteCrash(endpoint, nowMs - item.ageMs)
     }
+    this.#countDropped()
     if (replies.length > 0) reply(replies)
   }
 
@@ -128,6 +131,7 @@
     const nowMs = this.#options.getNowMs()
     const changed = evidence.filter(item => this.#options.partCrashes.merge(item, nowMs).isChanged)
     for (const item of changed) this.#logEvidence(item, 'added')
+    this.#countDropped()
     if (changed.length > 0) this.#options.sendEvidence(changed)
   }
 
@@ -145,6 +149,7 @@
     const evidence = partCrashes.noteCrash(formatCrash(endpoint), service, suspects, nowMs)
     this.#options.noteCrash(endpoint, nowMs)
     this.#logEvidence(evidence, 'seen')
+    this.#countDropped()
     this.#options.sendEvidence([evidence])
   }
 
@@ -157,10 +162,18 @@
   #logEvidence ({ crash, accused, harmless, cleared }: CrashEvidence, how: string): void {
     const { partCrashes, getNowMs, log } = this.#options
     log('part-evidence', {
-      crash, how, accused: accused.map(({ part }) => part).join(' '), harmless: harmless.map(({ part }) => part).join(' '), cleared: cleared.join(' '), blocked: partCrashes.listBlocked(getNowMs()).join(' ')
+      crash, how, accused: formatParts(accused.map(({ part }) => part)), harmless: formatParts(harmless.map(({ part }) => part)), cleared: formatParts(cleared), blocked: formatParts(partCrashes.listBlocked(getNowMs()))
     })
   }
 
+  /** Counts what was dropped for lack of room; evidence is logged besides, as a part that crashes endpoints may be among it. */
+  #countDropped (): void {
+    const { partCrashes, metrics, log } = this.#options
+    const { accusations, crashes, harmless } = partCrashes.takeDropped()
+    for (const [kind, dropped] of Object.entries({ accusations, crashes, harmless })) if (dropped > 0) metrics.count('part_evidence_dropped', kind, dropped)
+    if (accusations > 0 || crashes > 0) log('part-evidence-dropped', { accusations, crashes })
+  }
+
   /** Position of this gateway among the live ones by rendezvous hashing, so that they try a part one after the other. */
   #rankForTrial (part: string): number {
     const { self, peers } = this.#options
--- a/src/gateway/link.ts
+++ b/src/gateway/link.ts
@@ -9,15 +9,13 @@
 import type { GatewayState } from '../plugins/gateway/peers.js'
 import type { MemberMessage } from '../plugins/gateway/prober.js'
 import type { SharedStatements } from '../plugins/gateway/named-limits.js'
+import { splitEvidence } from './evidence-messages.js'
 import type { EvidenceMessage, EvidenceRequest } from './evidence-messages.js'
 import { LINK_VERSION, decodeMessage } from './link-messages.js'
 import type { Heartbeat, LimitsMessage, LinkMessage, MemberDatagram, ShareReply, ShareRequest, WatchMessage } from './link-messages.js'
 import type { Address } from './model.js'
 import type { WatchNews } from './watch-roles.js'
 
-/** Most crashes described in one datagram; one takes up to 2 KB. */
-export const CRASHES_PER_DATAGRAM_MAX = 8
-
 /** Most strikes in one heartbeat, so that it fits into one datagram. */
 const STRIKES_PER_HEARTBEAT_MAX = 16
 
@@ -56,6 +54,8 @@
   readonly #targets = new Map<string, Address>()
   readonly #pending = new Map<number, (isLent: boolean) => void>()
   #nextRequestId = 1
+  /** Number of heartbeats sent to each gateway, which chooses the evidence that the next one repeats. */
+  readonly #heartbeats = new Map<string, number>()
 
   private constructor (self: Address, handlers: LinkHandlers) {
     this.#self = self
@@ -102,20 +102,26 @@
   }
 
   /**
-   * Sends a heartbeat to some gateways.
+   * Sends a heartbeat to some gateways. Evidence that is too much for one datagram is spread over successive heartbeats.
    *
    * @param purpose - whether the heartbeat is sent periodically or announces a change
    * @param ids - names of gateways; unknown ones and this one are ignored
    * @param content - what it says
    */
   sendHeartbeat (purpose: 'heartbeat' | 'announcement', ids: readonly string[], { state, strikes, evidence = [], incarnation }: HeartbeatContent): void {
-    const heartbeat: Heartbeat = {
-      version: LINK_VERSION, state, address: this.#self, strikes: strikes.slice(0, STRIKES_PER_HEARTBEAT_MAX), evidence: evidence.slice(0, CRASHES_PER_DATAGRAM_MAX), ...(incarnation === undefined ? {} : { incarnation })
-    }
-    const bytes = pack(heartbeat)
+    const heartbeats = splitEvidence(evidence).map((list): Heartbeat => ({
+      version: LINK_VERSION, state, address: this.#self, strikes: strikes.slice(0, STRIKES_PER_HEARTBEAT_MAX), evidence: list, ...(incarnation === undefined ? {} : { incarnation })
+    }))
+    const packed = new Map<number, Buffer>()
     for (const id of ids) {
       const target = this.#targets.get(id)
-      if (target !== undefined && id !== state.id) this.#post(purpose, bytes, target)
+      if (target === undefined || id === state.id) continue
+      const sent = this.#heartbeats.get(id) ?? 0
+      this.#heartbeats.set(id, sent + 1)
+      const at = sent % heartbeats.length
+      const bytes = packed.get(at) ?? pack(heartbeats[at])
+      packed.set(at, bytes)
+      this.#post(purpose, bytes, target)
     }
   }
 
@@ -127,7 +133,7 @@
 
   /** Sends evidence of crashes to every known gateway. */
   sendEvidence (evidence: readonly CrashEvidence[]): void {
-    for (const target of this.#targets.values()) this.#postEvidence('news', evidence, target)
+    this.#postEvidence('news', evidence, [...this.#targets.values()])
   }
 
   /** Sends what an endpoint said about the rate that it takes to every known gateway. */
@@ -203,10 +209,11 @@
   }
 
   /** Sends evidence in as many datagrams as it takes; a table without evidence takes one, which tells that there is none. */
-  #postEvidence (purpose: EvidenceMessage['purpose'], evidence: readonly CrashEvidence[], target: Address): void {
-    for (let at = 0; at === 0 || at < evidence.length; at += CRASHES_PER_DATAGRAM_MAX) {
-      const message: EvidenceMessage = { version: LINK_VERSION, kind: 'evidence', purpose, evidence: evidence.slice(at, at + CRASHES_PER_DATAGRAM_MAX) }
-      this.#post('evidence', pack(message), target)
+  #postEvidence (purpose: EvidenceMessage['purpose'], evidence: readonly CrashEvidence[], targets: readonly Address[]): void {
+    for (const list of splitEvidence(evidence)) {
+      const message: EvidenceMessage = { version: LINK_VERSION, kind: 'evidence', purpose, evidence: list }
+      const bytes = pack(message)
+      for (const target of targets) this.#post('evidence', bytes, target)
     }
   }
 
@@ -224,7 +231,7 @@
       this.#handlers.handleHeartbeat(message)
       if (message.state.limits !== undefined) this.#handlers.handleLimits(message.state.limits)
       if (message.evidence !== undefined && message.evidence.length > 0) {
-        this.#handlers.handleEvidence({ purpose: 'news', evidence: message.evidence }, evidence => { this.#postEvidence('addition', evidence, sender) })
+        this.#handlers.handleEvidence({ purpose: 'news', evidence: message.evidence }, evidence => { this.#postEvidence('addition', evidence, [sender]) })
       }
       return
     }
@@ -241,14 +248,14 @@
         const evidence = this.#handlers.listEvidence()
         if (evidence === undefined) break
         this.#postLimits(this.#handlers.listLimits(), sender)
-        this.#postEvidence('table', evidence, sender)
+        this.#postEvidence('table', evidence, [sender])
         break
       }
       case 'limits':
         this.#handlers.handleLimits(message.limits)
         break
       case 'evidence':
-        this.#handlers.handleEvidence(message, evidence => { this.#postEvidence('addition', evidence, sender) })
+        this.#handlers.handleEvidence(message, evidence => { this.#postEvidence('addition', evidence, [sender]) })
         break
       case 'watch-news':
         this.#handlers.handleNews(message.news)
--- a/src/gateway/model.ts
+++ b/src/gateway/model.ts
@@ -6,6 +6,9 @@
 import type { EventId } from './event-id.js'
 import type { SendableHeaders } from './sendable.js'
 
+/** Largest head of a request in bytes that is read at all; the platform's configuration may set less. */
+export const HEADER_BYTES_MAX = 64 * 1024
+
 /** Address that a process listens on. */
 export interface Address {
   readonly host: string
--- a/src/gateway/server.ts
+++ b/src/gateway/server.ts
@@ -13,11 +13,11 @@
 import type { Bound, CallerBounds } from './caller-limits.js'
 import type { GatewayContext } from './context.js'
 import { Exchange } from './exchange.js'
+import { HEADER_BYTES_MAX } from './model.js'
 import type { Address, CallerRequest, Route, RouteShare } from './model.js'
 import { sendRefusal } from './responses.js'
 
-/** Limits until a configuration is known; its own limits then replace them, except for the size of headers. */
-const HEADER_BYTES_MAX = 64 * 1024
+/** Limits until a configuration is known; its own limits then replace them. */
 const HEADER_TIMEOUT_MS = 3_000
 const IDLE_TIMEOUT_MS = 15_000
 const BODY_BYTES_MAX = 4 * 1024 * 1024
--- a/src/gateway/settle-attempt.ts
+++ b/src/gateway/settle-attempt.ts
@@ -4,6 +4,7 @@
 import type { GatewayContext } from './context.js'
 import type { CallerRequest } from './model.js'
 import type { RunningAttempt } from './running-attempt.js'
+import { formatParts } from './part-names.js'
 
 /** How an attempt ended. */
 export interface AttemptEnd {
@@ -35,6 +36,6 @@
   context.metrics.count('attempts', result)
   if (result === 'ok') return
   context.log('attempt-ended', {
-    request: request.requestId, endpoint: id, result, reason, status: running.head?.status ?? 0, elapsedMs: Math.round(nowMs - running.startedAtMs), events, attemptEvents: running.events, parts: (request.sharedParts ?? []).join(' ')
+    request: request.requestId, endpoint: id, result, reason, status: running.head?.status ?? 0, elapsedMs: Math.round(nowMs - running.startedAtMs), events, attemptEvents: running.events, parts: formatParts(request.sharedParts ?? [])
   })
 }
--- a/src/kernel/log-events.ts
+++ b/src/kernel/log-events.ts
@@ -5,7 +5,7 @@
   'request-received', 'request-finished', 'request-refused', 'request-retried', 'stream-resumed', 'limit-reached',
   'work-started', 'work-refused', 'pause-detected',
   'handover-started', 'handover-finished', 'handover-received',
-  'endpoint-cold', 'endpoint-crashed', 'endpoint-ejected', 'request-suspected', 'request-quarantined', 'suspect-cleared', 'part-evidence', 'part-tried', 'evidence-synced', 'group-lost', 'group-found', 'request-held', 'endpoint-limited', 'endpoint-announced',
+  'endpoint-cold', 'endpoint-crashed', 'endpoint-ejected', 'request-suspected', 'request-quarantined', 'suspect-cleared', 'part-evidence', 'part-evidence-dropped', 'part-tried', 'evidence-synced', 'group-lost', 'group-found', 'request-held', 'endpoint-limited', 'endpoint-announced',
   'member-joined', 'member-suspected', 'member-dead', 'member-leaving',
   'configuration-accepted', 'configuration-ignored', 'configuration-rejected', 'platform-lost', 'platform-found',
   'lease-acquired', 'lease-lost', 'map-proposed', 'map-prepared', 'map-decided', 'map-stalled', 'rebalance-declined',
--- a/src/plugins/gateway/explanation.ts
+++ b/src/plugins/gateway/explanation.ts
@@ -70,17 +70,35 @@
  */
 export function explainCrashes (crashes: readonly AccusingCrash[]): ReadonlyMap<string, Explanation> {
   const explanations = new Map<string, Explanation>()
-  let open = groupIncidents(crashes)
+  const open = indexIncidents(groupIncidents(crashes))
+  const totals = new Map([...open].map(([part, incidents]) => [part, sumCandidates(part, incidents)]))
   for (;;) {
-    const totals = sumCandidates(open)
     const part = pickGuiltiest(totals)
     if (part === undefined) return explanations
-    const explained = open.filter(({ candidates }) => candidates.has(part))
+    const explained = open.get(part)!
     const { points } = totals.get(part)!
-    const rivals = [...explained[0]!.candidates.keys()].filter(other => other !== part && totals.get(other)!.points === points && explained.every(({ candidates }) => candidates.has(other)))
+    const rivals = [...explained[0]!.candidates.keys()].filter(other => other !== part && totals.get(other)?.points === points && explained.every(({ candidates }) => candidates.has(other)))
     explanations.set(part, describeExplanation(part, rivals, explained))
-    open = open.filter(incident => !explained.includes(incident))
+    for (const other of new Set(explained.flatMap(({ candidates }) => [...candidates.keys()]))) {
+      const rest = open.get(other)!.filter(incident => !explained.includes(incident))
+      open.set(other, rest)
+      if (rest.length === 0) totals.delete(other)
+      else totals.set(other, sumCandidates(other, rest))
+    }
+  }
+}
+
+/** Lists the incidents of each part. */
+function indexIncidents (incidents: readonly Incident[]): Map<string, readonly Incident[]> {
+  const byPart = new Map<string, Incident[]>()
+  for (const incident of incidents) {
+    for (const part of incident.candidates.keys()) {
+      const known = byPart.get(part)
+      if (known === undefined) byPart.set(part, [incident])
+      else known.push(incident)
+    }
   }
+  return byPart
 }
 
 function groupIncidents (crashes: readonly AccusingCrash[]): readonly Incident[] {
@@ -110,22 +128,22 @@
   return candidates
 }
 
-function sumCandidates (incidents: readonly Incident[]): ReadonlyMap<string, Candidate> {
-  const totals = new Map<string, Candidate>()
-  for (const { candidates } of incidents) {
-    for (const [part, { points, depth, ageMs }] of candidates) {
-      const total = totals.get(part)
-      totals.set(part, { points: points + (total?.points ?? 0), depth: Math.max(depth, total?.depth ?? 0), ageMs: ageMs + (total?.ageMs ?? 0) })
-    }
-  }
-  return totals
+function sumCandidates (part: string, incidents: readonly Incident[]): Candidate {
+  return incidents.map(({ candidates }) => candidates.get(part)!)
+    .reduce((total, { points, depth, ageMs }) => ({ points: total.points + points, depth: Math.max(total.depth, depth), ageMs: total.ageMs + ageMs }))
 }
 
 /** Picks the part with the most points; of equal ones the deepest, as it is shared by the fewest requests, then the one in flight the longest. */
 function pickGuiltiest (totals: ReadonlyMap<string, Candidate>): string | undefined {
-  const ranked = [...totals].filter(([, { points }]) => points >= POINTS_MIN)
-    .sort(([partA, a], [partB, b]) => b.points - a.points || b.depth - a.depth || b.ageMs - a.ageMs || (partA < partB ? -1 : 1))
-  return ranked[0]?.[0]
+  let guiltiest: readonly [string, Candidate] | undefined
+  for (const total of totals) {
+    if (total[1].points >= POINTS_MIN && (guiltiest === undefined || compareGuilt(total, guiltiest) > 0)) guiltiest = total
+  }
+  return guiltiest?.[0]
+}
+
+function compareGuilt ([partA, a]: readonly [string, Candidate], [partB, b]: readonly [string, Candidate]): number {
+  return a.points - b.points || a.depth - b.depth || a.ageMs - b.ageMs || (partA < partB ? 1 : -1)
 }
 
 function describeExplanation (part: string, rivals: readonly string[], incidents: readonly Incident[]): Explanation {
--- a/src/plugins/gateway/part-crashes.ts
+++ b/src/plugins/gateway/part-crashes.ts
@@ -3,6 +3,7 @@
  * a crash, so that every crash counts once, and derive the blocked parts from it.
  */
 
+import { HEADER_BYTES_MAX } from '../../gateway/model.js'
 import { registerPlugin } from '../../kernel/plugin.js'
 import type { Plugin } from '../../kernel/plugin.js'
 import type { Ports } from '../../kernel/ports.js'
@@ -13,10 +14,16 @@
 const EVIDENCE_TTL_MS = 600_000
 
 /** Largest number of crashes that are kept. */
-const CRASHES_MAX = 64
+export const CRASHES_MAX = 64
 
-/** Largest number of parts that one crash accuses. */
-const ACCUSED_MAX = 32
+/** Least number of bytes that a part takes in the head of a request, when thousands of different ones do. */
+const PART_BYTES_MIN = 4
+
+/**
+ * Largest number of accusations that are kept, of all crashes together: what the largest head can list.
+ * Beyond it the oldest crashes are forgotten; of the latest one, parts that are known to be sound, then those in flight the shortest.
+ */
+export const ACCUSATIONS_MAX = HEADER_BYTES_MAX / PART_BYTES_MIN
 
 /** Largest number of teams that are remembered for a part; two show that it is not one team's own. */
 const TEAMS_MAX = 2
@@ -91,6 +98,16 @@
   readonly reply: CrashEvidence | undefined
 }
 
+/** What was forgotten for lack of room. */
+export interface DroppedEvidence {
+  readonly accusations: number
+  readonly crashes: number
+  /** Parts that were known to be harmless. */
+  readonly harmless: number
+}
+
+const NOTHING_DROPPED: DroppedEvidence = { accusations: 0, crashes: 0, harmless: 0 }
+
 /** Parts of prompts that crash endpoints. */
 export interface PartCrashesPort {
   decide (request: PartRequest, nowMs: number): PartDecision
@@ -102,6 +119,8 @@
   /** Lists the evidence that has changed since a time, latest crash first. */
   list (changedSinceMs: number, nowMs: number): readonly CrashEvidence[]
   listBlocked (nowMs: number): readonly string[]
+  /** Takes the numbers of what was dropped since the last call. */
+  takeDropped (): DroppedEvidence
 }
 
 interface AccusedEntry {
@@ -132,6 +151,7 @@
   readonly #hiding = new Set<string>()
   #explanations: ReadonlyMap<string, Explanation> = new Map()
   #isStale = false
+  #dropped = NOTHING_DROPPED
 
   private constructor () {}
 
@@ -163,6 +183,9 @@
 
   noteCrash (crash: string, service: string, suspects: readonly Suspect[], nowMs: number): CrashEvidence {
     const accused = suspects.flatMap(({ parts, team, ageMs }) => parts.map((part, depth): Accusation => ({ part, teams: [team], depth, ageMs })))
+    // The suspects that matter most come first, for the table and for the datagrams.
+    const known = new Set(accused.flatMap(({ part }) => this.#findHarmless(part, nowMs) === undefined ? [] : [part]))
+    accused.sort((a, b) => Number(known.has(a.part)) - Number(known.has(b.part)) || b.ageMs - a.ageMs)
     const evidence: CrashEvidence = { crash, service, ageMs: 0, accused, harmless: [], cleared: [] }
     this.merge(evidence, nowMs)
     return describeEntry(this.#getEntry(evidence, nowMs, nowMs), nowMs)
@@ -188,20 +211,22 @@
     const entry = this.#getEntry(evidence, atMs, nowMs)
     entry.atMs = Math.min(entry.atMs, atMs)
     const own: { part: string, teams: readonly string[] }[] = []
-    for (const accusation of evidence.accused) {
+    // What the sender knows need not be told it again.
+    for (const { part, teams } of evidence.harmless) if (addHarmless(entry, part, teams)) isChanged = true
+    for (const accusation of this.#fit(entry, evidence.accused)) {
       const isNew = !entry.accused.has(accusation.part)
       if (!addAccusation(entry, accusation)) continue
       isChanged = true
       const known = isNew ? this.#findHarmless(accusation.part, nowMs) : undefined
       if (known !== undefined && addHarmless(entry, accusation.part, [...known])) own.push({ part: accusation.part, teams: [...known] })
     }
-    for (const { part, teams } of evidence.harmless) if (addHarmless(entry, part, teams)) isChanged = true
     for (const part of evidence.cleared) {
-      if (entry.cleared.has(part) || entry.cleared.size >= ACCUSED_MAX) continue
+      if (entry.cleared.has(part) || entry.cleared.size >= ACCUSATIONS_MAX) continue
       entry.cleared.add(part)
       isChanged = true
     }
     if (isChanged) this.#noteChanged(entry, nowMs)
+    this.#dropOldest()
     return { isChanged, reply: own.length === 0 ? undefined : { crash: entry.id, service: entry.service, ageMs: nowMs - entry.atMs, accused: [], harmless: own, cleared: [] } }
   }
 
@@ -215,6 +240,41 @@
     return [...this.#explain(nowMs).keys()]
   }
 
+  takeDropped (): DroppedEvidence {
+    const dropped = this.#dropped
+    this.#dropped = NOTHING_DROPPED
+    return dropped
+  }
+
+  /** Lists the accusations that a crash has room for; parts that are known to be sound make room for others. */
+  #fit (entry: CrashEntry, accused: readonly Accusation[]): readonly Accusation[] {
+    const added = [...new Set(accused.flatMap(({ part }) => entry.accused.has(part) ? [] : [part]))]
+    const excess = entry.accused.size + added.length - ACCUSATIONS_MAX
+    if (excess <= 0) return accused
+    const sound = [...entry.accused.keys()].filter(part => entry.cleared.has(part) || entry.harmless.has(part)).slice(0, excess)
+    for (const part of sound) entry.accused.delete(part)
+    this.#noteDropped({ accusations: excess })
+    const dropped = new Set(added.slice(added.length - (excess - sound.length)))
+    return accused.filter(({ part }) => !dropped.has(part))
+  }
+
+  /** Forgets the oldest crashes until the others fit. */
+  #dropOldest (): void {
+    let accusations = [...this.#crashes.values()].reduce((sum, { accused }) => sum + accused.size, 0)
+    for (const [id, { accused }] of this.#crashes) {
+      if ((accusations <= ACCUSATIONS_MAX && this.#crashes.size <= CRASHES_MAX) || this.#crashes.size === 1) return
+      this.#crashes.delete(id)
+      accusations -= accused.size
+      this.#isStale = true
+      this.#noteDropped({ crashes: 1 })
+    }
+  }
+
+  #noteDropped (dropped: Partial<DroppedEvidence>): void {
+    const { accusations, crashes, harmless } = this.#dropped
+    this.#dropped = { accusations: accusations + (dropped.accusations ?? 0), crashes: crashes + (dropped.crashes ?? 0), harmless: harmless + (dropped.harmless ?? 0) }
+  }
+
   /**
    * Computes the monotonic time in ms from which a request with a blocked part may be tried. While other parts explain the
    * crashes as well, a request that lacks one of them shows which it is, best one that lacks them all.
@@ -264,8 +324,6 @@
     if (entry === undefined) {
       entry = { id: crash, service, atMs, changedAtMs: nowMs, accused: new Map(), harmless: new Map(), cleared: new Set() }
       this.#crashes.set(crash, entry)
-      const oldest = this.#crashes.keys().next().value
-      if (this.#crashes.size > CRASHES_MAX && oldest !== undefined) this.#crashes.delete(oldest)
     }
     return entry
   }
@@ -282,7 +340,9 @@
     this.#harmless.delete(part)
     this.#harmless.set(part, known)
     const oldest = this.#harmless.keys().next().value
-    if (this.#harmless.size > HARMLESS_MAX && oldest !== undefined) this.#harmless.delete(oldest)
+    if (this.#harmless.size <= HARMLESS_MAX || oldest === undefined) return
+    this.#harmless.delete(oldest)
+    this.#noteDropped({ harmless: 1 })
   }
 
   #findHarmless (part: string, nowMs: number): ReadonlySet<string> | undefined {
@@ -311,7 +371,6 @@
 function addAccusation ({ accused }: CrashEntry, { part, teams, depth, ageMs }: Accusation): boolean {
   const known = accused.get(part)
   if (known === undefined) {
-    if (accused.size >= ACCUSED_MAX) return false
     accused.set(part, { teams: new Set(teams.slice(0, TEAMS_MAX)), depth, ageMs })
     return true
   }
@@ -324,7 +383,7 @@
 function addHarmless ({ harmless }: CrashEntry, part: string, teams: readonly string[]): boolean {
   const known = harmless.get(part)
   if (known !== undefined) return addTeams(known, teams)
-  if (harmless.size >= ACCUSED_MAX) return false
+  if (harmless.size >= ACCUSATIONS_MAX) return false
   harmless.set(part, new Set(teams.slice(0, TEAMS_MAX)))
   return true
 }
--- a/test/adapter/dialect.test.ts
+++ b/test/adapter/dialect.test.ts
@@ -41,11 +41,12 @@
   })
 })
 
-// Guards against a limit on the length of ids, beyond which parts are dropped or taken for one another.
-test('two different parts are never read as one, however long their ids are', t => {
+// Guards against a limit on the number or length of parts, at which the rest is dropped.
+test('two different parts are never read as one, however many and long they are', t => {
   const id = fc.string({ unit: fc.constantFrom(...'0123456789abcdef'), minLength: 1, maxLength: 90 })
-  fc.assert(fc.property(fc.uniqueArray(id, { minLength: 1, maxLength: 60 }), ids => parseParts([...ids, 'own'].map(part => `${part}:1`).join())?.length === ids.length), PROPERTY)
-  t.pass()
+  fc.assert(fc.property(fc.uniqueArray(id, { minLength: 1, maxLength: 400 }), ids => parseParts([...ids, 'own'].map(part => `${part}:1`).join())?.length === ids.length), PROPERTY)
+  const most = Array.from({ length: 4_000 }, (_value, index) => index.toString(16))
+  t.deepEqual(parseParts([...most, 'own'].map(part => `${part}:1`).join()), most)
 })
 
 // Guards against credentials, forged gateway headers and connection headers that reach an endpoint.
--- a/test/gateway/blame.test.ts
+++ b/test/gateway/blame.test.ts
@@ -1,5 +1,6 @@
 import test from 'ava'
 import fc from 'fast-check'
+import { splitEvidence } from '../../src/gateway/evidence-messages.js'
 import type { CrashEvidence } from '../../src/plugins/gateway/part-crashes.js'
 import { PartCrashesPlugin, TRIAL_INTERVAL_MS } from '../../src/plugins/gateway/part-crashes.js'
 import { PROPERTY } from './property.js'
@@ -26,7 +27,7 @@
 
 // Guards against refusing sound requests for half a minute because a part of theirs was first seen beside the one that crashes endpoints.
 test('a part first seen beside the one that crashes endpoints is served again within the time of a trial', t => {
-  for (const others of [['one'], ['one', 'two'], Array.from({ length: 20 }, (_value, index) => `p${index}`)]) {
+  for (const others of [['one'], ['one', 'two'], Array.from({ length: 1_000 }, (_value, index) => `p${index}`)]) {
     for (const at of [0, Math.floor(others.length / 2), others.length]) {
       const table = PartCrashesPlugin.create()
       const guilty = [...others]
@@ -98,3 +99,26 @@
   }), { ...PROPERTY, numRuns: 25 * PROPERTY.numRuns })
   t.pass()
 })
+
+const crash = fc.record({ before: fc.nat(900), after: fc.nat(900), isKnown: fc.boolean(), beside: fc.nat(300), lost: fc.infiniteStream(fc.boolean()) })
+
+// Guards against parts or evidence that are dropped because a prompt has many parts, or a crash needs many datagrams.
+test('another gateway learns of a part behind and before any number of others, with datagrams lost', t => {
+  fc.assert(fc.property(crash, ({ before, after, isKnown, beside, lost }) => {
+    const [seeing, other] = [PartCrashesPlugin.create(), PartCrashesPlugin.create()]
+    const sound = Array.from({ length: before + after }, (_value, index) => `s${index}`)
+    const guilty = [...sound.slice(0, before), GUILTY, ...sound.slice(before)]
+    if (isKnown) seeing.noteBegun(sound, TEAM, 0, 1)
+    let sent = splitEvidence([accuse(seeing, 'e1/1', [guilty, Array.from({ length: beside }, (_value, index) => `b${index}`)], 10)])
+    while (sent.length > 0) {
+      const repeated = sent.filter(() => lost.next().value)
+      for (const list of sent) if (!repeated.includes(list)) for (const item of list) other.merge(item, 20)
+      sent = repeated
+    }
+    if (decide(other, guilty, 30) !== 'blocked') return beside > 0
+    if (sound.length === 0) return true
+    const served = [30, SETTLED_MS].map(nowMs => decide(other, sound, nowMs))
+    return isKnown ? served.every(kind => kind === 'allowed') : served[1] !== 'blocked'
+  }), { ...PROPERTY, numRuns: PROPERTY.numRuns / 4 })
+  t.pass()
+})
--- a/test/gateway/link.test.ts
+++ b/test/gateway/link.test.ts
@@ -4,9 +4,11 @@
 import { answerRankRequest } from '../../src/gateway/agent.js'
 import type { RankEngine } from '../../src/gateway/agent.js'
 import { LineWriter } from '../../src/gateway/lines.js'
+import { EVIDENCE_BYTES_MAX } from '../../src/gateway/evidence-messages.js'
 import { GatewayLink } from '../../src/gateway/link.js'
 import type { Heartbeat } from '../../src/gateway/link-messages.js'
 import { RankClient, RankServer } from '../../src/gateway/rank-link.js'
+import type { CrashEvidence } from '../../src/plugins/gateway/part-crashes.js'
 import { findUdpPort } from './ports.js'
 
 const STATE = { id: 'g1', bornMs: 1, callerAddress: '10.0.0.1:1', domain: 'a', isReady: true, inFlight: {} }
@@ -32,6 +34,32 @@
   t.deepEqual(received.map(({ state, strikes }) => ({ id: state.id, strikes })), [{ id: 'g1', strikes: [{ fingerprint: 'f', count: 1 }] }, { id: 'g2', strikes: [] }])
 })
 
+// Guards against evidence that is cut at the size of a datagram, and against heartbeats that repeat the first datagram only.
+test('evidence that takes many datagrams arrives, and heartbeats repeat all of it', async t => {
+  const [first, second] = [{ host: '127.0.0.1', port: await findUdpPort() }, { host: '127.0.0.1', port: await findUdpPort() }]
+  const received = { news: new Set<string>(), heartbeats: new Set<string>() }
+  const note = (set: Set<string>, evidence: readonly CrashEvidence[]): void => { for (const { accused } of evidence) for (const { part } of accused) set.add(part) }
+  const sizes: number[] = []
+  const handlers = { handleHeartbeat: () => {}, lendShare: () => false, handleEvidence: () => {}, listEvidence: () => [], handleLimits: () => {}, listLimits: () => ({}), handleNews: () => {}, handleError: (reason: string) => { t.fail(reason) } }
+  let isNews = true
+  const a = GatewayLink.create(first, { ...handlers, handleSent: (_purpose, bytes) => { sizes.push(bytes) } })
+  const b = GatewayLink.create(second, { ...handlers, handleEvidence: ({ evidence }) => { note(isNews ? received.news : received.heartbeats, evidence) } })
+  await Promise.all([a.start(), b.start()])
+  a.addTarget('g2', second)
+  const accused = Array.from({ length: 1_000 }, (_value, index) => ({ part: `p${index}`, teams: ['t1', 't2'], depth: index, ageMs: 0.5 }))
+  const evidence = [{ crash: 'e1/1', service: 's', ageMs: 1, accused, harmless: [], cleared: [] }]
+  a.sendEvidence(evidence)
+  await wait(100)
+  const datagrams = sizes.length
+  isNews = false
+  for (let sent = 0; sent < datagrams; sent += 1) a.send(STATE, [], evidence)
+  await wait(100)
+  for (const link of [a, b]) link.stop()
+  t.true(datagrams > 3 && datagrams < 10, `${datagrams} datagrams`)
+  t.true(Math.max(...sizes) < EVIDENCE_BYTES_MAX + 500, `${Math.max(...sizes)} bytes`)
+  t.deepEqual([received.news.size, received.heartbeats.size], [1_000, 1_000])
+})
+
 test('a gateway lends a share once, and a gateway that is gone lends none', async t => {
   const [first, second] = [{ host: '127.0.0.1', port: await findUdpPort() }, { host: '127.0.0.1', port: await findUdpPort() }]
   const fail = (reason: string): void => { t.fail(reason) }
--- a/test/gateway/prompt-parts.test.ts
+++ b/test/gateway/prompt-parts.test.ts
@@ -9,14 +9,15 @@
 import { listCases } from '../../bench/parts.js'
 import { Metrics } from '../../src/edge/metrics/metrics.js'
 import { CrashMonitor } from '../../src/gateway/crash-monitor.js'
-import { CRASHES_PER_DATAGRAM_MAX } from '../../src/gateway/link.js'
+import { EVIDENCE_BYTES_MAX, splitEvidence } from '../../src/gateway/evidence-messages.js'
 import type { EndpointRecord } from '../../src/gateway/model.js'
+import { formatParts } from '../../src/gateway/part-names.js'
 import { createRunningAttempt } from '../../src/gateway/running-attempt.js'
 import { Kernel } from '../../src/kernel/kernel.js'
 import '../../src/plugins/gateway/index.js'
 import { explainCrashes } from '../../src/plugins/gateway/explanation.js'
 import type { AccusedPart } from '../../src/plugins/gateway/explanation.js'
-import { PartCrashesPlugin } from '../../src/plugins/gateway/part-crashes.js'
+import { ACCUSATIONS_MAX, CRASHES_MAX, PartCrashesPlugin } from '../../src/plugins/gateway/part-crashes.js'
 import { startHarness } from './harness.js'
 import type { Harness } from './harness.js'
 
@@ -104,6 +105,25 @@
   t.deepEqual(statuses, [200, 502, 503, 503, 503])
 })
 
+// Guards against a part that is never accused, and crashes endpoint after endpoint, because many others stand before it.
+test('a part behind many others does not crash endpoint after endpoint', async t => {
+  for (const before of [33, 300]) {
+    const harness = await startHarness('idempotent', {}, { attemptsMax: 2 })
+    const endpoints = await startEndpoints(harness, 3)
+    const shared = Array.from({ length: before }, (_value, index) => `5a${index.toString(16).padStart(4, '0')}`)
+    const statuses = [(await harness.call({ parts: [...shared, 'c0'] })).status]
+    for (let index = 1; index <= 4; index += 1) {
+      statuses.push((await harness.call({ path: `/a/${index}`, parts: [...shared, DEADLY_PART, `d${index}`] })).status, (await harness.call({ path: `/a/s${index}`, parts: [...shared, `c${index}`] })).status)
+      await wait(2 * DOWN_MS)
+    }
+    for (const endpoint of endpoints) endpoint.stop()
+    harness.close()
+    const crashes = endpoints.reduce((sum, endpoint) => sum + endpoint.crashes, 0)
+    t.is(crashes, 1, `${crashes} crashes behind ${before} parts`)
+    t.deepEqual(statuses, [200, 502, 200, 503, 200, 503, 200, 503, 200], `behind ${before} parts`)
+  }
+})
+
 // Guards against refusing a team's sound requests because the part that they share was first seen in one that crashes endpoints.
 test('requests that share a part with those that crash endpoints are served', async t => {
   const harness = await startHarness('idempotent', {}, { attemptsMax: 2 })
@@ -219,14 +239,49 @@
   t.deepEqual([decide(one, 'victim', 16_000), decide(one, 'attacker', 16_000)], ['allowed', 'blocked'])
 })
 
-test('evidence, harmless parts and accused parts are bounded', t => {
+test('evidence, harmless parts and accused parts are bounded, and what is dropped is counted', t => {
   const { one } = createTables()
-  const parts = Array.from({ length: 200 }, (_value, index) => `p${index}`)
-  for (let index = 0; index < 500; index += 1) one.noteCrash(`e${index}/1`, 's', [{ fingerprint: 'f', team: `t${index}`, parts, ageMs: 1 }], index)
+  for (let index = 0; index < 500; index += 1) {
+    const parts = Array.from({ length: 600 }, (_value, at) => `p${index % 100}-${at}`)
+    one.noteCrash(`e${index}/1`, 's', [{ fingerprint: 'f', team: `t${index}`, parts, ageMs: 1 }], index)
+    one.noteBegun(parts, `t${index}`, 0, index)
+  }
   const evidence = one.list(-Infinity, 1_000)
-  t.is(evidence.length, 64)
-  t.true(evidence.every(({ accused }) => accused.length <= 32 && accused.every(({ teams }) => teams.length <= 2)))
-  t.true(pack(evidence.slice(0, CRASHES_PER_DATAGRAM_MAX)).length < 60_000)
+  const accusations = evidence.reduce((sum, { accused }) => sum + accused.length, 0)
+  t.true(evidence.length <= CRASHES_MAX && accusations <= ACCUSATIONS_MAX, `${evidence.length} crashes, ${accusations} accusations`)
+  t.is(evidence[0]?.crash, 'e499/1')
+  t.true(evidence.every(({ accused }) => accused.every(({ teams }) => teams.length <= 2)))
+  const lists = splitEvidence(evidence)
+  t.deepEqual(lists.filter(list => pack(list).length > EVIDENCE_BYTES_MAX), [])
+  t.is(lists.flat().reduce((sum, { accused }) => sum + accused.length, 0), accusations)
+  const { crashes, harmless } = one.takeDropped()
+  t.is(crashes, 500 - evidence.length)
+  t.true(harmless > 0)
+  t.deepEqual(one.takeDropped(), { accusations: 0, crashes: 0, harmless: 0 })
+})
+
+// Guards against log lines that are cut before the parts that matter, without a word of the others.
+test('a field of a log line names the first parts and counts the others', t => {
+  t.is(formatParts([]), '')
+  t.is(formatParts(['a', 'b']), 'a b')
+  t.is(formatParts(Array.from({ length: 1_000 }, (_value, index) => `p${index}`).map(part => part.padEnd(60, '-'))), `${['p0', 'p1', 'p2'].map(part => part.padEnd(60, '-')).join(' ')} and 997 more`)
+  t.is(formatParts(['x'.repeat(1_000), 'y']), 'and 2 more')
+})
+
+// Guards against dropping, of a crash with more parts than are kept, the one that crashed the endpoint.
+test('of a crash with more parts than are kept, sound parts and those in flight the shortest are dropped', t => {
+  const { one, other } = createTables()
+  const sound = Array.from({ length: ACCUSATIONS_MAX / 2 }, (_value, at) => `s${at}`)
+  const unknown = Array.from({ length: ACCUSATIONS_MAX / 2 }, (_value, at) => `u${at}`)
+  one.noteBegun(sound, 't1', 0, 1)
+  const suspects = [{ parts: sound, ageMs: 90 }, { parts: unknown, ageMs: 20 }, { parts: ['part'], ageMs: 50 }].map(suspect => ({ fingerprint: 'f', team: 't1', ...suspect }))
+  const evidence = one.noteCrash('e1/1', 's', suspects, 10)
+  t.is(evidence.accused.length, ACCUSATIONS_MAX)
+  t.deepEqual(evidence.accused.slice(0, 2).map(({ part }) => part), ['part', 'u0'])
+  t.deepEqual(one.takeDropped(), { accusations: 1, crashes: 0, harmless: 0 })
+  for (const list of splitEvidence([evidence]).toReversed()) for (const item of list) other.merge(item, 20)
+  t.deepEqual(other.listBlocked(20), one.listBlocked(20))
+  t.deepEqual(other.list(-Infinity, 20)[0]!.accused.length, ACCUSATIONS_MAX)
 })
 
 // Guards against accusing the requests of an endpoint that was expected to end.
