Forget crashes by age, and count what a gateway drops on its metrics

Crashes were forgotten in the order in which they were heard of, so that an old one which a peer repeats displaced a newer one, and gateways whose tables are full could tell each other the same evidence for ever.

New tests for both.

--- a/src/gateway/settle-attempt.ts
+++ b/src/gateway/settle-attempt.ts
@@ -3,8 +3,8 @@
 import type { AttemptResult } from '../plugins/gateway/selection.js'
 import type { GatewayContext } from './context.js'
 import type { CallerRequest } from './model.js'
-import type { RunningAttempt } from './running-attempt.js'
 import { formatParts } from './part-names.js'
+import type { RunningAttempt } from './running-attempt.js'
 
 /** How an attempt ended. */
 export interface AttemptEnd {
--- a/src/plugins/gateway/part-crashes.ts
+++ b/src/plugins/gateway/part-crashes.ts
@@ -134,6 +134,8 @@
   readonly service: string
   atMs: number
   changedAtMs: number
+  /** Whether accusations were dropped for lack of room. */
+  isFull: boolean
   readonly accused: Map<string, AccusedEntry>
   readonly harmless: Map<string, Set<string>>
   readonly cleared: Set<string>
@@ -207,17 +209,18 @@
   merge (evidence: CrashEvidence, nowMs: number): EvidenceMerge {
     const atMs = nowMs - Math.max(0, evidence.ageMs)
     if (nowMs - atMs > EVIDENCE_TTL_MS) return { isChanged: false, reply: undefined }
-    let isChanged = !this.#crashes.has(evidence.crash)
+    const isNew = !this.#crashes.has(evidence.crash)
+    let isChanged = isNew
     const entry = this.#getEntry(evidence, atMs, nowMs)
     entry.atMs = Math.min(entry.atMs, atMs)
     const own: { part: string, teams: readonly string[] }[] = []
     // What the sender knows need not be told it again.
     for (const { part, teams } of evidence.harmless) if (addHarmless(entry, part, teams)) isChanged = true
     for (const accusation of this.#fit(entry, evidence.accused)) {
-      const isNew = !entry.accused.has(accusation.part)
+      const isNewPart = !entry.accused.has(accusation.part)
       if (!addAccusation(entry, accusation)) continue
       isChanged = true
-      const known = isNew ? this.#findHarmless(accusation.part, nowMs) : undefined
+      const known = isNewPart ? this.#findHarmless(accusation.part, nowMs) : undefined
       if (known !== undefined && addHarmless(entry, accusation.part, [...known])) own.push({ part: accusation.part, teams: [...known] })
     }
     for (const part of evidence.cleared) {
@@ -226,7 +229,11 @@
       isChanged = true
     }
     if (isChanged) this.#noteChanged(entry, nowMs)
-    this.#dropOldest()
+    const dropped = this.#dropOldest()
+    const isForgotten = dropped.has(entry.id)
+    // A crash that was forgotten before may be heard of again, and counts once.
+    this.#noteDropped({ crashes: dropped.size - (isForgotten && isNew ? 1 : 0) })
+    if (isForgotten) return { isChanged: false, reply: undefined }
     return { isChanged, reply: own.length === 0 ? undefined : { crash: entry.id, service: entry.service, ageMs: nowMs - entry.atMs, accused: [], harmless: own, cleared: [] } }
   }
 
@@ -251,23 +258,29 @@
     const added = [...new Set(accused.flatMap(({ part }) => entry.accused.has(part) ? [] : [part]))]
     const excess = entry.accused.size + added.length - ACCUSATIONS_MAX
     if (excess <= 0) return accused
-    const sound = [...entry.accused.keys()].filter(part => entry.cleared.has(part) || entry.harmless.has(part)).slice(0, excess)
-    for (const part of sound) entry.accused.delete(part)
-    this.#noteDropped({ accusations: excess })
-    const dropped = new Set(added.slice(added.length - (excess - sound.length)))
-    return accused.filter(({ part }) => !dropped.has(part))
+    const isSound = (part: string): boolean => entry.cleared.has(part) || entry.harmless.has(part)
+    const suspects = added.filter(part => !isSound(part))
+    const missing = Math.max(0, entry.accused.size + suspects.length - ACCUSATIONS_MAX)
+    for (const part of [...entry.accused.keys()].filter(isSound).slice(0, missing)) entry.accused.delete(part)
+    const kept = new Set([...suspects, ...added.filter(isSound)].slice(0, ACCUSATIONS_MAX - entry.accused.size))
+    // Evidence is repeated, and counts once.
+    if (!entry.isFull) this.#noteDropped({ accusations: excess })
+    entry.isFull = true
+    return accused.filter(({ part }) => entry.accused.has(part) || kept.has(part))
   }
 
-  /** Forgets the oldest crashes until the others fit. */
-  #dropOldest (): void {
+  /** Forgets the oldest crashes until the others fit. @returns the ids of those */
+  #dropOldest (): ReadonlySet<string> {
+    const dropped = new Set<string>()
     let accusations = [...this.#crashes.values()].reduce((sum, { accused }) => sum + accused.size, 0)
-    for (const [id, { accused }] of this.#crashes) {
-      if ((accusations <= ACCUSATIONS_MAX && this.#crashes.size <= CRASHES_MAX) || this.#crashes.size === 1) return
+    while (this.#crashes.size > 1 && (accusations > ACCUSATIONS_MAX || this.#crashes.size > CRASHES_MAX)) {
+      const { id, accused } = [...this.#crashes.values()].reduce((oldest, entry) => entry.atMs < oldest.atMs ? entry : oldest)
       this.#crashes.delete(id)
       accusations -= accused.size
+      dropped.add(id)
       this.#isStale = true
-      this.#noteDropped({ crashes: 1 })
     }
+    return dropped
   }
 
   #noteDropped (dropped: Partial<DroppedEvidence>): void {
@@ -322,7 +335,7 @@
   #getEntry ({ crash, service }: CrashEvidence, atMs: number, nowMs: number): CrashEntry {
     let entry = this.#crashes.get(crash)
     if (entry === undefined) {
-      entry = { id: crash, service, atMs, changedAtMs: nowMs, accused: new Map(), harmless: new Map(), cleared: new Set() }
+      entry = { id: crash, service, atMs, changedAtMs: nowMs, isFull: false, accused: new Map(), harmless: new Map(), cleared: new Set() }
       this.#crashes.set(crash, entry)
     }
     return entry
--- a/test/gateway/prompt-parts.test.ts
+++ b/test/gateway/prompt-parts.test.ts
@@ -284,6 +284,42 @@
   t.deepEqual(other.list(-Infinity, 20)[0]!.accused.length, ACCUSATIONS_MAX)
 })
 
+// Guards against gateways that tell each other for ever what the other has no room for, and against a new crash that an old one displaces.
+test('tables that are full agree after a few messages', t => {
+  const { one, other } = createTables()
+  for (const [turn, table] of [one, other, one, other, one, other].entries()) {
+    const parts = Array.from({ length: ACCUSATIONS_MAX / 4 }, (_value, at) => `p${turn}-${at}`)
+    table.noteCrash(`e${turn}/1`, 's', [{ fingerprint: 'f', team: 't1', parts, ageMs: 1 }], 1_000 * turn)
+  }
+  const changes: number[] = []
+  for (let round = 0; round < 4; round += 1) {
+    let changed = 0
+    for (const [from, to] of [[one, other], [other, one]] as const) {
+      for (const list of splitEvidence(from.list(-Infinity, 9_000))) for (const item of list) changed += Number(to.merge(item, 9_000).isChanged)
+    }
+    changes.push(changed)
+  }
+  t.true(changes[0]! > 0)
+  t.deepEqual(changes.slice(2), [0, 0])
+  t.deepEqual(one.list(-Infinity, 9_000).map(({ crash }) => crash), ['e5/1', 'e4/1', 'e3/1', 'e2/1'])
+  t.deepEqual(other.list(-Infinity, 9_000).map(({ crash }) => crash), ['e5/1', 'e4/1', 'e3/1', 'e2/1'])
+  t.is(one.takeDropped().crashes, 1)
+})
+
+// Guards against dropped evidence that no counter shows.
+test('what a gateway drops is counted by its metrics, and evidence is logged', async t => {
+  const kernel = Kernel.create({ self: { id: 'g', role: 'gateway', domain: 'a', host: 'g', address: '', incarnation: 1 }, seed: 1, settings: { clusterSecret: '', seeds: [] } })
+  const metrics = Metrics.create({ role: 'gateway' })
+  const lines: string[] = []
+  const monitor = CrashMonitor.create({
+    self: 'g', crashes: kernel.getPort('crashes'), partCrashes: kernel.getPort('partCrashes'), endpoints: kernel.getPort('endpoints'), liveness: kernel.getPort('liveness'), peers: kernel.getPort('peers'), metrics, sendEvidence: () => {}, noteCrash: () => {}, getNowMs: () => 1_000, log: (event, fields) => { lines.push(`${event} ${JSON.stringify(fields)}`) }
+  })
+  const accused = Array.from({ length: ACCUSATIONS_MAX + 5 }, (_value, index) => ({ part: `p${index}`, teams: ['t1'], depth: index, ageMs: 1 }))
+  monitor.merge([{ crash: 'e1/1', service: 's', ageMs: 0, accused, harmless: [], cleared: [] }, { crash: 'e2/1', service: 's', ageMs: 500, accused: accused.slice(0, 1), harmless: [], cleared: [] }], () => {})
+  t.deepEqual(lines.filter(line => line.startsWith('part-evidence-dropped')), ['part-evidence-dropped {"accusations":5,"crashes":0}'])
+  t.regex(await metrics.format(), /heatherdoor_part_evidence_dropped_total\{kind="accusations",role="gateway"\} 5/)
+})
+
 // Guards against accusing the requests of an endpoint that was expected to end.
 test('an endpoint that drains, has left or was unresponsive accuses no part', t => {
   for (const change of ['drains', 'left', 'unresponsive', 'none'] as const) {
