End the early trials of a blocked part after six incidents

Change: no early trial after six incidents, as the platform allows five crashes and three requests more, and the last is left for the end of the block.

--- a/src/plugins/gateway/part-crashes.ts
+++ b/src/plugins/gateway/part-crashes.ts
@@ -44,6 +44,12 @@
 /** The same once a refused request had such another part, too: the block may hide the part that crashes endpoints. */
 const HIDING_DOUBT_MS = TRIAL_INTERVAL_MS
 
+/**
+ * Largest number of incidents after which a block in doubt is tried early, as each trial may be one more. The platform allows
+ * five crashes and three requests with the part afterwards; the last of these is left for the trial when the block ends.
+ */
+const TRIAL_INCIDENTS_MAX = 6
+
 /** A request that was in flight at a crash and whose answer had not gone past its beginning. */
 export interface Suspect {
   readonly fingerprint: string
@@ -293,11 +299,11 @@
    * crashes as well, a request that lacks one of them shows which it is, best one that lacks them all.
    */
   #computeTrialStartMs (explanation: Explanation, asked: ReadonlySet<string>): number {
-    const { part, rivals, lastCrashAtMs } = explanation
+    const { part, rivals, lastCrashAtMs, incidents } = explanation
     const untilMs = computeBlockEndMs(explanation)
     const present = rivals.filter(rival => asked.has(rival)).length
     if (present > 0) this.#hiding.add(part)
-    if (present === rivals.length) return untilMs
+    if (present === rivals.length || incidents > TRIAL_INCIDENTS_MAX) return untilMs
     const doubtMs = this.#hiding.has(part) ? HIDING_DOUBT_MS : DOUBT_MS
     return Math.min(untilMs, lastCrashAtMs + doubtMs + (present > 0 ? TRIAL_INTERVAL_MS : 0))
   }
