--- a/review/common-3/streams.js
+++ b/review/common-3/streams.js
@@ -1,8 +1,12 @@
 /** Stand-ins for requesters of streams, and what became of their requests. */
 
+import { setTimeout as wait } from 'node:timers/promises'
 import { makeId, send } from './client.js'
 import { HOST, KEY } from './site.js'
 
+/** Time budget of a request in ms. */
+const DEADLINE_MS = 8_000
+
 export class StreamCallers {
   #record
   #gateways
@@ -17,7 +21,7 @@
 
   /** Sends a request of a kind to one of the gateways at random each `gapMs`. @param pickParts - picks the shared parts of its prompt */
   start (kind, gapMs, pickParts) {
-    this.#timers.add(setInterval(() => { this.#send(kind, pickParts()) }, gapMs))
+    this.#timers.add(setInterval(() => { this.#startRequest(kind, pickParts()) }, gapMs))
   }
 
   /** Sends no further requests, and waits for the answers. */
@@ -42,18 +46,29 @@
     return { sent: chosen.length, begun: chosen.filter(({ hasBegun }) => hasBegun).length, whole: chosen.filter(({ answer }) => answer?.status === 200 && answer.isComplete).length }
   }
 
-  #send (kind, parts) {
+  #startRequest (kind, parts) {
+    const done = this.#send(kind, parts, DEADLINE_MS).then(async ({ answer, leftMs }) => {
+      const waitMs = 1000 * Number(answer.headers['retry-after'] ?? NaN)
+      // Requesters come back once after a promise, if the wait is at most a third of the time they have left.
+      if (answer.status === 503 && waitMs <= leftMs / 3) {
+        await wait(waitMs)
+        await this.#send(`${kind} again`, parts, leftMs - waitMs)
+      }
+      this.#pending.delete(done)
+    })
+    this.#pending.add(done)
+  }
+
+  async #send (kind, parts, deadlineMs) {
     const id = makeId()
     const request = { kind, sentAtMs: this.#record.nowMs, hasBegun: false, answer: undefined }
     this.#requests.set(id, request)
     const gateway = this.#gateways[Math.floor(Math.random() * this.#gateways.length)]
     const headers = { 'Heatherdoor-Model': 'm', 'Heatherdoor-Token-Usage': '714,140', 'Heatherdoor-Prompt-Prefix': [...parts, `${id}:474`].join(',') }
-    const done = send({ ip: gateway.ip, id, method: 'POST', path: `/lohu930/${id}`, host: HOST, key: KEY, body: '{}', headers }).then(answer => {
-      request.answer = answer
-      this.#record.write(`${kind} request ${id} at ${gateway.name}: ${answer.status ?? 'no status'}, ${answer.body.split('\n\n').length - 1} events, ${answer.isComplete ? 'complete' : `broken off (${answer.reason})`}`)
-      this.#pending.delete(done)
-    })
-    this.#pending.add(done)
+    const answer = await send({ ip: gateway.ip, id, method: 'POST', path: `/lohu930/${id}`, host: HOST, key: KEY, body: '{}', deadlineMs: Math.round(deadlineMs), headers })
+    request.answer = answer
+    this.#record.write(`${kind} request ${id} at ${gateway.name}: ${answer.status ?? 'no status'}, ${answer.body.split('\n\n').length - 1} events, ${answer.isComplete ? 'complete' : `broken off (${answer.reason})`}`)
+    return { answer, leftMs: deadlineMs - answer.elapsedMs }
   }
 }
 
